--- /dev/null
+++ b/Makefile
@@ -0,0 +1,44 @@
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+PACKAGES := cardamomshunt cardamomshunt-node cardamomshunt-cli cardamomshunt-testing
+INSTALLED := $(VENV)/installed
+
+.PHONY: install demo test lint format types measure soak capacity clean
+
+install: $(INSTALLED)
+
+$(INSTALLED): constraints.txt $(PACKAGES:%=packages/%/pyproject.toml)
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check -c constraints.txt \
+	    $(PACKAGES:%=-e packages/%) -r requirements-dev.txt
+	touch $(INSTALLED)
+
+demo: install
+	$(BIN)/python -m cardamomshunt_testing.demo
+
+test: install
+	$(BIN)/python -m pytest
+
+lint: install
+	$(BIN)/ruff format --check packages
+	$(BIN)/ruff check packages
+
+format: install
+	$(BIN)/ruff format packages
+	$(BIN)/ruff check --fix packages
+
+types: install
+	$(BIN)/mypy
+
+measure: install
+	@$(BIN)/python -m cardamomshunt_testing.measure $(if $(ONLY),--only $(ONLY))
+
+soak: install
+	$(BIN)/python -m cardamomshunt_testing.soak
+
+capacity: install
+	@$(BIN)/python -m cardamomshunt_testing.capacity
+
+clean:
+	rm -rf $(VENV)
--- /dev/null
+++ b/packages/cardamomshunt-cli/src/cardamomshunt_cli/__init__.py
@@ -0,0 +1,1 @@
+"""Operator command line of the cardamomshunt database proxy."""
--- /dev/null
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/__init__.py
@@ -0,0 +1,1 @@
+"""Daemon of the cardamomshunt database proxy."""
--- /dev/null
+++ b/packages/cardamomshunt-testing/src/cardamomshunt_testing/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-in database group, naive baselines, load tool and measurements."""
--- /dev/null
+++ b/packages/cardamomshunt/src/cardamomshunt/_effects.py
@@ -0,0 +1,224 @@
+"""Data classes that go into and come out of the data path."""
+
+import enum
+from typing import TypeAlias
+
+import msgspec
+
+from cardamomshunt._messages import InstanceAddress, InstanceRole
+from cardamomshunt._position import LogPosition
+from cardamomshunt._verdict import Refusal
+
+CallerId: TypeAlias = int
+RequestId: TypeAlias = int
+ConnectionId: TypeAlias = int
+
+
+class RequestClass(enum.Enum):
+    """Name the class of a request, which has its own limits."""
+
+    ORDER = "order"
+    LOOKUP = "lookup"
+    DISPATCH = "dispatch"
+
+
+class RequestKind(enum.Enum):
+    """Name what a statement does to its caller's transaction."""
+
+    READ = "read"
+    WRITE = "write"
+    BEGIN = "begin"
+    BEGIN_READ_ONLY = "begin_read_only"
+    COMMIT = "commit"
+    ROLLBACK = "rollback"
+    SESSION_STATE = "session_state"
+    OUTCOME_QUERY = "outcome_query"
+
+
+class SessionHints(msgspec.Struct, frozen=True, kw_only=True):
+    """Carry the hints of one request; None means not given."""
+
+    session: str | None = None
+    max_age_ms: float | None = None
+    idempotency_key: str | None = None
+    deadline_ms: float | None = None
+    request_class: RequestClass | None = None
+    watermark: LogPosition | None = None
+
+
+class Request(msgspec.Struct, kw_only=True):
+    """Describe one statement of a caller; the text stays with the edge."""
+
+    request_id: RequestId
+    caller_id: CallerId
+    database: str
+    kind: RequestKind
+    hints: SessionHints
+    fingerprint: str = ""
+
+
+class AttemptKind(enum.Enum):
+    """Name how the backend edge runs an attempt.
+
+    PLAIN runs the statement; ACKNOWLEDGED_WRITE runs it and waits for a majority;
+    IDEMPOTENT_WRITE does so together with the idempotency record; ACKNOWLEDGED_COMMIT
+    commits the open transaction and waits for a majority; QUERY_OUTCOME asks for (and
+    revokes, if absent) an idempotency key.
+    """
+
+    PLAIN = "plain"
+    ACKNOWLEDGED_WRITE = "acknowledged_write"
+    IDEMPOTENT_WRITE = "idempotent_write"
+    ACKNOWLEDGED_COMMIT = "acknowledged_commit"
+    QUERY_OUTCOME = "query_outcome"
+
+
+class QueryOutcome(enum.Enum):
+    """Tell what became of an idempotency key."""
+
+    RAN = "RAN"
+    NOT_RUN = "NOT_RUN"
+    UNKNOWN = "UNKNOWN"
+
+
+class AttemptOutcome(enum.Enum):
+    """Name how an attempt ended, as far as the backend edge can prove it.
+
+    OK: answered (and acknowledged, where the kind asks for it). BACKEND_ERROR: the
+    server's own error, statement not applied. FENCED: refused for its term, not
+    applied. NOT_SENT: nothing left this process. LOST: connection lost or timed out
+    after sending; a write may have run. NOT_ACKNOWLEDGED: applied at the primary, not
+    held by a majority in time. KEY_REUSED: the key belongs to another statement.
+    KEY_REVOKED: an outcome query revoked the key before this attempt.
+    """
+
+    OK = "ok"
+    BACKEND_ERROR = "backend_error"
+    FENCED = "fenced"
+    NOT_SENT = "not_sent"
+    LOST = "lost"
+    NOT_ACKNOWLEDGED = "not_acknowledged"
+    KEY_REUSED = "key_reused"
+    KEY_REVOKED = "key_revoked"
+
+
+class FirstAnswer(msgspec.Struct, frozen=True):
+    """Hold the stored answer of a write that ran before under the same key."""
+
+    n_affected_rows: int
+    last_insert_id: int
+
+
+class AttemptResult(msgspec.Struct, kw_only=True):
+    """Report the end of an attempt; `position` is set for acknowledged writes."""
+
+    request_id: RequestId
+    attempt: int
+    connection_id: ConnectionId
+    outcome: AttemptOutcome
+    position: LogPosition | None = None
+    first_answer: FirstAnswer | None = None
+    query_outcome: QueryOutcome | None = None
+    elapsed_ms: float = 0.0
+    detail: str = ""
+
+
+class ConnectionOpened(msgspec.Struct, kw_only=True):
+    """Report a new backend connection with what its handshake told."""
+
+    connection_id: ConnectionId
+    instance: str
+    incarnation: int
+    role: InstanceRole
+    term: int
+    applied_position: LogPosition
+    elapsed_ms: float
+
+
+class ConfirmedBound(msgspec.Struct, frozen=True, kw_only=True):
+    """State that all writes acknowledged before `as_of_ms` are at or before a position."""
+
+    database: str
+    position: LogPosition
+    as_of_ms: float
+
+
+class DataPathEffect(msgspec.Struct, kw_only=True):
+    """Base of what the data path asks its host to do."""
+
+
+class OpenConnection(DataPathEffect, kw_only=True):
+    """Dial an instance; bind the connection to `term` if it is given."""
+
+    connection_id: ConnectionId
+    database: str
+    instance: str
+    address: InstanceAddress
+    term: int | None
+
+
+class CloseConnection(DataPathEffect, kw_only=True):
+    """Close a backend connection at once, whatever runs on it."""
+
+    connection_id: ConnectionId
+    reason: str
+
+
+class ResetConnection(DataPathEffect, kw_only=True):
+    """Roll back and clear session state before another session uses a connection.
+
+    The host answers with `on_connection_reset` or `on_connection_closed`.
+    """
+
+    connection_id: ConnectionId
+
+
+class StartAttempt(DataPathEffect, kw_only=True):
+    """Run a request's statement on a connection within `timeout_ms`."""
+
+    request_id: RequestId
+    attempt: int
+    connection_id: ConnectionId
+    kind: AttemptKind
+    timeout_ms: float
+    idempotency_key: str | None = None
+    fingerprint: str = ""
+
+
+class AskPosition(DataPathEffect, kw_only=True):
+    """Ask the primary for its confirmed position; answer with `on_confirmed_bound`."""
+
+    database: str
+    connection_id: ConnectionId
+    timeout_ms: float
+
+
+class CompleteRequest(DataPathEffect, kw_only=True):
+    """Let the caller have the answer of an attempt.
+
+    `is_from_replica` and `age_ms` describe a read; `watermark` is the session's after
+    it. With `first_answer` set, that one is the answer.
+    """
+
+    request_id: RequestId
+    attempt: int
+    is_from_replica: bool = False
+    age_ms: float | None = None
+    watermark: LogPosition | None = None
+    first_answer: FirstAnswer | None = None
+    query_outcome: QueryOutcome | None = None
+
+
+class RefuseRequest(DataPathEffect, kw_only=True):
+    """End a request with a refusal."""
+
+    request_id: RequestId
+    refusal: Refusal
+
+
+class EmitEvent(DataPathEffect, kw_only=True):
+    """Log a numbered event of the catalogue in docs/events.md."""
+
+    number: int
+    subject: str = ""
+    detail: str = ""
--- /dev/null
+++ b/packages/cardamomshunt/src/cardamomshunt/_messages.py
@@ -0,0 +1,265 @@
+"""Message types between processes, and their MessagePack codec."""
+
+import enum
+
+import msgspec
+
+from cardamomshunt._position import ZERO, LogPosition
+
+PROTOCOL_VERSION = 1
+
+
+class InstanceRole(enum.Enum):
+    """Name what a backend server says it is."""
+
+    PRIMARY = "primary"
+    REPLICA = "replica"
+
+
+class NodeRole(enum.Enum):
+    """Name the role of a daemon."""
+
+    PROXY = "proxy"
+    CONTROL = "control"
+
+
+class FailoverStep(enum.Enum):
+    """Name the step of a database's state chart `failover.toml`."""
+
+    SERVING = "serving"
+    HANDING_OVER = "handing_over"
+    FENCING = "fencing"
+    PROMOTING = "promoting"
+
+
+class Message(msgspec.Struct, tag=True, kw_only=True):
+    """Base of all messages between processes."""
+
+
+class InstanceAddress(msgspec.Struct, frozen=True):
+    """Locate a backend server."""
+
+    host: str
+    port: int
+
+
+class TokenEcho(msgspec.Struct, frozen=True, kw_only=True):
+    """Confirm a position for one entry VM.
+
+    After the primary received `token`, a majority of the group acknowledged `term`;
+    `position` was the end of the primary's log at that moment.
+    """
+
+    token: str
+    position: LogPosition
+
+
+class Announcement(msgspec.Struct, kw_only=True):
+    """Describe a backend server; sent by the server to an entry VM as JSON.
+
+    `incarnation` changes whenever the server starts again, as its log may be shorter.
+    """
+
+    group: str
+    instance: str
+    incarnation: int
+    zone: str
+    address: InstanceAddress
+    role: InstanceRole
+    term: int
+    log_position: LogPosition
+    applied_position: LogPosition
+    committed_position: LogPosition = ZERO
+    n_slots: int
+    n_connections_max: int
+    is_leaving: bool = False
+    echo: TokenEcho | None = None
+
+
+class Heartbeat(Message, kw_only=True):
+    """Report a daemon as alive to the control leader."""
+
+    node: str
+    role: NodeRole
+    zone: str
+    incarnation: int
+    operator_address: str
+    configuration_version: int
+    topology_version: int
+    is_draining: bool = False
+
+
+class InstanceObservation(msgspec.Struct, kw_only=True):
+    """Report what one entry VM knows of one backend server.
+
+    `silence_ms` is the time since the last announcement or answer from the server;
+    `is_refusing` says that the last dial was refused.
+    """
+
+    database: str
+    instance: str
+    incarnation: int
+    zone: str
+    address: InstanceAddress
+    role: InstanceRole
+    term: int
+    log_position: LogPosition
+    applied_position: LogPosition
+    n_slots: int
+    n_connections_max: int
+    silence_ms: float
+    is_refusing: bool = False
+    is_leaving: bool = False
+
+
+class HealthReport(Message, kw_only=True):
+    """Carry an entry VM's observations to the control leader."""
+
+    node: str
+    zone: str
+    sequence: int
+    observations: list[InstanceObservation]
+
+
+class ConnectionDemand(msgspec.Struct, kw_only=True):
+    """State how many connections to an instance an entry VM can use."""
+
+    instance: str
+    n_wanted: int
+
+
+class DemandReport(Message, kw_only=True):
+    """Carry an entry VM's connection demand to the control leader."""
+
+    node: str
+    sequence: int
+    demands: list[ConnectionDemand]
+
+
+class ConnectionGrant(msgspec.Struct, kw_only=True):
+    """Lease connections to one instance until `expires_in_ms` after receipt."""
+
+    instance: str
+    n_connections: int
+    expires_in_ms: float
+
+
+class ConnectionGrants(Message, kw_only=True):
+    """Carry the control leader's grants to one entry VM."""
+
+    node: str
+    sequence: int
+    grants: list[ConnectionGrant]
+
+
+class DatabaseTopology(msgspec.Struct, kw_only=True):
+    """State the term, the primary and the failover step of one database."""
+
+    database: str
+    term: int
+    primary_instance: str | None
+    step: FailoverStep
+
+
+class TopologyUpdate(Message, kw_only=True):
+    """Carry the topology; `version` grows with every change, older ones are dropped."""
+
+    version: int
+    databases: list[DatabaseTopology]
+
+
+class Change(msgspec.Struct, frozen=True, kw_only=True):
+    """Set the value at a dotted path of the cluster configuration; None removes it."""
+
+    path: str
+    value: str | int | float | bool | None
+
+
+class ConfigurationUpdate(Message, kw_only=True):
+    """Carry a configuration to a node.
+
+    With `base_version` None, `snapshot` holds the whole document of `version` as JSON.
+    Otherwise `changes` lead from `base_version` to `version`.
+    """
+
+    version: int
+    base_version: int | None
+    snapshot: str = ""
+    changes: list[Change] = []
+
+
+class DrainInstance(Message, kw_only=True):
+    """Tell an entry VM to give a backend server no new work, or to resume."""
+
+    instance: str
+    is_draining: bool
+
+
+class UnknownMessage(Message, kw_only=True):
+    """Stand for a message whose type this version does not know."""
+
+    tag_name: str
+
+
+class Envelope(msgspec.Struct, kw_only=True):
+    """Wrap a message on the wire; `reply_address` is the sender's listener."""
+
+    protocol_version: int = PROTOCOL_VERSION
+    sender: str
+    reply_address: str
+    sent_hlc: int = 0
+    message: msgspec.Raw
+
+
+_REGISTRY: dict[str, type[Message]] = {}
+_ENCODER = msgspec.msgpack.Encoder()
+_ENVELOPE_DECODER = msgspec.msgpack.Decoder(Envelope)
+
+
+class _Tag(msgspec.Struct):
+    type: str
+
+
+_TAG_DECODER = msgspec.msgpack.Decoder(_Tag)
+
+
+def _known_types() -> dict[str, type[Message]]:
+    """Collect the message types defined so far, by tag."""
+    pending = list(Message.__subclasses__())
+    while pending:
+        message_type = pending.pop()
+        pending.extend(message_type.__subclasses__())
+        _REGISTRY[message_type.__name__] = message_type
+    return _REGISTRY
+
+
+def encode_envelope(
+    message: Message, *, sender: str, reply_address: str, sent_hlc: int = 0
+) -> bytes:
+    """Encode a message with its envelope."""
+    envelope = Envelope(
+        sender=sender,
+        reply_address=reply_address,
+        sent_hlc=sent_hlc,
+        message=msgspec.Raw(_ENCODER.encode(message)),
+    )
+    return _ENCODER.encode(envelope)
+
+
+def decode_envelope(payload: bytes) -> tuple[Envelope, Message]:
+    """Decode a payload; raise msgspec.DecodeError or ValidationError if malformed.
+
+    >>> payload = encode_envelope(
+    ...     DrainInstance(instance="orders-1", is_draining=True),
+    ...     sender="proxy-1",
+    ...     reply_address="tcp://127.0.0.1:1",
+    ... )
+    >>> decode_envelope(payload)[1]
+    DrainInstance(instance='orders-1', is_draining=True)
+    """
+    envelope = _ENVELOPE_DECODER.decode(payload)
+    tag = _TAG_DECODER.decode(envelope.message).type
+    message_type = _REGISTRY.get(tag) or _known_types().get(tag)
+    if message_type is None:
+        return envelope, UnknownMessage(tag_name=tag)
+    return envelope, msgspec.msgpack.decode(envelope.message, type=message_type)
--- /dev/null
+++ b/packages/cardamomshunt/src/cardamomshunt/_position.py
@@ -0,0 +1,35 @@
+"""Log positions ordered by term first."""
+
+import msgspec
+
+
+class LogPosition(msgspec.Struct, frozen=True, order=True, array_like=True):
+    """Identify a log entry of a database group by term and position.
+
+    Term comes first: a position of an older term never looks newer than one of a
+    later term, whatever its number.
+
+    >>> LogPosition(3, 100) < LogPosition(4, 50)
+    True
+    """
+
+    term: int
+    position: int
+
+    def __str__(self) -> str:
+        return f"{self.term}:{self.position}"
+
+    @classmethod
+    def parse(cls, text: str) -> "LogPosition":
+        """Parse `term:position`; raise ValueError for any other form.
+
+        >>> LogPosition.parse("4:50")
+        LogPosition(term=4, position=50)
+        """
+        term, separator, position = text.partition(":")
+        if not (separator and term.isdecimal() and position.isdecimal()):
+            raise ValueError(f"expected term:position, got {text!r}")
+        return cls(int(term), int(position))
+
+
+ZERO = LogPosition(0, 0)
--- /dev/null
+++ b/packages/cardamomshunt/src/cardamomshunt/data_path.py
@@ -0,0 +1,5 @@
+"""Decisions on the way of a request from a caller to a backend server."""
+
+from cardamomshunt._data_path_interface import AbstractDataPath
+
+__all__ = ["AbstractDataPath"]
