Add the typed cluster configuration document

Cause: the data path and control need one definition of limits and policy. Change: ClusterConfiguration with defaults.

--- /dev/null
+++ b/packages/cardamomshunt/src/cardamomshunt/_configuration_document.py
@@ -0,0 +1,73 @@
+"""The cluster configuration as a typed document."""
+
+import msgspec
+
+from cardamomshunt._effects import RequestClass
+
+
+class ClassSettings(msgspec.Struct, kw_only=True):
+    """Set the limits of one request class of a database.
+
+    `max_age_ms` is the age that reads accept without a hint; 0 asks for
+    read-your-writes. `reserved_share` is the share of the primary's slots that the
+    class keeps under overload.
+    """
+
+    deadline_ms: float = 2_000.0
+    max_age_ms: float = 0.0
+    n_queued_max: int = 200
+    reserved_share: float = 0.1
+
+
+class DatabaseSettings(msgspec.Struct, kw_only=True):
+    """Set the limits of one database by request class."""
+
+    order: ClassSettings = msgspec.field(
+        default_factory=lambda: ClassSettings(deadline_ms=4_000.0, reserved_share=0.5)
+    )
+    lookup: ClassSettings = msgspec.field(
+        default_factory=lambda: ClassSettings(reserved_share=0.2)
+    )
+    dispatch: ClassSettings = msgspec.field(default_factory=ClassSettings)
+
+    def for_class(self, request_class: RequestClass) -> ClassSettings:
+        """Return the settings of a request class."""
+        settings: ClassSettings = getattr(self, request_class.value)
+        return settings
+
+
+class PolicySettings(msgspec.Struct, kw_only=True):
+    """Set the policy that holds for all databases."""
+
+    detection_ms: float = 600.0
+    catch_up_wait_ms: float = 40.0
+    await_majority_ms: float = 1_500.0
+    n_connections_floor: int = 2
+    idempotency_retention_s: float = 604_800.0
+    retry_budget_ratio: float = 0.1
+    hedge_after_ms: float = 0.0
+
+
+class ClusterConfiguration(msgspec.Struct, kw_only=True):
+    """Hold the configuration that patches change, with its version."""
+
+    version: int = 0
+    policy: PolicySettings = msgspec.field(default_factory=PolicySettings)
+    databases: dict[str, DatabaseSettings] = {}
+
+    def database(self, name: str) -> DatabaseSettings:
+        """Return the settings of a database, or the defaults.
+
+        >>> ClusterConfiguration().database("orders").order.deadline_ms
+        4000.0
+        """
+        return self.databases.get(name) or DatabaseSettings()
+
+    def to_json(self) -> str:
+        """Encode the document as JSON."""
+        return msgspec.json.encode(self).decode()
+
+    @classmethod
+    def from_json(cls, text: str) -> "ClusterConfiguration":
+        """Decode a document; raise msgspec.ValidationError if it is malformed."""
+        return msgspec.json.decode(text, type=cls)
