--- /dev/null
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_operator_link.py
@@ -0,0 +1,117 @@
+"""Requests and replies between operators and daemons over pynng."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import msgspec
+import pynng
+from cardamomshunt.messages import (
+    Message,
+    decode_envelope,
+    encode_envelope,
+)
+from cardamomshunt.operator_messages import OperatorError, OperatorErrorCode
+
+from cardamomshunt_node._keys import KeyRing
+
+_N_CONTEXTS = 8
+_RECEIVE_SIZE_MAX_BYTES = 8 * 1024 * 1024
+
+OperatorHandler = Callable[[Message], Awaitable[Message]]
+
+
+class NoReplyError(Exception):
+    """Say that a daemon did not answer in time."""
+
+
+class OperatorServer:
+    """Answer operators on the operator address; several requests at a time."""
+
+    def __init__(
+        self, node: str, listen_url: str, keys: KeyRing, handler: OperatorHandler
+    ) -> None:
+        self._node = node
+        self._listen_url = listen_url
+        self._keys = keys
+        self._handler = handler
+        self._socket: pynng.Rep0 | None = None
+        self._workers: list[asyncio.Task[None]] = []
+
+    def set_keys(self, keys: KeyRing) -> None:
+        """Replace the key ring without a restart."""
+        self._keys = keys
+
+    async def start(self) -> None:
+        """Listen; raise pynng.AddressInUse if the address is taken."""
+        self._socket = pynng.Rep0(listen=self._listen_url)
+        self._socket.recv_max_size = _RECEIVE_SIZE_MAX_BYTES
+        self._workers = [
+            asyncio.create_task(self._serve(self._socket.new_context()))
+            for _ in range(_N_CONTEXTS)
+        ]
+
+    async def stop(self) -> None:
+        """Close the listener."""
+        for worker in self._workers:
+            worker.cancel()
+        await asyncio.gather(*self._workers, return_exceptions=True)
+        if self._socket is not None:
+            self._socket.close()
+
+    async def _serve(self, context: pynng.Context) -> None:
+        try:
+            while True:
+                sealed = await context.arecv()
+                reply = await self._reply(sealed)
+                payload = encode_envelope(
+                    reply, sender=self._node, reply_address=self._listen_url
+                )
+                await context.asend(self._keys.seal(payload))
+        finally:
+            context.close()
+
+    async def _reply(self, sealed: bytes) -> Message:
+        payload = self._keys.open(sealed)
+        if payload is None:
+            return OperatorError(
+                code=OperatorErrorCode.UNSUPPORTED,
+                detail="the request is not signed with an accepted key",
+            )
+        try:
+            _, message = decode_envelope(payload)
+            return await self._handler(message)
+        except msgspec.MsgspecError as error:
+            return OperatorError(
+                code=OperatorErrorCode.UNSUPPORTED,
+                detail=f"malformed request: {error}",
+            )
+        except Exception as error:
+            return OperatorError(
+                code=OperatorErrorCode.INTERNAL,
+                detail=f"{type(error).__name__}: {error}",
+            )
+
+
+async def ask(
+    url: str, message: Message, keys: KeyRing, timeout_ms: float, sender: str = "cli"
+) -> Message:
+    """Ask a daemon; raise NoReplyError if it does not answer in time."""
+    payload = keys.seal(encode_envelope(message, sender=sender, reply_address=""))
+    socket = pynng.Req0()
+    try:
+        socket.recv_max_size = _RECEIVE_SIZE_MAX_BYTES
+        socket.dial(url, block=False)
+        async with asyncio.timeout(timeout_ms / 1_000.0):
+            await socket.asend(payload)
+            sealed = await socket.arecv()
+    except (TimeoutError, pynng.NNGException) as error:
+        raise NoReplyError(f"{url}: no answer within {timeout_ms:.0f} ms") from error
+    finally:
+        socket.close()
+    opened = keys.open(sealed)
+    if opened is None:
+        raise NoReplyError(f"{url}: the answer is not signed with an accepted key")
+    try:
+        return decode_envelope(opened)[1]
+    except msgspec.MsgspecError as error:
+        raise NoReplyError(f"{url}: malformed answer: {error}") from error
