Add the MySQL server edge

Cause: mysql-mimic parses each statement with sqlglot, sends OK packets without counts and errors with fixed SQLSTATEs, interpolates prepared parameters without escaping, and goes on to serve a client whose login it refused.

Change: a server edge that keeps its handshake, packets and framing and replaces the statement dispatch. It bounds connections, unauthenticated time and packet size, streams async rows, cancels a statement when its client leaves, and drains with 1053.

--- /dev/null
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_mysql_parameters.py
@@ -0,0 +1,68 @@
+"""Parameters of prepared statements, written into the statement as literals."""
+
+import io
+import re
+from typing import Any
+
+from mysql_mimic import packets
+from mysql_mimic.charset import CharacterSet
+from mysql_mimic.prepared import PreparedStatement
+from mysql_mimic.types import Capabilities
+
+_TOKEN = re.compile(
+    r"'(?:[^'\\]|\\.|'')*'|\"(?:[^\"\\]|\\.|\"\")*\"|`[^`]*`"
+    r"|/\*.*?\*/|--\s[^\n]*|#[^\n]*|\?",
+    re.S,
+)
+
+
+def count_placeholders(sql: str) -> int:
+    """Count the `?` outside of strings, names and comments.
+
+    >>> count_placeholders("SELECT ?, '?', `?` /* ? */ FROM t WHERE a = ?")
+    2
+    """
+    return sum(token == "?" for token in _TOKEN.findall(sql))
+
+
+def insert_parameters(sql: str, values: list[Any]) -> str:
+    r"""Replace each `?` by the literal of its value.
+
+    The statement travels on as text, so a value must not be able to end its literal.
+
+    >>> insert_parameters("SELECT ?, '?'", ["it's \\ ?"])
+    "SELECT 'it''s \\\\ ?', '?'"
+    """
+    remaining = iter(values)
+
+    def replace(found: re.Match[str]) -> str:
+        return _literal(next(remaining)) if found[0] == "?" else found[0]
+
+    return _TOKEN.sub(replace, sql)
+
+
+def _literal(value: Any) -> str:
+    if value is None:
+        return "NULL"
+    if isinstance(value, str):
+        return "'" + value.replace("\\", "\\\\").replace("'", "''") + "'"
+    return repr(value)
+
+
+def read_execute(
+    data: bytes, statement: PreparedStatement, charset: CharacterSet
+) -> tuple[str, bool]:
+    """Return the statement with its parameters, and whether a cursor is asked for."""
+    reader = io.BytesIO(data)
+    reader.read(4)
+    use_cursor, _ = packets._read_cursor_flags(reader)
+    reader.read(4)
+    if not statement.num_params:
+        return statement.sql, use_cursor
+    # mysql-mimic writes string parameters into the statement without escaping them,
+    # so only its reader of the binary values is used.
+    parameters = packets._read_params(
+        Capabilities(0), charset, reader, statement.num_params, statement.param_buffers
+    )
+    values = [value for _, value in parameters]
+    return insert_parameters(statement.sql, values), use_cursor
--- /dev/null
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_mysql_server.py
@@ -0,0 +1,663 @@
+"""MySQL server edge on mysql-mimic, without SQL parsing on the statement path.
+
+mysql-mimic keeps the handshake, the packets and the framing. Statement dispatch is
+replaced: its OK packets carry no counts, its errors no free SQLSTATE, and its default
+session parses each statement with sqlglot (1,200 instead of 13,000 statements/s).
+"""
+
+import asyncio
+import logging
+import struct
+from abc import ABC, abstractmethod
+from collections.abc import AsyncIterable, Awaitable, Callable, Sequence
+from dataclasses import dataclass
+from typing import Any, TypeAlias, cast
+
+from mysql_mimic import packets, types
+from mysql_mimic.auth import IdentityProvider, SimpleIdentityProvider
+from mysql_mimic.charset import CharacterSet
+from mysql_mimic.connection import Connection
+from mysql_mimic.constants import DEFAULT_SERVER_CAPABILITIES
+from mysql_mimic.control import Control
+from mysql_mimic.errors import MysqlError, get_sqlstate
+from mysql_mimic.prepared import PreparedStatement
+from mysql_mimic.results import ResultColumn, infer_type
+from mysql_mimic.session import BaseSession
+from mysql_mimic.stream import ConnectionClosed, MysqlStream
+from mysql_mimic.types import Capabilities, ServerStatus
+
+from cardamomshunt_node._mysql_parameters import count_placeholders, read_execute
+from cardamomshunt_node._mysql_session_statements import (
+    SERVER_VERSION,
+    UnknownVariableError,
+    answer_session_statement,
+    may_be_session_statement,
+)
+
+# Statement arrival and authentication failures are logged by the caller of the edge,
+# as events; mysql-mimic would add a line and a traceback for each of them.
+logging.getLogger("mysql_mimic").setLevel(logging.CRITICAL)
+
+_CAPABILITIES = (
+    DEFAULT_SERVER_CAPABILITIES
+    & ~Capabilities.CLIENT_QUERY_ATTRIBUTES
+    & ~Capabilities.CLIENT_MULTI_STATEMENTS
+    & ~Capabilities.CLIENT_MULTI_RESULTS
+) | Capabilities.CLIENT_TRANSACTIONS
+
+_ROW_BATCH_SIZE_BYTES = 32_768
+_PACKET_CHUNK_SIZE_BYTES = 0xFFFFFF
+_N_PREPARED_STATEMENTS_MAX = 1_000
+
+
+class ServerError(Exception):
+    """Answer a statement with a MySQL error."""
+
+    def __init__(self, code: int, sqlstate: str, message: str):
+        super().__init__(message)
+        self.code = code
+        self.sqlstate = sqlstate
+        self.message = message
+
+
+@dataclass(slots=True)
+class Ok:
+    """Answer a statement that returns no rows."""
+
+    n_affected_rows: int = 0
+    last_insert_id: int = 0
+    n_warnings: int = 0
+
+
+@dataclass(slots=True)
+class Rows:
+    """Answer a statement with rows.
+
+    Names as columns get their type from the first row; rows from an async iterable are
+    sent as they come and never held as a whole. Values given as bytes are sent as is.
+    """
+
+    columns: Sequence[ResultColumn | str]
+    rows: Sequence[Sequence[Any]] | AsyncIterable[Sequence[Any]]
+
+
+StatementResult: TypeAlias = Ok | Rows
+
+
+@dataclass(slots=True, frozen=True)
+class ServerLimits:
+    """Bound what clients can take from the server."""
+
+    n_connections_max: int = 10_000
+    handshake_timeout_ms: float = 5_000.0
+    packet_size_max_bytes: int = 16_777_216
+    n_bytes_unauthenticated_max: int = 65_536
+
+
+class _SessionVariables:
+    """Hold the variables that mysql-mimic's handshake reads and writes."""
+
+    __slots__ = ("charset",)
+
+    def __init__(self) -> None:
+        self.charset = CharacterSet.utf8mb4
+
+    def get(self, name: str) -> str:
+        return SERVER_VERSION if name == "version" else self.charset.name
+
+    def set(self, name: str, value: Any, force: bool = False) -> None:
+        if name == "character_set_client":
+            self.charset = CharacterSet[str(value)]
+
+
+class MysqlSession(BaseSession, ABC):
+    """Serve the statements of one client connection.
+
+    When the client goes away, a running `handle_statement` is cancelled and
+    `on_disconnected` is called. `is_in_transaction` and `is_autocommit` are kept by the
+    subclass and reported to the client with each answer.
+    """
+
+    __slots__ = (
+        "connection_id",
+        "database",
+        "is_autocommit",
+        "is_in_transaction",
+        "username",
+        "variables",
+    )
+
+    def __init__(self) -> None:
+        self.variables: Any = _SessionVariables()
+        self.username: str | None = None
+        self.database: str | None = None
+        self.connection_id = 0
+        self.is_in_transaction = False
+        self.is_autocommit = True
+
+    @abstractmethod
+    async def handle_statement(self, sql: str) -> StatementResult:
+        """Run a statement; raise ServerError to answer with an error."""
+
+    async def on_connected(self) -> None:  # noqa: B027
+        """Note that the client is authenticated; raise ServerError to refuse it."""
+
+    async def on_reset(self) -> None:  # noqa: B027
+        """Roll back and clear session state (COM_RESET_CONNECTION)."""
+
+    async def on_disconnected(self) -> None:  # noqa: B027
+        """Note that the connection is over; called once."""
+
+    async def use_database(self, name: str) -> None:
+        """Take over the default database; raise ServerError to refuse it."""
+        self.database = name
+
+    async def set_autocommit(self, is_on: bool) -> None:
+        """Switch autocommit."""
+        self.is_autocommit = is_on
+
+    async def set_variable(self, name: str, value: Any) -> None:
+        """Set a user variable (`SET @name = value`)."""
+        raise ServerError(1193, "HY000", f"Unknown variable '@{name}'")
+
+    async def get_variable(self, name: str) -> Any:
+        """Return a user variable (`SELECT @name`)."""
+        return None
+
+
+class _LimitedReader:
+    """Bound the size of what one packet makes the server hold in memory."""
+
+    __slots__ = ("_n_message_bytes", "_reader", "size_max_bytes")
+
+    def __init__(self, reader: asyncio.StreamReader, size_max_bytes: int):
+        self._reader = reader
+        self._n_message_bytes = 0
+        self.size_max_bytes = size_max_bytes
+
+    async def read(self, n_bytes: int) -> bytes:
+        """Read a packet header, or nothing at the end of the stream."""
+        try:
+            return await self._reader.readexactly(n_bytes)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            return b""
+
+    async def readexactly(self, n_bytes: int) -> bytes:
+        """Read a packet body."""
+        self._n_message_bytes += n_bytes
+        if self._n_message_bytes > self.size_max_bytes:
+            raise ServerError(
+                1153, "08S01", "Got a packet bigger than 'max_allowed_packet' bytes"
+            )
+        try:
+            body = await self._reader.readexactly(n_bytes)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            raise ConnectionClosed() from None
+        if n_bytes < _PACKET_CHUNK_SIZE_BYTES:
+            self._n_message_bytes = 0
+        return body
+
+
+class _EdgeConnection(Connection):
+    """Dispatch the commands of one client to its session."""
+
+    session: MysqlSession
+
+    def __init__(
+        self,
+        stream: MysqlStream,
+        reader: _LimitedReader,
+        session: MysqlSession,
+        edge: "MysqlServerEdge",
+    ):
+        super().__init__(
+            stream=stream,
+            session=session,
+            control=_CONTROL,
+            identity_provider=edge.identity_provider,
+            server_capabilities=_CAPABILITIES,
+        )
+        self.reader = reader
+        self.edge = edge
+        self.silence: asyncio.Event | None = None
+        self.is_running = False
+        self.task: asyncio.Task[None] | None = None
+
+    @property
+    def server_charset(self) -> CharacterSet:
+        return cast(CharacterSet, self.session.variables.charset)
+
+    @property
+    def client_charset(self) -> CharacterSet:
+        return cast(CharacterSet, self.session.variables.charset)
+
+    async def serve(self, limits: ServerLimits) -> None:
+        """Run the handshake, then commands until the client leaves."""
+        self.task = asyncio.current_task()
+        await self._wait_while_silent()
+        self._update_status()
+        try:
+            async with asyncio.timeout(limits.handshake_timeout_ms / 1_000):
+                await self.connection_phase()
+        except TimeoutError:
+            return
+        # mysql-mimic goes on after a refused login; the name is set by a good one only.
+        if self.session.username is None:
+            return
+        self.reader.size_max_bytes = limits.packet_size_max_bytes
+        self.handshake_auth_data = None
+        try:
+            try:
+                await self.session.on_connected()
+            except ServerError as error:
+                await self._write_error(error)
+                return
+            await self.command_phase()
+        finally:
+            await self.session.on_disconnected()
+
+    async def command_phase(self) -> None:
+        """Run commands until the client quits or the server drains."""
+        while True:
+            self.stream.reset_seq()
+            try:
+                data = await self.stream.read()
+            except ConnectionClosed:
+                return
+            if not data or data[0] == types.Commands.COM_QUIT:
+                return
+            await self._wait_while_silent()
+            if self.edge.is_draining and not self.session.is_in_transaction:
+                await self._write_error(
+                    ServerError(1053, "08S01", "Server shutdown in progress")
+                )
+                return
+            self.is_running = True
+            try:
+                await self._run_command(data[0], data[1:])
+            finally:
+                self.is_running = False
+
+    async def _run_command(self, command: int, data: bytes) -> None:
+        handler = _COMMANDS.get(command)
+        try:
+            if handler is None:
+                raise ServerError(1047, "08S01", f"Unknown command {command}")
+            await handler(self, data)
+        except ServerError as error:
+            await self._write_error(error)
+        except MysqlError as error:
+            state = get_sqlstate(error.code).decode()
+            await self._write_error(ServerError(int(error.code), state, error.msg))
+        except (ConnectionError, ConnectionClosed):
+            raise
+        except Exception as error:
+            await self._write_error(ServerError(1105, "HY000", repr(error)))
+            self.edge.on_fault(error)
+
+    async def handle_query(self, data: bytes) -> None:
+        """Run a text statement."""
+        sql = data.decode(self.client_charset.codec, "surrogateescape")
+        await self._answer(await self._run_statement(sql), is_binary=False)
+
+    async def handle_stmt_prepare(self, data: bytes) -> None:
+        """Prepare a statement."""
+        if len(self.prepared_stmts) >= _N_PREPARED_STATEMENTS_MAX:
+            raise ServerError(1461, "42000", "Can't create more prepared statements")
+        sql = self.client_charset.decode(data)
+        statement = PreparedStatement(
+            stmt_id=next(self.prepared_stmt_seq),
+            sql=sql,
+            num_params=count_placeholders(sql),
+        )
+        self.prepared_stmts[statement.stmt_id] = statement
+        self.stream.write_many(list(self.com_stmt_prepare_response(statement)))
+        await self.stream.drain()
+
+    async def handle_stmt_execute(self, data: bytes) -> None:
+        """Run a prepared statement; a cursor is answered with the whole result."""
+        statement = self.get_stmt(struct.unpack_from("<I", data)[0])
+        sql, _ = read_execute(data, statement, self.client_charset)
+        statement.param_buffers = None
+        await self._answer(await self._run_statement(sql), is_binary=True)
+
+    async def handle_stmt_reset(self, data: bytes) -> None:
+        """Drop parameters that were sent ahead."""
+        self.get_stmt(struct.unpack_from("<I", data)[0]).param_buffers = None
+        await self._write_ok(Ok())
+
+    async def handle_ping(self, data: bytes) -> None:
+        """Answer that the server is alive."""
+        await self._write_ok(Ok())
+
+    async def handle_reset_connection(self, data: bytes) -> None:
+        """Clear the session's state."""
+        self.prepared_stmts.clear()
+        await self.session.on_reset()
+        await self._write_ok(Ok())
+
+    async def handle_change_user(self, data: bytes) -> None:
+        """Refuse another login on the connection."""
+        raise ServerError(1047, "08S01", "COM_CHANGE_USER is not supported")
+
+    async def handle_init_db(self, data: bytes) -> None:
+        """Change the default database."""
+        await self.session.use_database(self.client_charset.decode(data))
+        await self._write_ok(Ok())
+
+    async def _run_statement(self, sql: str) -> StatementResult:
+        if not may_be_session_statement(sql):
+            return await self.session.handle_statement(sql)
+        try:
+            answer = await answer_session_statement(self.session, sql)
+        except UnknownVariableError as error:
+            message = f"Unknown system variable '{error}'"
+            raise ServerError(1193, "HY000", message) from None
+        if answer is None:
+            return await self.session.handle_statement(sql)
+        columns, rows = answer
+        return Rows(columns, rows) if columns else Ok()
+
+    async def _answer(self, result: StatementResult, is_binary: bool) -> None:
+        await self._wait_while_silent()
+        if isinstance(result, Ok):
+            await self._write_ok(result)
+            return
+        if not result.columns:
+            raise ServerError(1105, "HY000", "A result set needs columns")
+        await self._write_rows(result, is_binary)
+
+    async def _write_ok(self, result: Ok) -> None:
+        await self._wait_while_silent()
+        self._update_status()
+        await self.stream.write(
+            self.ok(
+                affected_rows=result.n_affected_rows,
+                last_insert_id=result.last_insert_id,
+                warnings=result.n_warnings,
+            )
+        )
+
+    async def _write_rows(self, result: Rows, is_binary: bool) -> None:
+        self._update_status()
+        rows = result.rows
+        if isinstance(rows, Sequence):
+            columns = _resolve_columns(result.columns, rows)
+            self._write_columns(columns)
+            await self._write_batches(rows, columns, is_binary)
+        else:
+            iterator = aiter(rows)
+            first = await anext(iterator, None)
+            head = [] if first is None else [first]
+            columns = _resolve_columns(result.columns, head)
+            self._write_columns(columns)
+            await self._write_batches(head, columns, is_binary)
+            async for row in iterator:
+                self._write_row(row, columns, is_binary)
+                # The buffer and the transport's window bound what is held of a result.
+                if len(self.stream._buffer) >= _ROW_BATCH_SIZE_BYTES:
+                    await self.stream.drain()
+        self._update_status()
+        await self.stream.write(self.ok_or_eof())
+
+    async def _write_batches(
+        self,
+        rows: Sequence[Sequence[Any]],
+        columns: Sequence[ResultColumn],
+        is_binary: bool,
+    ) -> None:
+        for row in rows:
+            self._write_row(row, columns, is_binary)
+            if len(self.stream._buffer) >= _ROW_BATCH_SIZE_BYTES:
+                await self.stream.drain()
+
+    def _write_row(
+        self, row: Sequence[Any], columns: Sequence[ResultColumn], is_binary: bool
+    ) -> None:
+        if is_binary:
+            self.stream.write_many([packets.make_binary_resultrow(row, columns)])
+        else:
+            self.stream.write_text_rows([row], columns)
+
+    def _write_columns(self, columns: Sequence[ResultColumn]) -> None:
+        head = [packets.make_column_count(self.capabilities, len(columns))]
+        head.extend(
+            packets.make_column_definition_41(
+                server_charset=self.server_charset,
+                name=column.name,
+                column_type=column.type,
+                character_set=column.character_set,
+            )
+            for column in columns
+        )
+        if not self.deprecate_eof():
+            head.append(self.eof())
+        self.stream.write_many(head)
+
+    async def _write_error(self, error: ServerError) -> None:
+        await self._wait_while_silent()
+        await self.stream.write(make_error_packet(error))
+
+    def _update_status(self) -> None:
+        flags = ServerStatus(0)
+        if self.session.is_autocommit:
+            flags |= ServerStatus.SERVER_STATUS_AUTOCOMMIT
+        if self.session.is_in_transaction:
+            flags |= ServerStatus.SERVER_STATUS_IN_TRANS
+        self.status_flags = flags
+
+    async def _wait_while_silent(self) -> None:
+        if self.silence is not None:
+            await self.silence.wait()
+            self.silence = None
+
+    def on_client_gone(self) -> None:
+        """Cancel the running command, as nobody waits for its answer."""
+        if self.is_running and self.task is not None:
+            self.task.cancel()
+
+
+_COMMANDS: dict[int, Callable[[_EdgeConnection, bytes], Awaitable[None]]] = {
+    int(types.Commands.COM_QUERY): _EdgeConnection.handle_query,
+    int(types.Commands.COM_PING): _EdgeConnection.handle_ping,
+    int(types.Commands.COM_INIT_DB): _EdgeConnection.handle_init_db,
+    int(types.Commands.COM_STMT_PREPARE): _EdgeConnection.handle_stmt_prepare,
+    int(types.Commands.COM_STMT_EXECUTE): _EdgeConnection.handle_stmt_execute,
+    int(types.Commands.COM_STMT_CLOSE): _EdgeConnection.handle_stmt_close,
+    int(types.Commands.COM_STMT_RESET): _EdgeConnection.handle_stmt_reset,
+    int(
+        types.Commands.COM_STMT_SEND_LONG_DATA
+    ): _EdgeConnection.handle_stmt_send_long_data,
+    int(types.Commands.COM_RESET_CONNECTION): _EdgeConnection.handle_reset_connection,
+    int(types.Commands.COM_CHANGE_USER): _EdgeConnection.handle_change_user,
+}
+
+_CONTROL = Control()
+
+
+def _resolve_columns(
+    columns: Sequence[ResultColumn | str], head: Sequence[Sequence[Any]]
+) -> list[ResultColumn]:
+    """Give names a type by the first value that is not null."""
+    resolved = []
+    for index, column in enumerate(columns):
+        if isinstance(column, ResultColumn):
+            resolved.append(column)
+            continue
+        value = next((row[index] for row in head if row[index] is not None), "")
+        resolved.append(ResultColumn(name=column, type=infer_type(value)))
+    return resolved
+
+
+def make_error_packet(error: ServerError) -> bytes:
+    """Encode an error packet with any code and SQLSTATE."""
+    return (
+        b"\xff"
+        + struct.pack("<H", error.code)
+        + b"#"
+        + error.sqlstate.encode()
+        + error.message.encode("utf-8", "replace")
+    )
+
+
+class _ClientProtocol(asyncio.StreamReaderProtocol):
+    """Tell the connection when its client goes away during a statement."""
+
+    def __init__(self, edge: "MysqlServerEdge", loop: asyncio.AbstractEventLoop):
+        reader = asyncio.StreamReader(loop=loop)
+        super().__init__(reader, self._serve, loop=loop)
+        self._edge = edge
+        self._connection: _EdgeConnection | None = None
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        try:
+            await self._edge.serve_client(reader, writer, self)
+        finally:
+            self._connection = None
+            writer.close()
+
+    def attach(self, connection: _EdgeConnection) -> None:
+        """Take over the connection to notify."""
+        self._connection = connection
+
+    def eof_received(self) -> bool:
+        if self._connection is not None:
+            self._connection.on_client_gone()
+        return bool(super().eof_received())
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        if self._connection is not None:
+            self._connection.on_client_gone()
+        super().connection_lost(exc)
+
+
+class MysqlServerEdge:
+    """Accept MySQL clients and run one session for each."""
+
+    def __init__(
+        self,
+        session_factory: Callable[[], MysqlSession],
+        *,
+        limits: ServerLimits | None = None,
+        identity_provider: IdentityProvider | None = None,
+        connect_delay_ms: float = 0.0,
+        on_fault: Callable[[Exception], None] | None = None,
+    ):
+        self.session_factory = session_factory
+        self.limits = limits or ServerLimits()
+        self.identity_provider = identity_provider or SimpleIdentityProvider()
+        self.connect_delay_ms = connect_delay_ms
+        self.is_draining = False
+        self.n_connections_peak = 0
+        self.on_fault = on_fault or (lambda error: None)
+        self._silence_new: asyncio.Event | None = None
+        self._connections: set[_EdgeConnection] = set()
+        self._server: asyncio.Server | None = None
+        self._n_clients = 0
+        self._next_connection_id = 1
+
+    @property
+    def n_connections(self) -> int:
+        """Count the clients, those in their handshake included."""
+        return self._n_clients
+
+    @property
+    def port(self) -> int:
+        """Return the port that the server listens on."""
+        if self._server is None:
+            raise RuntimeError("the server is not started")
+        port: int = self._server.sockets[0].getsockname()[1]
+        return port
+
+    async def start(self, host: str, port: int) -> None:
+        """Listen; with port 0, `port` tells the one chosen."""
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            lambda: _ClientProtocol(self, loop), host, port, backlog=1_024
+        )
+
+    async def serve_client(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        protocol: _ClientProtocol,
+    ) -> None:
+        """Run one client connection to its end."""
+        if self._n_clients >= self.limits.n_connections_max:
+            error = ServerError(1040, "08004", "Too many connections")
+            await MysqlStream(reader, writer).write(make_error_packet(error))
+            return
+        self._n_clients += 1
+        self.n_connections_peak = max(self.n_connections_peak, self._n_clients)
+        try:
+            if self.connect_delay_ms:
+                await asyncio.sleep(self.connect_delay_ms / 1_000)
+            await self._run_connection(reader, writer, protocol)
+        except (ConnectionError, ConnectionClosed, asyncio.CancelledError):
+            pass
+        except ServerError as error:
+            await self._try_write(writer, make_error_packet(error))
+        except Exception as error:
+            # Malformed handshakes end here; the client gets no more than a close.
+            self.on_fault(error)
+        finally:
+            self._n_clients -= 1
+
+    async def _run_connection(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        protocol: _ClientProtocol,
+    ) -> None:
+        limited = _LimitedReader(reader, self.limits.n_bytes_unauthenticated_max)
+        session = self.session_factory()
+        stream = MysqlStream(cast(asyncio.StreamReader, limited), writer)
+        connection = _EdgeConnection(stream, limited, session, self)
+        connection.connection_id = session.connection_id = self._next_connection_id
+        self._next_connection_id = self._next_connection_id % 0xFFFFFFFF + 1
+        connection.silence = self._silence_new
+        self._connections.add(connection)
+        protocol.attach(connection)
+        try:
+            await connection.serve(self.limits)
+        finally:
+            self._connections.discard(connection)
+
+    @staticmethod
+    async def _try_write(writer: asyncio.StreamWriter, packet: bytes) -> None:
+        try:
+            await MysqlStream(cast(asyncio.StreamReader, None), writer).write(packet)
+        except ConnectionError:
+            return
+
+    def silence_open_connections(self) -> asyncio.Event:
+        """Stop answering on the open connections until the event is set."""
+        event = asyncio.Event()
+        for connection in self._connections:
+            if connection.silence is None:
+                connection.silence = event
+        return event
+
+    def silence_new_connections(self, event: asyncio.Event | None) -> None:
+        """Accept connections without a handshake until the event is set."""
+        self._silence_new = event
+
+    async def stop(self, grace_ms: float = 0.0) -> None:
+        """Stop accepting, let statements and transactions finish, then close.
+
+        Until the end of the grace time, an idle connection's next statement is refused
+        with error 1053; afterwards all connections are closed.
+        """
+        self.is_draining = True
+        if self._server is not None:
+            self._server.close()
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + grace_ms / 1_000
+        while self._connections and loop.time() < deadline:
+            await asyncio.sleep(0.01)
+        tasks = [item.task for item in self._connections if item.task is not None]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
