Add the stand-in database group

Change: one instance per process or in-process; SQLite state, a replicated log with truncation, majority waits, fencing, promotion, token echoes, slots, zone ports with delay, and an HTTP port for faults.

Conclusion: the interface can be built against; large results and long logs untested.

--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_mysql_server.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_mysql_server.py
@@ -9,7 +9,7 @@
 import logging
 import struct
 from abc import ABC, abstractmethod
-from collections.abc import AsyncIterable, Awaitable, Callable, Sequence
+from collections.abc import AsyncIterable, Awaitable, Callable, Iterable, Sequence
 from dataclasses import dataclass
 from typing import Any, TypeAlias, cast
 
@@ -123,6 +123,7 @@
         "database",
         "is_autocommit",
         "is_in_transaction",
+        "local_port",
         "username",
         "variables",
     )
@@ -132,6 +133,7 @@
         self.username: str | None = None
         self.database: str | None = None
         self.connection_id = 0
+        self.local_port = 0
         self.is_in_transaction = False
         self.is_autocommit = True
 
@@ -266,17 +268,15 @@
                 return
             if not data or data[0] == types.Commands.COM_QUIT:
                 return
+            self.is_running = True
             await self._wait_while_silent()
             if self.edge.is_draining and not self.session.is_in_transaction:
                 await self._write_error(
                     ServerError(1053, "08S01", "Server shutdown in progress")
                 )
                 return
-            self.is_running = True
-            try:
-                await self._run_command(data[0], data[1:])
-            finally:
-                self.is_running = False
+            await self._run_command(data[0], data[1:])
+            self.is_running = False
 
     async def _run_command(self, command: int, data: bytes) -> None:
         handler = _COMMANDS.get(command)
@@ -552,9 +552,9 @@
         self.is_draining = False
         self.n_connections_peak = 0
         self.on_fault = on_fault or (lambda error: None)
-        self._silence_new: asyncio.Event | None = None
+        self._silence_new: dict[int, asyncio.Event] = {}
         self._connections: set[_EdgeConnection] = set()
-        self._server: asyncio.Server | None = None
+        self._servers: list[asyncio.Server] = []
         self._n_clients = 0
         self._next_connection_id = 1
 
@@ -565,17 +565,19 @@
 
     @property
     def port(self) -> int:
-        """Return the port that the server listens on."""
-        if self._server is None:
+        """Return the first port that the server listens on."""
+        if not self._servers:
             raise RuntimeError("the server is not started")
-        port: int = self._server.sockets[0].getsockname()[1]
+        port: int = self._servers[0].sockets[0].getsockname()[1]
         return port
 
     async def start(self, host: str, port: int) -> None:
-        """Listen; with port 0, `port` tells the one chosen."""
+        """Listen; a later call adds a port. With port 0, `port` tells the one chosen."""
         loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(
-            lambda: _ClientProtocol(self, loop), host, port, backlog=1_024
+        self._servers.append(
+            await loop.create_server(
+                lambda: _ClientProtocol(self, loop), host, port, backlog=1_024
+            )
         )
 
     async def serve_client(
@@ -617,7 +619,8 @@
         connection = _EdgeConnection(stream, limited, session, self)
         connection.connection_id = session.connection_id = self._next_connection_id
         self._next_connection_id = self._next_connection_id % 0xFFFFFFFF + 1
-        connection.silence = self._silence_new
+        session.local_port = writer.get_extra_info("sockname")[1]
+        connection.silence = self._silence_new.get(session.local_port)
         self._connections.add(connection)
         protocol.attach(connection)
         try:
@@ -632,17 +635,28 @@
         except ConnectionError:
             return
 
-    def silence_open_connections(self) -> asyncio.Event:
-        """Stop answering on the open connections until the event is set."""
+    def ports(self) -> list[int]:
+        """Return all ports that the server listens on."""
+        return [server.sockets[0].getsockname()[1] for server in self._servers]
+
+    def silence_open_connections(self, ports: Iterable[int]) -> asyncio.Event:
+        """Stop answering on the ports' open connections until the event is set."""
+        silent_ports = set(ports)
         event = asyncio.Event()
         for connection in self._connections:
-            if connection.silence is None:
+            if connection.session.local_port in silent_ports:
                 connection.silence = event
         return event
 
-    def silence_new_connections(self, event: asyncio.Event | None) -> None:
+    def silence_new_connections(
+        self, ports: Iterable[int], event: asyncio.Event | None
+    ) -> None:
         """Accept connections without a handshake until the event is set."""
-        self._silence_new = event
+        for port in ports:
+            if event is None:
+                self._silence_new.pop(port, None)
+            else:
+                self._silence_new[port] = event
 
     async def stop(self, grace_ms: float = 0.0) -> None:
         """Stop accepting, let statements and transactions finish, then close.
@@ -651,8 +665,8 @@
         with error 1053; afterwards all connections are closed.
         """
         self.is_draining = True
-        if self._server is not None:
-            self._server.close()
+        for server in self._servers:
+            server.close()
         loop = asyncio.get_running_loop()
         deadline = loop.time() + grace_ms / 1_000
         while self._connections and loop.time() < deadline:
--- /dev/null
+++ b/packages/cardamomshunt-testing/src/cardamomshunt_testing/_standin_instance.py
@@ -0,0 +1,197 @@
+"""One instance of the stand-in database group."""
+
+import asyncio
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from cardamomshunt.messages import InstanceRole
+from cardamomshunt_node.mysql_server import MysqlServerEdge, ServerLimits
+
+from cardamomshunt_testing._standin_announcer import Announcer
+from cardamomshunt_testing._standin_control import FaultControl
+from cardamomshunt_testing._standin_faults import Faults
+from cardamomshunt_testing._standin_links import ReplicationLinks
+from cardamomshunt_testing._standin_log import InstanceLog
+from cardamomshunt_testing._standin_member import Member
+from cardamomshunt_testing._standin_session import StandinSession
+from cardamomshunt_testing._standin_settings import StandinSettings
+
+_ASK_TERMS_MS = 600.0
+
+
+@dataclass(slots=True)
+class Counters:
+    """Count what checks and measurements look at."""
+
+    n_reads: int = 0
+    n_writes: int = 0
+    n_waiting: int = 0
+    n_waiting_peak: int = 0
+
+
+class StandinInstance:
+    """Run an instance inside the current event loop."""
+
+    def __init__(self, settings: StandinSettings):
+        self.settings = settings
+        self.faults = Faults(lag_ms=settings.replication_lag_ms)
+        folder = Path(settings.data_folder) if settings.data_folder else None
+        self.log = InstanceLog(folder)
+        self.member = Member(settings, self.log, self.faults)
+        self.counters = Counters()
+        self.links = ReplicationLinks(self.member)
+        self.announcer = Announcer(self.member, self.port_for_zone)
+        self.member.on_change = self.announcer.on_change
+        self.edge = MysqlServerEdge(
+            lambda: StandinSession(self),
+            limits=ServerLimits(n_connections_max=settings.n_connections_max),
+            connect_delay_ms=settings.connect_delay_ms,
+        )
+        self.control = FaultControl(self)
+        self._slots = asyncio.Semaphore(settings.n_slots)
+        self._zones_by_port: dict[int, str] = {}
+        self._applier: asyncio.Task[None] | None = None
+        self._freeze_event: asyncio.Event | None = None
+
+    async def start(self) -> None:
+        """Take over the log of before, start the group's log, or rejoin blank."""
+        await self.links.start()
+        await self._start_listeners()
+        await self.control.start()
+        answers = await self.links.ask_terms(_ASK_TERMS_MS)
+        self._applier = asyncio.create_task(self.member.run_applier())
+        has_log = self.log.is_persistent and self.member.term > 0
+        if not has_log:
+            if any(answer.known_incarnation for answer in answers):
+                self.member.start_recovery()
+            elif self.settings.is_first_primary and self.member.term == 0:
+                self.member.start_group()
+        self.links.start_senders()
+        self.announcer.start()
+
+    async def _start_listeners(self) -> None:
+        settings = self.settings
+        await self.edge.start(settings.host, settings.port)
+        self._zones_by_port[self.edge.ports()[-1]] = settings.zone
+        for zone, port in settings.zone_ports.items():
+            await self.edge.start(settings.host, port)
+            self._zones_by_port[self.edge.ports()[-1]] = zone
+
+    async def stop(self) -> None:
+        """Stop at once, as a killed process would, but release what it held."""
+        await self.announcer.stop()
+        await self.links.stop()
+        if self._applier is not None:
+            self._applier.cancel()
+            await asyncio.gather(self._applier, return_exceptions=True)
+        await self.edge.stop()
+        await self.control.stop()
+        self.log.close()
+        self.member.engine.close()
+
+    @property
+    def port(self) -> int:
+        """Return the MySQL port for callers of the same zone."""
+        return self.edge.port
+
+    @property
+    def is_primary(self) -> bool:
+        """Tell whether the instance takes writes."""
+        return self.member.role is InstanceRole.PRIMARY
+
+    def port_for_zone(self, zone: str) -> int:
+        """Return the MySQL port for callers of a zone."""
+        for port, name in self._zones_by_port.items():
+            if name == zone:
+                return port
+        return self.edge.port
+
+    def service_time_ms(self) -> float:
+        """Return how long a statement holds its slot."""
+        return self.settings.service_time_ms * self.faults.slow_factor
+
+    async def take_slot(self, duration_ms: float) -> None:
+        """Hold one of the slots for a time; others wait in arrival order."""
+        self.counters.n_waiting += 1
+        peak = max(self.counters.n_waiting_peak, self.counters.n_waiting)
+        self.counters.n_waiting_peak = peak
+        try:
+            await self._slots.acquire()
+        finally:
+            self.counters.n_waiting -= 1
+        try:
+            if duration_ms:
+                await asyncio.sleep(duration_ms / 1_000)
+        finally:
+            self._slots.release()
+
+    async def wait_one_way(self, port: int, n_ways: int) -> None:
+        """Delay a client of another zone by a number of one-way delays."""
+        zone = self._zones_by_port.get(port, self.settings.zone)
+        if zone != self.settings.zone and self.settings.zone_delay_ms:
+            await asyncio.sleep(n_ways * self.settings.zone_delay_ms / 1_000)
+
+    def freeze(self) -> None:
+        """Stop answering everything but keep the sockets."""
+        if self._freeze_event is None:
+            self.faults.running.clear()
+            ports = self.edge.ports()
+            self._freeze_event = self.edge.silence_open_connections(ports)
+            self.edge.silence_new_connections(ports, self._freeze_event)
+
+    def thaw(self) -> None:
+        """Go on after a freeze."""
+        if self._freeze_event is not None:
+            self.edge.silence_new_connections(self.edge.ports(), None)
+            self._freeze_event.set()
+            self._freeze_event = None
+            self.faults.running.set()
+
+    def cut_connections(self) -> None:
+        """Let the open MySQL connections go silent for good."""
+        self.edge.silence_open_connections(self.edge.ports())
+
+    def cut(self, instances: set[str], zones: set[str]) -> None:
+        """Let nothing pass to or from instances and zones, besides earlier cuts."""
+        self.faults.cut_instances |= instances
+        self.faults.cut_zones |= zones
+        ports = [port for port, zone in self._zones_by_port.items() if zone in zones]
+        event = self.edge.silence_open_connections(ports)
+        self.edge.silence_new_connections(ports, event)
+
+    def heal(self) -> None:
+        """End all cuts; connections that were cut stay silent."""
+        self.faults.cut_instances.clear()
+        self.faults.cut_zones.clear()
+        self.edge.silence_new_connections(self.edge.ports(), None)
+
+    def set_lag(self, lag_ms: float) -> None:
+        """Delay the application of committed entries."""
+        self.faults.lag_ms = lag_ms
+        self.member.wake_applier()
+
+    def set_leaving(self, is_leaving: bool) -> None:
+        """Announce that the instance is leaving, or stays."""
+        self.faults.is_leaving = is_leaving
+        self.announcer.on_change(is_urgent=True)
+
+    def status(self) -> dict[str, Any]:
+        """Return counters and positions for checks."""
+        member = self.member
+        return {
+            "instance": self.settings.instance,
+            "incarnation": member.incarnation,
+            "role": member.role.value,
+            "term": member.term,
+            "log_position": str(member.log_position),
+            "applied_position": str(member.applied_position),
+            "committed_position": str(member.committed_position),
+            "is_recovering": member.is_recovering,
+            "n_connections": self.edge.n_connections,
+            "n_connections_peak": self.edge.n_connections_peak,
+            "n_reads": self.counters.n_reads,
+            "n_writes": self.counters.n_writes,
+            "n_waiting_peak": self.counters.n_waiting_peak,
+            "rows": member.engine.count_rows(),
+        }
