--- a/packages/cardamomshunt-testing/src/cardamomshunt_testing/_standin_instance.py
+++ b/packages/cardamomshunt-testing/src/cardamomshunt_testing/_standin_instance.py
@@ -187,6 +187,7 @@
             "log_position": str(member.log_position),
             "applied_position": str(member.applied_position),
             "committed_position": str(member.committed_position),
+            "n_committed_truncated": member.n_committed_truncated,
             "is_recovering": member.is_recovering,
             "n_connections": self.edge.n_connections,
             "n_connections_peak": self.edge.n_connections_peak,
