--- a/packages/cardamomshunt/src/cardamomshunt/_effects.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_effects.py
@@ -23,7 +23,11 @@
 
 
 class RequestKind(enum.Enum):
-    """Name what a statement does to its caller's transaction."""
+    """Name what a statement does to its caller's transaction.
+
+    SESSION_STATE reads or changes state of its connection. IMPLICIT_COMMIT may end
+    an open transaction, as data definition and stored procedures do.
+    """
 
     READ = "read"
     WRITE = "write"
@@ -32,6 +36,7 @@
     COMMIT = "commit"
     ROLLBACK = "rollback"
     SESSION_STATE = "session_state"
+    IMPLICIT_COMMIT = "implicit_commit"
     OUTCOME_QUERY = "outcome_query"
 
 
--- /dev/null
+++ b/packages/cardamomshunt/src/cardamomshunt/classification.py
@@ -0,0 +1,9 @@
+"""Conservative classification of statements."""
+
+from cardamomshunt._classification import (
+    Classification,
+    StatementClassifier,
+    fingerprint_statement,
+)
+
+__all__ = ["Classification", "StatementClassifier", "fingerprint_statement"]
