--- a/packages/cardamomshunt/src/cardamomshunt/_effects.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_effects.py
@@ -115,7 +115,11 @@
 
 
 class AttemptResult(msgspec.Struct, kw_only=True):
-    """Report the end of an attempt; `position` is set for acknowledged writes."""
+    """Report the end of an attempt; `position` is set for acknowledged writes.
+
+    For a read, `position` may hold the position that the server had applied when it
+    answered. `error_code` is the server's own for BACKEND_ERROR.
+    """
 
     request_id: RequestId
     attempt: int
@@ -126,6 +130,7 @@
     query_outcome: QueryOutcome | None = None
     elapsed_ms: float = 0.0
     detail: str = ""
+    error_code: int = 0
 
 
 class ConnectionOpened(msgspec.Struct, kw_only=True):
--- /dev/null
+++ b/packages/cardamomshunt/src/cardamomshunt/_freshness.py
@@ -0,0 +1,91 @@
+"""Confirmed bounds of a database, and what a read requires of an instance."""
+
+from bisect import bisect_left, bisect_right
+from dataclasses import dataclass
+
+from cardamomshunt._position import ZERO, LogPosition
+
+N_BOUNDS_MAX = 256  # 12 s at ten bounds a second; older ones are kept at wider steps
+
+
+class BoundHistory:
+    """Keep confirmed bounds in the order of both time and position.
+
+    A bound that another one dominates (not older, not further) is dropped. Forgetting
+    a bound is always safe: ages only look older. Bounds survive a change of term, as
+    each states a fact about the past.
+    """
+
+    __slots__ = ("_positions", "_times_ms")
+
+    def __init__(self) -> None:
+        self._positions: list[LogPosition] = []
+        self._times_ms: list[float] = []
+
+    def __len__(self) -> int:
+        return len(self._times_ms)
+
+    def add(self, position: LogPosition, as_of_ms: float) -> bool:
+        """Add a bound; return False if it is not newer than the newest."""
+        if self._times_ms and as_of_ms <= self._times_ms[-1]:
+            return False
+        while self._positions and self._positions[-1] >= position:
+            self._positions.pop()
+            self._times_ms.pop()
+        self._positions.append(position)
+        self._times_ms.append(as_of_ms)
+        if len(self._times_ms) > N_BOUNDS_MAX:
+            self._thin_out()
+        return True
+
+    def _thin_out(self) -> None:
+        half = N_BOUNDS_MAX // 2
+        self._positions[:half] = self._positions[:half:2]
+        self._times_ms[:half] = self._times_ms[:half:2]
+
+    def newest_ms(self) -> float | None:
+        """Return the time of the newest bound."""
+        return self._times_ms[-1] if self._times_ms else None
+
+    def first_since(self, since_ms: float) -> LogPosition | None:
+        """Return the lowest position confirmed at or after a time."""
+        index = bisect_left(self._times_ms, since_ms)
+        return self._positions[index] if index < len(self._positions) else None
+
+    def as_of_ms(self, applied: LogPosition) -> float | None:
+        """Return the latest time of which `applied` provably holds all writes.
+
+        >>> history = BoundHistory()
+        >>> history.add(LogPosition(1, 10), 5.0), history.add(LogPosition(1, 20), 6.0)
+        (True, True)
+        >>> history.as_of_ms(LogPosition(1, 15))
+        5.0
+        """
+        index = bisect_right(self._positions, applied)
+        return self._times_ms[index - 1] if index else None
+
+
+@dataclass(slots=True)
+class ReadRequirement:
+    """State what an instance has to prove before it may serve a read.
+
+    With `bound_since_ms` set, a bound not older than that has to raise `position`
+    first; only the instance that served the session's last read may do without, as
+    it does not go back. `max_age_ms` None accepts any age.
+    """
+
+    position: LogPosition = ZERO
+    bound_since_ms: float | None = None
+    max_age_ms: float | None = None
+    last_instance: str = ""
+    last_incarnation: int = -1
+    last_term: int = -1
+
+    def resolve(self, bounds: BoundHistory) -> None:
+        """Turn the required bound into a position if such a bound is known."""
+        if self.bound_since_ms is None:
+            return
+        position = bounds.first_since(self.bound_since_ms)
+        if position is not None:
+            self.position = max(self.position, position)
+            self.bound_since_ms = None
--- /dev/null
+++ b/packages/cardamomshunt/src/cardamomshunt/_group.py
@@ -0,0 +1,197 @@
+"""State of one database group as an entry VM sees it."""
+
+from cardamomshunt._admission import Lane, ReservedSharePolicy
+from cardamomshunt._configuration_document import DatabaseSettings
+from cardamomshunt._effects import RequestClass
+from cardamomshunt._freshness import BoundHistory, ReadRequirement
+from cardamomshunt._messages import DatabaseTopology, FailoverStep, InstanceRole
+from cardamomshunt._pool import Connection, InstanceState
+from cardamomshunt._position import LogPosition
+from cardamomshunt._request_state import PendingRequest
+from cardamomshunt._retries import RetryBudget
+
+POSITION_MAX = 2**63 - 1
+WRITE_HOLD_SILENCE_MS = 300.0  # three announcements missed; half the detection time
+PRIMARY_LOST_MS = 2_500.0  # longer than a failover; until then reads wait for it
+FENCED_PAUSE_MS = 100.0  # a topology update or announcement usually comes before
+
+
+class DatabaseGroup:
+    """Hold topology, bounds and queues of a database."""
+
+    def __init__(
+        self, name: str, settings: DatabaseSettings, retry_ratio: float
+    ) -> None:
+        self.name = name
+        self.settings = settings
+        self.instances: dict[str, InstanceState] = {}
+        self.term = -1
+        self.primary: InstanceState | None = None
+        self.primary_name: str | None = None
+        self.step = FailoverStep.SERVING
+        self.bounds = BoundHistory()
+        self._policies = (
+            ReservedSharePolicy(_shares(settings)),
+            ReservedSharePolicy(_shares(settings)),
+        )
+        self.primary_lane: Lane[PendingRequest] = Lane(self._policies[0])
+        self.replica_lane: Lane[PendingRequest] = Lane(self._policies[1])
+        self.waiting: dict[int, PendingRequest] = {}
+        self.budget = RetryBudget(retry_ratio)
+        self.fenced_until_ms = 0.0
+        self.query: Connection | None = None
+        self.query_sent_ms = 0.0
+        self.is_query_wanted = False
+        self.next_query_ms = 0.0
+        self._unusable_since_ms: float | None = None
+
+    def on_settings(self, settings: DatabaseSettings, retry_ratio: float) -> None:
+        """Take over changed limits."""
+        self.settings = settings
+        self.budget.ratio = retry_ratio
+        for policy in self._policies:
+            policy.shares = _shares(settings)
+
+    def on_topology(self, topology: DatabaseTopology) -> bool:
+        """Take over what control decided; return False if it is outdated."""
+        if topology.term < self.term:
+            return False
+        self._set(topology.term, topology.primary_instance, topology.step)
+        return True
+
+    def on_primary_announced(self, name: str, term: int) -> bool:
+        """Follow a promoted primary before control's update arrives.
+
+        That is safe, as a write in this term still needs a majority to acknowledge it.
+        """
+        is_promotion = term == self.term and self.step is FailoverStep.PROMOTING
+        if term > self.term or is_promotion:
+            self._set(term, name, FailoverStep.SERVING)
+            return True
+        return False
+
+    def _set(self, term: int, primary_name: str | None, step: FailoverStep) -> None:
+        if term > self.term:
+            self.fenced_until_ms = 0.0
+        self.term = term
+        self.step = step
+        self.primary_name = primary_name
+        self.bind()
+
+    def bind(self) -> None:
+        """Point to the primary, and tell instances which term binds connections."""
+        self.primary = self.instances.get(self.primary_name or "")
+        for instance in self.instances.values():
+            instance.binding_term = self.term if instance is self.primary else None
+
+    def usable_primary(self, now_ms: float, *, for_write: bool) -> InstanceState | None:
+        """Return the primary if it takes new work now.
+
+        Work for a primary that went silent is held: sent now, it would end as
+        MAY_HAVE_RUN if the primary is dead.
+        """
+        primary = self.primary
+        if primary is None or not primary.takes_work or now_ms < self.fenced_until_ms:
+            return None
+        if self.step is not FailoverStep.SERVING and (
+            for_write or self.step is not FailoverStep.HANDING_OVER
+        ):
+            return None
+        if primary.is_silent(now_ms, WRITE_HOLD_SILENCE_MS):
+            return None
+        return primary
+
+    def is_primary_lost(self, now_ms: float) -> bool:
+        """Tell whether a read had better be refused than wait for the primary."""
+        self.note_primary(now_ms)
+        since_ms = self._unusable_since_ms
+        return since_ms is not None and now_ms - since_ms > PRIMARY_LOST_MS
+
+    def note_primary(self, now_ms: float) -> None:
+        """Note since when the primary takes no work."""
+        if self.usable_primary(now_ms, for_write=False) is not None:
+            self._unusable_since_ms = None
+        elif self._unusable_since_ms is None:
+            self._unusable_since_ms = now_ms
+
+    def fresh_replicas(
+        self, now_ms: float, requirement: ReadRequirement
+    ) -> list[InstanceState]:
+        """Return the replicas that provably meet a requirement.
+
+        Those that look dead are returned only if the primary cannot serve instead.
+        """
+        fresh = [
+            instance
+            for instance in self.instances.values()
+            if instance is not self.primary
+            and instance.role is InstanceRole.REPLICA
+            and instance.takes_work
+            and self._is_fresh(now_ms, instance, requirement)
+        ]
+        alive = [instance for instance in fresh if instance.is_healthy(now_ms)]
+        if alive or self.usable_primary(now_ms, for_write=False) is not None:
+            return alive
+        return fresh
+
+    def _is_fresh(
+        self, now_ms: float, instance: InstanceState, requirement: ReadRequirement
+    ) -> bool:
+        if instance.incarnation == -1 or instance.applied < requirement.position:
+            return False
+        if requirement.bound_since_ms is not None and not _served_last(
+            instance, requirement
+        ):
+            return False
+        if requirement.max_age_ms is None:
+            return True
+        as_of_ms = self.bounds.as_of_ms(instance.applied)
+        if as_of_ms is None:
+            return False
+        return now_ms + instance.delay_ms - as_of_ms <= requirement.max_age_ms
+
+    def primary_needs_bound(self, now_ms: float, requirement: ReadRequirement) -> bool:
+        """Tell whether the primary has to confirm its position before a read."""
+        primary = self.primary
+        if requirement.bound_since_ms is not None and not (
+            primary is not None and _served_last(primary, requirement)
+        ):
+            return True
+        if requirement.max_age_ms is None:
+            return False
+        as_of_ms = self.bounds.as_of_ms(self.primary_position())
+        return as_of_ms is None or now_ms - as_of_ms > requirement.max_age_ms
+
+    def primary_position(self) -> LogPosition:
+        """Return a position that stands for all the current term has."""
+        return LogPosition(self.term, POSITION_MAX)
+
+    def has_catching_up_replica(self, now_ms: float) -> bool:
+        """Tell whether a replica's next report may satisfy a read."""
+        return any(
+            instance is not self.primary
+            and instance.role is InstanceRole.REPLICA
+            and instance.takes_work
+            and instance.is_healthy(now_ms)
+            for instance in self.instances.values()
+        )
+
+    def n_parallel(self, *, on_primary: bool) -> int:
+        """Estimate how many requests the instances run side by side."""
+        return sum(
+            int(instance.limit.value)
+            for instance in self.instances.values()
+            if (instance is self.primary) is on_primary
+        )
+
+
+def _served_last(instance: InstanceState, requirement: ReadRequirement) -> bool:
+    return (
+        instance.name == requirement.last_instance
+        and instance.incarnation == requirement.last_incarnation
+        and instance.term == requirement.last_term
+    )
+
+
+def _shares(settings: DatabaseSettings) -> dict[RequestClass, float]:
+    return {item: settings.for_class(item).reserved_share for item in RequestClass}
--- /dev/null
+++ b/packages/cardamomshunt/src/cardamomshunt/_pool.py
@@ -0,0 +1,416 @@
+"""Connections to backend servers: opening, reset, probing, replacement."""
+
+import random
+from dataclasses import dataclass, field
+from typing import Any
+
+from cardamomshunt._admission import ConcurrencyLimit
+from cardamomshunt._breaker import CircuitBreaker
+from cardamomshunt._connection_shares import ConnectionLeases
+from cardamomshunt._effects import (
+    CloseConnection,
+    ConnectionId,
+    ConnectionOpened,
+    DataPathEffect,
+    OpenConnection,
+    ResetConnection,
+)
+from cardamomshunt._messages import Announcement, InstanceAddress, InstanceRole
+from cardamomshunt._position import ZERO, LogPosition
+from cardamomshunt._state_chart import StateChart
+
+DIAL_TIMEOUT_MS = 1_000.0  # ten times the slowest set-up at tenfold delay is 300 ms
+DIAL_PAUSE_MS = 20.0
+DIAL_PAUSE_MAX_MS = 1_000.0
+RESET_TIMEOUT_MS = 500.0
+PROBE_IDLE_MS = 2_000.0  # an idle connection that went silent is found within this
+PROBE_SUSPECT_MS = 250.0
+CONNECTION_AGE_MAX_MS = 300_000.0  # bounds the effect of what no probe shows
+SILENCE_MS = 600.0  # six announcements missed
+PROBE_SILENCE_MS = 300.0
+N_RETIRED_INCARNATIONS = 8
+N_OPENING_MAX = 4  # dials to one instance at a time
+
+_CHART = StateChart.load("connection")
+
+
+class Outbox:
+    """Collect the effects of one input."""
+
+    __slots__ = ("effects",)
+
+    def __init__(self) -> None:
+        self.effects: list[DataPathEffect] = []
+
+    def take(self) -> list[DataPathEffect]:
+        """Return the collected effects and start anew."""
+        effects = self.effects
+        self.effects = []
+        return effects
+
+
+@dataclass(slots=True, eq=False)
+class Connection:
+    """Hold one connection; `work` is the attempt that runs on it."""
+
+    connection_id: ConnectionId
+    instance: "InstanceState"
+    bound_term: int | None
+    opened_ms: float
+    retires_ms: float
+    state: str = _CHART.initial
+    incarnation: int = -1
+    role: InstanceRole = InstanceRole.REPLICA
+    idle_since_ms: float = 0.0
+    expires_ms: float = 0.0
+    work: Any = None
+    is_position_query: bool = False
+
+    def step(self, event: str) -> None:
+        """Follow the state chart."""
+        self.state = _CHART.next_state(self.state, event)
+
+
+@dataclass(slots=True, eq=False)
+class InstanceState:
+    """Hold what this entry VM knows of one backend server."""
+
+    name: str
+    database: str
+    limit: ConcurrencyLimit
+    breaker: CircuitBreaker
+    address: InstanceAddress | None = None
+    zone: str = ""
+    incarnation: int = -1
+    retired_incarnations: list[int] = field(default_factory=list)
+    role: InstanceRole = InstanceRole.REPLICA
+    term: int = -1
+    log_position: LogPosition = ZERO
+    applied: LogPosition = ZERO
+    n_slots: int = 1
+    n_connections_max: int = 1
+    is_leaving: bool = False
+    is_draining: bool = False
+    is_refusing: bool = False
+    last_contact_ms: float = 0.0
+    binding_term: int | None = None
+    idle: list[Connection] = field(default_factory=list)
+    n_connections: int = 0
+    n_opening: int = 0
+    n_running: int = 0
+    n_peak: int = 0
+    n_unserved: int = 0
+    next_dial_ms: float = 0.0
+    dial_pause_ms: float = DIAL_PAUSE_MS
+    next_probe_ms: float = 0.0
+    delay_ms: float = 1.0
+
+    @property
+    def takes_work(self) -> bool:
+        """Tell whether new work may start here."""
+        return not (self.is_leaving or self.is_draining) and self.address is not None
+
+    def is_silent(self, now_ms: float, silence_ms: float = SILENCE_MS) -> bool:
+        """Tell whether nothing was heard for some time."""
+        return now_ms - self.last_contact_ms > silence_ms
+
+    def is_healthy(self, now_ms: float) -> bool:
+        """Tell whether the instance answers."""
+        return self.breaker.allows(now_ms) and not self.is_silent(now_ms)
+
+    def on_announcement(self, now_ms: float, news: Announcement) -> bool:
+        """Take over an announcement; return False if it is outdated."""
+        if news.incarnation in self.retired_incarnations:
+            return False
+        if news.incarnation == self.incarnation and news.term < self.term:
+            return False
+        self.last_contact_ms = now_ms
+        self.is_refusing = False
+        self._follow_incarnation(news)
+        if news.term > self.term or news.role is not self.role:
+            # A deposed primary may have dropped entries that it had applied.
+            self.applied = news.applied_position
+            self.log_position = news.log_position
+        self.applied = max(self.applied, news.applied_position)
+        self.log_position = max(self.log_position, news.log_position)
+        self.term = news.term
+        self.role = news.role
+        self.address = news.address
+        self.zone = news.zone
+        self.n_slots = news.n_slots
+        self.n_connections_max = news.n_connections_max
+        self.is_leaving = news.is_leaving
+        return True
+
+    def _follow_incarnation(self, news: Announcement) -> None:
+        """Forget what was known of an earlier run, whose log may have been longer."""
+        if news.incarnation == self.incarnation:
+            return
+        if self.incarnation != -1:
+            self.retired_incarnations.append(self.incarnation)
+            del self.retired_incarnations[:-N_RETIRED_INCARNATIONS]
+        self.incarnation = news.incarnation
+        self.applied = ZERO
+        self.log_position = ZERO
+        self.next_dial_ms = 0.0
+        self.limit = ConcurrencyLimit(news.n_slots)
+
+
+class ConnectionPool:
+    """Keep the connections to all instances within this entry VM's shares."""
+
+    def __init__(
+        self, outbox: Outbox, leases: ConnectionLeases, generator: random.Random
+    ) -> None:
+        self._outbox = outbox
+        self._leases = leases
+        self._generator = generator
+        self._next_id = 1
+        self.connections: dict[ConnectionId, Connection] = {}
+        self._expiring: dict[ConnectionId, Connection] = {}
+
+    def _emit(self, effect: DataPathEffect) -> None:
+        self._outbox.effects.append(effect)
+
+    def is_fit(self, connection: Connection) -> bool:
+        """Tell whether a connection still fits what is known of its instance."""
+        instance = connection.instance
+        return (
+            connection.incarnation == instance.incarnation
+            and connection.bound_term == instance.binding_term
+            and (connection.bound_term is not None or connection.role is instance.role)
+        )
+
+    def share(self, now_ms: float, instance: InstanceState) -> int:
+        """Return how many connections to an instance are allowed."""
+        n_leased = self._leases.n_connections(now_ms, instance.name)
+        return min(n_leased, instance.n_connections_max)
+
+    def acquire(self, now_ms: float, instance: InstanceState) -> Connection | None:
+        """Take an idle connection; ask for a new one if there is none."""
+        while instance.idle:
+            connection = instance.idle.pop()
+            if self.is_fit(connection):
+                connection.step("start")
+                n_in_use = instance.n_connections - instance.n_opening
+                n_in_use -= len(instance.idle)
+                instance.n_peak = max(instance.n_peak, n_in_use)
+                return connection
+            self.close(connection, "the server has changed")
+        instance.n_unserved += 1
+        self.open(now_ms, instance)
+        return None
+
+    def open(self, now_ms: float, instance: InstanceState) -> bool:
+        """Dial if share and pace permit."""
+        if instance.address is None or now_ms < instance.next_dial_ms:
+            return False
+        if instance.n_opening >= N_OPENING_MAX:
+            return False
+        if instance.n_connections >= self.share(now_ms, instance):
+            return False
+        connection = self._new_connection(now_ms, instance)
+        self._emit(
+            OpenConnection(
+                connection_id=connection.connection_id,
+                database=instance.database,
+                instance=instance.name,
+                address=instance.address,
+                term=instance.binding_term,
+            )
+        )
+        return True
+
+    def _new_connection(self, now_ms: float, instance: InstanceState) -> Connection:
+        # Spread the ends, so that connections opened together are not replaced together.
+        age_ms = CONNECTION_AGE_MAX_MS * self._generator.uniform(0.8, 1.2)
+        connection = Connection(
+            self._next_id, instance, instance.binding_term, now_ms, now_ms + age_ms
+        )
+        self._next_id += 1
+        self._expire_at(connection, now_ms + DIAL_TIMEOUT_MS)
+        self.connections[connection.connection_id] = connection
+        instance.n_connections += 1
+        instance.n_opening += 1
+        return connection
+
+    def _expire_at(self, connection: Connection, time_ms: float) -> None:
+        connection.expires_ms = time_ms
+        self._expiring[connection.connection_id] = connection
+
+    def _stop_expiry(self, connection: Connection) -> None:
+        self._expiring.pop(connection.connection_id, None)
+
+    def on_opened(self, now_ms: float, opened: ConnectionOpened) -> Connection | None:
+        """Add a connection; one that does not fit is closed at once."""
+        connection = self.connections.get(opened.connection_id)
+        if connection is None or connection.state != "opening":
+            return None
+        instance = connection.instance
+        self._stop_expiry(connection)
+        connection.incarnation = opened.incarnation
+        connection.role = opened.role
+        self._note_handshake(now_ms, instance, opened)
+        is_bound = connection.bound_term is None or connection.bound_term == opened.term
+        if not (is_bound and self.is_fit(connection)):
+            self._pause_dials(now_ms, instance)
+            self.close(connection, "the server's term or incarnation differs")
+            return None
+        connection.step("opened")
+        instance.n_opening -= 1
+        instance.dial_pause_ms = DIAL_PAUSE_MS
+        connection.idle_since_ms = now_ms
+        instance.idle.append(connection)
+        return connection
+
+    def _note_handshake(
+        self, now_ms: float, instance: InstanceState, opened: ConnectionOpened
+    ) -> None:
+        instance.last_contact_ms = now_ms
+        instance.is_refusing = False
+        is_same = opened.incarnation == instance.incarnation
+        if is_same and opened.term == instance.term and opened.role is instance.role:
+            instance.applied = max(instance.applied, opened.applied_position)
+
+    def on_failed(
+        self, now_ms: float, connection_id: ConnectionId, is_refused: bool
+    ) -> Connection | None:
+        """Pace the next dial."""
+        connection = self.connections.get(connection_id)
+        if connection is None or connection.state != "opening":
+            return None
+        instance = connection.instance
+        instance.is_refusing = is_refused
+        instance.breaker.on_failure(now_ms)
+        self._pause_dials(now_ms, instance)
+        self._forget(connection)
+        return connection
+
+    def on_failed_by_timeout(self, now_ms: float, connection: Connection) -> None:
+        """Give up a dial that takes too long."""
+        self._pause_dials(now_ms, connection.instance)
+        self.close(connection, "the dial timed out")
+
+    def _pause_dials(self, now_ms: float, instance: InstanceState) -> None:
+        jitter = self._generator.uniform(0.75, 1.25)
+        instance.next_dial_ms = now_ms + instance.dial_pause_ms * jitter
+        instance.dial_pause_ms = min(instance.dial_pause_ms * 2.0, DIAL_PAUSE_MAX_MS)
+
+    def close(self, connection: Connection, reason: str) -> None:
+        """Close a connection, whatever runs on it."""
+        if connection.state == "closed":
+            return
+        self._emit(
+            CloseConnection(connection_id=connection.connection_id, reason=reason)
+        )
+        self._forget(connection)
+
+    def _forget(self, connection: Connection) -> None:
+        instance = connection.instance
+        if connection.state == "opening":
+            instance.n_opening -= 1
+        if connection.state == "idle" and connection in instance.idle:
+            instance.idle.remove(connection)
+        connection.step("close")
+        instance.n_connections -= 1
+        self._stop_expiry(connection)
+        self.connections.pop(connection.connection_id, None)
+
+    def on_closed(self, connection_id: ConnectionId) -> Connection | None:
+        """Note that a server closed a connection."""
+        connection = self.connections.get(connection_id)
+        if connection is not None:
+            self._forget(connection)
+        return connection
+
+    def release(
+        self, now_ms: float, connection: Connection, *, needs_reset: bool
+    ) -> None:
+        """Give a connection back after an attempt or a transaction."""
+        connection.work = None
+        if needs_reset:
+            self._reset(now_ms, connection)
+            return
+        connection.step("finish")
+        self._make_idle(now_ms, connection)
+
+    def _reset(self, now_ms: float, connection: Connection) -> None:
+        connection.step("reset")
+        self._expire_at(connection, now_ms + RESET_TIMEOUT_MS)
+        self._emit(ResetConnection(connection_id=connection.connection_id))
+
+    def on_reset(self, now_ms: float, connection_id: ConnectionId) -> Connection | None:
+        """Put a connection that was reset back."""
+        connection = self.connections.get(connection_id)
+        if connection is None or connection.state != "resetting":
+            return None
+        connection.step("was_reset")
+        self._stop_expiry(connection)
+        connection.instance.last_contact_ms = now_ms
+        self._make_idle(now_ms, connection)
+        return connection
+
+    def _make_idle(self, now_ms: float, connection: Connection) -> None:
+        instance = connection.instance
+        connection.idle_since_ms = now_ms
+        if instance.n_connections > self.share(now_ms, instance):
+            self.close(connection, "the lease has expired")
+        elif now_ms >= connection.retires_ms:
+            self.close(connection, "the connection is old")
+        elif not self.is_fit(connection):
+            self.close(connection, "the server has changed")
+        else:
+            instance.idle.append(connection)
+
+    def close_unfit(self, instance: InstanceState) -> None:
+        """Close idle connections that no longer fit their instance."""
+        for connection in list(instance.idle):
+            if not self.is_fit(connection):
+                self.close(connection, "the server has changed")
+
+    def maintain(self, now_ms: float, instance: InstanceState) -> None:
+        """Shrink to the share, replace, probe and warm up."""
+        self.close_unfit(instance)
+        while instance.idle and instance.n_connections > self.share(now_ms, instance):
+            self.close(instance.idle[0], "the lease has expired")
+        for connection in list(instance.idle):
+            if now_ms >= connection.retires_ms:
+                self.close(connection, "the connection is old")
+            elif now_ms - connection.idle_since_ms >= PROBE_IDLE_MS:
+                self._probe(now_ms, connection)
+        if instance.is_silent(now_ms, PROBE_SILENCE_MS):
+            self.probe_instance(now_ms, instance)
+        if instance.takes_work and not instance.is_silent(now_ms):
+            self.warm_up(now_ms, instance)
+
+    def _probe(self, now_ms: float, connection: Connection) -> None:
+        connection.instance.idle.remove(connection)
+        self._reset(now_ms, connection)
+
+    def probe_instance(self, now_ms: float, instance: InstanceState) -> None:
+        """Find out whether a silent instance still answers."""
+        if now_ms < instance.next_probe_ms:
+            return
+        instance.next_probe_ms = now_ms + PROBE_SUSPECT_MS
+        if instance.idle:
+            self._probe(now_ms, instance.idle[-1])
+        elif not instance.n_connections:
+            self.open(now_ms, instance)
+
+    def warm_up(self, now_ms: float, instance: InstanceState) -> None:
+        """Open connections ahead of need: the recent peak and one to spare."""
+        n_target = min(instance.n_peak + 1, self.share(now_ms, instance))
+        while instance.n_connections < n_target and self.open(now_ms, instance):
+            pass
+
+    def expired(self, now_ms: float) -> list[Connection]:
+        """Return connections whose dial or reset took too long."""
+        return [
+            connection
+            for connection in self._expiring.values()
+            if connection.expires_ms <= now_ms
+        ]
+
+    def next_expiry_ms(self) -> float | None:
+        """Return when the next dial or reset takes too long."""
+        return min((c.expires_ms for c in self._expiring.values()), default=None)
--- /dev/null
+++ b/packages/cardamomshunt/src/cardamomshunt/_request_state.py
@@ -0,0 +1,99 @@
+"""State of requests, transactions and callers on the data path."""
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from cardamomshunt._configuration_document import ClassSettings
+from cardamomshunt._effects import CallerId, Request, RequestClass, RequestKind
+from cardamomshunt._freshness import ReadRequirement
+from cardamomshunt._pool import Connection, InstanceState
+from cardamomshunt._position import LogPosition
+from cardamomshunt._retries import RepeatRule
+from cardamomshunt._sessions import Session
+from cardamomshunt._state_chart import StateChart
+
+if TYPE_CHECKING:
+    from cardamomshunt._admission import Lane
+    from cardamomshunt._group import DatabaseGroup
+
+_CHART = StateChart.load("request")
+
+
+@dataclass(slots=True, eq=False)
+class RunningAttempt:
+    """Hold one attempt; `applied` is what its instance had applied at the start."""
+
+    pending: "PendingRequest"
+    number: int
+    connection: Connection
+    started_ms: float
+    applied: LogPosition
+    is_from_replica: bool
+
+
+@dataclass(slots=True, eq=False)
+class Transaction:
+    """Hold an open transaction, which is pinned to one connection."""
+
+    group: "DatabaseGroup"
+    connection: Connection
+    is_read_only: bool
+    session: Session
+    used_ms: float
+    is_lost: bool = False
+    is_loss_reported: bool = False
+
+
+@dataclass(slots=True, eq=False)
+class CallerState:
+    """Hold what lasts between the requests of a caller."""
+
+    caller_id: CallerId
+    pending: "PendingRequest | None" = None
+    transaction: Transaction | None = None
+    sessions: dict[str, Session] = field(default_factory=dict)
+    session_name: str | None = None
+
+
+@dataclass(slots=True, eq=False)
+class PendingRequest:
+    """Hold a request from its arrival to its end."""
+
+    request: Request
+    caller: CallerState
+    group: "DatabaseGroup"
+    session: Session
+    request_class: RequestClass
+    settings: ClassSettings
+    arrived_ms: float
+    deadline_ms: float
+    rule: RepeatRule
+    requirement: ReadRequirement | None = None
+    transaction: Transaction | None = None
+    state: str = _CHART.initial
+    lane: "Lane[PendingRequest] | None" = None
+    running: list[RunningAttempt] = field(default_factory=list)
+    n_attempts: int = 0
+    may_have_run: bool = False
+    catch_up_until_ms: float | None = None
+    hedge_at_ms: float | None = None
+    needs_primary: bool = False
+    tried: list[InstanceState] = field(default_factory=list)
+
+    @property
+    def kind(self) -> RequestKind:
+        """Return the kind of the statement."""
+        return self.request.kind
+
+    @property
+    def fairness_key(self) -> str | CallerId:
+        """Return what fairness counts as one caller."""
+        return self.request.hints.session or self.request.caller_id
+
+    def step(self, event: str) -> None:
+        """Follow the state chart."""
+        self.state = _CHART.next_state(self.state, event)
+
+    def remaining_ms(self, now_ms: float) -> float:
+        """Return the time to the deadline."""
+        return self.deadline_ms - now_ms
--- /dev/null
+++ b/packages/cardamomshunt/src/cardamomshunt/_retries.py
@@ -0,0 +1,139 @@
+"""Decisions after an attempt: complete, repeat or refuse with a true verdict."""
+
+import enum
+from abc import ABC, abstractmethod
+from dataclasses import dataclass
+
+from cardamomshunt._effects import AttemptOutcome
+from cardamomshunt._verdict import Refusal, RefusalReason, Verdict
+
+N_ATTEMPTS_MAX = 8
+N_TOKENS_MAX = 20.0  # a burst of retries while the ratio's share builds up again
+
+
+class RepeatRule(enum.Enum):
+    """Name when a request may be sent again after its outcome is unknown."""
+
+    HARMLESS = "harmless"
+    KEYED = "keyed"
+    NEVER = "never"
+
+
+class Action(enum.Enum):
+    """Name what follows an attempt."""
+
+    COMPLETE = "complete"
+    REPEAT = "repeat"
+    REPEAT_IN_NEW_TERM = "repeat_in_new_term"
+    REFUSE = "refuse"
+
+
+@dataclass(slots=True, frozen=True)
+class Decision:
+    """Hold what follows an attempt; `refusal` is set for REFUSE."""
+
+    action: Action
+    refusal: Refusal | None = None
+
+
+COMPLETE = Decision(Action.COMPLETE)
+REPEAT = Decision(Action.REPEAT)
+REPEAT_IN_NEW_TERM = Decision(Action.REPEAT_IN_NEW_TERM)
+
+_REASONS = {
+    AttemptOutcome.LOST: RefusalReason.CONNECTION_LOST,
+    AttemptOutcome.NOT_ACKNOWLEDGED: RefusalReason.NOT_ACKNOWLEDGED,
+    AttemptOutcome.NOT_SENT: RefusalReason.NO_BACKEND,
+    AttemptOutcome.FENCED: RefusalReason.NO_PRIMARY,
+    AttemptOutcome.KEY_REUSED: RefusalReason.IDEMPOTENCY_KEY_REUSED,
+    AttemptOutcome.KEY_REVOKED: RefusalReason.IDEMPOTENCY_KEY_REVOKED,
+    AttemptOutcome.BACKEND_ERROR: RefusalReason.CONNECTION_LOST,
+}
+
+
+class RetryBudget:
+    """Allow retries as a share of requests, with a bounded burst."""
+
+    __slots__ = ("_n_tokens", "ratio")
+
+    def __init__(self, ratio: float) -> None:
+        self.ratio = ratio
+        self._n_tokens = N_TOKENS_MAX
+
+    def on_request(self) -> None:
+        """Earn the share of one request."""
+        self._n_tokens = min(N_TOKENS_MAX, self._n_tokens + self.ratio)
+
+    def take(self) -> bool:
+        """Spend one retry if the budget holds one."""
+        if self._n_tokens < 1.0:
+            return False
+        self._n_tokens -= 1.0
+        return True
+
+
+class RetryPolicy(ABC):
+    """Decide what follows an attempt outside a transaction."""
+
+    @abstractmethod
+    def decide(
+        self,
+        outcome: AttemptOutcome,
+        rule: RepeatRule,
+        *,
+        n_attempts: int,
+        may_have_run: bool,
+        budget: RetryBudget,
+        detail: str,
+    ) -> Decision:
+        """Decide; `may_have_run` tells of earlier attempts of the request."""
+
+
+class AtMostOnceRetryPolicy(RetryPolicy):
+    """Repeat what did not run or does no harm, and keyed writes.
+
+    An unkeyed write is never repeated once it may have run.
+    """
+
+    def decide(
+        self,
+        outcome: AttemptOutcome,
+        rule: RepeatRule,
+        *,
+        n_attempts: int,
+        may_have_run: bool,
+        budget: RetryBudget,
+        detail: str,
+    ) -> Decision:
+        """Decide by outcome, then by rule, then by budget."""
+        if outcome is AttemptOutcome.OK:
+            return COMPLETE
+        if outcome is AttemptOutcome.BACKEND_ERROR and not may_have_run:
+            return COMPLETE
+        if outcome in (AttemptOutcome.KEY_REUSED, AttemptOutcome.KEY_REVOKED):
+            # The key's record is of another statement, so no attempt of this one ran.
+            return _refuse(outcome, Verdict.NOT_RUN, detail)
+        is_possible = n_attempts < N_ATTEMPTS_MAX
+        if outcome is AttemptOutcome.FENCED:
+            # Ends by deadline: a failover may outlast any number of attempts.
+            return REPEAT_IN_NEW_TERM
+        if outcome is AttemptOutcome.NOT_SENT and is_possible:
+            return REPEAT
+        is_unknown = outcome in (AttemptOutcome.LOST, AttemptOutcome.NOT_ACKNOWLEDGED)
+        if (
+            is_unknown
+            and rule is not RepeatRule.NEVER
+            and is_possible
+            and budget.take()
+        ):
+            return REPEAT
+        verdict = (
+            Verdict.MAY_HAVE_RUN if is_unknown or may_have_run else Verdict.NOT_RUN
+        )
+        return _refuse(outcome, verdict, detail)
+
+
+def _refuse(outcome: AttemptOutcome, verdict: Verdict, detail: str) -> Decision:
+    reason = _REASONS[outcome]
+    text = detail or f"the attempt ended as {outcome.value}"
+    return Decision(Action.REFUSE, Refusal(verdict, reason, text))
--- a/packages/cardamomshunt/src/cardamomshunt/_verdict.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_verdict.py
@@ -31,6 +31,7 @@
     IDEMPOTENCY_KEY_REUSED = "idempotency_key_reused"
     IDEMPOTENCY_KEY_REVOKED = "idempotency_key_revoked"
     TOO_MANY_CONNECTIONS = "too_many_connections"
+    CANCELLED = "cancelled"
 
 
 RETRYABLE_REASONS = frozenset(
--- /dev/null
+++ b/packages/cardamomshunt/src/cardamomshunt/idempotency.py
@@ -0,0 +1,5 @@
+"""Rules for idempotency keys."""
+
+from cardamomshunt._idempotency import attempt_kind, refusal_of_key, repeat_rule
+
+__all__ = ["attempt_kind", "refusal_of_key", "repeat_rule"]
