--- /dev/null
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_control_daemon.py
@@ -0,0 +1,243 @@
+"""The main loop of a control daemon."""
+
+import asyncio
+import contextlib
+import itertools
+import random
+import signal
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from cardamomshunt.consensus import Member, Peer
+from cardamomshunt.control import (
+    CommandInstance,
+    ControlEffect,
+    ControlNode,
+    EmitEvent,
+    InstanceReply,
+    PersistEffect,
+    ReplyOperator,
+    SendMessage,
+)
+from cardamomshunt.events import EventNumber
+from cardamomshunt.messages import Message
+from cardamomshunt.operator_messages import OperatorError, OperatorErrorCode
+
+from cardamomshunt_node._instance_commands import InstanceCommands
+from cardamomshunt_node._keys import KeyFileError, KeyRing, load_key_ring
+from cardamomshunt_node._log_storage import LogStorage, OpenedStorage
+from cardamomshunt_node._operator_link import OperatorServer
+from cardamomshunt_node._settings import DaemonSettings
+from cardamomshunt_node._storage_task import StorageDone, StorageFailed, StorageTask
+from cardamomshunt_node._transport import PeerTransport, ReceivedMessage
+
+_OPERATOR_TIMEOUT_S = 10.0
+_STOP_TIMEOUT_S = 2.0
+# Closing a socket drops what it has not sent, such as the order to take over.
+_LINGER_S = 0.1
+
+EventSink = Callable[[EmitEvent], None]
+
+
+@dataclass(slots=True, frozen=True)
+class _OperatorRequest:
+    request_id: int
+    message: Message
+
+
+@dataclass(slots=True, frozen=True)
+class _Stop:
+    pass
+
+
+@dataclass(slots=True, frozen=True)
+class _ReloadKeys:
+    pass
+
+
+_Input = (
+    ReceivedMessage
+    | StorageDone
+    | StorageFailed
+    | InstanceReply
+    | _OperatorRequest
+    | _Stop
+    | _ReloadKeys
+)
+
+
+def now_ms() -> float:
+    """Return the monotonic clock."""
+    return time.monotonic() * 1_000.0
+
+
+def members_of(settings: DaemonSettings) -> list[Member]:
+    """Return the control nodes that the settings list, as first members."""
+    return [
+        Member(
+            node=item.node,
+            zone=item.zone,
+            peer_address=item.peer_address.url,
+            operator_address=str(item.operator_address),
+        )
+        for item in settings.control_nodes
+    ]
+
+
+class ControlDaemon:
+    """Own the control node and run its effects; every input comes by one queue."""
+
+    def __init__(
+        self,
+        settings: DaemonSettings,
+        keys: KeyRing,
+        storage: LogStorage,
+        opened: OpenedStorage,
+        event_sink: EventSink,
+    ) -> None:
+        self._settings = settings
+        self._event_sink = event_sink
+        self._inbox: asyncio.Queue[_Input] = asyncio.Queue()
+        self._node = ControlNode(
+            settings.node,
+            settings.zone,
+            members_of(settings),
+            opened.restored,
+            random.Random(),
+            now_ms(),
+        )
+        self._transport = PeerTransport(
+            settings.node, settings.peer_address.url, keys, self._inbox.put
+        )
+        self._operators = OperatorServer(
+            settings.node, settings.operator_address.url, keys, self._ask
+        )
+        self._storage = storage
+        self._storage_task = StorageTask(storage, self._inbox.put_nowait)
+        self._commands = InstanceCommands(self._inbox.put_nowait)
+        self._request_ids = itertools.count(1)
+        self._replies: dict[int, asyncio.Future[Message]] = {}
+        self._stop_deadline_ms: float | None = None
+
+    async def run(self) -> None:
+        """Run until SIGTERM; then hand leadership over and sync."""
+        self._install_signals()
+        await self._transport.start()
+        await self._operators.start()
+        writer = asyncio.create_task(self._storage_task.run())
+        try:
+            while not self._may_exit():
+                await self._step()
+            await asyncio.sleep(_LINGER_S)
+        finally:
+            await self._commands.stop()
+            await self._operators.stop()
+            await self._transport.stop()
+            writer.cancel()
+            await asyncio.gather(writer, return_exceptions=True)
+
+    def _install_signals(self) -> None:
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, self._inbox.put_nowait, _Stop())
+        loop.add_signal_handler(signal.SIGINT, self._inbox.put_nowait, _Stop())
+        loop.add_signal_handler(signal.SIGHUP, self._inbox.put_nowait, _ReloadKeys())
+
+    def _may_exit(self) -> bool:
+        if self._stop_deadline_ms is None:
+            return False
+        if now_ms() >= self._stop_deadline_ms:
+            return True
+        return not self._node.consensus.is_leader and self._storage_task.is_idle
+
+    async def _step(self) -> None:
+        """Wait for an input or a deadline, and handle what there is."""
+        deadline_ms = self._node.next_deadline_ms()
+        wait_s = max(((deadline_ms or now_ms()) - now_ms()) / 1_000.0, 0.0)
+        if self._inbox.empty() and wait_s > 0.0:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(wait_s):
+                    self._handle(await self._inbox.get())
+        while not self._inbox.empty():
+            self._handle(self._inbox.get_nowait())
+        self._run_effects(self._node.tick(now_ms()))
+        # The other tasks run even if deadlines follow one another without a pause.
+        await asyncio.sleep(0)
+
+    def _handle(self, item: _Input) -> None:
+        now = now_ms()
+        match item:
+            case ReceivedMessage():
+                sender = Peer(item.envelope.sender, item.envelope.reply_address)
+                self._run_effects(self._node.on_message(now, sender, item.message))
+            case StorageDone():
+                self._run_effects(self._node.on_storage_done(now, item.sequence))
+            case StorageFailed():
+                effects = self._node.on_storage_failed(now, item.reason, item.is_full)
+                self._run_effects(effects)
+            case InstanceReply():
+                self._run_effects(self._node.on_instance_reply(now, item))
+            case _OperatorRequest():
+                self._run_effects(
+                    self._node.on_operator_request(now, item.request_id, item.message)
+                )
+            case _Stop():
+                self._begin_stop(now)
+            case _ReloadKeys():
+                self._reload_keys()
+
+    def _begin_stop(self, now: float) -> None:
+        if self._stop_deadline_ms is None:
+            self._stop_deadline_ms = now + _STOP_TIMEOUT_S * 1_000.0
+            self._run_effects(self._node.hand_leadership_over(now))
+
+    def _reload_keys(self) -> None:
+        try:
+            keys = load_key_ring(self._settings.keys)
+        except KeyFileError as error:
+            self._emit(EventNumber.KEYS_RELOAD_FAILED, str(error))
+            return
+        self._transport.set_keys(keys)
+        self._operators.set_keys(keys)
+        self._emit(EventNumber.KEYS_RELOADED)
+
+    def _emit(self, number: EventNumber, detail: str = "") -> None:
+        self._event_sink(
+            EmitEvent(number=number.value, subject=self._settings.node, detail=detail)
+        )
+
+    def _run_effects(self, effects: list[ControlEffect]) -> None:
+        for effect in effects:
+            match effect:
+                case SendMessage():
+                    self._transport.send(effect.address, effect.message)
+                case PersistEffect():
+                    self._storage_task.put(effect)
+                case CommandInstance():
+                    self._commands.start(effect)
+                case ReplyOperator():
+                    self._answer(effect)
+                case EmitEvent():
+                    self._event_sink(effect)
+
+    def _answer(self, effect: ReplyOperator) -> None:
+        future = self._replies.pop(effect.request_id, None)
+        if future is not None and not future.done():
+            future.set_result(effect.message)
+
+    async def _ask(self, message: Message) -> Message:
+        """Pass an operator's request to the main loop and wait for the answer."""
+        request_id = next(self._request_ids)
+        future: asyncio.Future[Message] = asyncio.get_running_loop().create_future()
+        self._replies[request_id] = future
+        self._inbox.put_nowait(_OperatorRequest(request_id, message))
+        try:
+            async with asyncio.timeout(_OPERATOR_TIMEOUT_S):
+                return await future
+        except TimeoutError:
+            return OperatorError(
+                code=OperatorErrorCode.NO_QUORUM,
+                detail="no majority answered in time; the request may still take effect",
+            )
+        finally:
+            self._replies.pop(request_id, None)
--- /dev/null
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_log_storage.py
@@ -0,0 +1,380 @@
+"""Vote, log segments and snapshot of a control node in one data folder."""
+
+import errno
+import fcntl
+import os
+import struct
+import zlib
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import msgspec
+from cardamomshunt.consensus import Entry, RestoredState, Snapshot, Vote
+from cardamomshunt.control import (
+    PersistEffect,
+    PersistEntries,
+    PersistSnapshot,
+    PersistVote,
+)
+
+# A record is the magic, the size and the CRC-32 of the payload, and the payload. The
+# magic lets the reader find intact records behind a damaged one.
+_MAGIC = b"CSR1"
+_HEADER = struct.Struct("<4sII")
+_SEGMENT_SIZE_MAX_BYTES = 1_048_576
+_FULL_ERRORS = (errno.ENOSPC, errno.EDQUOT)
+
+
+class StorageCorruptError(Exception):
+    """Say which file is damaged, and where."""
+
+    def __init__(self, path: Path, offset: int, problem: str) -> None:
+        super().__init__(f"{path}: offset {offset}: {problem}")
+        self.path = path
+        self.offset = offset
+
+
+class StorageFullError(Exception):
+    """Say that the disk is full; the write can be tried again."""
+
+
+class _SnapshotFile(msgspec.Struct, kw_only=True):
+    """Hold a snapshot with the generation of the log that continues it."""
+
+    generation: int
+    data: bytes
+
+
+class _Identity(msgspec.Struct):
+    incarnation: int
+
+
+@dataclass(slots=True)
+class _Segment:
+    path: Path
+    last_index: int = 0
+
+
+@dataclass(slots=True)
+class OpenedStorage:
+    """Hold what was found at open; `cut` says which torn tail was removed."""
+
+    restored: RestoredState
+    cut: str = ""
+    is_blank: bool = False
+    segments: list[_Segment] = field(default_factory=list)
+
+
+def _frame(payload: bytes) -> bytes:
+    return _HEADER.pack(_MAGIC, len(payload), zlib.crc32(payload)) + payload
+
+
+def _read_record(data: bytes, offset: int) -> bytes | None:
+    """Return the payload at an offset, or None if it is not intact."""
+    if offset + _HEADER.size > len(data):
+        return None
+    magic, size, checksum = _HEADER.unpack_from(data, offset)
+    payload = data[offset + _HEADER.size : offset + _HEADER.size + size]
+    if magic != _MAGIC or len(payload) < size or zlib.crc32(payload) != checksum:
+        return None
+    return payload
+
+
+def _has_record_after(data: bytes, offset: int) -> bool:
+    found = data.find(_MAGIC, offset + 1)
+    while found >= 0:
+        if _read_record(data, found) is not None:
+            return True
+        found = data.find(_MAGIC, found + 1)
+    return False
+
+
+def _sync_folder(folder: Path) -> None:
+    descriptor = os.open(folder, os.O_RDONLY | os.O_DIRECTORY)
+    try:
+        os.fsync(descriptor)
+    finally:
+        os.close(descriptor)
+
+
+def _write_all(descriptor: int, data: bytes) -> None:
+    view = memoryview(data)
+    while view:
+        view = view[os.write(descriptor, view) :]
+
+
+def _replace_file(path: Path, payload: bytes) -> None:
+    """Replace a file so that after a crash either the old or the new one is there."""
+    temporary = path.with_suffix(".tmp")
+    descriptor = os.open(temporary, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o600)
+    try:
+        _write_all(descriptor, _frame(payload))
+        os.fsync(descriptor)
+    finally:
+        os.close(descriptor)
+    os.rename(temporary, path)
+    _sync_folder(path.parent)
+
+
+def _read_file(path: Path) -> bytes | None:
+    """Return the payload of a replaced file, or None if there is none."""
+    try:
+        data = path.read_bytes()
+    except FileNotFoundError:
+        return None
+    payload = _read_record(data, 0)
+    if payload is None:
+        raise StorageCorruptError(path, 0, "the checksum does not match")
+    return payload
+
+
+class LogStorage:
+    """Own the data folder; all methods block and belong into one thread at a time."""
+
+    def __init__(self, folder: Path) -> None:
+        self._folder = folder
+        self._generation = 0
+        self._segments: list[_Segment] = []
+        self._descriptor: int | None = None
+        self._size_bytes = 0
+        self._lock: int | None = None
+
+    # Opening
+
+    def open(self, new_incarnation: int) -> OpenedStorage:
+        """Lock and read the folder; raise StorageCorruptError or OSError.
+
+        A blank folder gets `new_incarnation`, by which the other nodes recognise that
+        earlier votes and acknowledgements of this node are lost.
+        """
+        self._folder.mkdir(parents=True, exist_ok=True)
+        self._lock = os.open(self._folder / "lock", os.O_RDWR | os.O_CREAT, 0o600)
+        try:
+            fcntl.flock(self._lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except OSError as error:
+            raise OSError(
+                error.errno, f"{self._folder}: another process uses this data folder"
+            ) from error
+        is_blank = not self._has_state()
+        incarnation = self._read_identity(new_incarnation, is_blank)
+        vote = self._read_vote()
+        snapshot = self._read_snapshot()
+        entries, cut = self._read_log(snapshot)
+        last_term = entries[-1].term if entries else snapshot.term
+        if last_term > vote.term:
+            raise StorageCorruptError(
+                self._folder / "vote",
+                0,
+                f"term {vote.term} is older than term {last_term} of the log",
+            )
+        restored = RestoredState(incarnation, vote, snapshot, entries)
+        return OpenedStorage(restored, cut, is_blank, self._segments)
+
+    def close(self) -> None:
+        """Close all files."""
+        for descriptor in (self._descriptor, self._lock):
+            if descriptor is not None:
+                os.close(descriptor)
+        self._descriptor = self._lock = None
+
+    def _has_state(self) -> bool:
+        names = {path.name for path in self._folder.iterdir()}
+        return any(
+            name in ("identity", "vote", "snapshot") or name.endswith(".segment")
+            for name in names
+        )
+
+    def _read_identity(self, new_incarnation: int, is_blank: bool) -> int:
+        path = self._folder / "identity"
+        payload = _read_file(path)
+        if payload is not None:
+            return msgspec.msgpack.decode(payload, type=_Identity).incarnation
+        if not is_blank:
+            raise StorageCorruptError(path, 0, "the file is missing")
+        _replace_file(path, msgspec.msgpack.encode(_Identity(new_incarnation)))
+        return new_incarnation
+
+    def _read_vote(self) -> Vote:
+        payload = _read_file(self._folder / "vote")
+        return Vote() if payload is None else msgspec.msgpack.decode(payload, type=Vote)
+
+    def _read_snapshot(self) -> Snapshot:
+        payload = _read_file(self._folder / "snapshot")
+        if payload is None:
+            return Snapshot()
+        file = msgspec.msgpack.decode(payload, type=_SnapshotFile)
+        self._generation = file.generation
+        return Snapshot.decode(file.data)
+
+    def _read_log(self, snapshot: Snapshot) -> tuple[list[Entry], str]:
+        entries: list[Entry] = []
+        cut = ""
+        paths = self._current_segments()
+        for number, path in enumerate(paths):
+            segment = _Segment(path)
+            is_last = number == len(paths) - 1
+            cut = self._read_segment(segment, entries, is_last)
+            self._segments.append(segment)
+        if entries and entries[0].index > snapshot.index + 1:
+            raise StorageCorruptError(
+                paths[0],
+                0,
+                f"the log starts at entry {entries[0].index}, "
+                f"but the snapshot ends at {snapshot.index}",
+            )
+        if self._segments:
+            self._open_segment(self._segments[-1].path)
+        return entries, cut
+
+    def _current_segments(self) -> list[Path]:
+        """Return the segments of this generation in order; drop older ones.
+
+        They are left over if the process died between a snapshot and their removal.
+        """
+        current = []
+        for path in sorted(self._folder.glob("*.segment")):
+            generation, _, _ = path.stem.partition("-")
+            if int(generation) < self._generation:
+                path.unlink()
+            else:
+                current.append(path)
+        return current
+
+    def _read_segment(
+        self, segment: _Segment, entries: list[Entry], is_last: bool
+    ) -> str:
+        """Add a segment's entries; return a description of a torn tail that was cut."""
+        data = segment.path.read_bytes()
+        offset = 0
+        while offset < len(data):
+            payload = _read_record(data, offset)
+            if payload is None:
+                if not is_last or _has_record_after(data, offset):
+                    raise StorageCorruptError(
+                        segment.path, offset, "the checksum does not match"
+                    )
+                self._cut(segment.path, offset)
+                return f"{segment.path}: offset {offset}: {len(data) - offset} bytes"
+            for entry in msgspec.msgpack.decode(payload, type=list[Entry]):
+                self._merge(segment, entries, entry, offset)
+            offset += _HEADER.size + len(payload)
+        return ""
+
+    def _merge(
+        self, segment: _Segment, entries: list[Entry], entry: Entry, offset: int
+    ) -> None:
+        """Add an entry; one with a known index replaces it and all that follow."""
+        if entries:
+            n_kept = entry.index - entries[0].index
+            if n_kept > len(entries):
+                raise StorageCorruptError(
+                    segment.path, offset, f"entries before {entry.index} are missing"
+                )
+            del entries[max(n_kept, 0) :]
+        entries.append(entry)
+        segment.last_index = max(segment.last_index, entry.index)
+
+    def _cut(self, path: Path, offset: int) -> None:
+        with path.open("r+b") as file:
+            file.truncate(offset)
+            os.fsync(file.fileno())
+
+    # Writing
+
+    def write(self, effects: list[PersistEffect]) -> int:
+        """Make effects durable in order; return the last sequence.
+
+        Raise StorageFullError, after which the same effects may be written again, or
+        OSError, after which nothing may be written any more.
+        """
+        try:
+            entries: list[Entry] = []
+            for effect in effects:
+                if isinstance(effect, PersistEntries):
+                    entries.extend(effect.entries)
+                    continue
+                self._append(entries)
+                entries = []
+                self._write_file(effect)
+            self._append(entries)
+        except OSError as error:
+            if error.errno not in _FULL_ERRORS:
+                raise
+            self._undo_append()
+            raise StorageFullError(str(error)) from error
+        return effects[-1].sequence
+
+    def _write_file(self, effect: PersistEffect) -> None:
+        if isinstance(effect, PersistVote):
+            _replace_file(self._folder / "vote", msgspec.msgpack.encode(effect.vote))
+        elif isinstance(effect, PersistSnapshot):
+            self._write_snapshot(effect)
+
+    def _append(self, entries: list[Entry]) -> None:
+        """Append one record, so that a torn write is always the last record."""
+        if not entries:
+            return
+        if self._descriptor is None or self._size_bytes >= _SEGMENT_SIZE_MAX_BYTES:
+            self._start_segment(entries[0].index)
+        assert self._descriptor is not None
+        record = _frame(msgspec.msgpack.encode(entries))
+        _write_all(self._descriptor, record)
+        os.fdatasync(self._descriptor)
+        self._size_bytes += len(record)
+        segment = self._segments[-1]
+        segment.last_index = max(segment.last_index, entries[-1].index)
+
+    def _undo_append(self) -> None:
+        """Remove what a failed write left behind the last durable record."""
+        if self._descriptor is not None:
+            os.ftruncate(self._descriptor, self._size_bytes)
+
+    def _start_segment(self, first_index: int) -> None:
+        number = 0
+        if self._segments:
+            number = int(self._segments[-1].path.stem.split("-")[1]) + 1
+        path = self._folder / f"{self._generation:08}-{number:08}-{first_index}.segment"
+        self._open_segment(path)
+        self._segments.append(_Segment(path))
+        _sync_folder(self._folder)
+
+    def _open_segment(self, path: Path) -> None:
+        if self._descriptor is not None:
+            os.close(self._descriptor)
+            self._descriptor = None
+        flags = os.O_WRONLY | os.O_CREAT | os.O_APPEND
+        self._descriptor = os.open(path, flags, 0o600)
+        self._size_bytes = os.fstat(self._descriptor).st_size
+
+    def _write_snapshot(self, effect: PersistSnapshot) -> None:
+        generation = self._generation + 1 if effect.is_reset else self._generation
+        file = _SnapshotFile(generation=generation, data=effect.data)
+        _replace_file(self._folder / "snapshot", msgspec.msgpack.encode(file))
+        self._generation = generation
+        if effect.is_reset:
+            self._drop_segments(self._segments)
+            self._segments = []
+            return
+        dropped = [
+            segment
+            for segment in self._segments[:-1]
+            if segment.last_index < effect.first_kept
+        ]
+        self._drop_segments(dropped)
+        self._segments = [item for item in self._segments if item not in dropped]
+        # A full segment is closed here, so that the next snapshot can drop it.
+        if self._segments and self._segments[-1].last_index >= effect.first_kept:
+            self._close_segment()
+
+    def _close_segment(self) -> None:
+        if self._descriptor is not None:
+            os.close(self._descriptor)
+            self._descriptor = None
+
+    def _drop_segments(self, segments: list[_Segment]) -> None:
+        if self._segments and self._segments[-1] in segments:
+            self._close_segment()
+        for segment in segments:
+            segment.path.unlink(missing_ok=True)
+        if segments:
+            _sync_folder(self._folder)
--- /dev/null
+++ b/packages/cardamomshunt/src/cardamomshunt/_consensus.py
@@ -0,0 +1,1037 @@
+"""The replicated log: elections, replication and membership of one control node."""
+
+import enum
+from collections import deque
+from dataclasses import dataclass, field
+from random import Random
+
+import msgspec
+
+from cardamomshunt._consensus_log import ReplicatedLog
+from cardamomshunt._consensus_messages import (
+    AppendEntries,
+    AppendReply,
+    ConsensusMessage,
+    Entry,
+    EntryKind,
+    JoinHello,
+    JoinReply,
+    Member,
+    Peer,
+    PreVoteReply,
+    PreVoteRequest,
+    Snapshot,
+    SnapshotChunk,
+    SnapshotReply,
+    TimeoutNow,
+    Vote,
+    VoteReply,
+    VoteRequest,
+)
+from cardamomshunt._control_effects import (
+    ControlEffect,
+    EmitEvent,
+    PersistEntries,
+    PersistSnapshot,
+    PersistVote,
+    SendMessage,
+)
+from cardamomshunt._events import EventNumber
+
+_NEVER_MS = float("-inf")
+
+
+class ConsensusRole(enum.Enum):
+    """Name what a node does in its term."""
+
+    FOLLOWER = "follower"
+    PRE_CANDIDATE = "pre_candidate"
+    CANDIDATE = "candidate"
+    LEADER = "leader"
+
+
+@dataclass(slots=True, frozen=True)
+class ConsensusOptions:
+    """Set the times and sizes of the replicated log.
+
+    `clock_drift_max` bounds by how much faster one node's clock runs than another's.
+    """
+
+    election_min_ms: float = 300.0
+    election_max_ms: float = 600.0
+    heartbeat_ms: float = 100.0
+    join_interval_ms: float = 200.0
+    transfer_timeout_ms: float = 500.0
+    clock_drift_max: float = 0.05
+    n_entries_per_message: int = 64
+    chunk_size_bytes: int = 65_536
+    n_entries_kept: int = 500
+    n_entries_behind_max: int = 10
+
+
+@dataclass(slots=True)
+class RestoredState:
+    """Hold what was read from disk at start."""
+
+    incarnation: int
+    vote: Vote = field(default_factory=Vote)
+    snapshot: Snapshot = field(default_factory=Snapshot)
+    entries: list[Entry] = field(default_factory=list)
+
+
+@dataclass(slots=True)
+class _Progress:
+    """Hold what a leader knows of one follower."""
+
+    next_index: int
+    match_index: int = 0
+    in_flight_until_ms: float = _NEVER_MS
+    heartbeat_due_ms: float = _NEVER_MS
+    acked_sent_ms: float = _NEVER_MS
+    snapshot_offset: int = 0
+
+
+class ConsensusNode:
+    """Keep one node's part of the replicated log.
+
+    Replies that promise something leave only after every write issued before them is
+    durable. Committed entries and installed snapshots wait in `take_ready()`.
+    """
+
+    def __init__(
+        self,
+        node: str,
+        initial_members: list[Member],
+        restored: RestoredState,
+        random: Random,
+        now_ms: float,
+        options: ConsensusOptions | None = None,
+    ) -> None:
+        self.node = node
+        self.incarnation = restored.incarnation
+        self.options = options or ConsensusOptions()
+        self.role = ConsensusRole.FOLLOWER
+        self.leader: str | None = None
+        self.vote = restored.vote
+        self.log = ReplicatedLog(restored.snapshot, restored.entries)
+        self.commit_index = restored.snapshot.index
+        self.failure = ""
+        self.full_disk = ""
+        self._initial_members = initial_members
+        self._random = random
+        self._effects: list[ControlEffect] = []
+        self._ready: list[Entry | Snapshot] = []
+        self._ready_index = restored.snapshot.index
+        self._sequence = 0
+        self._durable_sequence = 0
+        self._durable_index = self.log.last_index
+        self._persisting: deque[list[int]] = deque()
+        self._held: deque[tuple[int, SendMessage]] = deque()
+        # A node forgets at a restart when it last heard a leader, whose lease may run.
+        self._leader_contact_ms = now_ms
+        self._election_deadline_ms = 0.0
+        self._reset_election(now_ms)
+        self._join_due_ms = now_ms
+        self._blank_peers: dict[str, int] = {}
+        self._votes: set[str] = set()
+        self._progress: dict[str, _Progress] = {}
+        self._incarnations: dict[str, str] = {}
+        self._leader_since_ms = 0.0
+        self.first_own_index = 0
+        self._transfer_to: str | None = None
+        self._transfer_until_ms = 0.0
+        self._incoming: tuple[int, int, bytearray] | None = None
+        self._encoded_snapshot: tuple[int, bytes] | None = None
+
+    # Views
+
+    @property
+    def term(self) -> int:
+        """Return the current term."""
+        return self.vote.term
+
+    @property
+    def members(self) -> list[Member]:
+        """Return the members as this node knows them."""
+        return self.log.members
+
+    @property
+    def voters(self) -> list[Member]:
+        """Return the members that vote."""
+        return [member for member in self.members if member.is_voter]
+
+    @property
+    def is_leader(self) -> bool:
+        """Tell whether this node leads in its term."""
+        return self.role is ConsensusRole.LEADER
+
+    @property
+    def is_formed(self) -> bool:
+        """Tell whether the known members include this node with this disk."""
+        return self.member(self.node, self.incarnation) is not None
+
+    @property
+    def _is_voter(self) -> bool:
+        member = self.member(self.node, self.incarnation)
+        return member is not None and member.is_voter and not self.full_disk
+
+    def member(self, node: str, incarnation: int | None = None) -> Member | None:
+        """Return a member by name and, if given, incarnation."""
+        for member in self.members:
+            if member.node == node and incarnation in (None, member.incarnation):
+                return member
+        return None
+
+    def has_lease(self, now_ms: float) -> bool:
+        """Tell whether no other node can lead before the lease ends.
+
+        A follower refuses votes for `election_min_ms` of its clock after it heard the
+        leader; the drift bound covers a follower whose clock runs faster.
+        """
+        if not self.is_leader or self._transfer_to is not None:
+            return False
+        if self.commit_index < self.first_own_index:
+            return False
+        lease_ms = self.options.election_min_ms / (1.0 + self.options.clock_drift_max)
+        return now_ms < self._quorum_contact_ms(now_ms) + lease_ms
+
+    def match_index(self, node: str) -> int:
+        """Return up to where a follower's log is known to equal this leader's."""
+        progress = self._progress.get(node)
+        return progress.match_index if progress else 0
+
+    def next_deadline_ms(self) -> float | None:
+        """Return when `tick` is due."""
+        if self.failure:
+            return None
+        if not self.is_formed:
+            return self._join_due_ms
+        if not self.is_leader:
+            return self._election_deadline_ms if self._is_voter else None
+        due = [item.heartbeat_due_ms for item in self._progress.values()]
+        return min(due, default=self._leader_since_ms + self.options.heartbeat_ms)
+
+    # Inputs
+
+    def tick(self, now_ms: float) -> list[ControlEffect]:
+        """Do what is due."""
+        if self.failure:
+            return self._take_effects()
+        if not self.is_formed:
+            self._tick_joining(now_ms)
+        elif self.is_leader:
+            self._tick_leader(now_ms)
+        elif self._is_voter and now_ms >= self._election_deadline_ms:
+            self._start_pre_vote(now_ms)
+        return self._take_effects()
+
+    def on_message(
+        self, now_ms: float, sender: Peer, message: ConsensusMessage
+    ) -> list[ControlEffect]:
+        """Handle a message of another control node."""
+        if not self.failure:
+            self._dispatch(now_ms, sender, message)
+        return self._take_effects()
+
+    def on_storage_done(self, now_ms: float, sequence: int) -> list[ControlEffect]:
+        """Note that all writes up to `sequence` are durable."""
+        self._durable_sequence = max(self._durable_sequence, sequence)
+        if self._durable_sequence >= self._sequence:
+            self.full_disk = ""
+        while self._persisting and self._persisting[0][0] <= sequence:
+            self._durable_index = self._persisting.popleft()[1]
+        while self._held and self._held[0][0] <= sequence:
+            self._effects.append(self._held.popleft()[1])
+        if self.role is ConsensusRole.CANDIDATE:
+            self._count_votes(now_ms)
+        if self.is_leader:
+            self._advance_commit(now_ms)
+        return self._take_effects()
+
+    def on_storage_failed(self, now_ms: float, reason: str) -> list[ControlEffect]:
+        """Stop voting, leading and acknowledging until a restart.
+
+        After a failed sync it is not known what is durable, so no later write helps.
+        """
+        if not self.failure:
+            self.failure = reason
+            self._held.clear()
+            self._become_follower(now_ms, self.term, None)
+            self._emit(EventNumber.DISK_FAILED, self.node, reason)
+        return self._take_effects()
+
+    def on_storage_full(self, now_ms: float, reason: str) -> list[ControlEffect]:
+        """Stop campaigning and leading until the writes are durable after all."""
+        if not self.failure and not self.full_disk:
+            self.full_disk = reason
+            self._become_follower(now_ms, self.term, None)
+            self._emit(EventNumber.DISK_FULL, self.node, reason)
+        return self._take_effects()
+
+    def propose(self, now_ms: float, payload: bytes) -> int | None:
+        """Append a command; return its index, or None if this node can't lead."""
+        if not self.is_leader or self._transfer_to is not None:
+            return None
+        return self._append_own(now_ms, EntryKind.COMMAND, payload)
+
+    def propose_members(self, now_ms: float, members: list[Member]) -> bool:
+        """Propose a change of one member; refuse while another one is pending."""
+        if not self.can_change_members() or not _is_single_change(
+            self.members, members
+        ):
+            return False
+        payload = msgspec.msgpack.encode(members)
+        self._append_own(now_ms, EntryKind.MEMBERS, payload)
+        return True
+
+    def can_change_members(self) -> bool:
+        """Tell whether a membership change may start."""
+        return (
+            self.is_leader
+            and self._transfer_to is None
+            and self.commit_index >= self.first_own_index
+            and self.commit_index >= self.log.members_index
+        )
+
+    def transfer_leadership(self, now_ms: float) -> bool:
+        """Hand leadership to the most advanced voter; return whether there is one."""
+        if not self.is_leader:
+            return False
+        others = [member for member in self.voters if member.node != self.node]
+        if not others:
+            return False
+        best = max(others, key=lambda member: self.match_index(member.node))
+        self._transfer_to = best.node
+        self._transfer_until_ms = now_ms + self.options.transfer_timeout_ms
+        self._continue_transfer(now_ms)
+        return True
+
+    def compact(self, state: bytes, index: int) -> None:
+        """Replace the log up to an applied index by a snapshot of the state."""
+        term = self.log.term_at(index)
+        if term is None or index <= self.log.snapshot.index or self.failure:
+            return
+        members = self.log.members_at(index)
+        snapshot = Snapshot(index=index, term=term, members=members, state=state)
+        self.log.compact(snapshot, self.options.n_entries_kept)
+        self._persist_snapshot(snapshot, is_reset=False)
+
+    def take_ready(self) -> list[Entry | Snapshot]:
+        """Return what became committed since the last call, in order."""
+        while self._ready_index < self.commit_index:
+            self._ready_index += 1
+            self._ready.append(self.log.entry_at(self._ready_index))
+        ready, self._ready = self._ready, []
+        return ready
+
+    def take_effects(self) -> list[ControlEffect]:
+        """Return effects of proposals, which return none themselves."""
+        return self._take_effects()
+
+    # Effects
+
+    def _take_effects(self) -> list[ControlEffect]:
+        effects, self._effects = self._effects, []
+        return effects
+
+    def _emit(self, number: EventNumber, subject: str, detail: str = "") -> None:
+        self._effects.append(
+            EmitEvent(number=number.value, subject=subject, detail=detail)
+        )
+
+    def _send(self, address: str, message: ConsensusMessage) -> None:
+        self._effects.append(SendMessage(address=address, message=message))
+
+    def _send_durable(self, address: str, message: ConsensusMessage) -> None:
+        """Send once all writes issued so far are durable."""
+        effect = SendMessage(address=address, message=message)
+        if self._durable_sequence >= self._sequence:
+            self._effects.append(effect)
+        else:
+            self._held.append((self._sequence, effect))
+
+    def _next_sequence(self) -> int:
+        self._sequence += 1
+        return self._sequence
+
+    def _set_vote(self, term: int, voted_for: str) -> None:
+        self.vote = Vote(term, voted_for)
+        self._effects.append(
+            PersistVote(sequence=self._next_sequence(), vote=self.vote)
+        )
+
+    def _persist_entries(self, entries: list[Entry]) -> None:
+        sequence = self._next_sequence()
+        self._persisting.append([sequence, self.log.last_index])
+        self._effects.append(PersistEntries(sequence=sequence, entries=entries))
+
+    def _persist_snapshot(self, snapshot: Snapshot, is_reset: bool) -> None:
+        sequence = self._next_sequence()
+        self._persisting.append([sequence, self.log.last_index])
+        data = snapshot.encode()
+        self._encoded_snapshot = (snapshot.index, data)
+        self._effects.append(
+            PersistSnapshot(
+                sequence=sequence,
+                index=snapshot.index,
+                data=data,
+                first_kept=self.log.base_index + 1,
+                is_reset=is_reset,
+            )
+        )
+
+    # Joining
+
+    def _tick_joining(self, now_ms: float) -> None:
+        if now_ms < self._join_due_ms:
+            return
+        self._join_due_ms = now_ms + self.options.join_interval_ms
+        if self._initial_members == [] or self._may_form_alone():
+            self._form(self._initial_members)
+            return
+        hello = JoinHello(term=self.term, incarnation=self.incarnation, node=self.node)
+        for member in self._initial_members:
+            if member.node != self.node:
+                self._send(member.peer_address, hello)
+
+    def _may_form_alone(self) -> bool:
+        return [member.node for member in self._initial_members] == [self.node]
+
+    def _on_join_hello(self, now_ms: float, sender: Peer, message: JoinHello) -> None:
+        has_log = self.log.last_index > 0
+        self._send_durable(
+            sender.address,
+            JoinReply(
+                term=self.term,
+                incarnation=self.incarnation,
+                is_formed=self.is_formed or has_log,
+                initial_members=[] if has_log else self.members,
+            ),
+        )
+        member = self.member(message.node)
+        if member is None or member.incarnation == message.incarnation:
+            return
+        if self.is_leader and self.can_change_members():
+            self._readmit(now_ms, member, message.incarnation)
+
+    def _readmit(self, now_ms: float, member: Member, incarnation: int) -> None:
+        """Take a member with a fresh disk back as a learner."""
+        learner = msgspec.structs.replace(
+            member, incarnation=incarnation, is_voter=False
+        )
+        members = [
+            learner if item.node == member.node else item for item in self.members
+        ]
+        if self.propose_members(now_ms, members):
+            self._emit(EventNumber.MEMBER_CATCHING_UP, member.node, str(incarnation))
+
+    def _on_join_reply(self, now_ms: float, sender: Peer, message: JoinReply) -> None:
+        if self.is_formed:
+            return
+        listed = [
+            member
+            for member in message.initial_members
+            if member.node == self.node and member.incarnation == self.incarnation
+        ]
+        if listed and self.log.last_index == 0:
+            self._form(message.initial_members)
+            return
+        if message.is_formed:
+            self._blank_peers.clear()
+            return
+        self._blank_peers[sender.node] = message.incarnation
+        self._form_first()
+
+    def _form_first(self) -> None:
+        """Set the first members, once all listed nodes are seen with blank disks.
+
+        Only the node with the smallest name does this, so there is one first list.
+        """
+        names = sorted(member.node for member in self._initial_members)
+        if not names or names[0] != self.node or self.log.last_index > 0:
+            return
+        seen = {**self._blank_peers, self.node: self.incarnation}
+        if any(name not in seen for name in names):
+            return
+        self._form(
+            [
+                msgspec.structs.replace(member, incarnation=seen[member.node])
+                for member in self._initial_members
+            ]
+        )
+
+    def _form(self, members: list[Member]) -> None:
+        own = [
+            msgspec.structs.replace(member, incarnation=self.incarnation)
+            if member.node == self.node
+            else member
+            for member in members
+        ]
+        snapshot = Snapshot(members=own)
+        self.log.install(snapshot)
+        self._persist_snapshot(snapshot, is_reset=True)
+        self._emit(EventNumber.QUORUM_REGAINED, self.node, str(len(own)))
+
+    # Elections
+
+    def _reset_election(self, now_ms: float) -> None:
+        self._election_deadline_ms = now_ms + self._random.uniform(
+            self.options.election_min_ms, self.options.election_max_ms
+        )
+
+    def _become_follower(self, now_ms: float, term: int, leader: str | None) -> None:
+        was_leader = self.is_leader
+        if term > self.term:
+            self._set_vote(term, "")
+        if self.role is not ConsensusRole.FOLLOWER:
+            self._reset_election(now_ms)
+        self.role = ConsensusRole.FOLLOWER
+        self.leader = leader
+        self._transfer_to = None
+        self._votes = set()
+        self._progress = {}
+        if was_leader:
+            self._emit(EventNumber.LEADER_STEPPED_DOWN, self.node, str(self.term))
+
+    def _start_pre_vote(self, now_ms: float) -> None:
+        self._reset_election(now_ms)
+        self.role = ConsensusRole.PRE_CANDIDATE
+        self.leader = None
+        self._votes = {self.node}
+        if self._has_quorum(self._votes):
+            self._start_election(now_ms, is_transfer=False)
+            return
+        request = PreVoteRequest(
+            term=self.term + 1,
+            incarnation=self.incarnation,
+            last_index=self.log.last_index,
+            last_term=self.log.last_term,
+        )
+        for member in self._other_voters():
+            self._send(member.peer_address, request)
+
+    def _start_election(self, now_ms: float, is_transfer: bool) -> None:
+        self._reset_election(now_ms)
+        self.role = ConsensusRole.CANDIDATE
+        self.leader = None
+        self._votes = set()
+        self._set_vote(self.term + 1, f"{self.node}/{self.incarnation}")
+        request = VoteRequest(
+            term=self.term,
+            incarnation=self.incarnation,
+            last_index=self.log.last_index,
+            last_term=self.log.last_term,
+            is_transfer=is_transfer,
+        )
+        for member in self._other_voters():
+            self._send_durable(member.peer_address, request)
+        self._count_votes(now_ms)
+
+    def _other_voters(self) -> list[Member]:
+        return [member for member in self.voters if member.node != self.node]
+
+    def _has_quorum(self, nodes: set[str]) -> bool:
+        voters = self.voters
+        n_present = sum(member.node in nodes for member in voters)
+        return bool(voters) and n_present >= _majority(len(voters))
+
+    def _hears_leader(self, now_ms: float) -> bool:
+        if self.is_leader:
+            return True
+        return now_ms < self._leader_contact_ms + self.options.election_min_ms
+
+    def _is_up_to_date(self, last_index: int, last_term: int) -> bool:
+        return (last_term, last_index) >= (self.log.last_term, self.log.last_index)
+
+    def _on_pre_vote_request(
+        self, now_ms: float, sender: Peer, message: PreVoteRequest
+    ) -> None:
+        is_granted = (
+            self.is_formed
+            and message.term > self.term
+            and not self._hears_leader(now_ms)
+            and self._is_up_to_date(message.last_index, message.last_term)
+        )
+        reply = PreVoteReply(
+            term=message.term,
+            incarnation=self.incarnation,
+            current_term=self.term,
+            is_granted=is_granted,
+        )
+        self._send_durable(sender.address, reply)
+
+    def _on_pre_vote_reply(
+        self, now_ms: float, sender: Peer, message: PreVoteReply
+    ) -> None:
+        if message.current_term > self.term:
+            self._become_follower(now_ms, message.current_term, None)
+            return
+        is_expected = (
+            self.role is ConsensusRole.PRE_CANDIDATE and message.term == self.term + 1
+        )
+        if not (is_expected and message.is_granted):
+            return
+        if self.member(sender.node, message.incarnation) is None:
+            return
+        self._votes.add(sender.node)
+        if self._has_quorum(self._votes):
+            self._start_election(now_ms, is_transfer=False)
+
+    def _may_vote(self, now_ms: float, message: VoteRequest) -> bool:
+        """Tell whether a vote breaks no lease; without this the term is not taken."""
+        if not self.is_formed:
+            return False
+        return message.is_transfer or not self._hears_leader(now_ms)
+
+    def _on_vote_request(
+        self, now_ms: float, sender: Peer, message: VoteRequest
+    ) -> None:
+        if message.term > self.term:
+            if not self._may_vote(now_ms, message):
+                return
+            self._become_follower(now_ms, message.term, None)
+        candidate = f"{sender.node}/{message.incarnation}"
+        is_granted = (
+            self.is_formed
+            and message.term == self.term
+            and self.vote.voted_for in ("", candidate)
+            and self._is_up_to_date(message.last_index, message.last_term)
+        )
+        if is_granted and self.vote.voted_for == "":
+            self._set_vote(self.term, candidate)
+            self._reset_election(now_ms)
+        reply = VoteReply(
+            term=self.term, incarnation=self.incarnation, is_granted=is_granted
+        )
+        self._send_durable(sender.address, reply)
+
+    def _on_vote_reply(self, now_ms: float, sender: Peer, message: VoteReply) -> None:
+        if message.term > self.term:
+            self._become_follower(now_ms, message.term, None)
+            return
+        if self.role is not ConsensusRole.CANDIDATE or message.term != self.term:
+            return
+        if not message.is_granted:
+            return
+        if self.member(sender.node, message.incarnation) is None:
+            return
+        self._votes.add(sender.node)
+        self._count_votes(now_ms)
+
+    def _count_votes(self, now_ms: float) -> None:
+        """Lead with a majority; the own vote counts once it is durable."""
+        own = {self.node} if self._durable_sequence >= self._sequence else set()
+        if self._has_quorum(self._votes | own):
+            self._become_leader(now_ms)
+
+    def _become_leader(self, now_ms: float) -> None:
+        self.role = ConsensusRole.LEADER
+        self.leader = self.node
+        self._leader_since_ms = now_ms
+        self._progress = {}
+        self._emit(EventNumber.LEADER_ELECTED, self.node, str(self.term))
+        # The first entry carries the members, because followers that joined later have
+        # no other source, and commits the entries of older terms.
+        self.first_own_index = self.log.last_index + 1
+        payload = msgspec.msgpack.encode(self.members)
+        self._append_own(now_ms, EntryKind.MEMBERS, payload)
+
+    # Leading
+
+    def _append_own(self, now_ms: float, kind: EntryKind, payload: bytes) -> int:
+        entry = Entry(self.log.last_index + 1, self.term, kind, payload)
+        self.log.append([entry])
+        self._persist_entries([entry])
+        if kind is EntryKind.MEMBERS:
+            self._update_progress()
+        for member in self._followers():
+            progress = self._progress[member.node]
+            if now_ms >= progress.in_flight_until_ms:
+                self._send_append(now_ms, member, progress)
+        return entry.index
+
+    def _followers(self) -> list[Member]:
+        return [member for member in self.members if member.node != self.node]
+
+    def _update_progress(self) -> None:
+        """Match the progress table to the members; a fresh disk starts from nothing."""
+        known = self._progress
+        self._progress = {}
+        for member in self._followers():
+            key = f"{member.node}/{member.incarnation}"
+            old = known.get(member.node)
+            is_same = old is not None and self._incarnations.get(member.node) == key
+            self._progress[member.node] = (
+                old if old and is_same else _Progress(next_index=self.log.last_index)
+            )
+        self._incarnations = {
+            member.node: f"{member.node}/{member.incarnation}"
+            for member in self._followers()
+        }
+
+    def _quorum_contact_ms(self, now_ms: float) -> float:
+        """Return when the latest heartbeat was sent that a majority answered."""
+        times = sorted(
+            (
+                now_ms
+                if member.node == self.node
+                else self._progress[member.node].acked_sent_ms
+                for member in self.voters
+            ),
+            reverse=True,
+        )
+        return times[_majority(len(times)) - 1] if times else _NEVER_MS
+
+    def _tick_leader(self, now_ms: float) -> None:
+        contact_ms = max(self._quorum_contact_ms(now_ms), self._leader_since_ms)
+        if now_ms > contact_ms + self.options.election_max_ms:
+            self._become_follower(now_ms, self.term, None)
+            return
+        if self._transfer_to is not None:
+            self._continue_transfer(now_ms)
+            if not self.is_leader:
+                return
+        self._promote_learner(now_ms)
+        for member in self._followers():
+            progress = self._progress[member.node]
+            if now_ms >= progress.heartbeat_due_ms:
+                self._send_append(now_ms, member, progress)
+
+    def _continue_transfer(self, now_ms: float) -> None:
+        target = self.member(self._transfer_to or "")
+        if target is None or now_ms >= self._transfer_until_ms:
+            self._become_follower(now_ms, self.term, None)
+            return
+        if self.match_index(target.node) < self.log.last_index:
+            return
+        # The lease ends here: the target may be elected at any time from now on.
+        self._send(
+            target.peer_address,
+            TimeoutNow(term=self.term, incarnation=self.incarnation),
+        )
+        self._become_follower(now_ms, self.term, None)
+
+    def _promote_learner(self, now_ms: float) -> None:
+        if not self.can_change_members():
+            return
+        for member in self._followers():
+            behind = self.log.last_index - self.match_index(member.node)
+            is_caught_up = behind <= self.options.n_entries_behind_max
+            if member.is_voter or not member.incarnation or not is_caught_up:
+                continue
+            members = [
+                msgspec.structs.replace(item, is_voter=True)
+                if item.node == member.node
+                else item
+                for item in self.members
+            ]
+            if self.propose_members(now_ms, members):
+                self._emit(EventNumber.MEMBER_ADDED, member.node)
+            return
+
+    def _send_append(self, now_ms: float, member: Member, progress: _Progress) -> None:
+        progress.heartbeat_due_ms = now_ms + self.options.heartbeat_ms
+        prev_index = progress.next_index - 1
+        prev_term = self.log.term_at(prev_index)
+        if prev_term is None or prev_index < self.log.base_index:
+            self._send_chunk(now_ms, member, progress)
+            return
+        entries = self.log.entries_from(
+            progress.next_index, self.options.n_entries_per_message
+        )
+        if entries:
+            progress.in_flight_until_ms = now_ms + self.options.heartbeat_ms
+        message = AppendEntries(
+            term=self.term,
+            incarnation=self.incarnation,
+            prev_index=prev_index,
+            prev_term=prev_term,
+            commit_index=self.commit_index,
+            sent_ms=now_ms,
+            entries=entries,
+        )
+        self._send(member.peer_address, message)
+
+    def _send_chunk(self, now_ms: float, member: Member, progress: _Progress) -> None:
+        snapshot = self.log.snapshot
+        if self._encoded_snapshot is None or (
+            self._encoded_snapshot[0] != snapshot.index
+        ):
+            self._encoded_snapshot = (snapshot.index, snapshot.encode())
+        data = self._encoded_snapshot[1]
+        offset = min(progress.snapshot_offset, len(data))
+        chunk = SnapshotChunk(
+            term=self.term,
+            incarnation=self.incarnation,
+            snapshot_index=snapshot.index,
+            snapshot_term=snapshot.term,
+            offset=offset,
+            size_bytes=len(data),
+            data=data[offset : offset + self.options.chunk_size_bytes],
+            sent_ms=now_ms,
+        )
+        progress.in_flight_until_ms = now_ms + self.options.heartbeat_ms
+        self._send(member.peer_address, chunk)
+
+    def _progress_of(
+        self, sender: Peer, message: ConsensusMessage
+    ) -> tuple[Member, _Progress] | None:
+        """Return the follower's progress if its answer counts in this term."""
+        if not self.is_leader or message.term != self.term:
+            return None
+        member = self.member(sender.node, message.incarnation)
+        progress = self._progress.get(sender.node)
+        return (member, progress) if member and progress else None
+
+    def _on_append_reply(
+        self, now_ms: float, sender: Peer, message: AppendReply
+    ) -> None:
+        if message.term > self.term:
+            self._become_follower(now_ms, message.term, None)
+            return
+        found = self._progress_of(sender, message)
+        if found is None:
+            return
+        member, progress = found
+        progress.acked_sent_ms = max(progress.acked_sent_ms, message.sent_ms)
+        if message.is_success:
+            is_news = message.match_index > progress.match_index
+            progress.match_index = max(progress.match_index, message.match_index)
+            progress.next_index = max(progress.next_index, progress.match_index + 1)
+            if is_news:
+                progress.in_flight_until_ms = _NEVER_MS
+                self._advance_commit(now_ms)
+        elif message.prev_index == progress.next_index - 1:
+            progress.next_index = max(
+                progress.match_index + 1,
+                min(message.match_index + 1, message.prev_index),
+            )
+            progress.in_flight_until_ms = _NEVER_MS
+        if not self.is_leader:
+            return
+        has_more = progress.next_index <= self.log.last_index
+        if has_more and now_ms >= progress.in_flight_until_ms:
+            self._send_append(now_ms, member, progress)
+        if self._transfer_to is not None:
+            self._continue_transfer(now_ms)
+
+    def _on_snapshot_reply(
+        self, now_ms: float, sender: Peer, message: SnapshotReply
+    ) -> None:
+        found = self._progress_of(sender, message)
+        if found is None:
+            return
+        member, progress = found
+        progress.acked_sent_ms = max(progress.acked_sent_ms, message.sent_ms)
+        if message.snapshot_index != self.log.snapshot.index:
+            progress.snapshot_offset = 0
+            return
+        is_news = message.next_offset != progress.snapshot_offset
+        progress.snapshot_offset = message.next_offset
+        if is_news and progress.next_index <= self.log.base_index:
+            self._send_chunk(now_ms, member, progress)
+
+    def _advance_commit(self, now_ms: float) -> None:
+        matches = sorted(
+            (
+                self._durable_index
+                if member.node == self.node
+                else self.match_index(member.node)
+                for member in self.voters
+            ),
+            reverse=True,
+        )
+        if not matches:
+            return
+        agreed = min(matches[_majority(len(matches)) - 1], self.log.last_index)
+        if agreed <= self.commit_index or not self._may_commit(agreed):
+            return
+        self.commit_index = agreed
+        self._after_commit(now_ms)
+
+    def _may_commit(self, index: int) -> bool:
+        """Commit only entries of the own term; older ones are committed with them."""
+        return self.log.term_at(index) == self.term
+
+    def _after_commit(self, now_ms: float) -> None:
+        """Tell followers at once, and step down after the own removal."""
+        for member in self._followers():
+            progress = self._progress[member.node]
+            if now_ms >= progress.in_flight_until_ms:
+                self._send_append(now_ms, member, progress)
+        is_settled = self.commit_index >= self.log.members_index
+        if is_settled and self.member(self.node) is None:
+            self._become_follower(now_ms, self.term, None)
+
+    # Following
+
+    def _follow(self, now_ms: float, sender: Peer, term: int) -> None:
+        if term > self.term or self.role is not ConsensusRole.FOLLOWER:
+            self._become_follower(now_ms, term, sender.node)
+        self.leader = sender.node
+        self._leader_contact_ms = now_ms
+        self._reset_election(now_ms)
+
+    def _on_append_entries(
+        self, now_ms: float, sender: Peer, message: AppendEntries
+    ) -> None:
+        if message.term < self.term:
+            self._reply_append(sender, message, False, self.log.last_index)
+            return
+        self._follow(now_ms, sender, message.term)
+        prev_index, prev_term = message.prev_index, message.prev_term
+        entries = message.entries
+        if prev_index < self.log.snapshot.index:
+            # Entries up to the snapshot are committed and therefore equal.
+            n_known = self.log.snapshot.index - prev_index
+            if n_known > len(entries):
+                self._reply_append(sender, message, True, prev_index + len(entries))
+                return
+            prev_index, prev_term = self.log.snapshot.index, self.log.snapshot.term
+            entries = entries[n_known:]
+        if not self._log_matches(prev_index, prev_term):
+            self._reply_append(sender, message, False, self._conflict_hint(prev_index))
+            return
+        self._store_entries(entries)
+        last_index = prev_index + len(entries)
+        self.commit_index = max(
+            self.commit_index, min(message.commit_index, last_index)
+        )
+        self._reply_append(sender, message, True, last_index)
+
+    def _log_matches(self, prev_index: int, prev_term: int) -> bool:
+        return self.log.term_at(prev_index) == prev_term
+
+    def _conflict_hint(self, prev_index: int) -> int:
+        """Return the last index that may equal the leader's."""
+        if prev_index > self.log.last_index:
+            return self.log.last_index
+        return max(
+            self.log.first_index_of_term_at(prev_index) - 1, self.log.snapshot.index
+        )
+
+    def _store_entries(self, entries: list[Entry]) -> None:
+        """Append what is new; drop entries only where the terms differ."""
+        for position, entry in enumerate(entries):
+            term = self.log.term_at(entry.index)
+            if term == entry.term:
+                continue
+            if term is not None:
+                self._truncate_from(entry.index)
+            self.log.append(entries[position:])
+            self._persist_entries(entries[position:])
+            return
+
+    def _truncate_from(self, index: int) -> None:
+        assert index > self.commit_index, "a committed entry can't change"
+        self.log.truncate_from(index)
+        self._durable_index = min(self._durable_index, index - 1)
+        for pending in self._persisting:
+            pending[1] = min(pending[1], index - 1)
+
+    def _reply_append(
+        self,
+        sender: Peer,
+        message: AppendEntries | SnapshotChunk,
+        is_success: bool,
+        match_index: int,
+    ) -> None:
+        prev_index = message.prev_index if isinstance(message, AppendEntries) else -1
+        reply = AppendReply(
+            term=self.term,
+            incarnation=self.incarnation,
+            is_success=is_success,
+            prev_index=prev_index,
+            match_index=match_index,
+            sent_ms=message.sent_ms,
+        )
+        self._send_durable(sender.address, reply)
+
+    def _on_snapshot_chunk(
+        self, now_ms: float, sender: Peer, message: SnapshotChunk
+    ) -> None:
+        if message.term < self.term:
+            self._reply_append(sender, message, False, self.log.last_index)
+            return
+        self._follow(now_ms, sender, message.term)
+        if message.snapshot_index <= self.commit_index:
+            self._reply_append(sender, message, True, message.snapshot_index)
+            return
+        data = self._collect_chunk(message)
+        if len(data) < message.size_bytes:
+            reply = SnapshotReply(
+                term=self.term,
+                incarnation=self.incarnation,
+                snapshot_index=message.snapshot_index,
+                next_offset=len(data),
+                sent_ms=message.sent_ms,
+            )
+            self._send_durable(sender.address, reply)
+            return
+        self._incoming = None
+        self._install(Snapshot.decode(bytes(data)))
+        self._reply_append(sender, message, True, message.snapshot_index)
+
+    def _collect_chunk(self, message: SnapshotChunk) -> bytearray:
+        key = (message.snapshot_index, message.snapshot_term)
+        if self._incoming is None or self._incoming[:2] != key:
+            self._incoming = (*key, bytearray())
+        data = self._incoming[2]
+        if message.offset == len(data):
+            data.extend(message.data)
+        return data
+
+    def _install(self, snapshot: Snapshot) -> None:
+        is_reset = self.log.install(snapshot)
+        for pending in self._persisting:
+            pending[1] = min(pending[1], self.log.last_index)
+        self._durable_index = min(self._durable_index, self.log.last_index)
+        self.commit_index = self._ready_index = snapshot.index
+        self._ready.append(snapshot)
+        self._persist_snapshot(snapshot, is_reset)
+        self._emit(EventNumber.SNAPSHOT_INSTALLED, self.node, str(snapshot.index))
+
+    def _on_timeout_now(self, now_ms: float, sender: Peer, message: TimeoutNow) -> None:
+        if message.term == self.term and self._is_voter and not self.is_leader:
+            self._start_election(now_ms, is_transfer=True)
+
+    def _dispatch(self, now_ms: float, sender: Peer, message: ConsensusMessage) -> None:
+        match message:
+            case AppendEntries():
+                self._on_append_entries(now_ms, sender, message)
+            case AppendReply():
+                self._on_append_reply(now_ms, sender, message)
+            case PreVoteRequest():
+                self._on_pre_vote_request(now_ms, sender, message)
+            case PreVoteReply():
+                self._on_pre_vote_reply(now_ms, sender, message)
+            case VoteRequest():
+                self._on_vote_request(now_ms, sender, message)
+            case VoteReply():
+                self._on_vote_reply(now_ms, sender, message)
+            case SnapshotChunk():
+                self._on_snapshot_chunk(now_ms, sender, message)
+            case SnapshotReply():
+                self._on_snapshot_reply(now_ms, sender, message)
+            case TimeoutNow():
+                self._on_timeout_now(now_ms, sender, message)
+            case JoinHello():
+                self._on_join_hello(now_ms, sender, message)
+            case JoinReply():
+                self._on_join_reply(now_ms, sender, message)
+
+
+def _majority(n: int) -> int:
+    """Return how many of n make a majority.
+
+    >>> [_majority(n) for n in (1, 2, 3, 4, 5)]
+    [1, 2, 2, 3, 3]
+    """
+    return n // 2 + 1
+
+
+def _is_single_change(old: list[Member], new: list[Member]) -> bool:
+    """Tell whether at most one voter differs."""
+    old_voters = {(m.node, m.incarnation) for m in old if m.is_voter}
+    new_voters = {(m.node, m.incarnation) for m in new if m.is_voter}
+    return len(old_voters ^ new_voters) <= 1
--- /dev/null
+++ b/packages/cardamomshunt/src/cardamomshunt/_consensus_log.py
@@ -0,0 +1,126 @@
+"""The part of the replicated log that a control node holds in memory."""
+
+import msgspec
+
+from cardamomshunt._consensus_messages import Entry, EntryKind, Member, Snapshot
+
+_MEMBERS_DECODER = msgspec.msgpack.Decoder(list[Member])
+
+
+def decode_members(entry: Entry) -> list[Member]:
+    """Return the members that an entry of kind MEMBERS carries."""
+    return _MEMBERS_DECODER.decode(entry.payload)
+
+
+class ReplicatedLog:
+    """Hold the newest snapshot and the entries after `base_index`.
+
+    Some entries before the snapshot are kept, so that a follower that is a little
+    behind needs no snapshot.
+    """
+
+    def __init__(self, snapshot: Snapshot, entries: list[Entry]) -> None:
+        self.snapshot = snapshot
+        self.base_index = snapshot.index
+        self.base_term = snapshot.term
+        self._entries = [entry for entry in entries if entry.index > snapshot.index]
+        self._changes: list[tuple[int, list[Member]]] = []
+        self._collect_changes()
+
+    def _collect_changes(self) -> None:
+        self._changes = [
+            (entry.index, decode_members(entry))
+            for entry in self._entries
+            if entry.kind is EntryKind.MEMBERS
+        ]
+
+    @property
+    def last_index(self) -> int:
+        """Return the index of the last entry."""
+        return self.base_index + len(self._entries)
+
+    @property
+    def last_term(self) -> int:
+        """Return the term of the last entry."""
+        return self._entries[-1].term if self._entries else self.base_term
+
+    @property
+    def members(self) -> list[Member]:
+        """Return the newest members; they count as soon as they are appended."""
+        return self._changes[-1][1] if self._changes else self.snapshot.members
+
+    @property
+    def members_index(self) -> int:
+        """Return the index of the entry that set the members."""
+        return self._changes[-1][0] if self._changes else self.snapshot.index
+
+    def members_at(self, index: int) -> list[Member]:
+        """Return the members after the entry at an index."""
+        found = self.snapshot.members
+        for change_index, members in self._changes:
+            if change_index <= index:
+                found = members
+        return found
+
+    def term_at(self, index: int) -> int | None:
+        """Return the term of an entry, or None if it is not held."""
+        if index == self.base_index:
+            return self.base_term
+        if index == self.snapshot.index:
+            return self.snapshot.term
+        offset = index - self.base_index - 1
+        return self._entries[offset].term if 0 <= offset < len(self._entries) else None
+
+    def entry_at(self, index: int) -> Entry:
+        """Return an entry that is held."""
+        return self._entries[index - self.base_index - 1]
+
+    def entries_from(self, index: int, n_max: int) -> list[Entry]:
+        """Return entries from an index on."""
+        offset = index - self.base_index - 1
+        return self._entries[offset : offset + n_max]
+
+    def first_index_of_term_at(self, index: int) -> int:
+        """Return the first held index with the same term as the entry at `index`."""
+        term = self.term_at(index)
+        while index - 1 > self.base_index and self.term_at(index - 1) == term:
+            index -= 1
+        return index
+
+    def append(self, entries: list[Entry]) -> None:
+        """Append entries that follow the last one."""
+        self._entries.extend(entries)
+        for entry in entries:
+            if entry.kind is EntryKind.MEMBERS:
+                self._changes.append((entry.index, decode_members(entry)))
+
+    def truncate_from(self, index: int) -> None:
+        """Drop the entry at an index and all after it."""
+        del self._entries[index - self.base_index - 1 :]
+        self._changes = [change for change in self._changes if change[0] < index]
+
+    def compact(self, snapshot: Snapshot, n_kept: int) -> None:
+        """Replace applied entries by a snapshot, keeping the `n_kept` newest of them."""
+        first_kept = max(self.base_index + 1, snapshot.index - n_kept + 1)
+        base_term = self.term_at(first_kept - 1)
+        assert base_term is not None
+        self._entries = self._entries[first_kept - self.base_index - 1 :]
+        self.base_index, self.base_term = first_kept - 1, base_term
+        self.snapshot = snapshot
+        self._changes = [item for item in self._changes if item[0] > snapshot.index]
+
+    def install(self, snapshot: Snapshot) -> bool:
+        """Take over a snapshot; return whether the log was dropped as a whole.
+
+        Entries after the snapshot stay if the log agrees with it, because they may
+        have been acknowledged to the leader.
+        """
+        agrees = self.term_at(snapshot.index) == snapshot.term
+        kept: list[Entry] = []
+        if agrees:
+            kept = self.entries_from(snapshot.index + 1, len(self._entries))
+        self._entries = kept
+        self.snapshot = snapshot
+        self.base_index, self.base_term = snapshot.index, snapshot.term
+        self._collect_changes()
+        return not agrees
--- /dev/null
+++ b/packages/cardamomshunt/src/cardamomshunt/_control.py
@@ -0,0 +1,632 @@
+"""A control node: replicated log, failover, configuration and operators' requests."""
+
+from dataclasses import dataclass
+from random import Random
+
+import msgspec
+
+from cardamomshunt._connection_grants import GRANT_INTERVAL_MS, GrantAllocator
+from cardamomshunt._consensus import ConsensusNode, ConsensusOptions, RestoredState
+from cardamomshunt._consensus_messages import (
+    ConsensusMessage,
+    Entry,
+    EntryKind,
+    Member,
+    Peer,
+    Snapshot,
+)
+from cardamomshunt._control_effects import (
+    ControlEffect,
+    EmitEvent,
+    InstanceReply,
+    ReplyOperator,
+    SendMessage,
+)
+from cardamomshunt._control_state import (
+    ApplyPatch,
+    Command,
+    ControlState,
+    SetDatabase,
+    SetDrain,
+    encode_command,
+)
+from cardamomshunt._control_status import (
+    database_statuses,
+    find_problems,
+    node_statuses,
+)
+from cardamomshunt._events import EventNumber
+from cardamomshunt._failover import FailoverController, FailoverOptions
+from cardamomshunt._health_view import HealthView
+from cardamomshunt._messages import (
+    ConfigurationUpdate,
+    DemandReport,
+    DrainInstance,
+    HealthReport,
+    Heartbeat,
+    Message,
+    NodeRole,
+)
+from cardamomshunt._node_registry import NodeRegistry, NodeView
+from cardamomshunt._operator_messages import (
+    ConfigurationReply,
+    ConfigurationRequest,
+    DrainReply,
+    DrainRequest,
+    HandoverReply,
+    HandoverRequest,
+    MemberChangeReply,
+    MemberChangeRequest,
+    OperatorError,
+    OperatorErrorCode,
+    PatchOutcome,
+    PatchReply,
+    PatchRequest,
+    StatusReply,
+    StatusRequest,
+)
+
+
+@dataclass(slots=True, frozen=True)
+class ControlOptions:
+    """Set the times of a control node."""
+
+    evaluation_interval_ms: float = 50.0
+    heartbeat_interval_ms: float = 500.0
+    in_force_wait_ms: float = 3_000.0
+    drain_interval_ms: float = 1_000.0
+    n_entries_per_snapshot: int = 1_000
+
+
+@dataclass(slots=True)
+class _Pending:
+    """Hold an operator's request that waits for the log."""
+
+    request_id: int
+    command: Command
+    version: int | None = None
+    deadline_ms: float = 0.0
+
+
+class ControlNode:
+    """Combine the state machines of one control node."""
+
+    def __init__(
+        self,
+        node: str,
+        zone: str,
+        initial_members: list[Member],
+        restored: RestoredState,
+        random: Random,
+        now_ms: float,
+        consensus_options: ConsensusOptions | None = None,
+        failover_options: FailoverOptions | None = None,
+        options: ControlOptions | None = None,
+    ) -> None:
+        self.node = node
+        self.zone = zone
+        self.options = options or ControlOptions()
+        self.consensus = ConsensusNode(
+            node, initial_members, restored, random, now_ms, consensus_options
+        )
+        self.state = ControlState.decode(restored.snapshot.state)
+        self.applied_index = restored.snapshot.index
+        self.health = HealthView()
+        self.registry = NodeRegistry()
+        self.failover = FailoverController(self.health, failover_options)
+        self._grants = GrantAllocator()
+        self._grants_due_ms = now_ms
+        self._heartbeat_due_ms = now_ms
+        self._evaluation_due_ms = now_ms
+        self._pending: list[_Pending] = []
+        self._was_ready = False
+        self._effects: list[ControlEffect] = []
+
+    # Views
+
+    @property
+    def is_ready(self) -> bool:
+        """Tell whether this node leads and has applied all that is committed."""
+        consensus = self.consensus
+        return (
+            consensus.is_leader
+            and consensus.commit_index >= consensus.first_own_index
+            and self.applied_index == consensus.commit_index
+        )
+
+    def next_deadline_ms(self) -> float | None:
+        """Return when `tick` is due."""
+        due = [self._heartbeat_due_ms]
+        consensus_due_ms = self.consensus.next_deadline_ms()
+        if consensus_due_ms is not None:
+            due.append(consensus_due_ms)
+        if self.is_ready:
+            due.append(self._evaluation_due_ms)
+        return min(due)
+
+    # Inputs
+
+    def tick(self, now_ms: float) -> list[ControlEffect]:
+        """Do what is due."""
+        self._effects.extend(self.consensus.tick(now_ms))
+        if now_ms >= self._heartbeat_due_ms:
+            self._heartbeat_due_ms = now_ms + self.options.heartbeat_interval_ms
+            self._send_heartbeat(now_ms)
+        if self.is_ready and now_ms >= self._evaluation_due_ms:
+            self._evaluation_due_ms = now_ms + self.options.evaluation_interval_ms
+            self._evaluate(now_ms)
+            self._maintain_nodes(now_ms)
+        return self._finish(now_ms)
+
+    def on_message(
+        self, now_ms: float, sender: Peer, message: Message
+    ) -> list[ControlEffect]:
+        """Handle a message of another daemon."""
+        match message:
+            case ConsensusMessage():
+                effects = self.consensus.on_message(now_ms, sender, message)
+                self._effects.extend(effects)
+            case Heartbeat():
+                view = self.registry.on_heartbeat(now_ms, sender.address, message)
+                self._update_node(now_ms, view)
+            case HealthReport():
+                self.health.on_report(now_ms, message)
+            case DemandReport():
+                self._grants.on_demand(now_ms, message)
+        return self._finish(now_ms)
+
+    def on_storage_done(self, now_ms: float, sequence: int) -> list[ControlEffect]:
+        """Note that all writes up to `sequence` are durable."""
+        self._effects.extend(self.consensus.on_storage_done(now_ms, sequence))
+        return self._finish(now_ms)
+
+    def on_storage_failed(
+        self, now_ms: float, reason: str, is_full: bool = False
+    ) -> list[ControlEffect]:
+        """Stop voting and leading; a full disk may recover, a failed one may not."""
+        if is_full:
+            self._effects.extend(self.consensus.on_storage_full(now_ms, reason))
+        else:
+            self._effects.extend(self.consensus.on_storage_failed(now_ms, reason))
+        return self._finish(now_ms)
+
+    def on_instance_reply(
+        self, now_ms: float, reply: InstanceReply
+    ) -> list[ControlEffect]:
+        """Take the answer of a backend server to a command."""
+        if self.is_ready:
+            self.failover.on_reply(now_ms, self.state.databases, reply)
+        return self._finish(now_ms)
+
+    def on_operator_request(
+        self, now_ms: float, request_id: int, request: Message
+    ) -> list[ControlEffect]:
+        """Answer an operator's request, now or by a later ReplyOperator."""
+        reply = self._answer(now_ms, request_id, request)
+        if reply is not None:
+            self._effects.append(ReplyOperator(request_id=request_id, message=reply))
+        return self._finish(now_ms)
+
+    def hand_leadership_over(self, now_ms: float) -> list[ControlEffect]:
+        """Hand leadership to another node before a planned stop."""
+        self.consensus.transfer_leadership(now_ms)
+        return self._finish(now_ms)
+
+    # Log
+
+    def _finish(self, now_ms: float) -> list[ControlEffect]:
+        """Propose, apply and return what came of an input."""
+        self._propose_records(now_ms)
+        self._apply_committed(now_ms)
+        self._note_leadership(now_ms)
+        self._effects.extend(self.consensus.take_effects())
+        self._effects.extend(self.failover.take_effects())
+        effects, self._effects = self._effects, []
+        return effects
+
+    def _propose_records(self, now_ms: float) -> None:
+        for record in self.failover.take_proposals():
+            command = SetDatabase(record=record)
+            self.consensus.propose(now_ms, encode_command(command))
+
+    def _apply_committed(self, now_ms: float) -> None:
+        for item in self.consensus.take_ready():
+            if isinstance(item, Snapshot):
+                self.state = ControlState.decode(item.state)
+                self.applied_index = item.index
+            else:
+                self._apply_entry(now_ms, item)
+        n_since = self.applied_index - self.consensus.log.snapshot.index
+        if n_since >= self.options.n_entries_per_snapshot:
+            self.consensus.compact(self.state.encode(), self.applied_index)
+            self._emit(EventNumber.SNAPSHOT_WRITTEN, self.node, str(self.applied_index))
+
+    def _apply_entry(self, now_ms: float, entry: Entry) -> None:
+        self.applied_index = entry.index
+        if entry.kind is not EntryKind.COMMAND:
+            return
+        topology_version = self.state.topology_version
+        command = self.state.apply(entry.payload)
+        match command:
+            case SetDatabase():
+                self.failover.on_applied(command.record)
+            case ApplyPatch():
+                self._on_patch_applied(now_ms, command)
+            case SetDrain():
+                self._settle_drain(now_ms, command)
+        if self.consensus.is_leader and self.state.topology_version > topology_version:
+            self._spread(now_ms)
+
+    def _note_leadership(self, now_ms: float) -> None:
+        if self.is_ready == self._was_ready:
+            return
+        if self.consensus.is_leader and self._was_ready:
+            return
+        self._was_ready = self.is_ready
+        self.failover.reset()
+        if self._was_ready:
+            self._spread(now_ms)
+        else:
+            self._drop_pending()
+
+    def _drop_pending(self) -> None:
+        pending, self._pending = self._pending, []
+        for item in pending:
+            error = OperatorError(
+                code=OperatorErrorCode.NO_LEADER,
+                detail="leadership changed; send the same request again",
+            )
+            self._effects.append(
+                ReplyOperator(request_id=item.request_id, message=error)
+            )
+
+    def _emit(self, number: EventNumber, subject: str, detail: str = "") -> None:
+        self._effects.append(
+            EmitEvent(number=number.value, subject=subject, detail=detail)
+        )
+
+    # Leading
+
+    def _evaluate(self, now_ms: float) -> None:
+        if not self.consensus.has_lease(now_ms):
+            return
+        self.failover.evaluate(
+            now_ms,
+            self.state.databases,
+            self.state.configuration.policy.detection_ms,
+            self.state.draining,
+        )
+
+    def _maintain_nodes(self, now_ms: float) -> None:
+        for view in self.registry.proxies(now_ms):
+            self._update_node(now_ms, view)
+            self._send_drains(now_ms, view)
+        if now_ms >= self._grants_due_ms:
+            self._grants_due_ms = now_ms + GRANT_INTERVAL_MS
+            self._send_grants(now_ms)
+            self.health.forget_old(now_ms)
+            self.registry.forget_old(now_ms)
+        self._check_in_force(now_ms)
+
+    def _spread(self, now_ms: float) -> None:
+        for view in self.registry.proxies(now_ms):
+            self._update_node(now_ms, view)
+
+    def _update_node(self, now_ms: float, view: NodeView) -> None:
+        """Send topology and configuration to a node that has older ones."""
+        if not self.is_ready or view.heartbeat.role is not NodeRole.PROXY:
+            return
+        if view.needs_topology(now_ms, self.state.topology_version):
+            view.topology_sent = (self.state.topology_version, now_ms)
+            self._send(view.address, self.state.topology())
+        version = self.state.configuration.version
+        if view.needs_configuration(now_ms, version):
+            view.configuration_sent = (version, now_ms)
+            self._send(view.address, self._configuration_update(view))
+
+    def _configuration_update(self, view: NodeView) -> ConfigurationUpdate:
+        configuration = self.state.configuration
+        base = view.heartbeat.configuration_version
+        changes = self.state.changes_since(base)
+        if changes is None or base == 0:
+            return ConfigurationUpdate(
+                version=configuration.version,
+                base_version=None,
+                snapshot=configuration.to_json(),
+            )
+        return ConfigurationUpdate(
+            version=configuration.version, base_version=base, changes=changes
+        )
+
+    def _send(self, address: str, message: Message) -> None:
+        self._effects.append(SendMessage(address=address, message=message))
+
+    def _send_grants(self, now_ms: float) -> None:
+        n_max = {}
+        for database in self.health.databases():
+            for instance in self.health.instances(database):
+                views = self.health.fresh_views(now_ms, database, instance)
+                if views:
+                    n_max[instance] = views[0].observation.n_connections_max
+        n_floor = self.state.configuration.policy.n_connections_floor
+        for grants in self._grants.grants(now_ms, n_max, n_floor):
+            view = self.registry.nodes.get(grants.node)
+            if view is not None and grants.grants:
+                self._send(view.address, grants)
+
+    def _send_drains(self, now_ms: float, view: NodeView) -> None:
+        """Repeat drain orders, because messages can be lost."""
+        if now_ms < view.drain_due_ms:
+            return
+        view.drain_due_ms = now_ms + self.options.drain_interval_ms
+        for target, is_draining in self.state.draining.items():
+            if target in self.registry.nodes and target != view.heartbeat.node:
+                continue
+            self._send(
+                view.address, DrainInstance(instance=target, is_draining=is_draining)
+            )
+
+    def _send_heartbeat(self, now_ms: float) -> None:
+        """Report the own versions to the other control nodes."""
+        own = self.consensus.member(self.node)
+        if own is None:
+            return
+        heartbeat = Heartbeat(
+            node=self.node,
+            role=NodeRole.CONTROL,
+            zone=self.zone,
+            incarnation=self.consensus.incarnation,
+            operator_address=own.operator_address,
+            configuration_version=self.state.configuration.version,
+            topology_version=self.state.topology_version,
+        )
+        self.registry.on_heartbeat(now_ms, own.peer_address, heartbeat)
+        for member in self.consensus.members:
+            if member.node != self.node:
+                self._send(member.peer_address, heartbeat)
+
+    # Operators
+
+    def _leader_error(self) -> OperatorError:
+        leader = self.consensus.leader
+        member = self.consensus.member(leader) if leader else None
+        if member is None or leader == self.node:
+            return OperatorError(
+                code=OperatorErrorCode.NO_LEADER, detail="no leader is known"
+            )
+        return OperatorError(
+            code=OperatorErrorCode.NOT_LEADER,
+            detail=f"the leader is {leader}",
+            leader_operator_address=member.operator_address,
+        )
+
+    def _answer(
+        self, now_ms: float, request_id: int, request: Message
+    ) -> Message | None:
+        if isinstance(request, StatusRequest):
+            return self._status(now_ms)
+        if not self.is_ready:
+            return self._leader_error()
+        if not self.consensus.has_lease(now_ms):
+            return OperatorError(
+                code=OperatorErrorCode.NO_QUORUM,
+                detail="this leader hears no majority of the control nodes",
+            )
+        match request:
+            case PatchRequest():
+                return self._on_patch(now_ms, request_id, request)
+            case ConfigurationRequest():
+                return self._on_configuration(now_ms, request)
+            case HandoverRequest():
+                return self._on_handover(now_ms, request)
+            case DrainRequest():
+                return self._on_drain(now_ms, request_id, request)
+            case MemberChangeRequest():
+                return self._on_member_change(now_ms, request)
+        return OperatorError(
+            code=OperatorErrorCode.UNSUPPORTED,
+            detail=f"a control node does not answer {type(request).__name__}",
+        )
+
+    def _status(self, now_ms: float) -> StatusReply:
+        consensus = self.consensus
+        return StatusReply(
+            node=self.node,
+            is_authoritative=self.is_ready and consensus.has_lease(now_ms),
+            configuration_version=self.state.configuration.version,
+            leader=consensus.leader,
+            databases=database_statuses(now_ms, self.state, self.health),
+            nodes=node_statuses(now_ms, self.registry, consensus.leader),
+            problems=find_problems(
+                now_ms, self.state, self.registry, consensus.failure
+            ),
+        )
+
+    def _propose(self, now_ms: float, request_id: int, command: Command) -> None:
+        deadline_ms = now_ms + self.options.in_force_wait_ms
+        self._pending.append(_Pending(request_id, command, None, deadline_ms))
+        if self.consensus.propose(now_ms, encode_command(command)) is None:
+            self._drop_pending()
+
+    def _on_patch(
+        self, now_ms: float, request_id: int, request: PatchRequest
+    ) -> Message | None:
+        if request.is_dry_run:
+            return self.state.check_patch(request)
+        if request.patch_id in self.state.patch_replies:
+            self._emit(EventNumber.PATCH_REPEATED, request.patch_id)
+        command = ApplyPatch(
+            patch_id=request.patch_id,
+            base_version=request.base_version,
+            changes=request.changes,
+            author=request.author,
+        )
+        self._propose(now_ms, request_id, command)
+        return None
+
+    def _on_patch_applied(self, now_ms: float, command: ApplyPatch) -> None:
+        reply = self.state.patch_replies[command.patch_id]
+        is_accepted = reply.outcome is PatchOutcome.ACCEPTED
+        if is_accepted:
+            self._heartbeat_due_ms = now_ms
+        if not self.consensus.is_leader:
+            return
+        number = EventNumber.PATCH_REFUSED
+        if is_accepted:
+            number = EventNumber.PATCH_ACCEPTED
+            self._spread(now_ms)
+        self._emit(number, command.patch_id, f"version {reply.version}")
+        for item in list(self._pending):
+            is_same = (
+                isinstance(item.command, ApplyPatch)
+                and item.command.patch_id == command.patch_id
+            )
+            if not is_same:
+                continue
+            item.version = reply.version
+            if not is_accepted:
+                self._reply_patch(now_ms, item, reply)
+        self._check_in_force(now_ms)
+
+    def _check_in_force(self, now_ms: float) -> None:
+        """Answer accepted patches that are in force or have waited long enough."""
+        for item in list(self._pending):
+            if not isinstance(item.command, ApplyPatch) or item.version is None:
+                continue
+            is_done = self.registry.is_in_force_on_live(now_ms, item.version)
+            if is_done or now_ms >= item.deadline_ms:
+                reply = self.state.patch_replies[item.command.patch_id]
+                self._reply_patch(now_ms, item, reply)
+
+    def _reply_patch(self, now_ms: float, item: _Pending, first: PatchReply) -> None:
+        self._pending.remove(item)
+        reply = first
+        if first.outcome is PatchOutcome.ACCEPTED:
+            in_force, missing = self.registry.in_force(now_ms, first.version)
+            reply = msgspec.structs.replace(
+                first, in_force_on=in_force, missing_on=missing
+            )
+            number = EventNumber.PATCH_IN_FORCE
+            if missing:
+                number = EventNumber.PATCH_NOT_IN_FORCE
+            self._emit(number, first.patch_id, ", ".join(missing))
+        self._effects.append(ReplyOperator(request_id=item.request_id, message=reply))
+
+    def _on_configuration(
+        self, now_ms: float, request: ConfigurationRequest
+    ) -> Message:
+        newest = self.state.configuration.version
+        version = newest if request.version is None else request.version
+        document = self.state.document_at(version)
+        if document is None:
+            n_kept = len(self.state.versions)
+            return OperatorError(
+                code=OperatorErrorCode.UNKNOWN_TARGET,
+                detail=f"version {version} is not kept; "
+                f"known are {newest - n_kept} to {newest}",
+            )
+        in_force, missing = self.registry.in_force(now_ms, version)
+        history = self.state.versions[-request.n_history :] if request.n_history else []
+        return ConfigurationReply(
+            version=version,
+            document_json=document.to_json(),
+            history=[record.entry for record in history],
+            in_force_on=in_force,
+            missing_on=missing,
+        )
+
+    def _on_handover(self, now_ms: float, request: HandoverRequest) -> Message:
+        record = self.state.databases.get(request.database)
+        if record is None:
+            return OperatorError(
+                code=OperatorErrorCode.UNKNOWN_TARGET,
+                detail=f"there is no database {request.database!r}; known are "
+                f"{', '.join(sorted(self.state.databases)) or 'none'}",
+            )
+        problem = self.failover.start_handover(now_ms, record, request.to_instance)
+        if problem:
+            return OperatorError(code=OperatorErrorCode.UNKNOWN_TARGET, detail=problem)
+        proposed = self.failover.proposed_target(record.database)
+        return HandoverReply(
+            database=record.database,
+            from_instance=record.primary_instance or "",
+            to_instance=proposed or "",
+            term=record.term,
+        )
+
+    def _on_drain(
+        self, now_ms: float, request_id: int, request: DrainRequest
+    ) -> Message | None:
+        known = {*self.registry.nodes}
+        for record in self.state.databases.values():
+            known |= set(record.instances)
+        if request.target not in known:
+            return OperatorError(
+                code=OperatorErrorCode.UNKNOWN_TARGET,
+                detail=f"there is no instance or entry VM {request.target!r}",
+            )
+        command = SetDrain(target=request.target, is_draining=request.is_draining)
+        self._propose(now_ms, request_id, command)
+        return None
+
+    def _settle_drain(self, now_ms: float, command: SetDrain) -> None:
+        """Order the drain at once, and move a primary off a drained instance."""
+        if not self.consensus.is_leader:
+            return
+        self._emit(EventNumber.DRAIN_ORDERED, command.target, str(command.is_draining))
+        for view in self.registry.proxies(now_ms):
+            view.drain_due_ms = now_ms
+            self._send_drains(now_ms, view)
+        detail = self._hand_over_drained(now_ms, command) if command.is_draining else ""
+        for item in list(self._pending):
+            if item.command == command:
+                self._pending.remove(item)
+                reply = DrainReply(
+                    target=command.target,
+                    is_draining=command.is_draining,
+                    detail=detail,
+                )
+                self._effects.append(
+                    ReplyOperator(request_id=item.request_id, message=reply)
+                )
+
+    def _hand_over_drained(self, now_ms: float, command: SetDrain) -> str:
+        for record in self.state.databases.values():
+            if record.primary_instance == command.target:
+                problem = self.failover.start_handover(now_ms, record, None)
+                return problem or f"handing {record.database} over"
+        return ""
+
+    def _on_member_change(self, now_ms: float, request: MemberChangeRequest) -> Message:
+        members = [m for m in self.consensus.members if m.node != request.node]
+        is_known = len(members) < len(self.consensus.members)
+        if request.is_removal != is_known:
+            what = "is not a member" if request.is_removal else "is a member already"
+            return OperatorError(
+                code=OperatorErrorCode.UNKNOWN_TARGET, detail=f"{request.node} {what}"
+            )
+        if not request.is_removal:
+            members.append(
+                Member(
+                    node=request.node,
+                    zone=request.zone,
+                    peer_address=request.peer_address,
+                    operator_address=request.operator_address,
+                    is_voter=False,
+                )
+            )
+        if not self.consensus.propose_members(now_ms, members):
+            return OperatorError(
+                code=OperatorErrorCode.NO_QUORUM,
+                detail="another membership change is under way",
+            )
+        number = (
+            EventNumber.MEMBER_REMOVED
+            if request.is_removal
+            else EventNumber.MEMBER_CATCHING_UP
+        )
+        self._emit(number, request.node)
+        return MemberChangeReply(
+            members=[member.node for member in members],
+            is_caught_up=request.is_removal,
+        )
--- /dev/null
+++ b/packages/cardamomshunt/src/cardamomshunt/_control_effects.py
@@ -0,0 +1,101 @@
+"""Effects that the control state machines ask their host for."""
+
+import enum
+
+import msgspec
+
+from cardamomshunt._consensus_messages import Entry, Vote
+from cardamomshunt._messages import InstanceAddress, Message
+from cardamomshunt._position import ZERO, LogPosition
+
+
+class ControlEffect(msgspec.Struct, kw_only=True):
+    """Base of what a control node asks its host to do."""
+
+
+class SendMessage(ControlEffect, kw_only=True):
+    """Send a message to a listener address; it may be lost."""
+
+    address: str
+    message: Message
+
+
+class PersistEffect(ControlEffect, kw_only=True):
+    """Base of disk writes.
+
+    The host writes them in order of `sequence`, syncs, and then calls
+    `on_storage_done` with the highest sequence that is durable.
+    """
+
+    sequence: int
+
+
+class PersistVote(PersistEffect, kw_only=True):
+    """Make term and vote durable."""
+
+    vote: Vote
+
+
+class PersistEntries(PersistEffect, kw_only=True):
+    """Make entries durable; entries from the first one's index on are replaced."""
+
+    entries: list[Entry]
+
+
+class PersistSnapshot(PersistEffect, kw_only=True):
+    """Make an encoded snapshot durable, then drop log entries before `first_kept`.
+
+    With `is_reset` the log is dropped as a whole.
+    """
+
+    index: int
+    data: bytes
+    first_kept: int
+    is_reset: bool
+
+
+class InstanceCommandKind(enum.Enum):
+    """Name a command to a backend server."""
+
+    FENCE = "fence"
+    PROMOTE = "promote"
+
+
+class CommandInstance(ControlEffect, kw_only=True):
+    """Run `CALL cardamomshunt_fence(term)` or `_promote(term)` on a backend server."""
+
+    database: str
+    instance: str
+    address: InstanceAddress
+    kind: InstanceCommandKind
+    term: int
+    timeout_ms: float
+
+
+class InstanceReply(msgspec.Struct, kw_only=True):
+    """Report the answer to a command; without `is_answered` it may have run."""
+
+    database: str
+    instance: str
+    kind: InstanceCommandKind
+    command_term: int
+    is_answered: bool
+    is_accepted: bool = False
+    term: int = 0
+    log_position: LogPosition = ZERO
+
+
+class ReplyOperator(ControlEffect, kw_only=True):
+    """Answer an operator's request."""
+
+    request_id: int
+    message: Message
+
+
+class EmitEvent(ControlEffect, kw_only=True):
+    """Log a numbered event of the catalogue in docs/events.md."""
+
+    number: int
+    subject: str = ""
+    detail: str = ""
+    database: str = ""
--- /dev/null
+++ b/packages/cardamomshunt/src/cardamomshunt/_control_status.py
@@ -0,0 +1,108 @@
+"""Answers to operators that only read state."""
+
+from cardamomshunt._control_state import ControlState, DatabaseRecord
+from cardamomshunt._health_view import HealthView
+from cardamomshunt._messages import FailoverStep
+from cardamomshunt._node_registry import NodeRegistry
+from cardamomshunt._operator_messages import (
+    DatabaseStatus,
+    InstanceStatus,
+    NodeStatus,
+    Problem,
+)
+from cardamomshunt._position import ZERO
+
+
+def database_statuses(
+    now_ms: float, state: ControlState, health: HealthView
+) -> list[DatabaseStatus]:
+    """Describe all databases."""
+    detection_ms = state.configuration.policy.detection_ms
+    return [
+        DatabaseStatus(
+            database=record.database,
+            term=record.term,
+            primary_instance=record.primary_instance,
+            step=record.step,
+            instances=_instance_statuses(now_ms, record, health, detection_ms),
+        )
+        for record in state.databases.values()
+    ]
+
+
+def _instance_statuses(
+    now_ms: float, record: DatabaseRecord, health: HealthView, detection_ms: float
+) -> list[InstanceStatus]:
+    statuses = []
+    for name, item in sorted(record.instances.items()):
+        newest = health.health(now_ms, record.database, name, detection_ms).newest
+        seen = newest.observation if newest else None
+        statuses.append(
+            InstanceStatus(
+                database=record.database,
+                instance=name,
+                zone=item.zone,
+                role=seen.role.value if seen else "unknown",
+                term=seen.term if seen else 0,
+                applied_position=seen.applied_position if seen else ZERO,
+                lag_ms=None,
+                silence_ms=(
+                    now_ms - newest.received_ms + newest.observation.silence_ms
+                    if newest
+                    else float("inf")
+                ),
+                is_leaving=seen.is_leaving if seen else False,
+            )
+        )
+    return statuses
+
+
+def node_statuses(
+    now_ms: float, registry: NodeRegistry, leader: str | None
+) -> list[NodeStatus]:
+    """Describe all daemons."""
+    return [
+        NodeStatus(
+            node=name,
+            role=view.heartbeat.role,
+            zone=view.heartbeat.zone,
+            operator_address=view.heartbeat.operator_address,
+            configuration_version=view.heartbeat.configuration_version,
+            topology_version=view.heartbeat.topology_version,
+            silence_ms=now_ms - view.received_ms,
+            is_leader=name == leader,
+            is_draining=view.heartbeat.is_draining,
+        )
+        for name, view in sorted(registry.nodes.items())
+    ]
+
+
+def find_problems(
+    now_ms: float, state: ControlState, registry: NodeRegistry, failure: str
+) -> list[Problem]:
+    """Return what needs attention."""
+    problems = []
+    if failure:
+        problems.append(
+            Problem(
+                summary=f"this control node does not vote: {failure}",
+                action="Replace its disk or free space, then restart it.",
+            )
+        )
+    for record in state.databases.values():
+        if record.step is not FailoverStep.SERVING:
+            problems.append(
+                Problem(
+                    summary=f"{record.database} is {record.step.value} in term {record.term}",
+                    action="None while it is short; else start the group's instances.",
+                )
+            )
+    for name, view in sorted(registry.nodes.items()):
+        if not view.is_live(now_ms):
+            problems.append(
+                Problem(
+                    summary=f"{name} in zone {view.heartbeat.zone} is cut off",
+                    action="See whether its VM runs and its zone is reachable.",
+                )
+            )
+    return problems
--- /dev/null
+++ b/packages/cardamomshunt/src/cardamomshunt/_health_view.py
@@ -0,0 +1,179 @@
+"""What the entry VMs report of the backend servers."""
+
+from collections import defaultdict
+from dataclasses import dataclass, field
+
+from cardamomshunt._messages import HealthReport, InstanceObservation, InstanceRole
+from cardamomshunt._position import ZERO, LogPosition
+
+# Reports of an entry VM that is cut off or frozen must not outvote newer ones.
+REPORT_AGE_MAX_MS = 1_000.0
+# A restarted entry VM counts from 1 again; its reports are taken after this pause.
+_SEQUENCE_RESET_MS = 1_000.0
+# Views of entry VMs that are gone for good are dropped.
+_VIEW_AGE_MAX_MS = 600_000.0
+
+
+@dataclass(slots=True)
+class _Reporter:
+    zone: str
+    sequence: int
+    received_ms: float
+
+
+@dataclass(slots=True)
+class View:
+    """Hold the last observation of an instance by one entry VM."""
+
+    zone: str
+    observation: InstanceObservation
+    received_ms: float
+
+
+@dataclass(slots=True)
+class Health:
+    """Summarise the fresh views of an instance."""
+
+    n_reporting: int = 0
+    is_silent: bool = False
+    is_alive: bool = False
+    is_leaving: bool = False
+    n_replica: int = 0
+    newest: View | None = None
+
+    @property
+    def lost_role(self) -> bool:
+        """Tell whether a majority sees the instance as a replica."""
+        return self.n_replica * 2 > self.n_reporting
+
+
+@dataclass(slots=True)
+class _Seen:
+    """Hold the largest position that an instance ever reported."""
+
+    position: LogPosition = ZERO
+
+
+@dataclass(slots=True)
+class HealthView:
+    """Collect reports and judge instances by them."""
+
+    _reporters: dict[str, _Reporter] = field(default_factory=dict)
+    _views: dict[str, dict[str, dict[str, View]]] = field(
+        default_factory=lambda: defaultdict(lambda: defaultdict(dict))
+    )
+    _seen: dict[tuple[str, str], _Seen] = field(
+        default_factory=lambda: defaultdict(_Seen)
+    )
+
+    def on_report(self, now_ms: float, report: HealthReport) -> None:
+        """Take over a report, unless a newer one of the same node is known."""
+        known = self._reporters.get(report.node)
+        is_recent = known and now_ms - known.received_ms < _SEQUENCE_RESET_MS
+        if known and is_recent and report.sequence <= known.sequence:
+            return
+        self._reporters[report.node] = _Reporter(report.zone, report.sequence, now_ms)
+        for observation in report.observations:
+            views = self._views[observation.database][observation.instance]
+            views[report.node] = View(report.zone, observation, now_ms)
+            seen = self._seen[observation.database, observation.instance]
+            seen.position = max(seen.position, observation.log_position)
+
+    def databases(self) -> list[str]:
+        """Return the databases that were ever reported."""
+        return list(self._views)
+
+    def instances(self, database: str) -> list[str]:
+        """Return the instances that were ever reported for a database."""
+        return list(self._views.get(database, {}))
+
+    def fresh_views(self, now_ms: float, database: str, instance: str) -> list[View]:
+        """Return the views that are new enough to count."""
+        views = self._views.get(database, {}).get(instance, {})
+        return [
+            view
+            for view in views.values()
+            if now_ms - view.received_ms <= REPORT_AGE_MAX_MS
+        ]
+
+    def has_lost_entries(
+        self, database: str, instance: str, position: LogPosition
+    ) -> bool:
+        """Tell whether an instance held more than it holds now.
+
+        Such an instance may have helped to acknowledge writes that it lost, so it
+        doesn't count for a majority.
+        """
+        return position < self._seen[database, instance].position
+
+    def health(
+        self, now_ms: float, database: str, instance: str, detection_ms: float
+    ) -> Health:
+        """Judge an instance by the fresh views."""
+        views = self.fresh_views(now_ms, database, instance)
+        if not views:
+            return Health()
+        silent = [view for view in views if _is_silent(view, detection_ms)]
+        newest = min(views, key=lambda view: _age_ms(now_ms, view))
+        replica = [
+            view for view in views if view.observation.role is InstanceRole.REPLICA
+        ]
+        return Health(
+            n_reporting=len(views),
+            is_silent=self._agree(database, instance, views, silent),
+            is_alive=len(silent) < len(views),
+            is_leaving=any(view.observation.is_leaving for view in views),
+            n_replica=len(replica),
+            newest=newest,
+        )
+
+    def _agree(
+        self, database: str, instance: str, views: list[View], silent: list[View]
+    ) -> bool:
+        """Tell whether the silent views are enough to call an instance dead.
+
+        A majority of entry VMs and of zones must agree, and a zone that is cut off can't
+        condemn its own instance alone.
+        """
+        if not _is_majority(len(silent), len(views)):
+            return False
+        zones = {view.zone for view in views}
+        silent_zones = {
+            zone
+            for zone in zones
+            if _is_majority(
+                sum(view.zone == zone for view in silent),
+                sum(view.zone == zone for view in views),
+            )
+        }
+        if not _is_majority(len(silent_zones), len(zones)):
+            return False
+        own_zone = views[0].observation.zone
+        all_views = self._views[database][instance].values()
+        is_seen_from_outside = any(view.zone != own_zone for view in all_views)
+        return not is_seen_from_outside or bool(silent_zones - {own_zone})
+
+    def forget_old(self, now_ms: float) -> None:
+        """Drop the views of entry VMs that are gone."""
+        for instances in self._views.values():
+            for views in instances.values():
+                for node in list(views):
+                    if now_ms - views[node].received_ms > _VIEW_AGE_MAX_MS:
+                        del views[node]
+
+
+def _is_majority(n: int, n_all: int) -> bool:
+    return n * 2 > n_all
+
+
+def _is_silent(view: View, detection_ms: float) -> bool:
+    """Tell whether one entry VM heard nothing for the detection time.
+
+    A server whose dials are refused is down by its own kernel's word, but it may be
+    restarting, so the detection time holds for it too.
+    """
+    return view.observation.silence_ms >= detection_ms
+
+
+def _age_ms(now_ms: float, view: View) -> float:
+    return now_ms - view.received_ms + view.observation.silence_ms
--- a/packages/cardamomshunt/src/cardamomshunt/configuration.py
+++ b/packages/cardamomshunt/src/cardamomshunt/configuration.py
@@ -6,10 +6,18 @@
     DatabaseSettings,
     PolicySettings,
 )
+from cardamomshunt._configuration_patches import (
+    PatchInvalidError,
+    apply_changes,
+    difference,
+)
 
 __all__ = [
     "ClassSettings",
     "ClusterConfiguration",
     "DatabaseSettings",
+    "PatchInvalidError",
     "PolicySettings",
+    "apply_changes",
+    "difference",
 ]
--- /dev/null
+++ b/packages/cardamomshunt/src/cardamomshunt/consensus.py
@@ -0,0 +1,53 @@
+"""The replicated log of the control nodes."""
+
+from cardamomshunt._consensus import (
+    ConsensusNode,
+    ConsensusOptions,
+    ConsensusRole,
+    RestoredState,
+)
+from cardamomshunt._consensus_messages import (
+    AppendEntries,
+    AppendReply,
+    ConsensusMessage,
+    Entry,
+    EntryKind,
+    JoinHello,
+    JoinReply,
+    Member,
+    Peer,
+    PreVoteReply,
+    PreVoteRequest,
+    Snapshot,
+    SnapshotChunk,
+    SnapshotReply,
+    TimeoutNow,
+    Vote,
+    VoteReply,
+    VoteRequest,
+)
+
+__all__ = [
+    "AppendEntries",
+    "AppendReply",
+    "ConsensusMessage",
+    "ConsensusNode",
+    "ConsensusOptions",
+    "ConsensusRole",
+    "Entry",
+    "EntryKind",
+    "JoinHello",
+    "JoinReply",
+    "Member",
+    "Peer",
+    "PreVoteReply",
+    "PreVoteRequest",
+    "RestoredState",
+    "Snapshot",
+    "SnapshotChunk",
+    "SnapshotReply",
+    "TimeoutNow",
+    "Vote",
+    "VoteReply",
+    "VoteRequest",
+]
--- /dev/null
+++ b/packages/cardamomshunt/src/cardamomshunt/control.py
@@ -0,0 +1,36 @@
+"""The control node."""
+
+from cardamomshunt._control import ControlNode, ControlOptions
+from cardamomshunt._control_effects import (
+    CommandInstance,
+    ControlEffect,
+    EmitEvent,
+    InstanceCommandKind,
+    InstanceReply,
+    PersistEffect,
+    PersistEntries,
+    PersistSnapshot,
+    PersistVote,
+    ReplyOperator,
+    SendMessage,
+)
+from cardamomshunt._control_state import ControlState, DatabaseRecord, InstanceRecord
+
+__all__ = [
+    "CommandInstance",
+    "ControlEffect",
+    "ControlNode",
+    "ControlOptions",
+    "ControlState",
+    "DatabaseRecord",
+    "EmitEvent",
+    "InstanceCommandKind",
+    "InstanceRecord",
+    "InstanceReply",
+    "PersistEffect",
+    "PersistEntries",
+    "PersistSnapshot",
+    "PersistVote",
+    "ReplyOperator",
+    "SendMessage",
+]
