--- /dev/null
+++ b/packages/cardamomshunt/src/cardamomshunt/hybrid_clock.py
@@ -0,0 +1,11 @@
+"""Hybrid logical time."""
+
+from cardamomshunt._hybrid_clock import (
+    SKEW_MAX_MS,
+    HybridClock,
+    compose,
+    counter_of,
+    wall_ms_of,
+)
+
+__all__ = ["SKEW_MAX_MS", "HybridClock", "compose", "counter_of", "wall_ms_of"]
