--- /dev/null
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_event_log.py
@@ -0,0 +1,249 @@
+"""Log of numbered events, with a ring buffer that answers timeline requests."""
+
+import json
+import sys
+import time
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import TextIO
+
+import logbook
+from cardamomshunt.events import EventNumber, Severity, entry_for
+from cardamomshunt.hybrid_clock import HybridClock, wall_ms_of
+from cardamomshunt.operator_messages import (
+    TimelineEvent,
+    TimelineReply,
+    TimelineRequest,
+)
+
+N_EVENTS_KEPT = 20_000
+# A refusal storm emits thousands of equal events a second; five tell the same story.
+N_REPEATS_MAX = 5
+REPEAT_WINDOW_MS = 10_000.0
+_N_TRACKED_REPEATS_MAX = 1_000
+
+_LEVELS = {
+    Severity.INFO: logbook.INFO,
+    Severity.WARNING: logbook.WARNING,
+    Severity.ERROR: logbook.ERROR,
+    Severity.CRITICAL: logbook.CRITICAL,
+}
+
+
+def wall_clock_ms() -> float:
+    """Return milliseconds since the epoch."""
+    return time.time() * 1_000.0
+
+
+@dataclass(slots=True)
+class _Repeats:
+    """Count equal events of one window."""
+
+    window_start_ms: float
+    n_logged: int = 0
+    n_suppressed: int = 0
+
+
+@dataclass(slots=True)
+class _RepeatFilter:
+    """Let the first repeats of an event pass and count the rest."""
+
+    by_key: dict[tuple[int, str, str], _Repeats] = field(default_factory=dict)
+
+    def is_passing(self, key: tuple[int, str, str], now_ms: float) -> bool:
+        repeats = self.by_key.get(key)
+        if repeats is None:
+            repeats = self.by_key[key] = _Repeats(now_ms)
+        if repeats.n_logged < N_REPEATS_MAX:
+            repeats.n_logged += 1
+            return True
+        repeats.n_suppressed += 1
+        return False
+
+    def take_expired(
+        self, now_ms: float, is_closing: bool
+    ) -> list[tuple[tuple[int, str, str], int]]:
+        """Forget the windows that are over, and return their suppressed counts."""
+        is_crowded = len(self.by_key) > _N_TRACKED_REPEATS_MAX
+        expired = [
+            key
+            for key, repeats in self.by_key.items()
+            if is_closing
+            or is_crowded
+            or not 0 <= now_ms - repeats.window_start_ms < REPEAT_WINDOW_MS
+        ]
+        counts = [(key, self.by_key.pop(key).n_suppressed) for key in expired]
+        return [(key, n_suppressed) for key, n_suppressed in counts if n_suppressed]
+
+
+class EventLog:
+    """Write numbered events to a log and keep the newest for the timeline.
+
+    `emit` returns the id of the event (`node@hlc`), which later events name as their
+    cause. One line per event, as text or JSON.
+    """
+
+    def __init__(
+        self,
+        node: str,
+        clock: HybridClock | None = None,
+        log_file: Path | None = None,
+        is_json: bool = False,
+        stream: TextIO | None = None,
+        wall_ms: Callable[[], float] = wall_clock_ms,
+        n_events_kept: int = N_EVENTS_KEPT,
+    ) -> None:
+        self._node = node
+        self._wall_ms = wall_ms
+        self._is_json = is_json
+        self._repeats = _RepeatFilter()
+        self._next_sweep_ms = 0.0
+        self._ring: deque[TimelineEvent] = deque(maxlen=n_events_kept)
+        self._n_dropped = 0
+        self._logger = logbook.Logger(node)
+        self._handler = _handler(log_file, stream)
+        self.clock = clock or HybridClock()
+
+    def now_hlc(self) -> int:
+        """Return a hybrid time for a message to send."""
+        return self.clock.now(self._wall_ms())
+
+    def observe_hlc(self, sender: str, hlc: int) -> None:
+        """Follow the hybrid time of a received message."""
+        if not self.clock.observe(self._wall_ms(), hlc):
+            self.emit(EventNumber.CLOCK_SKEW, subject=sender)
+
+    def emit(
+        self,
+        number: int,
+        subject: str = "",
+        detail: str = "",
+        database: str = "",
+        cause: str = "",
+    ) -> str:
+        """Log an event and return its id; an equal event may be suppressed."""
+        now_ms = self._wall_ms()
+        self._report_suppressed(now_ms, is_closing=False)
+        event = TimelineEvent(
+            hlc=self.clock.now(now_ms),
+            node=self._node,
+            number=int(number),
+            subject=subject,
+            detail=detail,
+            database=database,
+            cause=cause,
+        )
+        if self._repeats.is_passing((int(number), subject, database), now_ms):
+            self._write(event)
+        return f"{event.node}@{event.hlc}"
+
+    def answer(self, request: TimelineRequest) -> TimelineReply:
+        """Return the kept events that a request asks for, oldest first."""
+        self._report_suppressed(self._wall_ms(), is_closing=True)
+        oldest_ms = self._wall_ms() - request.since_ms
+        events = [
+            event
+            for event in self._ring
+            if wall_ms_of(event.hlc) >= oldest_ms
+            and (not request.database or event.database in ("", request.database))
+        ]
+        n_over = max(0, len(events) - max(0, request.n_events_max))
+        return TimelineReply(
+            node=self._node, events=events[n_over:], n_dropped=self._n_dropped + n_over
+        )
+
+    def close(self) -> None:
+        """Log the counts of suppressed repeats and close the log file."""
+        self._report_suppressed(self._wall_ms(), is_closing=True)
+        self._handler.close()
+
+    def _report_suppressed(self, now_ms: float, is_closing: bool) -> None:
+        if not is_closing and now_ms < self._next_sweep_ms:
+            return
+        self._next_sweep_ms = now_ms + REPEAT_WINDOW_MS / 10.0
+        for key, n_suppressed in self._repeats.take_expired(now_ms, is_closing):
+            number, subject, database = key
+            self._write(
+                TimelineEvent(
+                    hlc=self.clock.now(now_ms),
+                    node=self._node,
+                    number=EventNumber.EVENTS_SUPPRESSED,
+                    subject=subject,
+                    detail=f"{n_suppressed} more of event {number}",
+                    database=database,
+                )
+            )
+
+    def _write(self, event: TimelineEvent) -> None:
+        if len(self._ring) == self._ring.maxlen:
+            self._n_dropped += 1
+        self._ring.append(event)
+        entry = entry_for(event.number)
+        level = _LEVELS[entry.severity] if entry else logbook.INFO
+        line = _json_line(event) if self._is_json else _text_line(event)
+        with self._handler:
+            self._logger.log(level, "{}", line)
+
+
+def _handler(log_file: Path | None, stream: TextIO | None) -> logbook.Handler:
+    format_string = "{record.message}"
+    if log_file is None:
+        return logbook.StreamHandler(stream or sys.stderr, format_string=format_string)
+    # A file handler that reopens lets an operator move the file away while it runs.
+    return logbook.MonitoringFileHandler(str(log_file), format_string=format_string)
+
+
+def _name_and_severity(number: int) -> tuple[str, str]:
+    entry = entry_for(number)
+    if entry is None:
+        return "UNKNOWN", "info"
+    return entry.number.name, entry.severity.value
+
+
+def _wall_text(hlc: int) -> str:
+    seconds, milliseconds = divmod(wall_ms_of(hlc), 1_000)
+    date = time.strftime("%Y-%m-%dT%H:%M:%S", time.gmtime(seconds))
+    return f"{date}.{milliseconds:03d}Z"
+
+
+def _json_line(event: TimelineEvent) -> str:
+    name, severity = _name_and_severity(event.number)
+    fields = {
+        "time": _wall_text(event.hlc),
+        "severity": severity,
+        "number": event.number,
+        "event": name,
+        "node": event.node,
+        "hlc": event.hlc,
+        "subject": event.subject,
+        "detail": event.detail,
+        "database": event.database,
+        "cause": event.cause,
+    }
+    return json.dumps(fields)
+
+
+def _text_line(event: TimelineEvent) -> str:
+    name, severity = _name_and_severity(event.number)
+    parts = [
+        _wall_text(event.hlc),
+        severity.upper(),
+        str(event.number),
+        name,
+        f"node={event.node}",
+        f"hlc={event.hlc}",
+    ]
+    for field_name in ("database", "subject", "cause"):
+        value = getattr(event, field_name)
+        if value:
+            parts.append(f"{field_name}={_one_line(value)}")
+    if event.detail:
+        parts.append(f": {_one_line(event.detail)}")
+    return " ".join(parts)
+
+
+def _one_line(text: str) -> str:
+    """Escape control characters, so that a detail can't forge a log line."""
+    return "".join(char if char.isprintable() else repr(char)[1:-1] for char in text)
--- /dev/null
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/event_log.py
@@ -0,0 +1,17 @@
+"""Log of numbered events."""
+
+from cardamomshunt_node._event_log import (
+    N_EVENTS_KEPT,
+    N_REPEATS_MAX,
+    REPEAT_WINDOW_MS,
+    EventLog,
+    wall_clock_ms,
+)
+
+__all__ = [
+    "N_EVENTS_KEPT",
+    "N_REPEATS_MAX",
+    "REPEAT_WINDOW_MS",
+    "EventLog",
+    "wall_clock_ms",
+]
