--- /dev/null
+++ b/packages/cardamomshunt-cli/src/cardamomshunt_cli/_client.py
@@ -0,0 +1,192 @@
+"""Questions to daemons: to all at once, or to the control leader."""
+
+import asyncio
+import time
+from dataclasses import dataclass, field
+from typing import TypeVar
+
+from cardamomshunt.messages import Message
+from cardamomshunt.operator_messages import (
+    OperatorError,
+    OperatorErrorCode,
+    StatusReply,
+    StatusRequest,
+)
+from cardamomshunt_node.operator_link import NoReplyError, ask
+
+from cardamomshunt_cli._deployment import Deployment
+from cardamomshunt_cli._exit_codes import CommandError, ExitCode
+
+_STATUS_TIMEOUT_MS = 1_500.0
+# A patch is replicated before it is answered; its bound is 2 s.
+_REQUEST_TIMEOUT_MS = 3_000.0
+# Longer than several election timeouts, so that a leader change is waited out.
+_TOTAL_TIMEOUT_S = 10.0
+_RETRY_PAUSE_S = 0.25
+_N_REDIRECTS_MAX = 4
+
+_WAITING_CODES = (OperatorErrorCode.NO_LEADER, OperatorErrorCode.NO_QUORUM)
+ReplyType = TypeVar("ReplyType", bound=Message)
+
+
+@dataclass(slots=True)
+class Answers:
+    """Hold the answers of several daemons by address."""
+
+    replies: dict[str, Message] = field(default_factory=dict)
+    silent: list[str] = field(default_factory=list)
+
+
+class DeploymentClient:
+    """Ask the daemons of a deployment."""
+
+    def __init__(self, deployment: Deployment) -> None:
+        self._deployment = deployment
+
+    async def ask_one(
+        self, address: str, message: Message, timeout_ms: float | None = None
+    ) -> Message:
+        """Ask a daemon; raise NoReplyError if it does not answer."""
+        url = f"tcp://{address}"
+        timeout_ms = _REQUEST_TIMEOUT_MS if timeout_ms is None else timeout_ms
+        return await ask(url, message, self._deployment.keys, timeout_ms)
+
+    async def ask_all(self, addresses: list[str], message: Message) -> Answers:
+        """Ask several daemons at once."""
+        answers = Answers()
+        unique = list(dict.fromkeys(addresses))
+        results = await asyncio.gather(
+            *(self.ask_one(item, message, _STATUS_TIMEOUT_MS) for item in unique),
+            return_exceptions=True,
+        )
+        for address, result in zip(unique, results, strict=True):
+            if isinstance(result, NoReplyError):
+                answers.silent.append(address)
+            elif isinstance(result, BaseException):
+                raise result
+            else:
+                answers.replies[address] = result
+        return answers
+
+    async def ask_leader(
+        self,
+        message: Message,
+        reply_type: type[ReplyType],
+        is_repeatable: bool = True,
+    ) -> ReplyType:
+        """Ask the control leader, through elections and lost answers.
+
+        A repeatable message is sent again when its answer is lost. Raises
+        CommandError if there is no leader, or if the leader refuses.
+        """
+        deadline_s = time.monotonic() + _TOTAL_TIMEOUT_S
+        while True:
+            address = await self._find_leader()
+            try:
+                reply = await self._ask_with_redirects(address, message)
+            except NoReplyError as error:
+                if not is_repeatable:
+                    raise _lost_answer(address) from error
+                reply = None
+            if isinstance(reply, reply_type):
+                return reply
+            is_waiting = reply is None or _is_waiting(reply)
+            if not is_waiting or time.monotonic() > deadline_s:
+                raise _refusal(address, reply)
+            await asyncio.sleep(_RETRY_PAUSE_S)
+
+    async def _ask_with_redirects(self, address: str, message: Message) -> Message:
+        for _ in range(_N_REDIRECTS_MAX):
+            reply = await self.ask_one(address, message)
+            is_redirect = (
+                isinstance(reply, OperatorError)
+                and reply.code is OperatorErrorCode.NOT_LEADER
+                and reply.leader_operator_address
+            )
+            if not is_redirect:
+                return reply
+            assert isinstance(reply, OperatorError)
+            address = reply.leader_operator_address or address
+        return OperatorError(
+            code=OperatorErrorCode.NO_LEADER,
+            detail="the control nodes name different leaders",
+        )
+
+    async def _find_leader(self) -> str:
+        """Return the leader's address, or that of any control node that answers."""
+        control = self._deployment.control_addresses
+        self._deployment.require_target()
+        tasks = {
+            asyncio.create_task(
+                self.ask_one(address, StatusRequest(), _STATUS_TIMEOUT_MS)
+            ): address
+            for address in control
+        }
+        fallback: str | None = None
+        pending = set(tasks)
+        try:
+            while pending:
+                done, pending = await asyncio.wait(
+                    pending, return_when=asyncio.FIRST_COMPLETED
+                )
+                for task in done:
+                    if task.exception() is not None:
+                        continue
+                    reply = task.result()
+                    if isinstance(reply, StatusReply) and reply.is_authoritative:
+                        return tasks[task]
+                    fallback = fallback or tasks[task]
+        finally:
+            for task in pending:
+                task.cancel()
+            await asyncio.gather(*pending, return_exceptions=True)
+        if fallback is None:
+            raise no_answer(control)
+        return fallback
+
+
+def no_answer(addresses: list[str]) -> CommandError:
+    """Explain that no control node answers."""
+    asked = ", ".join(addresses) or "none was named"
+    return CommandError(
+        f"no control node answers (asked: {asked}). Reads and writes go on with the "
+        "last known primaries; failover and patches need control. Check that "
+        "cardamomshuntd runs on the control VMs, that the addresses are their "
+        "operator addresses, and that the keys are accepted. "
+        "`cardamomctl --entry HOST:PORT status` shows what an entry VM still knows.",
+        ExitCode.NO_ANSWER,
+    )
+
+
+def _is_waiting(reply: Message) -> bool:
+    return isinstance(reply, OperatorError) and (
+        reply.code in _WAITING_CODES or reply.code is OperatorErrorCode.NOT_LEADER
+    )
+
+
+def _lost_answer(address: str) -> CommandError:
+    return CommandError(
+        f"{address}: the answer was lost, so the request may or may not have been "
+        "accepted. Run `cardamomctl status` before repeating it.",
+        ExitCode.NO_ANSWER,
+    )
+
+
+def _refusal(address: str, reply: Message | None) -> CommandError:
+    if reply is None:
+        return _lost_answer(address)
+    if not isinstance(reply, OperatorError):
+        name = type(reply).__name__
+        return CommandError(f"{address}: unexpected {name}", ExitCode.FAILED)
+    if _is_waiting(reply):
+        return CommandError(
+            f"{address}: control has no leader ({reply.detail}). A majority of the "
+            "control nodes must run and reach one another; start the missing ones.",
+            ExitCode.NO_LEADER,
+        )
+    exit_code = ExitCode.REFUSED
+    if reply.code is OperatorErrorCode.INTERNAL:
+        exit_code = ExitCode.FAILED
+    return CommandError(
+        f"{address}: refused, {reply.code.value}: {reply.detail}", exit_code
+    )
--- /dev/null
+++ b/packages/cardamomshunt-cli/src/cardamomshunt_cli/_explanations.py
@@ -0,0 +1,132 @@
+"""Texts that explain refusal reasons and event numbers."""
+
+from dataclasses import dataclass
+
+from cardamomshunt.events import EventNumber, entry_for
+from cardamomshunt.verdict import RefusalReason
+
+from cardamomshunt_cli._exit_codes import CommandError, ExitCode
+
+
+@dataclass(slots=True, frozen=True)
+class Explanation:
+    """Hold what a name means, what follows, and what to do."""
+
+    name: str
+    meaning: str
+    consequence: str
+    action: str
+
+
+_REASONS = {
+    RefusalReason.BAD_HINT: (
+        "a hint is malformed or has an unknown name",
+        "the request did not run",
+        "correct the caller; the sentence in the error names the hint",
+    ),
+    RefusalReason.UNKNOWN_DATABASE: (
+        "the database is not served here",
+        "the request did not run",
+        "check the name; if it is right, see whether its servers announce themselves",
+    ),
+    RefusalReason.UNSUPPORTED_STATEMENT: (
+        "the proxy can't run this statement safely",
+        "the request did not run",
+        "change the statement as docs/callers.md says",
+    ),
+    RefusalReason.DEADLINE_EXCEEDED: (
+        "the request's deadline passed",
+        "the verdict says whether it may have run",
+        "none for single ones; many mean slow servers or an overload",
+    ),
+    RefusalReason.OVERLOADED: (
+        "the queue is full, or the request could not be answered in time",
+        "the request did not run; orders are kept before lookups",
+        "if it lasts, add replicas or reduce the load",
+    ),
+    RefusalReason.TOO_STALE: (
+        "no reachable server is provably fresh enough for the read",
+        "the read did not run",
+        "none while a zone is partitioned; otherwise look at replica lag",
+    ),
+    RefusalReason.NO_PRIMARY: (
+        "the database had no primary within the deadline",
+        "the write did not run",
+        "none; control replaces the primary. Act if it lasts longer than 10 s",
+    ),
+    RefusalReason.NO_BACKEND: (
+        "no backend server of the database is usable",
+        "the request did not run",
+        "start the servers of the group, or heal the network to them",
+    ),
+    RefusalReason.SHUTTING_DOWN: (
+        "the entry VM is draining",
+        "the request did not run",
+        "none; the caller reconnects to another entry VM",
+    ),
+    RefusalReason.CONNECTION_LOST: (
+        "the backend connection was lost during the request",
+        "the verdict says whether it may have run",
+        "none; callers with an idempotency key ask again",
+    ),
+    RefusalReason.NOT_ACKNOWLEDGED: (
+        "the write ran on the primary but no majority held it in time",
+        "the write may survive or may be rolled back (MAY_HAVE_RUN)",
+        "ask `SELECT cardamomshunt_outcome('key')`; check the replicas if it lasts",
+    ),
+    RefusalReason.TRANSACTION_LOST: (
+        "the transaction ended with its connection or its primary",
+        "nothing of it is committed, unless the verdict is MAY_HAVE_RUN",
+        "none; the caller starts the transaction again",
+    ),
+    RefusalReason.IDEMPOTENCY_KEY_REUSED: (
+        "the idempotency key belongs to another statement",
+        "the request did not run",
+        "correct the caller: one key for one statement",
+    ),
+    RefusalReason.IDEMPOTENCY_KEY_REVOKED: (
+        "an outcome query answered NOT_RUN for this key before",
+        "the request did not run and never will under this key",
+        "the caller uses a new key",
+    ),
+    RefusalReason.TOO_MANY_CONNECTIONS: (
+        "the entry VM has as many caller connections as it accepts",
+        "the connection was refused",
+        "add an entry VM, or find the caller that leaks connections",
+    ),
+}
+
+
+def names() -> list[str]:
+    """Return every name that can be explained."""
+    reasons = [reason.value for reason in RefusalReason]
+    events = [str(int(number)) for number in EventNumber]
+    return [*reasons, *events, *(number.name for number in EventNumber)]
+
+
+def explain(name: str) -> Explanation:
+    """Explain a refusal reason, an event number or an event name."""
+    wanted = name.strip().lower()
+    for reason, (meaning, consequence, action) in _REASONS.items():
+        if reason.value == wanted:
+            return Explanation(f"reason {wanted}", meaning, consequence, action)
+    number = _event_number(wanted)
+    entry = entry_for(number) if number is not None else None
+    if entry is None:
+        raise CommandError(
+            f"{name!r} is neither a refusal reason nor an event; see docs/events.md",
+            ExitCode.USAGE,
+        )
+    return Explanation(
+        f"event {int(entry.number)} {entry.number.name} ({entry.severity.value})",
+        entry.what,
+        entry.consequence,
+        entry.action or "None.",
+    )
+
+
+def _event_number(wanted: str) -> int | None:
+    if wanted.isdecimal():
+        return int(wanted)
+    number = EventNumber.__members__.get(wanted.upper())
+    return None if number is None else int(number)
--- /dev/null
+++ b/packages/cardamomshunt-cli/src/cardamomshunt_cli/_patch.py
@@ -0,0 +1,171 @@
+"""Configuration patches: read from files and options, sent, and waited for."""
+
+import asyncio
+import time
+import uuid
+from pathlib import Path
+from typing import Any
+
+import click
+import msgspec
+import yaml
+from cardamomshunt.messages import Change
+from cardamomshunt.operator_messages import (
+    ConfigurationReply,
+    ConfigurationRequest,
+    PatchOutcome,
+    PatchReply,
+    PatchRequest,
+)
+
+from cardamomshunt_cli._client import DeploymentClient
+from cardamomshunt_cli._exit_codes import CommandError, ExitCode
+
+_POLL_PAUSE_S = 0.1
+_VERSION_FIELD = "version"
+
+
+def parse_assignment(text: str) -> Change:
+    """Parse `path=value`; `null` removes the value.
+
+    >>> parse_assignment("policy.detection_ms=700")
+    Change(path='policy.detection_ms', value=700)
+    """
+    path, separator, value = text.partition("=")
+    if not separator or not path.strip():
+        raise CommandError(f"expected PATH=VALUE, got {text!r}", ExitCode.USAGE)
+    return Change(path=path.strip(), value=_scalar(path, _parse_yaml(value)))
+
+
+def read_patch_file(path: Path) -> list[Change]:
+    """Read a YAML or JSON table of tables, whose leaves are the new values."""
+    try:
+        document = _parse_yaml(path.read_text(encoding="utf-8"))
+    except (OSError, UnicodeDecodeError) as error:
+        raise CommandError(f"{path}: {error}", ExitCode.USAGE) from error
+    if not isinstance(document, dict):
+        raise CommandError(f"{path}: expected a table of settings", ExitCode.USAGE)
+    return leaves(document)
+
+
+def leaves(document: dict[str, Any], prefix: str = "") -> list[Change]:
+    """Return the leaves of nested tables as changes."""
+    changes: list[Change] = []
+    for name, value in document.items():
+        path = f"{prefix}{name}"
+        if isinstance(value, dict):
+            changes += leaves(value, f"{path}.")
+        else:
+            changes.append(Change(path=path, value=_scalar(path, value)))
+    return changes
+
+
+def changes_between(
+    source: dict[str, Any], target: dict[str, Any], prefix: str = ""
+) -> list[Change]:
+    """Return the changes that lead from one document to another.
+
+    >>> changes_between({"a": {"b": 1}, "c": 2}, {"a": {"b": 3}})
+    [Change(path='a.b', value=3), Change(path='c', value=None)]
+    """
+    changes: list[Change] = []
+    for name in [*source, *[item for item in target if item not in source]]:
+        path = f"{prefix}{name}"
+        if path == _VERSION_FIELD:
+            continue
+        before, after = source.get(name), target.get(name)
+        if isinstance(before, dict) and isinstance(after, dict):
+            changes += changes_between(before, after, f"{path}.")
+        elif isinstance(after, dict):
+            changes += leaves(after, f"{path}.")
+        elif before != after:
+            changes.append(Change(path=path, value=_scalar(path, after)))
+    return changes
+
+
+def _parse_yaml(text: str) -> Any:
+    try:
+        return yaml.safe_load(text)
+    except yaml.YAMLError as error:
+        raise CommandError(f"not valid YAML: {error}", ExitCode.USAGE) from error
+
+
+def _scalar(path: str, value: Any) -> str | int | float | bool | None:
+    if value is None or isinstance(value, str | int | float | bool):
+        return value
+    kind = type(value).__name__
+    raise CommandError(f"{path}: expected a single value, got {kind}", ExitCode.USAGE)
+
+
+def new_patch_id() -> str:
+    """Return a patch id that no other operator uses."""
+    return f"ctl-{uuid.uuid4().hex[:16]}"
+
+
+async def current_version(client: DeploymentClient) -> int:
+    """Return the newest version."""
+    reply = await client.ask_leader(ConfigurationRequest(), ConfigurationReply)
+    return reply.version
+
+
+async def send_patch(
+    client: DeploymentClient, request: PatchRequest, wait_s: float
+) -> PatchReply:
+    """Send a patch and wait until it is in force on every live node.
+
+    The same patch id is sent again when an answer is lost, so it applies once.
+    """
+    reply = await client.ask_leader(request, PatchReply)
+    if reply.outcome is not PatchOutcome.ACCEPTED:
+        return reply
+    deadline_s = time.monotonic() + wait_s
+    while True:
+        configuration = await client.ask_leader(
+            ConfigurationRequest(version=None), ConfigurationReply
+        )
+        reply.in_force_on = configuration.in_force_on
+        reply.missing_on = configuration.missing_on
+        if not reply.missing_on or time.monotonic() > deadline_s:
+            return reply
+        await asyncio.sleep(_POLL_PAUSE_S)
+
+
+def show_patch(reply: PatchReply) -> None:
+    """Print what became of a patch."""
+    if reply.outcome is PatchOutcome.ACCEPTED:
+        state = "in force on every live node"
+        if reply.missing_on:
+            state = f"NOT yet in force on {', '.join(reply.missing_on)}"
+        click.echo(
+            f"patch {reply.patch_id}: accepted as version {reply.version}, {state}"
+        )
+    elif reply.outcome is PatchOutcome.DRY_RUN_OK:
+        click.echo(f"patch {reply.patch_id}: valid, nothing was changed (dry run)")
+    elif reply.outcome is PatchOutcome.STALE_BASE:
+        click.echo(
+            f"patch {reply.patch_id}: refused, the configuration is at version "
+            f"{reply.version} by now. Changed since the base:"
+        )
+        show_changes(reply.changes_since)
+        click.echo("look at them and repeat the patch with the new --base and a new id")
+    else:
+        click.echo(f"patch {reply.patch_id}: refused, nothing was changed:")
+        for error in reply.errors:
+            click.echo(f"  {error.path}: {error.reason}")
+
+
+def show_changes(changes: list[Change]) -> None:
+    """Print changes, one a line."""
+    for change in changes:
+        value = msgspec.json.encode(change.value).decode()
+        shown = "removed" if change.value is None else f"= {value}"
+        click.echo(f"  {change.path} {shown}")
+
+
+def exit_code_for(reply: PatchReply) -> ExitCode:
+    """Return the exit code that tells what became of a patch."""
+    if reply.outcome is PatchOutcome.STALE_BASE:
+        return ExitCode.STALE_BASE
+    if reply.outcome is PatchOutcome.INVALID:
+        return ExitCode.REFUSED
+    return ExitCode.NOT_IN_FORCE if reply.missing_on else ExitCode.OK
--- /dev/null
+++ b/packages/cardamomshunt-cli/src/cardamomshunt_cli/_status.py
@@ -0,0 +1,225 @@
+"""One screen that says how the deployment is."""
+
+import click
+import msgspec
+from cardamomshunt.messages import FailoverStep, NodeRole
+from cardamomshunt.operator_messages import (
+    DatabaseStatus,
+    InstanceStatus,
+    NodeStatus,
+    Problem,
+    StatusReply,
+    StatusRequest,
+)
+
+from cardamomshunt_cli._client import DeploymentClient, no_answer
+from cardamomshunt_cli._deployment import Deployment
+from cardamomshunt_cli._exit_codes import CommandError, ExitCode
+from cardamomshunt_cli._output import duration_text, echo_heading, echo_table
+
+_NODE_SILENT_MS = 3_000.0
+_INSTANCE_SILENT_MS = 1_000.0
+
+
+class StatusView(msgspec.Struct, kw_only=True):
+    """Hold what `status` shows; the shape of its JSON."""
+
+    is_authoritative: bool
+    answered_by: str
+    leader: str | None
+    configuration_version: int
+    databases: list[DatabaseStatus]
+    nodes: list[NodeStatus]
+    problems: list[Problem]
+    silent_addresses: list[str]
+
+
+async def collect_status(
+    client: DeploymentClient, deployment: Deployment
+) -> StatusView:
+    """Ask the control nodes, and the entry VMs if control has no leader."""
+    deployment.require_target()
+    control = await client.ask_all(deployment.control_addresses, StatusRequest())
+    replies = [
+        item for item in control.replies.values() if isinstance(item, StatusReply)
+    ]
+    if not any(reply.is_authoritative for reply in replies):
+        known = [
+            node.operator_address
+            for reply in replies
+            for node in reply.nodes
+            if node.role is NodeRole.PROXY
+        ]
+        addresses = [*deployment.entry_addresses, *known]
+        entry = await client.ask_all(addresses, StatusRequest())
+        replies += [
+            item for item in entry.replies.values() if isinstance(item, StatusReply)
+        ]
+    if not replies:
+        raise no_answer(deployment.control_addresses)
+    best = max(replies, key=_trust)
+    return StatusView(
+        is_authoritative=best.is_authoritative,
+        answered_by=best.node,
+        leader=best.leader,
+        configuration_version=best.configuration_version,
+        databases=best.databases,
+        nodes=best.nodes,
+        problems=_problems(best, control.silent),
+        silent_addresses=control.silent,
+    )
+
+
+def _trust(reply: StatusReply) -> tuple[bool, int, int, int]:
+    """Order replies: a leader's, then the newest terms, then the most complete."""
+    newest_term = max((item.term for item in reply.databases), default=0)
+    return (
+        reply.is_authoritative,
+        newest_term,
+        reply.configuration_version,
+        len(reply.databases) + len(reply.nodes),
+    )
+
+
+def _problems(reply: StatusReply, silent_control: list[str]) -> list[Problem]:
+    """Join the problems that the daemon states with those that its answer shows."""
+    problems = list(reply.problems)
+    if not reply.is_authoritative:
+        problems.append(
+            Problem(
+                summary=f"No control leader answers; this is what {reply.node} knows.",
+                action="Start the control nodes that are down; failover and patches "
+                "wait for a majority of them.",
+            )
+        )
+    elif silent_control:
+        problems.append(
+            Problem(
+                summary=f"Control does not answer at {', '.join(silent_control)}.",
+                action="Restart or replace it in working hours; the others go on.",
+            )
+        )
+    if not reply.problems:
+        problems += _database_problems(reply)
+    return problems
+
+
+def _database_problems(reply: StatusReply) -> list[Problem]:
+    problems = []
+    for item in reply.databases:
+        if item.primary_instance is None or item.step is not FailoverStep.SERVING:
+            problems.append(
+                Problem(
+                    summary=f"{item.database} takes no writes ({item.step.value}).",
+                    action="Wait 10 s; if it stays, start the servers of the group.",
+                )
+            )
+        silent = [x for x in item.instances if x.silence_ms > _INSTANCE_SILENT_MS]
+        for instance in silent:
+            problems.append(
+                Problem(
+                    summary=f"{instance.instance} is silent for "
+                    f"{duration_text(instance.silence_ms)}.",
+                    action="None at once; start or replace it in working hours.",
+                )
+            )
+    return problems
+
+
+def show_status(view: StatusView) -> None:
+    """Print the screen."""
+    source = "control leader" if view.is_authoritative else "NOT the control leader"
+    click.echo(
+        f"configuration {view.configuration_version}, "
+        f"leader {view.leader or 'none'}, answered by {view.answered_by} ({source})"
+    )
+    _show_databases(view.databases)
+    _show_nodes(view)
+    _show_problems(view.problems)
+
+
+def _show_databases(databases: list[DatabaseStatus]) -> None:
+    echo_heading("databases")
+    rows = [
+        [
+            item.database,
+            item.primary_instance or "NONE",
+            str(item.term),
+            item.step.value,
+            ", ".join(_replica_text(x) for x in _replicas(item)) or "none known",
+        ]
+        for item in databases
+    ]
+    echo_table(["name", "primary", "term", "step", "replicas (lag)"], rows)
+
+
+def _replicas(item: DatabaseStatus) -> list[InstanceStatus]:
+    return [x for x in item.instances if x.instance != item.primary_instance]
+
+
+def _replica_text(instance: InstanceStatus) -> str:
+    if instance.silence_ms > _INSTANCE_SILENT_MS:
+        return f"{instance.instance} (silent {duration_text(instance.silence_ms)})"
+    lag = "unknown" if instance.lag_ms is None else duration_text(instance.lag_ms)
+    leaving = ", leaving" if instance.is_leaving else ""
+    return f"{instance.instance} ({lag}{leaving})"
+
+
+def _show_nodes(view: StatusView) -> None:
+    echo_heading("daemons")
+    rows = [
+        [
+            node.node,
+            node.role.value + (" (leader)" if node.is_leader else ""),
+            node.zone,
+            _version_text(node, view.configuration_version),
+            _state_text(node),
+        ]
+        for node in sorted(view.nodes, key=lambda node: (node.role.value, node.node))
+    ]
+    echo_table(["name", "role", "zone", "configuration", "state"], rows)
+
+
+def _version_text(node: NodeStatus, version: int) -> str:
+    if node.configuration_version == version:
+        return str(version)
+    return f"{node.configuration_version} (behind {version})"
+
+
+def _state_text(node: NodeStatus) -> str:
+    if node.silence_ms > _NODE_SILENT_MS:
+        return f"silent {duration_text(node.silence_ms)}"
+    return "draining" if node.is_draining else "ok"
+
+
+def _show_problems(problems: list[Problem]) -> None:
+    if not problems:
+        click.echo(click.style("nothing is wrong", fg="green"))
+        return
+    echo_heading("what is wrong, and what to do")
+    for problem in problems:
+        click.echo("  " + click.style(problem.summary, fg="red"))
+        click.echo(f"    {problem.action}")
+
+
+def exit_code_for(view: StatusView) -> ExitCode:
+    """Return PROBLEMS if anything is wrong."""
+    return ExitCode.PROBLEMS if view.problems else ExitCode.OK
+
+
+def entry_addresses(view: StatusView) -> list[str]:
+    """Return the operator addresses of all daemons that a status names."""
+    return [node.operator_address for node in view.nodes if node.operator_address]
+
+
+async def known_addresses(
+    client: DeploymentClient, deployment: Deployment
+) -> list[str]:
+    """Return the addresses of all daemons that anyone knows of."""
+    addresses = [*deployment.control_addresses, *deployment.entry_addresses]
+    try:
+        addresses += entry_addresses(await collect_status(client, deployment))
+    except CommandError as error:
+        if error.exit_code is not ExitCode.NO_ANSWER:
+            raise
+    return list(dict.fromkeys(addresses))
--- /dev/null
+++ b/packages/cardamomshunt-cli/src/cardamomshunt_cli/_steering_commands.py
@@ -0,0 +1,156 @@
+"""Commands that move work between servers and change the control group."""
+
+import asyncio
+import time
+
+import click
+from cardamomshunt.messages import FailoverStep, Message
+from cardamomshunt.operator_messages import (
+    DrainReply,
+    DrainRequest,
+    HandoverReply,
+    HandoverRequest,
+    MemberChangeReply,
+    MemberChangeRequest,
+    StatusReply,
+    StatusRequest,
+)
+
+from cardamomshunt_cli._deployment import TargetOptions
+from cardamomshunt_cli._exit_codes import ExitCode
+from cardamomshunt_cli._output import echo_json
+from cardamomshunt_cli._run import Session, exits_with_code, finish, run
+
+_POLL_PAUSE_S = 0.1
+
+
+def _show(options: TargetOptions, reply: Message, text: str) -> None:
+    if options.is_json:
+        echo_json(reply)
+    else:
+        click.echo(text)
+
+
+def _drain(options: TargetOptions, target: str, is_draining: bool) -> DrainReply:
+    async def work(session: Session) -> DrainReply:
+        request = DrainRequest(target=target, is_draining=is_draining)
+        return await session.client.ask_leader(request, DrainReply)
+
+    return run(options, work)
+
+
+@click.command()
+@click.argument("target")
+@click.pass_obj
+@exits_with_code
+def drain(options: TargetOptions, target: str) -> None:
+    """Give a backend server or an entry VM no new work."""
+    reply = _drain(options, target, True)
+    detail = f": {reply.detail}" if reply.detail else ""
+    _show(options, reply, f"{reply.target} is draining{detail}")
+
+
+@click.command()
+@click.argument("target")
+@click.pass_obj
+@exits_with_code
+def resume(options: TargetOptions, target: str) -> None:
+    """Give a drained backend server or entry VM work again."""
+    reply = _drain(options, target, False)
+    detail = f": {reply.detail}" if reply.detail else ""
+    _show(options, reply, f"{reply.target} gets work again{detail}")
+
+
+@click.command()
+@click.argument("database")
+@click.option("--to", "to_instance", help="The most advanced replica if left out.")
+@click.option(
+    "--wait", "wait_s", type=click.FloatRange(0, 600), default=10.0, show_default=True
+)
+@click.pass_obj
+@exits_with_code
+def handover(
+    options: TargetOptions, database: str, to_instance: str | None, wait_s: float
+) -> None:
+    """Move the primary of a database to another server, without loss."""
+
+    async def work(session: Session) -> tuple[HandoverReply, bool]:
+        # Without a target, a repeat after a lost answer would hand over once more.
+        reply = await session.client.ask_leader(
+            HandoverRequest(database=database, to_instance=to_instance),
+            HandoverReply,
+            is_repeatable=to_instance is not None,
+        )
+        return reply, await _wait_for_primary(session, reply, wait_s)
+
+    reply, is_done = run(options, work)
+    state = "done" if is_done else f"NOT finished after {wait_s:.0f} s"
+    _show(
+        options,
+        reply,
+        f"{reply.database}: {reply.from_instance} -> {reply.to_instance}, {state}",
+    )
+    finish(ExitCode.OK if is_done else ExitCode.NOT_IN_FORCE)
+
+
+async def _wait_for_primary(
+    session: Session, reply: HandoverReply, wait_s: float
+) -> bool:
+    deadline_s = time.monotonic() + wait_s
+    while True:
+        status = await session.client.ask_leader(StatusRequest(), StatusReply)
+        for item in status.databases:
+            is_moved = item.primary_instance == reply.to_instance
+            is_serving = item.step is FailoverStep.SERVING
+            if item.database == reply.database and is_moved and is_serving:
+                return True
+        if time.monotonic() > deadline_s:
+            return False
+        await asyncio.sleep(_POLL_PAUSE_S)
+
+
+@click.group()
+def member() -> None:
+    """Add or remove control nodes, one at a time."""
+
+
+@member.command()
+@click.argument("node")
+@click.option("--zone", required=True)
+@click.option("--peer-address", required=True, metavar="HOST:PORT")
+@click.option("--operator-address", required=True, metavar="HOST:PORT")
+@click.pass_obj
+@exits_with_code
+def add(
+    options: TargetOptions,
+    node: str,
+    zone: str,
+    peer_address: str,
+    operator_address: str,
+) -> None:
+    """Add a control node; it counts once it has caught up."""
+    request = MemberChangeRequest(
+        node=node,
+        zone=zone,
+        peer_address=peer_address,
+        operator_address=operator_address,
+    )
+    _change_member(options, request)
+
+
+@member.command()
+@click.argument("node")
+@click.pass_obj
+@exits_with_code
+def remove(options: TargetOptions, node: str) -> None:
+    """Remove a control node, dead or alive."""
+    _change_member(options, MemberChangeRequest(node=node, is_removal=True))
+
+
+def _change_member(options: TargetOptions, request: MemberChangeRequest) -> None:
+    async def work(session: Session) -> MemberChangeReply:
+        return await session.client.ask_leader(request, MemberChangeReply)
+
+    reply = run(options, work)
+    state = "" if reply.is_caught_up else "; the new one is still catching up"
+    _show(options, reply, f"control nodes: {', '.join(reply.members)}{state}")
