--- a/packages/cardamomshunt-cli/src/cardamomshunt_cli/_inspection_commands.py
+++ b/packages/cardamomshunt-cli/src/cardamomshunt_cli/_inspection_commands.py
@@ -5,6 +5,9 @@
 from typing import Any
 
 import click
+import msgspec
+from cardamomshunt.configuration import ClusterConfiguration
+from cardamomshunt_node.settings import settings_schema
 
 from cardamomshunt_cli._bench import (
     DURATION_MAX_S,
@@ -103,6 +106,16 @@
     finish(ExitCode.PROBLEMS if result.errors else ExitCode.OK)
 
 
+@click.command()
+@click.argument("name", type=click.Choice(["settings", "configuration"]))
+def schema(name: str) -> None:
+    """Print the JSON schema of settings files or of the configuration."""
+    if name == "settings":
+        echo_json(settings_schema())
+    else:
+        echo_json(msgspec.json.schema(ClusterConfiguration))
+
+
 def _complete_name(_: click.Context, __: click.Parameter, incomplete: str) -> list[str]:
     return [name for name in names() if name.startswith(incomplete)]
 
--- a/packages/cardamomshunt-cli/src/cardamomshunt_cli/main.py
+++ b/packages/cardamomshunt-cli/src/cardamomshunt_cli/main.py
@@ -10,6 +10,7 @@
     bench,
     check,
     explain_command,
+    schema,
     status,
     timeline,
 )
@@ -71,5 +72,6 @@
     explain_command,
     member,
     bench,
+    schema,
 ):
     main.add_command(command)
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_settings.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_settings.py
@@ -90,7 +90,7 @@
     "caller_address",
     "announcement_address",
 )
-_KNOWN = (
+KNOWN_FIELDS = (
     *_REQUIRED,
     "metrics_address",
     "caller_address",
@@ -100,9 +100,9 @@
     "keys",
     "log_file",
 )
-_CONTROL_NODE_FIELDS = ("node", "zone", "peer_address", "operator_address")
-_KEY_FIELDS = ("key_id", "secret_file")
-_N_CONTROL_NODES_MAX = 7
+CONTROL_NODE_FIELDS = ("node", "zone", "peer_address", "operator_address")
+KEY_FIELDS = ("key_id", "secret_file")
+N_CONTROL_NODES_MAX = 7
 
 
 @dataclass(slots=True)
@@ -218,7 +218,7 @@
 
 def _build(reader: _Reader, document: dict[str, Any]) -> DaemonSettings:
     """Build settings, noting every error on the reader."""
-    reader.check_names(document, _KNOWN, "")
+    reader.check_names(document, KNOWN_FIELDS, "")
     role = _role(reader, document.get("role"))
     required = _REQUIRED
     if role is NodeRole.PROXY:
@@ -270,9 +270,9 @@
     if not value:
         reader.add_error("control_nodes", "a list of at least one control node")
         return ()
-    tables = reader.tables(value, "control_nodes", _CONTROL_NODE_FIELDS)
-    if len(tables) > _N_CONTROL_NODES_MAX:
-        reader.add_error("control_nodes", f"at most {_N_CONTROL_NODES_MAX} nodes")
+    tables = reader.tables(value, "control_nodes", CONTROL_NODE_FIELDS)
+    if len(tables) > N_CONTROL_NODES_MAX:
+        reader.add_error("control_nodes", f"at most {N_CONTROL_NODES_MAX} nodes")
     names = [item["node"] for _, item in tables]
     if len(set(names)) != len(names):
         reader.add_error("control_nodes", "a different name for each node")
@@ -295,5 +295,5 @@
             key_id=reader.text(item["key_id"], f"{path}.key_id"),
             secret_file=Path(reader.text(item["secret_file"], f"{path}.secret_file")),
         )
-        for path, item in reader.tables(value, "keys", _KEY_FIELDS)
+        for path, item in reader.tables(value, "keys", KEY_FIELDS)
     )
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/settings.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/settings.py
@@ -9,6 +9,7 @@
     SettingsInvalidError,
     load_settings,
 )
+from cardamomshunt_node._settings_schema import settings_schema
 
 __all__ = [
     "Address",
@@ -18,4 +19,5 @@
     "SettingsError",
     "SettingsInvalidError",
     "load_settings",
+    "settings_schema",
 ]
