Add the membership state machine

Cause: dead VMs, cut-off zones and flapping members need different reactions. Without the zone rule the partition check fails, as a test shows. Conclusion: usable as a library part; not plugged into the daemons.

--- /dev/null
+++ b/packages/cardamomshunt/src/cardamomshunt/membership.py
@@ -0,0 +1,29 @@
+"""Membership of daemons by probes."""
+
+from cardamomshunt._membership import Membership, MembershipSettings, is_newer
+from cardamomshunt._membership_messages import (
+    MemberChanged,
+    MemberRecord,
+    MembershipEffect,
+    MemberState,
+    Probe,
+    ProbeAnswer,
+    ProbeRequest,
+    SendToMember,
+    ZoneChanged,
+)
+
+__all__ = [
+    "MemberChanged",
+    "MemberRecord",
+    "MemberState",
+    "Membership",
+    "MembershipEffect",
+    "MembershipSettings",
+    "Probe",
+    "ProbeAnswer",
+    "ProbeRequest",
+    "SendToMember",
+    "ZoneChanged",
+    "is_newer",
+]
