--- /dev/null
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_backend_edge_mysql_connection.py
@@ -0,0 +1,220 @@
+"""One connection to a MySQL backend server, with pipelined statements.
+
+Statements are sent together and their replies read in order, which saves a round trip
+for each (zones are 3 to 5 ms apart). asyncmy has no public call for that; this module
+is the only one that uses its packet level.
+"""
+
+import asyncio
+from collections.abc import Awaitable, Callable, Sequence
+from dataclasses import dataclass
+from typing import Any, TypeAlias
+
+from asyncmy import errors
+from asyncmy.connection import Connection as MysqlConnection
+from cardamomshunt.messages import InstanceAddress
+
+from cardamomshunt_node._backend_edge_answers import (
+    Answer,
+    Column,
+    ErrorAnswer,
+    Row,
+    RowBatch,
+    RowsAnswer,
+    WriteAnswer,
+)
+
+_COM_QUERY = 0x03
+_COM_RESET_CONNECTION = 0x1F
+# Results up to this size are held and can be answered by another attempt; larger ones
+# stream. With 35 connections to each of 9 instances, held results stay below 40 MB.
+HELD_SIZE_MAX_BYTES = 128 * 1024
+_BATCH_SIZE_BYTES = 64 * 1024
+_DEFAULT_SQLSTATE = "HY000"
+_FIRST_SERVER_ERROR = 1_000
+# Codes of 2000 to 2999 are the client library's own: the link is broken.
+_CLIENT_ERRORS = range(2_000, 3_000)
+
+TakeRows: TypeAlias = Callable[[list[Column], RowBatch], Awaitable[bool]]
+
+
+class LinkLostError(Exception):
+    """Say that a connection broke; `is_sent` tells whether statements had left."""
+
+    def __init__(self, detail: str, is_sent: bool) -> None:
+        super().__init__(detail)
+        self.is_sent = is_sent
+
+
+@dataclass(slots=True)
+class StreamedRows:
+    """Stand for a result whose rows were handed over while they arrived."""
+
+    columns: list[Column]
+
+
+Reply: TypeAlias = Answer | StreamedRows
+
+
+def _error_answer(error: errors.MySQLError) -> ErrorAnswer | None:
+    """Return the server's own error, or None if the link broke instead."""
+    code = error.args[0] if error.args else 0
+    if not isinstance(code, int) or code < _FIRST_SERVER_ERROR:
+        return None
+    if code in _CLIENT_ERRORS:
+        return None
+    message = str(error.args[1]) if len(error.args) > 1 else ""
+    return ErrorAnswer(code, error.sqlstate or _DEFAULT_SQLSTATE, message)
+
+
+def _columns(result: Any) -> list[Column]:
+    return [
+        Column(
+            name=item.name,
+            type_code=item.type_code,
+            character_set=item.charsetnr,
+            flags=item.flags,
+            n_decimals=item.scale,
+        )
+        for item in result.fields
+    ]
+
+
+def _size_bytes(rows: Sequence[Row]) -> int:
+    return sum(len(value) if value else 1 for row in rows for value in row)
+
+
+class BackendConnection:
+    """Run statements on one socket; after an error of the link it is unusable."""
+
+    __slots__ = ("_connection", "is_closed")
+
+    def __init__(self, connection: MysqlConnection) -> None:
+        self._connection = connection
+        self.is_closed = False
+
+    @classmethod
+    async def dial(
+        cls, address: InstanceAddress, database: str, user: str, timeout_s: float
+    ) -> "BackendConnection":
+        """Connect; raise LinkLostError, with the cause, if that fails."""
+        connection = MysqlConnection(
+            host=address.host,
+            port=address.port,
+            user=user,
+            database=database,
+            autocommit=None,
+            use_unicode=False,
+            conv={},
+            connect_timeout=timeout_s,
+        )
+        try:
+            async with asyncio.timeout(timeout_s):
+                await connection.connect()
+        except (errors.MySQLError, OSError, EOFError, TimeoutError) as error:
+            connection.close()
+            raise LinkLostError(_describe(error), is_sent=False) from error
+        return cls(connection)
+
+    @property
+    def is_usable(self) -> bool:
+        """Tell whether the server has not closed the connection."""
+        return not self.is_closed and not self._connection._stream_broken
+
+    def close(self) -> None:
+        """Drop the socket at once, without a farewell that a silent peer would hold."""
+        self.is_closed = True
+        transport = self._connection._transport
+        if transport is not None:
+            transport.abort()
+        self._connection.close()
+
+    def call_when_closed(self, callback: Callable[[], None]) -> None:
+        """Call once the connection is closed, by whichever side."""
+        closed = self._connection._proto._closed_waiter
+        closed.add_done_callback(lambda _: callback())
+
+    async def query(self, *statements: str) -> list[Reply]:
+        """Run statements in one round trip; raise LinkLostError if the link breaks."""
+        await self.send(*statements)
+        return [await self.read() for _ in statements]
+
+    async def send(self, *statements: str) -> None:
+        """Send statements; each needs one `read`."""
+        await self._send([(_COM_QUERY, text) for text in statements])
+
+    async def reset(self, *statements: str) -> list[Reply]:
+        """Clear the session state, then run statements, in one round trip."""
+        commands = [(_COM_QUERY, text) for text in statements]
+        await self._send([(_COM_RESET_CONNECTION, ""), *commands])
+        return [await self.read() for _ in range(1 + len(statements))]
+
+    async def _send(self, commands: list[tuple[int, str]]) -> None:
+        if not self.is_usable:
+            raise LinkLostError("the server has closed the connection", is_sent=False)
+        is_sent = False
+        try:
+            for command, text in commands:
+                data = text.encode("utf-8", "surrogateescape")
+                await self._connection._execute_command(command, data)
+                is_sent = True
+        except errors.MySQLError as error:
+            raise LinkLostError(_describe(error), is_sent) from error
+
+    async def read(self, take_rows: TakeRows | None = None) -> Reply:
+        """Read one reply; a result too large to hold goes to `take_rows`."""
+        connection = self._connection
+        connection._next_seq_id = 1
+        try:
+            await connection._read_query_result(unbuffered=True)
+            result = connection._result
+            if not result.unbuffered_active:
+                reply: Reply = WriteAnswer(
+                    result.affected_rows, result.insert_id, result.warning_count
+                )
+            else:
+                reply = await self._read_rows(result, take_rows)
+            while result.has_next:
+                # A CALL ends with a result of its own that has no rows.
+                await connection.next_result()
+                result = connection._result
+            return reply
+        except errors.MySQLError as error:
+            answer = _error_answer(error)
+            if answer is not None:
+                return answer
+            raise LinkLostError(_describe(error), is_sent=True) from error
+        except (OSError, EOFError, IndexError, ValueError, AssertionError) as error:
+            # Packets that asyncmy can't parse leave the stream at an unknown place.
+            raise LinkLostError(_describe(error), is_sent=True) from error
+
+    async def _read_rows(self, result: Any, take_rows: TakeRows | None) -> Reply:
+        columns = _columns(result)
+        batch = RowBatch()
+        is_streamed = False
+        while True:
+            row = await result._read_rowdata_packet_unbuffered()
+            if row is None:
+                break
+            rows = [row, *result._take_pending_rows()]
+            batch.rows.extend(rows)
+            batch.size_bytes += _size_bytes(rows)
+            limit = _BATCH_SIZE_BYTES if is_streamed else HELD_SIZE_MAX_BYTES
+            if take_rows is None or batch.size_bytes < limit:
+                continue
+            if not await take_rows(columns, batch):
+                raise LinkLostError("nobody takes the rows any more", is_sent=True)
+            is_streamed = True
+            batch = RowBatch()
+        if not is_streamed:
+            return RowsAnswer(columns, batch.rows)
+        if batch.rows and take_rows is not None:
+            await take_rows(columns, batch)
+        return StreamedRows(columns)
+
+
+def _describe(error: BaseException) -> str:
+    if isinstance(error, TimeoutError):
+        return "timed out"
+    text = str(error.args[-1]) if error.args else ""
+    return text or type(error).__name__
--- /dev/null
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_caller_edge_mysql.py
@@ -0,0 +1,348 @@
+"""Caller edge for the MySQL protocol, on the MySQL server edge."""
+
+import asyncio
+import re
+from collections.abc import AsyncIterator, Callable
+from typing import Any
+
+from cardamomshunt.classification import StatementClassifier, fingerprint_statement
+from cardamomshunt.effects import RequestKind, SessionHints
+from cardamomshunt.hints import NO_HINTS, parse_hint_assignment, parse_hints
+from cardamomshunt.verdict import Refusal, RefusalReason, Verdict
+
+from cardamomshunt_node._backend_edge_answers import (
+    Answer,
+    BrokenRowsError,
+    ErrorAnswer,
+    Row,
+    RowsAnswer,
+    WriteAnswer,
+)
+from cardamomshunt_node._caller_edge import (
+    CallerEdge,
+    RequestEnd,
+    RequestPort,
+    StatementRequest,
+)
+from cardamomshunt_node._caller_edge_mysql_columns import (
+    character_set_of,
+    passed_column,
+)
+from cardamomshunt_node._settings import Address
+from cardamomshunt_node.mysql_server import (
+    MysqlServerEdge,
+    MysqlSession,
+    Ok,
+    Rows,
+    ServerError,
+    ServerLimits,
+    StatementResult,
+)
+
+N_CALLERS_MAX = 10_000
+_HINT_PREFIX = "cardamomshunt_"
+_OUTCOME_KEY = re.compile(
+    r"cardamomshunt_outcome\s*\(\s*(?:'([^'\\]*)'|\"([^\"\\]*)\")\s*\)", re.IGNORECASE
+)
+_SET = re.compile(r"\s*(?:/\*.*?\*/\s*)?SET\s", re.IGNORECASE | re.DOTALL)
+_CODES = {
+    RefusalReason.TOO_MANY_CONNECTIONS: (1040, "08004"),
+    RefusalReason.UNKNOWN_DATABASE: (1049, "42000"),
+    RefusalReason.UNSUPPORTED_STATEMENT: (1235, "42000"),
+    RefusalReason.SHUTTING_DOWN: (1053, "08S01"),
+}
+_UNKNOWN_ERROR_CODE = 1105
+# The server rolled the transaction back: lock wait timeout, deadlock and errors of
+# commit; the data path then waits for ROLLBACK or BEGIN.
+_ROLLBACK_CODES = frozenset({1180, 1205, 1213, 3101})
+_NO_DATABASE = ServerError(1046, "3D000", "No database selected")
+# A statement of these kinds opens a transaction when autocommit is off.
+_OPENING_KINDS = frozenset(
+    {RequestKind.READ, RequestKind.WRITE, RequestKind.SESSION_STATE}
+)
+_ENDING_KINDS = frozenset(
+    {RequestKind.COMMIT, RequestKind.ROLLBACK, RequestKind.IMPLICIT_COMMIT}
+)
+_BEGIN_KINDS = frozenset({RequestKind.BEGIN, RequestKind.BEGIN_READ_ONLY})
+
+
+def server_error_of(refusal: Refusal) -> ServerError:
+    """Return the MySQL error for a refusal.
+
+    >>> error = server_error_of(
+    ...     Refusal(Verdict.NOT_RUN, RefusalReason.OVERLOADED, "the queue is full")
+    ... )
+    >>> error.code, error.sqlstate
+    (1105, '40001')
+    """
+    code, sqlstate = _CODES.get(refusal.reason, (_UNKNOWN_ERROR_CODE, ""))
+    if not sqlstate:
+        sqlstate = "40001" if refusal.may_retry else "HY000"
+    return ServerError(code, sqlstate, str(refusal))
+
+
+_SHUTTING_DOWN = server_error_of(
+    Refusal(Verdict.NOT_RUN, RefusalReason.SHUTTING_DOWN, "the entry VM is stopping")
+)
+# An idle caller's next statement is refused for this long; then it gets the error
+# unasked. A statement that crosses the farewell would only see a closed connection.
+IDLE_DRAIN_MS = 500.0
+_DRAIN_POLL_S = 0.02
+
+
+def _unsupported(detail: str) -> Refusal:
+    return Refusal(Verdict.NOT_RUN, RefusalReason.UNSUPPORTED_STATEMENT, detail)
+
+
+class CallerSession(MysqlSession):
+    """Serve the statements of one caller connection."""
+
+    __slots__ = ("_caller_id", "_defaults", "_last_end", "_last_verdict", "_shared")
+
+    def __init__(self, shared: "_Shared") -> None:
+        super().__init__()
+        self._shared = shared
+        self._caller_id = shared.port.open_caller()
+        self._defaults: SessionHints = NO_HINTS
+        self._last_end: RequestEnd | None = None
+        self._last_verdict: str | None = None
+
+    async def handle_statement(self, sql: str) -> StatementResult:
+        """Run a statement; raise ServerError to answer with an error."""
+        if _SET.match(sql):
+            assigned = parse_hint_assignment(sql, self._defaults)
+            if assigned is not None:
+                self._set_defaults(assigned)
+                return Ok()
+        hints = parse_hints(sql, self._defaults)
+        if isinstance(hints, Refusal):
+            raise self._refused(hints)
+        classification = self._shared.classifier.classify(sql)
+        if classification.kind is None:
+            raise self._refused(_unsupported(classification.unsupported))
+        return await self._run(sql, classification.kind, hints)
+
+    async def on_reset(self) -> None:
+        """Start a new session on the same socket."""
+        self._shared.port.close_caller(self._caller_id)
+        self._caller_id = self._shared.port.open_caller()
+        self._defaults = NO_HINTS
+        self._last_end = None
+        self._last_verdict = None
+        self.is_in_transaction = False
+        self.is_autocommit = True
+
+    async def on_disconnected(self) -> None:
+        """Abandon what runs for the caller."""
+        self._shared.port.close_caller(self._caller_id)
+
+    async def use_database(self, name: str) -> None:
+        """Take over the default database."""
+        if self.is_in_transaction and name != self.database:
+            raise self._refused(
+                _unsupported("USE inside a transaction would leave its database")
+            )
+        self.database = name
+
+    async def set_autocommit(self, is_on: bool) -> None:
+        """Switch autocommit; switching it on commits an open transaction."""
+        if is_on and not self.is_autocommit and self.is_in_transaction:
+            await self._run("COMMIT", RequestKind.COMMIT, self._defaults)
+        self.is_autocommit = is_on
+
+    async def set_variable(self, name: str, value: Any) -> None:
+        """Set a hint default, or a user variable on the backend connection."""
+        literal = "NULL" if value is None else _literal(value)
+        statement = f"SET @{name} = {literal}"
+        if not name.startswith(_HINT_PREFIX):
+            await self._run(statement, RequestKind.SESSION_STATE, self._defaults)
+            return
+        assigned = parse_hint_assignment(statement, self._defaults)
+        if assigned is None:
+            raise ServerError(1193, "HY000", f"Unknown variable '@{name}'")
+        self._set_defaults(assigned)
+
+    async def get_variable(self, name: str) -> Any:
+        """Return a variable of the proxy, or one of the backend connection."""
+        if name.startswith(_HINT_PREFIX):
+            return self._own_variable(name.removeprefix(_HINT_PREFIX))
+        result = await self._run(
+            f"SELECT @{name}", RequestKind.SESSION_STATE, self._defaults
+        )
+        if isinstance(result, Rows) and isinstance(result.rows, list) and result.rows:
+            return result.rows[0][0]
+        return None
+
+    def _own_variable(self, name: str) -> Any:
+        if name == "watermark":
+            position = self._shared.port.watermark(self._caller_id, self.database or "")
+            return None if position is None else str(position)
+        if name == "last_verdict":
+            return self._last_verdict
+        if name == "last_route":
+            completion = self._last_end and self._last_end.completion
+            if completion is None:
+                return None
+            return "replica" if completion.is_from_replica else "primary"
+        field = "request_class" if name == "class" else name
+        if field not in SessionHints.__struct_fields__:
+            raise ServerError(
+                1193, "HY000", f"Unknown variable '@{_HINT_PREFIX}{name}'"
+            )
+        value = getattr(self._defaults, field)
+        if value is None or isinstance(value, (str, float)):
+            return value
+        return getattr(value, "value", None) or str(value)
+
+    def _set_defaults(self, assigned: SessionHints | Refusal) -> None:
+        if isinstance(assigned, Refusal):
+            raise self._refused(assigned)
+        self._defaults = assigned
+
+    def _refused(self, refusal: Refusal) -> ServerError:
+        self._last_verdict = str(refusal)
+        self._shared.on_refusal(self.database or "", refusal)
+        return server_error_of(refusal)
+
+    async def _run(
+        self, sql: str, kind: RequestKind, hints: SessionHints
+    ) -> StatementResult:
+        database = self.database
+        if not database:
+            raise _NO_DATABASE
+        if kind is RequestKind.OUTCOME_QUERY:
+            hints = _with_outcome_key(sql, hints)
+        elif kind is RequestKind.IMPLICIT_COMMIT and ";" in sql.rstrip("; \t\r\n"):
+            # The caller's protocol has no room for a second result.
+            raise self._refused(_unsupported("multi-statement requests"))
+        if not self.is_autocommit and not self.is_in_transaction:
+            await self._open_transaction(kind, hints)
+        request = StatementRequest(
+            caller_id=self._caller_id,
+            database=database,
+            text=sql,
+            kind=kind,
+            hints=hints,
+            fingerprint=fingerprint_statement(sql) if hints.idempotency_key else "",
+        )
+        end = await self._shared.port.run(request)
+        self._last_end = end
+        self._note_transaction(kind, end)
+        if isinstance(end.answer, Refusal):
+            raise self._refused(end.answer)
+        return self._result_of(end.answer)
+
+    async def _open_transaction(self, kind: RequestKind, hints: SessionHints) -> None:
+        if kind in _OPENING_KINDS and not hints.idempotency_key:
+            await self._run("BEGIN", RequestKind.BEGIN, self._defaults)
+
+    def _note_transaction(self, kind: RequestKind, end: RequestEnd) -> None:
+        if isinstance(end.answer, Refusal):
+            is_lost = end.answer.reason in (
+                RefusalReason.TRANSACTION_LOST,
+                RefusalReason.CONNECTION_LOST,
+            )
+            if is_lost or kind in _ENDING_KINDS:
+                self.is_in_transaction = False
+        elif isinstance(end.answer, ErrorAnswer) and (
+            end.answer.code in _ROLLBACK_CODES
+        ):
+            self.is_in_transaction = False
+        elif kind in _BEGIN_KINDS:
+            self.is_in_transaction = not isinstance(end.answer, ErrorAnswer)
+        elif kind in _ENDING_KINDS:
+            self.is_in_transaction = False
+
+    def _result_of(self, answer: Answer) -> StatementResult:
+        if isinstance(answer, ErrorAnswer):
+            raise ServerError(answer.code, answer.sqlstate, answer.message)
+        if isinstance(answer, WriteAnswer):
+            return Ok(answer.n_affected_rows, answer.last_insert_id, answer.n_warnings)
+        character_set = character_set_of(self.variables)
+        columns = [passed_column(item, character_set) for item in answer.columns]
+        flags = [item.flags for item in answer.columns]
+        if isinstance(answer.rows, list):
+            return Rows(columns, answer.rows, flags)
+        return Rows(columns, _checked_rows(answer), flags)
+
+
+class _Shared:
+    """Hold what all sessions of an edge share, to keep an idle session small."""
+
+    __slots__ = ("classifier", "on_refusal", "port")
+
+    def __init__(
+        self, port: RequestPort, on_refusal: Callable[[str, Refusal], None]
+    ) -> None:
+        self.port = port
+        self.on_refusal = on_refusal
+        self.classifier = StatementClassifier()
+
+
+async def _checked_rows(answer: RowsAnswer) -> AsyncIterator[Row]:
+    """Yield rows; a broken result ends with an error packet instead of its end."""
+    try:
+        async for row in answer.rows:  # type: ignore[union-attr]
+            yield row
+    except BrokenRowsError as error:
+        raise ServerError(
+            error.answer.code, error.answer.sqlstate, error.answer.message
+        ) from None
+
+
+def _literal(value: Any) -> str:
+    if not isinstance(value, str):
+        return str(value)
+    escaped = value.replace("\\", "\\\\").replace("'", "''")
+    return f"'{escaped}'"
+
+
+def _with_outcome_key(sql: str, hints: SessionHints) -> SessionHints:
+    found = _OUTCOME_KEY.search(sql)
+    key = (found[1] or found[2] or "") if found else ""
+    fields = {name: getattr(hints, name) for name in SessionHints.__struct_fields__}
+    return SessionHints(**{**fields, "idempotency_key": key})
+
+
+class MysqlCallerEdge(CallerEdge):
+    """Accept MySQL callers on one address."""
+
+    def __init__(
+        self,
+        address: Address,
+        port: RequestPort,
+        *,
+        n_callers_max: int = N_CALLERS_MAX,
+        on_refusal: Callable[[str, Refusal], None] = lambda database, refusal: None,
+        on_fault: Callable[[Exception], None] = lambda error: None,
+    ) -> None:
+        self._address = address
+        shared = _Shared(port, on_refusal)
+        self._server = MysqlServerEdge(
+            lambda: CallerSession(shared),
+            limits=ServerLimits(n_connections_max=n_callers_max),
+            on_fault=on_fault,
+        )
+
+    async def start(self) -> None:
+        """Listen; raise OSError if the address is taken."""
+        await self._server.start(self._address.host, self._address.port)
+
+    @property
+    def n_callers(self) -> int:
+        """Count the open caller connections."""
+        return self._server.n_connections
+
+    async def drain(self, drain_ms: float) -> bool:
+        """Refuse new callers, let transactions end and close what is left."""
+        self._server.stop_accepting(_SHUTTING_DOWN)
+        loop = asyncio.get_running_loop()
+        start_s = loop.time()
+        idle_until_s = start_s + min(drain_ms, IDLE_DRAIN_MS) / 1_000.0
+        while self._server.n_connections and loop.time() < start_s + drain_ms / 1_000.0:
+            if loop.time() >= idle_until_s:
+                await self._server.close_idle()
+            await asyncio.sleep(_DRAIN_POLL_S)
+        is_complete = self._server.n_connections == 0
+        await self._server.stop()
+        return is_complete
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_mysql_server.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_mysql_server.py
@@ -11,6 +11,7 @@
 from abc import ABC, abstractmethod
 from collections.abc import AsyncIterable, Awaitable, Callable, Iterable, Sequence
 from dataclasses import dataclass
+from itertools import zip_longest
 from typing import Any, TypeAlias, cast
 
 from mysql_mimic import packets, types
@@ -24,7 +25,7 @@
 from mysql_mimic.results import ResultColumn, infer_type
 from mysql_mimic.session import BaseSession
 from mysql_mimic.stream import ConnectionClosed, MysqlStream
-from mysql_mimic.types import Capabilities, ServerStatus
+from mysql_mimic.types import Capabilities, ColumnDefinition, ServerStatus
 
 from cardamomshunt_node._mysql_parameters import count_placeholders, read_execute
 from cardamomshunt_node._mysql_session_statements import (
@@ -75,10 +76,12 @@
 
     Names as columns get their type from the first row; rows from an async iterable are
     sent as they come and never held as a whole. Values given as bytes are sent as is.
+    `column_flags` are the protocol's, one for each column or none.
     """
 
     columns: Sequence[ResultColumn | str]
     rows: Sequence[Sequence[Any]] | AsyncIterable[Sequence[Any]]
+    column_flags: Sequence[int] = ()
 
 
 StatementResult: TypeAlias = Ok | Rows
@@ -271,9 +274,7 @@
             self.is_running = True
             await self._wait_while_silent()
             if self.edge.is_draining and not self.session.is_in_transaction:
-                await self._write_error(
-                    ServerError(1053, "08S01", "Server shutdown in progress")
-                )
+                await self._write_error(self.edge.drain_error)
                 return
             await self._run_command(data[0], data[1:])
             self.is_running = False
@@ -383,14 +384,14 @@
         rows = result.rows
         if isinstance(rows, Sequence):
             columns = _resolve_columns(result.columns, rows)
-            self._write_columns(columns)
+            self._write_columns(columns, result.column_flags)
             await self._write_batches(rows, columns, is_binary)
         else:
             iterator = aiter(rows)
             first = await anext(iterator, None)
             head = [] if first is None else [first]
             columns = _resolve_columns(result.columns, head)
-            self._write_columns(columns)
+            self._write_columns(columns, result.column_flags)
             await self._write_batches(head, columns, is_binary)
             async for row in iterator:
                 self._write_row(row, columns, is_binary)
@@ -419,7 +420,9 @@
         else:
             self.stream.write_text_rows([row], columns)
 
-    def _write_columns(self, columns: Sequence[ResultColumn]) -> None:
+    def _write_columns(
+        self, columns: Sequence[ResultColumn], column_flags: Sequence[int]
+    ) -> None:
         head = [packets.make_column_count(self.capabilities, len(columns))]
         head.extend(
             packets.make_column_definition_41(
@@ -427,8 +430,9 @@
                 name=column.name,
                 column_type=column.type,
                 character_set=column.character_set,
+                flags=ColumnDefinition(flags),
             )
-            for column in columns
+            for column, flags in zip_longest(columns, column_flags, fillvalue=0)
         )
         if not self.deprecate_eof():
             head.append(self.eof())
@@ -550,6 +554,7 @@
         self.identity_provider = identity_provider or SimpleIdentityProvider()
         self.connect_delay_ms = connect_delay_ms
         self.is_draining = False
+        self.drain_error = ServerError(1053, "08S01", "Server shutdown in progress")
         self.n_connections_peak = 0
         self.on_fault = on_fault or (lambda error: None)
         self._silence_new: dict[int, asyncio.Event] = {}
@@ -658,6 +663,26 @@
             else:
                 self._silence_new[port] = event
 
+    def stop_accepting(self, drain_error: ServerError) -> None:
+        """Refuse new clients, and statements outside transactions with an error."""
+        self.is_draining = True
+        self.drain_error = drain_error
+        for server in self._servers:
+            server.close()
+
+    async def close_idle(self) -> None:
+        """Send the error of draining to clients outside transactions, and close."""
+        for connection in list(self._connections):
+            if connection.is_running or connection.session.is_in_transaction:
+                continue
+            if connection.session.username is not None:
+                connection.stream.reset_seq()
+                await self._try_write(
+                    connection.stream.writer, make_error_packet(self.drain_error)
+                )
+            if connection.task is not None:
+                connection.task.cancel()
+
     async def stop(self, grace_ms: float = 0.0) -> None:
         """Stop accepting, let statements and transactions finish, then close.
 
--- /dev/null
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_proxy_control_link.py
@@ -0,0 +1,261 @@
+"""Messages between a proxy and the control nodes."""
+
+import asyncio
+import time
+from dataclasses import dataclass
+
+from cardamomshunt.events import EventNumber
+from cardamomshunt.messages import (
+    ConfigurationUpdate,
+    ConnectionGrants,
+    DemandReport,
+    DrainInstance,
+    HealthReport,
+    Heartbeat,
+    InstanceObservation,
+    Message,
+    NodeRole,
+    TopologyUpdate,
+)
+
+from cardamomshunt_node._proxy_core import ProxyCore
+from cardamomshunt_node._proxy_versions import UnusableUpdateError, VersionedState
+from cardamomshunt_node._settings import DaemonSettings
+from cardamomshunt_node._transport import PeerTransport, ReceivedMessage
+from cardamomshunt_node.event_log import EventLog
+
+HEARTBEAT_MS = 500.0
+URGENT_REPORT_MS = 100.0
+# Without a word of the leader for this long, heartbeats go to all control nodes again;
+# a new leader is elected within 600 ms.
+LEADER_SILENCE_MAX_MS = 1_500.0
+# Announcements come every 100 ms; two lost ones in a row are worth a report.
+_SILENCE_REPORTED_MS = 250.0
+_CONTROL_LOST_MS = 5_000.0
+
+
+@dataclass(slots=True)
+class _Leader:
+    """Hold who leads control, as far as its messages tell."""
+
+    node: str
+    url: str
+    heard_ms: float
+    grants_sequence: int = -1
+
+
+def is_unhealthy(item: InstanceObservation) -> bool:
+    """Tell whether control may have to act on an instance soon."""
+    return item.is_refusing or item.silence_ms > _SILENCE_REPORTED_MS
+
+
+def _standing(items: list[InstanceObservation]) -> list[tuple[object, ...]]:
+    """Return what makes a report urgent when it changes."""
+    return [
+        (item.instance, item.incarnation, item.role, item.term, item.is_leaving)
+        for item in items
+    ]
+
+
+class ControlLink:
+    """Report to control, and take over what the leader decides."""
+
+    def __init__(
+        self,
+        settings: DaemonSettings,
+        core: ProxyCore,
+        state: VersionedState,
+        events: EventLog,
+        transport: PeerTransport,
+    ) -> None:
+        self._settings = settings
+        self._core = core
+        self._state = state
+        self._events = events
+        self._transport = transport
+        self._incarnation = int(time.time() * 1_000)
+        self._leader: _Leader | None = None
+        self._sequence = 0
+        self._last_standing: list[tuple[object, ...]] = []
+        self._next_heartbeat_ms = 0.0
+        self._next_report_ms = 0.0
+        self._task: asyncio.Task[None] | None = None
+        self._is_control_lost = False
+        self._started_ms = core.now_ms()
+        self.is_draining = False
+
+    def start(self) -> None:
+        """Start reporting."""
+        self._task = asyncio.create_task(self._report_forever())
+
+    async def stop(self) -> None:
+        """Send a last heartbeat and stop reporting."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+        self.is_draining = True
+        self.send_heartbeat()
+
+    def begin_drain(self) -> None:
+        """Tell control at once that this node drains."""
+        self.is_draining = True
+        self.send_heartbeat()
+
+    @property
+    def leader(self) -> str | None:
+        """Return the control leader that was heard of lately."""
+        leader = self._fresh_leader()
+        return leader.node if leader else None
+
+    def send_heartbeat(self) -> None:
+        """Send a heartbeat."""
+        self._send(
+            Heartbeat(
+                node=self._settings.node,
+                role=NodeRole.PROXY,
+                zone=self._settings.zone,
+                incarnation=self._incarnation,
+                operator_address=str(self._settings.operator_address),
+                configuration_version=self._state.configuration.version,
+                topology_version=self._state.topology.version,
+                is_draining=self.is_draining,
+            ),
+            is_urgent=self.is_draining,
+        )
+
+    async def on_message(self, received: ReceivedMessage) -> None:
+        """Take over a message of control."""
+        envelope = received.envelope
+        self._events.observe_hlc(envelope.sender, envelope.sent_hlc)
+        self._note_leader(envelope.sender, envelope.reply_address)
+        self._take(received.message)
+
+    def _take(self, message: Message) -> None:
+        match message:
+            case TopologyUpdate():
+                if self._state.update_topology(message):
+                    self._events.emit(
+                        EventNumber.TOPOLOGY_APPLIED,
+                        detail=f"version {message.version}",
+                    )
+                    self.send_heartbeat()
+            case ConfigurationUpdate():
+                self._take_configuration(message)
+            case ConnectionGrants():
+                self._take_grants(message)
+            case DrainInstance():
+                self._core.apply(
+                    self._core.data_path.on_drain,
+                    message.instance,
+                    message.is_draining,
+                )
+
+    def _take_configuration(self, update: ConfigurationUpdate) -> None:
+        try:
+            is_applied = self._state.update_configuration(update)
+        except UnusableUpdateError as error:
+            self._events.emit(
+                EventNumber.CONFIGURATION_UNREADABLE,
+                subject=f"version {update.version}",
+                detail=str(error),
+            )
+            return
+        # After a gap the next regular heartbeat asks for what is missing; an answer at
+        # once could make both sides repeat themselves at the speed of the link.
+        if not is_applied:
+            return
+        self._events.emit(
+            EventNumber.CONFIGURATION_APPLIED, detail=f"version {update.version}"
+        )
+        self.send_heartbeat()
+
+    def _take_grants(self, message: ConnectionGrants) -> None:
+        leader = self._leader
+        if leader is None or message.node != self._settings.node:
+            return
+        if message.sequence <= leader.grants_sequence:
+            return
+        leader.grants_sequence = message.sequence
+        self._core.apply(self._core.data_path.on_grants, message.grants)
+
+    def _note_leader(self, node: str, url: str) -> None:
+        now_ms = self._core.now_ms()
+        if self._leader is None or self._leader.node != node:
+            self._leader = _Leader(node, url, now_ms)
+        self._leader.url = url
+        self._leader.heard_ms = now_ms
+
+    def _fresh_leader(self) -> _Leader | None:
+        leader = self._leader
+        if leader is None:
+            return None
+        silence_ms = self._core.now_ms() - leader.heard_ms
+        return leader if silence_ms <= LEADER_SILENCE_MAX_MS else None
+
+    def _send(self, message: Message, is_urgent: bool) -> None:
+        leader = None if is_urgent else self._fresh_leader()
+        if leader is not None:
+            self._transport.send(leader.url, message)
+            return
+        urls = {item.peer_address.url for item in self._settings.control_nodes}
+        if self._leader is not None:
+            urls.add(self._leader.url)
+        for url in sorted(urls):
+            self._transport.send(url, message)
+
+    async def _report_forever(self) -> None:
+        while True:
+            try:
+                self._report()
+            except Exception as error:
+                self._events.emit(
+                    EventNumber.TASK_FAILED, subject="control link", detail=repr(error)
+                )
+            await asyncio.sleep(URGENT_REPORT_MS / 1_000.0)
+
+    def _report(self) -> None:
+        now_ms = self._core.now_ms()
+        self._note_control_silence(now_ms)
+        if now_ms >= self._next_heartbeat_ms:
+            self._next_heartbeat_ms = now_ms + HEARTBEAT_MS
+            self.send_heartbeat()
+        observations = self._core.data_path.observations(now_ms)
+        standing = _standing(observations)
+        is_urgent = standing != self._last_standing or any(
+            is_unhealthy(item) for item in observations
+        )
+        if not is_urgent and now_ms < self._next_report_ms:
+            return
+        self._next_report_ms = now_ms + HEARTBEAT_MS
+        self._last_standing = standing
+        self._sequence += 1
+        self._send_reports(now_ms, observations, is_urgent)
+
+    def _send_reports(
+        self, now_ms: float, observations: list[InstanceObservation], is_urgent: bool
+    ) -> None:
+        node = self._settings.node
+        self._send(
+            HealthReport(
+                node=node,
+                zone=self._settings.zone,
+                sequence=self._sequence,
+                observations=observations,
+            ),
+            is_urgent,
+        )
+        demands = self._core.data_path.connection_demand(now_ms)
+        if demands:
+            self._send(
+                DemandReport(node=node, sequence=self._sequence, demands=demands),
+                is_urgent=False,
+            )
+
+    def _note_control_silence(self, now_ms: float) -> None:
+        heard_ms = self._leader.heard_ms if self._leader else self._started_ms
+        is_lost = now_ms - heard_ms > _CONTROL_LOST_MS
+        if is_lost == self._is_control_lost:
+            return
+        self._is_control_lost = is_lost
+        number = EventNumber.CONTROL_LOST if is_lost else EventNumber.CONTROL_REGAINED
+        self._events.emit(number)
--- /dev/null
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_proxy_core.py
@@ -0,0 +1,332 @@
+"""The proxy's core: owner of the data path, between the two edges."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from cardamomshunt.data_path import AbstractDataPath
+from cardamomshunt.effects import (
+    AskPosition,
+    AttemptOutcome,
+    AttemptResult,
+    CallerId,
+    CloseConnection,
+    CompleteRequest,
+    ConfirmedBound,
+    ConnectionId,
+    ConnectionOpened,
+    DataPathEffect,
+    EmitEvent,
+    OpenConnection,
+    RefuseRequest,
+    Request,
+    RequestId,
+    RequestKind,
+    ResetConnection,
+    StartAttempt,
+)
+from cardamomshunt.position import LogPosition
+from cardamomshunt.verdict import Refusal, RefusalReason, Verdict
+
+from cardamomshunt_node._backend_edge import BackendEdge, BackendListener
+from cardamomshunt_node._backend_edge_answers import (
+    Answer,
+    Column,
+    ErrorAnswer,
+    RowsAnswer,
+    WriteAnswer,
+)
+from cardamomshunt_node._backend_edge_rows import RowStream
+from cardamomshunt_node._caller_edge import RequestEnd, RequestPort, StatementRequest
+
+_REFUSAL_CODE = 1105
+_TICK_MIN_S = 0.001
+_OUTCOME_COLUMN = Column("cardamomshunt_outcome", 253, 45)
+
+
+@dataclass(slots=True)
+class _OpenRequest:
+    """Hold what the core keeps of a request until it ends."""
+
+    request: StatementRequest
+    done: asyncio.Future[RequestEnd]
+    answers: dict[int, Answer | None] = field(default_factory=dict)
+    stream: RowStream | None = None
+    stream_attempt: int = 0
+
+
+EventSink = Callable[[int, str, str], None]
+
+
+class ProxyCore(RequestPort, BackendListener):
+    """Feed the data path with events, and carry out its effects.
+
+    All methods run on one event loop, so that the data path sees one event at a time.
+    """
+
+    def __init__(
+        self,
+        data_path: AbstractDataPath,
+        backend: BackendEdge,
+        clock_ms: Callable[[], float],
+        on_event: EventSink,
+        on_fault: Callable[[Exception], None],
+    ) -> None:
+        self.data_path = data_path
+        self._backend = backend
+        self._clock_ms = clock_ms
+        self._on_event = on_event
+        self._on_fault = on_fault
+        self._open: dict[RequestId, _OpenRequest] = {}
+        self._last_request_id = 0
+        self._last_caller_id = 0
+        self._timer: asyncio.TimerHandle | None = None
+        self._timer_ms = 0.0
+        backend.set_listener(self)
+
+    def now_ms(self) -> float:
+        """Return the clock of the data path."""
+        return self._clock_ms()
+
+    def stop(self) -> None:
+        """Stop ticking."""
+        if self._timer is not None:
+            self._timer.cancel()
+
+    # Requests of callers.
+
+    def open_caller(self) -> CallerId:
+        """Return the id of a new caller connection."""
+        self._last_caller_id += 1
+        return self._last_caller_id
+
+    def close_caller(self, caller_id: CallerId) -> None:
+        """Abandon a caller's requests and roll back its transaction."""
+        self.apply(self.data_path.on_caller_gone, caller_id)
+
+    async def run(self, request: StatementRequest) -> RequestEnd:
+        """Run a request to its end; a cancelled call abandons it."""
+        self._last_request_id += 1
+        request_id = self._last_request_id
+        done: asyncio.Future[RequestEnd] = asyncio.get_running_loop().create_future()
+        self._open[request_id] = _OpenRequest(request, done)
+        submitted = Request(
+            request_id=request_id,
+            caller_id=request.caller_id,
+            database=request.database,
+            kind=request.kind,
+            hints=request.hints,
+            fingerprint=request.fingerprint,
+        )
+        if not self.apply(self.data_path.submit, submitted):
+            self._refuse(
+                request_id,
+                Refusal(
+                    Verdict.NOT_RUN, RefusalReason.NO_BACKEND, "the proxy has a fault"
+                ),
+            )
+        try:
+            return await done
+        except asyncio.CancelledError:
+            self.abandon(request_id)
+            raise
+
+    def abandon(self, request_id: RequestId) -> None:
+        """Forget a request that nobody waits for."""
+        open_request = self._open.pop(request_id, None)
+        if open_request is None:
+            return
+        if open_request.stream is not None:
+            open_request.stream.close()
+        self.apply(self.data_path.cancel, request_id)
+
+    def watermark(self, caller_id: CallerId, database: str) -> LogPosition | None:
+        """Return the watermark of a caller's session."""
+        return self.data_path.watermark(caller_id, database)
+
+    # Events of backend connections.
+
+    def on_connection_opened(self, opened: ConnectionOpened) -> None:
+        """Take over an open connection."""
+        self.apply(self.data_path.on_connection_opened, opened)
+
+    def on_connection_failed(
+        self, connection_id: ConnectionId, is_refused: bool, detail: str
+    ) -> None:
+        """Note that a dial failed."""
+        self.apply(
+            self.data_path.on_connection_failed, connection_id, is_refused, detail
+        )
+
+    def on_connection_closed(self, connection_id: ConnectionId, detail: str) -> None:
+        """Note that an idle connection is closed."""
+        self.apply(self.data_path.on_connection_closed, connection_id, detail)
+
+    def on_connection_reset(self, connection_id: ConnectionId) -> None:
+        """Note that a connection is free of session state."""
+        self.apply(self.data_path.on_connection_reset, connection_id)
+
+    def on_attempt_ended(self, result: AttemptResult, answer: Answer | None) -> None:
+        """Take over the end of an attempt, with the answer if there is one."""
+        open_request = self._open.get(result.request_id)
+        if open_request is not None:
+            open_request.answers[result.attempt] = answer
+            if self._is_broken_stream(open_request, result):
+                self._break_stream(result, open_request, answer)
+        self.apply(self.data_path.on_attempt_result, result)
+
+    def on_rows_started(
+        self, request_id: RequestId, attempt: int, columns: list[Column]
+    ) -> RowStream | None:
+        """Open the stream of a result too large to hold, once for a request."""
+        open_request = self._open.get(request_id)
+        if open_request is None or open_request.done.done():
+            return None
+        stream = RowStream()
+        open_request.stream = stream
+        open_request.stream_attempt = attempt
+        open_request.done.set_result(RequestEnd(RowsAnswer(columns, stream)))
+        return stream
+
+    def on_position_answered(self, database: str, bound: ConfirmedBound | None) -> None:
+        """Take over the answer of a position query; None if it failed."""
+        self.apply(self.data_path.on_confirmed_bound, bound, database)
+
+    @staticmethod
+    def _is_broken_stream(open_request: _OpenRequest, result: AttemptResult) -> bool:
+        return (
+            open_request.stream is not None
+            and open_request.stream_attempt == result.attempt
+            and result.outcome is not AttemptOutcome.OK
+        )
+
+    def _break_stream(
+        self, result: AttemptResult, open_request: _OpenRequest, answer: Answer | None
+    ) -> None:
+        """End a partly delivered result with an error; no attempt can replace it."""
+        if open_request.stream is None:
+            return
+        if not isinstance(answer, ErrorAnswer):
+            is_read = open_request.request.kind is RequestKind.READ
+            verdict = Verdict.NOT_RUN if is_read else Verdict.MAY_HAVE_RUN
+            answer = _error_of(
+                Refusal(
+                    verdict,
+                    RefusalReason.CONNECTION_LOST,
+                    "the rest of the result is lost",
+                )
+            )
+        open_request.stream.fail(answer)
+        del self._open[result.request_id]
+        self.apply(self.data_path.cancel, result.request_id)
+
+    # The data path and its effects.
+
+    def apply(
+        self, method: Callable[..., list[DataPathEffect]], *arguments: object
+    ) -> bool:
+        """Give the data path an event and carry out its effects; False on a fault."""
+        try:
+            effects = method(self._clock_ms(), *arguments)
+            for effect in effects:
+                self._carry_out(effect)
+            self._set_timer()
+        except Exception as error:
+            self._on_fault(error)
+            return False
+        return True
+
+    def _carry_out(self, effect: DataPathEffect) -> None:
+        match effect:
+            case StartAttempt():
+                self._start_attempt(effect)
+            case CompleteRequest():
+                self._complete(effect)
+            case RefuseRequest():
+                self._refuse(effect.request_id, effect.refusal)
+            case OpenConnection():
+                self._backend.open_connection(effect)
+            case CloseConnection():
+                self._backend.close_connection(effect.connection_id, effect.reason)
+            case ResetConnection():
+                self._backend.reset_connection(effect.connection_id)
+            case AskPosition():
+                self._backend.ask_position(effect)
+            case EmitEvent():
+                self._on_event(effect.number, effect.subject, effect.detail)
+
+    def _start_attempt(self, effect: StartAttempt) -> None:
+        open_request = self._open.get(effect.request_id)
+        if open_request is None or open_request.stream is not None:
+            result = AttemptResult(
+                request_id=effect.request_id,
+                attempt=effect.attempt,
+                connection_id=effect.connection_id,
+                outcome=AttemptOutcome.NOT_SENT,
+                detail="the request is over",
+            )
+            # Not within the call that asked for it, as the data path is not reentrant.
+            asyncio.get_running_loop().call_soon(self.on_attempt_ended, result, None)
+            return
+        self._backend.start_attempt(effect, open_request.request.text)
+
+    def _complete(self, effect: CompleteRequest) -> None:
+        open_request = self._open.pop(effect.request_id, None)
+        if open_request is None:
+            return
+        if open_request.stream is not None:
+            open_request.done.result().completion = effect
+            open_request.stream.finish()
+            return
+        if open_request.done.done():
+            return
+        answer = _answer_of(effect, open_request.answers.get(effect.attempt))
+        open_request.done.set_result(RequestEnd(answer, effect))
+
+    def _refuse(self, request_id: RequestId, refusal: Refusal) -> None:
+        open_request = self._open.pop(request_id, None)
+        if open_request is None:
+            return
+        if open_request.stream is not None:
+            open_request.stream.fail(_error_of(refusal))
+        elif not open_request.done.done():
+            open_request.done.set_result(RequestEnd(refusal))
+
+    def _set_timer(self) -> None:
+        deadline_ms = self.data_path.next_deadline_ms()
+        if self._timer is not None:
+            if deadline_ms is not None and self._timer_ms <= deadline_ms:
+                # An early wake-up is harmless and cheaper than a new timer each time.
+                return
+            self._timer.cancel()
+            self._timer = None
+        if deadline_ms is None:
+            return
+        delay_s = max(_TICK_MIN_S, (deadline_ms - self._clock_ms()) / 1_000.0)
+        self._timer_ms = deadline_ms
+        self._timer = asyncio.get_running_loop().call_later(delay_s, self._on_timer)
+
+    def _on_timer(self) -> None:
+        self._timer = None
+        deadline_ms = self.data_path.next_deadline_ms()
+        if deadline_ms is not None and deadline_ms > self._clock_ms():
+            self._set_timer()
+            return
+        if not self.apply(self.data_path.tick):
+            # A fault must not stop the clock of all other requests.
+            self._timer = asyncio.get_running_loop().call_later(0.1, self._on_timer)
+
+
+def _answer_of(effect: CompleteRequest, answer: Answer | None) -> Answer:
+    if effect.query_outcome is not None:
+        value = effect.query_outcome.value.encode()
+        return RowsAnswer([_OUTCOME_COLUMN], [[value]])
+    if effect.first_answer is not None:
+        first = effect.first_answer
+        return WriteAnswer(first.n_affected_rows, first.last_insert_id)
+    return WriteAnswer() if answer is None else answer
+
+
+def _error_of(refusal: Refusal) -> ErrorAnswer:
+    sqlstate = "40001" if refusal.may_retry else "HY000"
+    return ErrorAnswer(_REFUSAL_CODE, sqlstate, str(refusal))
--- /dev/null
+++ b/packages/cardamomshunt-node/tests/test_backend_edge_attempts.py
@@ -0,0 +1,360 @@
+"""Each kind of attempt reports what is true of the place where it ended."""
+
+import asyncio
+from typing import Any
+
+import pytest
+from cardamomshunt.effects import (
+    AskPosition,
+    AttemptKind,
+    AttemptOutcome,
+    AttemptResult,
+    ConfirmedBound,
+    ConnectionOpened,
+    OpenConnection,
+    QueryOutcome,
+    StartAttempt,
+)
+from cardamomshunt.position import LogPosition
+from cardamomshunt_node._backend_edge import BackendListener
+from cardamomshunt_node._backend_edge_answers import (
+    Answer,
+    BrokenRowsError,
+    Column,
+    ErrorAnswer,
+    RowsAnswer,
+    WriteAnswer,
+)
+from cardamomshunt_node._backend_edge_mysql import MysqlBackendEdge
+from cardamomshunt_node._backend_edge_rows import RowStream
+from cardamomshunt_node.mysql_server import ServerError
+
+_FENCED = ServerError(1290, "HY000", "cardamomshunt_fenced: the term is 4")
+_SYNTAX = ServerError(1064, "42000", "You have an error in your SQL syntax")
+_DEADLOCK = ServerError(1213, "40001", "Deadlock found")
+_COMMIT_FAILED = ServerError(1180, "HY000", "Got error during COMMIT")
+_WRITE = "UPDATE stock SET n = n - 1"
+
+_OK = AttemptOutcome.OK
+_LOST = AttemptOutcome.LOST
+_IS_FENCED = AttemptOutcome.FENCED
+_IS_ERROR = AttemptOutcome.BACKEND_ERROR
+_UNHELD = AttemptOutcome.NOT_ACKNOWLEDGED
+
+
+class _Listener(BackendListener):
+    """Record what the edge tells."""
+
+    def __init__(self) -> None:
+        self.ends: asyncio.Queue[tuple[AttemptResult, Answer | None]] = asyncio.Queue()
+        self.others: asyncio.Queue[Any] = asyncio.Queue()
+        self.closed: list[int] = []
+        self.stream: RowStream | None = None
+
+    def on_connection_opened(self, opened: ConnectionOpened) -> None:
+        self.others.put_nowait(opened)
+
+    def on_connection_failed(
+        self, connection_id: int, is_refused: bool, detail: str
+    ) -> None:
+        self.others.put_nowait((is_refused, detail))
+
+    def on_connection_closed(self, connection_id: int, detail: str) -> None:
+        self.closed.append(connection_id)
+        self.others.put_nowait("closed")
+
+    def on_connection_reset(self, connection_id: int) -> None:
+        self.others.put_nowait("reset")
+
+    def on_attempt_ended(self, result: AttemptResult, answer: Answer | None) -> None:
+        self.ends.put_nowait((result, answer))
+
+    def on_rows_started(
+        self, request_id: int, attempt: int, columns: list[Column]
+    ) -> RowStream | None:
+        self.stream = RowStream()
+        return self.stream
+
+    def on_position_answered(self, database: str, bound: ConfirmedBound | None) -> None:
+        self.others.put_nowait(bound)
+
+
+class _Rig:
+    """Drive one connection of an edge."""
+
+    def __init__(self, backend: Any) -> None:
+        self.backend = backend
+        self.address = backend.address
+        self.listener = _Listener()
+        self.edge = MysqlBackendEdge()
+        self.edge.set_listener(self.listener)
+
+    async def open(self, **changes: Any) -> Any:
+        fields = {
+            "connection_id": 1,
+            "database": "orders",
+            "instance": "orders-1",
+            "address": self.address,
+            "term": 3,
+        }
+        self.edge.open_connection(OpenConnection(**{**fields, **changes}))
+        return await self.next(self.listener.others)
+
+    async def attempt(
+        self,
+        kind: AttemptKind,
+        statement: str = _WRITE,
+        timeout_ms: float = 5_000.0,
+        fingerprint: str = "f1",
+    ) -> tuple[AttemptResult, Answer | None]:
+        effect = StartAttempt(
+            request_id=1,
+            attempt=1,
+            connection_id=1,
+            kind=kind,
+            timeout_ms=timeout_ms,
+            idempotency_key="k1",
+            fingerprint=fingerprint,
+        )
+        self.edge.start_attempt(effect, statement)
+        return await self.next(self.listener.ends)
+
+    @staticmethod
+    async def next(queue: asyncio.Queue[Any]) -> Any:
+        async with asyncio.timeout(5):
+            return await queue.get()
+
+
+@pytest.fixture
+async def rig(fake_backend: Any) -> Any:
+    rig = _Rig(fake_backend)
+    assert isinstance(await rig.open(), ConnectionOpened)
+    fake_backend.statements.clear()
+    yield rig
+    await rig.edge.stop()
+
+
+_AWAIT = "CALL cardamomshunt_await"
+_KEY = AttemptKind.IDEMPOTENT_WRITE
+_ACKNOWLEDGED = AttemptKind.ACKNOWLEDGED_WRITE
+_COMMIT = AttemptKind.ACKNOWLEDGED_COMMIT
+_QUERY = AttemptKind.QUERY_OUTCOME
+_INSERT = "INSERT INTO cardamomshunt_idem"
+_UPDATE = "UPDATE cardamomshunt_idem"
+
+
+@pytest.mark.parametrize(
+    ("kind", "prefix", "action", "outcome", "n_writes"),
+    [
+        (AttemptKind.PLAIN, "UPDATE", None, _OK, 1),
+        (AttemptKind.PLAIN, "UPDATE", _SYNTAX, _IS_ERROR, 0),
+        (AttemptKind.PLAIN, "UPDATE", _FENCED, _IS_FENCED, 0),
+        (AttemptKind.PLAIN, "UPDATE", "run_and_close", _LOST, 1),
+        (AttemptKind.PLAIN, "UPDATE", "hang", _LOST, 0),
+        (_ACKNOWLEDGED, "UPDATE", None, _OK, 1),
+        (_ACKNOWLEDGED, "UPDATE", _SYNTAX, _IS_ERROR, 0),
+        (_ACKNOWLEDGED, "UPDATE", _FENCED, _IS_FENCED, 0),
+        (_ACKNOWLEDGED, "UPDATE", "run_and_close", _LOST, 1),
+        (_ACKNOWLEDGED, "UPDATE", "hang", _LOST, 0),
+        (_ACKNOWLEDGED, _AWAIT, _FENCED, _UNHELD, 1),
+        (_ACKNOWLEDGED, _AWAIT, _SYNTAX, _UNHELD, 1),
+        (_ACKNOWLEDGED, _AWAIT, "close", _LOST, 1),
+        (_ACKNOWLEDGED, _AWAIT, "hang", _LOST, 1),
+        (_ACKNOWLEDGED, _AWAIT, "unheld", _UNHELD, 1),
+        (_COMMIT, "COMMIT", None, _OK, 0),
+        (_COMMIT, "COMMIT", _FENCED, _IS_FENCED, 0),
+        (_COMMIT, "COMMIT", _DEADLOCK, _IS_ERROR, 0),
+        (_COMMIT, "COMMIT", _COMMIT_FAILED, _LOST, 0),
+        (_COMMIT, "COMMIT", "run_and_close", _LOST, 0),
+        (_COMMIT, _AWAIT, "close", _LOST, 0),
+        (_COMMIT, _AWAIT, "unheld", _UNHELD, 0),
+        (_KEY, "UPDATE", None, _OK, 1),
+        (_KEY, "BEGIN", _SYNTAX, _LOST, 0),
+        (_KEY, "BEGIN", "close", _LOST, 0),
+        (_KEY, _INSERT, _FENCED, _IS_FENCED, 0),
+        (_KEY, _INSERT, _SYNTAX, _IS_ERROR, 0),
+        (_KEY, _INSERT, "run_and_close", _LOST, 0),
+        (_KEY, "UPDATE stock", _SYNTAX, _IS_ERROR, 0),
+        (_KEY, "UPDATE stock", _FENCED, _IS_FENCED, 0),
+        (_KEY, "UPDATE stock", "run_and_close", _LOST, 0),
+        (_KEY, "UPDATE stock", "hang", _LOST, 0),
+        (_KEY, _UPDATE, _SYNTAX, _LOST, 1),
+        (_KEY, _UPDATE, "run_and_close", _LOST, 0),
+        (_KEY, "COMMIT", _FENCED, _IS_FENCED, 0),
+        (_KEY, "COMMIT", _COMMIT_FAILED, _LOST, 0),
+        (_KEY, "COMMIT", "run_and_close", _LOST, 1),
+        (_KEY, _AWAIT, "close", _LOST, 1),
+        (_KEY, _AWAIT, "hang", _LOST, 1),
+        (_KEY, _AWAIT, "unheld", _UNHELD, 1),
+        (_QUERY, "UPDATE", None, _OK, 0),
+        (_QUERY, _INSERT, _FENCED, _IS_FENCED, 0),
+        (_QUERY, _INSERT, "close", _LOST, 0),
+        (_QUERY, _AWAIT, "unheld", _UNHELD, 0),
+    ],
+)
+async def test_outcome_at_each_await(
+    rig: Any, kind: Any, prefix: str, action: Any, outcome: Any, n_writes: int
+) -> None:
+    """Guards against an outcome that calls a write which may have run not run."""
+    if action == "unheld":
+        rig.backend.is_held = False
+    elif action is not None:
+        rig.backend.faults[prefix] = action
+    statement = "COMMIT" if kind is _COMMIT else _WRITE
+    timeout_ms = 150.0 if action == "hang" else 5_000.0
+    result, _ = await rig.attempt(kind, statement, timeout_ms)
+    assert result.outcome is outcome
+    if outcome is _LOST:
+        # The server may not answer another request with what is still under way.
+        assert await rig.next(rig.listener.others) == "closed"
+        assert rig.edge.n_connections == 0
+    if kind is _QUERY:
+        is_ok = outcome is _OK
+        expected = QueryOutcome.NOT_RUN if is_ok else QueryOutcome.UNKNOWN
+        assert result.query_outcome is (None if outcome is _IS_FENCED else expected)
+    await asyncio.sleep(0.02)
+    assert rig.backend.n_writes == n_writes
+
+
+@pytest.mark.parametrize(
+    ("record", "fingerprint", "is_held", "outcome", "query_outcome"),
+    [
+        (["f1", 2, 7], "f1", True, _OK, QueryOutcome.RAN),
+        (["f1", 2, 7], "f1", False, _UNHELD, QueryOutcome.UNKNOWN),
+        (["f1", 2, 7], "f2", True, AttemptOutcome.KEY_REUSED, QueryOutcome.RAN),
+        (["f1", 2, 7], "f2", False, _UNHELD, QueryOutcome.UNKNOWN),
+        (
+            ["revoked", 0, 0],
+            "f1",
+            True,
+            AttemptOutcome.KEY_REVOKED,
+            QueryOutcome.NOT_RUN,
+        ),
+        (["revoked", 0, 0], "f1", False, _UNHELD, QueryOutcome.UNKNOWN),
+        (["f1", -1, 0], "f1", True, _UNHELD, QueryOutcome.UNKNOWN),
+    ],
+)
+async def test_key_that_is_taken(
+    rig: Any,
+    record: list[Any],
+    fingerprint: str,
+    is_held: bool,
+    outcome: Any,
+    query_outcome: Any,
+) -> None:
+    """Guards against a second run under a key, and against a false outcome of it."""
+    rig.backend.records["k1"] = record
+    rig.backend.is_held = is_held
+    result, _ = await rig.attempt(_KEY, fingerprint=fingerprint)
+    assert result.outcome is outcome
+    assert rig.backend.n_writes == 0
+    if outcome is _OK:
+        assert result.first_answer.n_affected_rows == 2
+        assert result.first_answer.last_insert_id == 7
+    result, _ = await rig.attempt(_QUERY)
+    assert result.query_outcome is query_outcome
+
+
+async def test_key_is_revoked_for_good(rig: Any) -> None:
+    """Guards against a write that runs after its outcome was given as NOT_RUN."""
+    result, _ = await rig.attempt(_QUERY)
+    assert result.query_outcome is QueryOutcome.NOT_RUN
+    result, _ = await rig.attempt(_KEY)
+    assert result.outcome is AttemptOutcome.KEY_REVOKED
+    assert rig.backend.n_writes == 0
+
+
+async def test_answers_keep_counts_codes_and_positions(rig: Any) -> None:
+    result, answer = await rig.attempt(_ACKNOWLEDGED)
+    assert result.position == LogPosition(3, 100)
+    assert answer == WriteAnswer(2, 7, 0)
+    rig.backend.faults["UPDATE"] = _DEADLOCK
+    result, answer = await rig.attempt(AttemptKind.PLAIN)
+    assert answer == ErrorAnswer(1213, "40001", "Deadlock found")
+    assert result.error_code == 1213
+
+
+async def test_small_result_is_held_and_keeps_types(rig: Any) -> None:
+    _, answer = await rig.attempt(AttemptKind.PLAIN, "SELECT id, name FROM t")
+    assert isinstance(answer, RowsAnswer)
+    assert [column.name for column in answer.columns] == ["id", "name"]
+    assert [column.type_code for column in answer.columns] == [8, 254]
+    assert answer.rows[0][0] == b"0"  # type: ignore[index]
+
+
+@pytest.mark.parametrize("is_broken", [False, True])
+async def test_large_result_streams(rig: Any, is_broken: bool) -> None:
+    """Guards against unbounded memory, and against a cut result that looks whole."""
+    rig.backend.n_rows = 20_000
+    rig.backend.is_broken_in_rows = is_broken
+    attempt = asyncio.create_task(rig.attempt(AttemptKind.PLAIN, "SELECT id FROM t"))
+    async with asyncio.timeout(5):
+        while rig.listener.stream is None:
+            await asyncio.sleep(0.01)
+    await asyncio.sleep(0.05)
+    assert not attempt.done(), "the producer waits for a slow consumer"
+    n_rows = 0
+
+    async def consume() -> None:
+        nonlocal n_rows
+        async for _ in rig.listener.stream:
+            n_rows += 1
+
+    consumer = asyncio.create_task(consume())
+    result, answer = await attempt
+    assert answer is None
+    assert result.outcome is (_LOST if is_broken else _OK)
+    if is_broken:
+        rig.listener.stream.fail(ErrorAnswer(1105, "HY000", "lost"))
+        with pytest.raises(BrokenRowsError):
+            await consumer
+        assert n_rows < 20_000
+    else:
+        rig.listener.stream.finish()
+        await consumer
+        assert n_rows == 20_000
+
+
+async def test_round_trips_of_a_keyed_write(rig: Any) -> None:
+    """Guards against a write that waits for more round trips than it needs."""
+    await rig.attempt(_KEY)
+    heads = [text.split("(")[0].split(" SET")[0] for text in rig.backend.statements]
+    assert heads == [
+        "BEGIN",
+        "INSERT INTO cardamomshunt_idempotency ",
+        "UPDATE stock",
+        "UPDATE cardamomshunt_idempotency",
+        "COMMIT",
+        "CALL cardamomshunt_await_majority",
+    ]
+
+
+async def test_reset_and_position_query(rig: Any) -> None:
+    rig.edge.reset_connection(1)
+    assert await rig.next(rig.listener.others) == "reset"
+    assert rig.backend.statements == ["SET @cardamomshunt_term = 3"]
+    rig.edge.ask_position(
+        AskPosition(database="orders", connection_id=1, timeout_ms=1_000.0)
+    )
+    bound = await rig.next(rig.listener.others)
+    assert bound.position == LogPosition(3, 100)
+
+
+async def test_server_that_is_not_the_expected_one(fake_backend: Any) -> None:
+    """Guards against work on an instance whose address another one took over."""
+    rig = _Rig(fake_backend)
+    assert await rig.open(instance="orders-2") == (
+        False,
+        "the server says it is 'orders-1'",
+    )
+    await fake_backend.edge.stop()
+    is_refused, _ = await rig.open()
+    assert is_refused
+    await rig.edge.stop()
+
+
+async def test_idle_connection_closed_by_the_server(rig: Any) -> None:
+    await rig.backend.edge.stop()
+    assert await rig.next(rig.listener.others) == "closed"
+    result, _ = await rig.attempt(AttemptKind.PLAIN)
+    assert result.outcome is AttemptOutcome.NOT_SENT
--- /dev/null
+++ b/packages/cardamomshunt-node/tests/test_proxy_role.py
@@ -0,0 +1,427 @@
+"""A whole proxy process part: callers, announcements, control, drain and restart."""
+
+import asyncio
+import contextlib
+import dataclasses
+from collections.abc import AsyncIterator
+from typing import Any
+
+import aiohttp
+import asyncmy
+import msgspec
+import pytest
+from asyncmy.cursors import SSCursor
+from cardamomshunt.configuration import ClusterConfiguration, DatabaseSettings
+from cardamomshunt.messages import (
+    Announcement,
+    Change,
+    ConfigurationUpdate,
+    DatabaseTopology,
+    FailoverStep,
+    Heartbeat,
+    Message,
+    TokenEcho,
+    TopologyUpdate,
+)
+from cardamomshunt.operator_messages import (
+    DrainReply,
+    DrainRequest,
+    StatusReply,
+    StatusRequest,
+    TimelineReply,
+    TimelineRequest,
+)
+from cardamomshunt.position import LogPosition
+from cardamomshunt_node.keys import KeyRing
+from cardamomshunt_node.mysql_server import ServerError
+from cardamomshunt_node.operator_link import ask
+from cardamomshunt_node.proxy_role import ProxyDaemon
+from cardamomshunt_node.settings import DaemonSettings
+from cardamomshunt_node.transport import PeerTransport, ReceivedMessage
+
+_TOPOLOGY = TopologyUpdate(
+    version=5,
+    databases=[
+        DatabaseTopology(
+            database="orders",
+            term=3,
+            primary_instance="orders-1",
+            step=FailoverStep.SERVING,
+        )
+    ],
+)
+
+
+class _Control:
+    """Stand for the control leader."""
+
+    def __init__(self, settings: DaemonSettings) -> None:
+        self.received: list[Message] = []
+        self._proxy_url = settings.peer_address.url
+        node = settings.control_nodes[0]
+        self.transport = PeerTransport(
+            node.node, node.peer_address.url, KeyRing([]), self._take
+        )
+
+    async def _take(self, received: ReceivedMessage) -> None:
+        self.received.append(received.message)
+
+    def send(self, message: Message) -> None:
+        self.transport.send(self._proxy_url, message)
+
+    def heartbeats(self) -> list[Heartbeat]:
+        return [item for item in self.received if isinstance(item, Heartbeat)]
+
+
+@dataclasses.dataclass
+class _Site:
+    """Hold a running proxy with one backend server and a control node."""
+
+    settings: DaemonSettings
+    daemon: ProxyDaemon
+    backend: Any
+    control: _Control
+    announcer: "asyncio.Task[None] | None" = None
+    is_announcing: bool = True
+    token: str | None = None
+    n_announced: int = 0
+    last_status: int = 0
+    connections: list[Any] = dataclasses.field(default_factory=list)
+
+    async def announce_forever(self) -> None:
+        url = f"http://{self.settings.announcement_address}/v1/announcement"
+        async with aiohttp.ClientSession() as session:
+            while True:
+                if self.is_announcing:
+                    with contextlib.suppress(aiohttp.ClientError):
+                        await self._announce(session, url)
+                await asyncio.sleep(0.02)
+
+    async def _announce(self, session: aiohttp.ClientSession, url: str) -> None:
+        echo = None
+        if self.token is not None:
+            position = LogPosition(self.backend.term, self.backend.position)
+            echo = TokenEcho(token=self.token, position=position)
+        announcement: Announcement = self.backend.announcement(echo=echo)
+        body = msgspec.json.encode(announcement)
+        async with session.post(url, data=body) as response:
+            self.last_status = response.status
+            self.token = (await response.json())["token"]
+            self.n_announced += 1
+
+    async def connect(self, **options: Any) -> Any:
+        address = self.settings.caller_address
+        assert address is not None
+        connection = await asyncmy.connect(
+            host=address.host,
+            port=address.port,
+            user="caller",
+            database="orders",
+            **{"autocommit": None, **options},
+        )
+        self.connections.append(connection)
+        return connection
+
+
+async def _query(connection: Any, sql: str) -> Any:
+    async with connection.cursor() as cursor:
+        await cursor.execute(sql)
+        return await cursor.fetchall()
+
+
+async def _start_site(
+    settings: DaemonSettings, backend: Any, sends_state: bool = True
+) -> _Site:
+    daemon = ProxyDaemon(settings, drain_time_ms=3_000.0)
+    control = _Control(settings)
+    await control.transport.start()
+    await daemon.start()
+    site = _Site(settings, daemon, backend, control)
+    site.announcer = asyncio.create_task(site.announce_forever())
+    async with asyncio.timeout(5):
+        while daemon.state.topology.version == 0:
+            if sends_state:
+                control.send(_TOPOLOGY)
+            await asyncio.sleep(0.02)
+        while site.n_announced < 3:
+            await asyncio.sleep(0.02)
+    return site
+
+
+async def _stop_site(site: _Site) -> None:
+    if site.announcer is not None:
+        site.announcer.cancel()
+        await asyncio.gather(site.announcer, return_exceptions=True)
+    for connection in site.connections:
+        connection.close()
+    await site.daemon.stop()
+    await site.control.transport.stop()
+
+
+@pytest.fixture
+async def site(
+    proxy_settings: DaemonSettings, fake_backend: Any
+) -> AsyncIterator[_Site]:
+    site = await _start_site(proxy_settings, fake_backend)
+    yield site
+    await _stop_site(site)
+
+
+async def test_read_write_and_variables(site: _Site) -> None:
+    connection = await site.connect()
+    rows = await _query(connection, "SELECT id, name FROM t")
+    assert rows[0][0] == 0
+    assert await _query(connection, "SELECT @cardamomshunt_last_route") == (
+        ("primary",),
+    )
+    async with connection.cursor() as cursor:
+        await cursor.execute("UPDATE stock SET n = 1")
+        assert cursor.rowcount == 2
+    watermark = await _query(connection, "SELECT @cardamomshunt_watermark")
+    assert watermark == (("3:100",),)
+    assert await _query(connection, "SELECT cardamomshunt_outcome('k9')") == (
+        ("NOT_RUN",),
+    )
+
+
+@pytest.mark.parametrize(
+    ("sql", "code", "text"),
+    [
+        ("/* cardamomshunt: max_age=5 */ SELECT 1", 1105, "reason=bad_hint"),
+        ("SET @cardamomshunt_deadline_ms = 'x'", 1105, "reason=bad_hint"),
+        ("SET @cardamomshunt_nothing = 1", 1105, "reason=bad_hint"),
+        ("KILL 5", 1235, "reason=unsupported_statement"),
+        ("UPDATE t SET a = 1; UPDATE t SET a = 2", 1235, "multi-statement"),
+    ],
+)
+async def test_refusals_name_verdict_and_reason(
+    site: _Site, sql: str, code: int, text: str
+) -> None:
+    connection = await site.connect()
+    with pytest.raises(asyncmy.errors.Error) as raised:
+        await _query(connection, sql)
+    assert raised.value.args[0] == code
+    assert "verdict=NOT_RUN" in raised.value.args[1]
+    assert text in raised.value.args[1]
+    last = await _query(connection, "SELECT @cardamomshunt_last_verdict")
+    assert last[0][0] == raised.value.args[1]
+    assert site.backend.n_writes == 0
+
+
+async def test_backend_errors_pass_through(site: _Site) -> None:
+    site.backend.faults["UPDATE"] = ServerError(1062, "23000", "Duplicate entry '1'")
+    connection = await site.connect()
+    with pytest.raises(asyncmy.errors.IntegrityError) as raised:
+        await _query(connection, "UPDATE t SET a = 1")
+    assert raised.value.args == (1062, "Duplicate entry '1'")
+    assert raised.value.sqlstate == "23000"
+
+
+async def test_keyed_write_runs_once(site: _Site) -> None:
+    connection = await site.connect()
+    sql = "/* cardamomshunt: idempotency_key=k1 */ UPDATE stock SET n = 1"
+    for _ in range(3):
+        async with connection.cursor() as cursor:
+            await cursor.execute(sql)
+            assert cursor.rowcount == 2
+    assert site.backend.n_writes == 1
+    assert await _query(connection, "SELECT cardamomshunt_outcome('k1')") == (("RAN",),)
+
+
+@pytest.mark.parametrize("uses_autocommit", [True, False])
+async def test_transactions(site: _Site, uses_autocommit: bool) -> None:
+    connection = await site.connect()
+    if uses_autocommit:
+        await _query(connection, "BEGIN")
+    else:
+        await _query(connection, "SET autocommit = 0")
+    await _query(connection, "UPDATE stock SET n = 1")
+    assert site.backend.statements.count("BEGIN") == 1
+    await _query(connection, "ROLLBACK")
+    assert site.backend.n_writes == 0
+    await _query(connection, "BEGIN")
+    await _query(connection, "UPDATE stock SET n = 1")
+    await _query(connection, "COMMIT")
+    assert site.backend.n_writes == 1
+
+
+async def test_caller_gone_in_transaction(site: _Site, wait_until: Any) -> None:
+    """Guards against a transaction that outlives its caller."""
+    connection = await site.connect()
+    await _query(connection, "BEGIN")
+    await _query(connection, "UPDATE stock SET n = 1")
+    connection.close()
+    await wait_until(lambda: site.backend.n_writes == 0)
+    assert site.daemon.core.data_path.n_open_requests() == 0
+
+
+async def test_caller_gone_while_a_statement_runs(site: _Site, wait_until: Any) -> None:
+    site.backend.faults["UPDATE"] = "hang"
+    connection = await site.connect()
+    task = asyncio.create_task(_query(connection, "UPDATE stock SET n = 1"))
+    await wait_until(lambda: "UPDATE stock SET n = 1" in site.backend.statements)
+    connection.close()
+    await wait_until(lambda: site.daemon.core.data_path.n_open_requests() == 0)
+    await asyncio.gather(task, return_exceptions=True)
+    site.backend.faults.clear()
+    other = await site.connect()
+    assert (await _query(other, "SELECT id FROM t"))[0][0] == 0
+
+
+@pytest.mark.parametrize("is_broken", [False, True])
+async def test_large_results_stream(site: _Site, is_broken: bool) -> None:
+    """Guards against a cut result that looks whole."""
+    site.backend.n_rows = 20_000
+    site.backend.is_broken_in_rows = is_broken
+    connection = await site.connect()
+    async with connection.cursor(SSCursor) as cursor:
+        if is_broken:
+            with pytest.raises(asyncmy.errors.Error):
+                await cursor.execute("SELECT id, name FROM t")
+                await cursor.fetchall()
+            return
+        await cursor.execute("SELECT id, name FROM t")
+        rows = await cursor.fetchall()
+    assert len(rows) == 20_000
+    assert rows[-1][0] == 19_999
+
+
+async def test_configuration_never_goes_back(site: _Site, wait_until: Any) -> None:
+    """Guards against a late or repeated update that reverts a newer one."""
+    state = site.daemon.state
+    document = ClusterConfiguration(version=7, databases={"orders": DatabaseSettings()})
+    site.control.send(
+        ConfigurationUpdate(version=7, base_version=None, snapshot=document.to_json())
+    )
+    await wait_until(lambda: state.configuration.version == 7)
+    change = Change(path="databases.orders.lookup.max_age_ms", value=500.0)
+    newer = ConfigurationUpdate(version=8, base_version=7, changes=[change])
+    for update in (
+        newer,
+        ConfigurationUpdate(version=7, base_version=None, snapshot=document.to_json()),
+        ConfigurationUpdate(version=12, base_version=11, changes=[change]),
+        ConfigurationUpdate(version=13, base_version=None, snapshot="{broken"),
+        newer,
+        TopologyUpdate(version=2, databases=[]),
+    ):
+        site.control.send(update)
+    await wait_until(lambda: state.configuration.version == 8)
+    await asyncio.sleep(0.1)
+    assert state.configuration.version == 8
+    assert state.configuration.database("orders").lookup.max_age_ms == 500.0
+    assert state.topology.version == 5
+    await wait_until(lambda: site.control.heartbeats()[-1].configuration_version == 8)
+
+
+async def test_restart_without_control_serves(
+    proxy_settings: DaemonSettings, fake_backend: Any
+) -> None:
+    """Guards against a zone that is cut off and can't serve after a restart."""
+    await _stop_site(await _start_site(proxy_settings, fake_backend))
+    site = await _start_site(proxy_settings, fake_backend, sends_state=False)
+    try:
+        connection = await site.connect()
+        assert (await _query(connection, "SELECT id FROM t"))[0][0] == 0
+    finally:
+        await _stop_site(site)
+
+
+@pytest.mark.parametrize("content", [b"", b"garbage", b"x" * 64])
+async def test_broken_state_file_is_ignored(
+    proxy_settings: DaemonSettings, fake_backend: Any, content: bytes
+) -> None:
+    folder = proxy_settings.data_folder
+    assert folder is not None
+    (folder / "proxy-topology").write_bytes(content)
+    await _stop_site(await _start_site(proxy_settings, fake_backend))
+
+
+async def test_term_change(site: _Site, wait_until: Any) -> None:
+    """Guards against writes on connections that are bound to an older term."""
+    connection = await site.connect()
+    await _query(connection, "UPDATE stock SET n = 1")
+    site.backend.term = 4
+    databases = [msgspec.structs.replace(_TOPOLOGY.databases[0], term=4)]
+    site.control.send(TopologyUpdate(version=6, databases=databases))
+    await wait_until(lambda: site.daemon.state.topology.version == 6)
+    site.backend.statements.clear()
+    await _query(connection, "UPDATE stock SET n = 1")
+    assert "SET @cardamomshunt_term = 4" in site.backend.statements
+
+
+async def test_drain_lets_a_transaction_end(site: _Site) -> None:
+    """Guards against a planned stop that cuts what is in flight."""
+    busy = await site.connect()
+    idle = await site.connect()
+    await _query(busy, "BEGIN")
+    drain = asyncio.create_task(site.daemon.drain())
+    await asyncio.sleep(0.05)
+    with pytest.raises(asyncmy.errors.Error) as raised:
+        await _query(idle, "SELECT id FROM t")
+    assert raised.value.args[0] == 1053
+    assert "verdict=NOT_RUN reason=shutting_down" in raised.value.args[1]
+    with pytest.raises(asyncmy.errors.OperationalError):
+        await site.connect()
+    await asyncio.sleep(0.6)
+    await _query(busy, "UPDATE stock SET n = 1")
+    await _query(busy, "COMMIT")
+    await drain
+    assert site.backend.n_writes == 1
+    async with asyncio.timeout(2):
+        while not site.control.heartbeats()[-1].is_draining:
+            await asyncio.sleep(0.02)
+
+
+async def test_drain_is_bounded(site: _Site) -> None:
+    connection = await site.connect()
+    await _query(connection, "BEGIN")
+    async with asyncio.timeout(5):
+        await site.daemon.drain()
+    log = site.settings.log_file
+    assert log is not None
+    assert "PROXY_DRAIN_TIMED_OUT" in log.read_text()
+
+
+async def test_operator_requests(site: _Site) -> None:
+    url = site.settings.operator_address.url
+    status = await ask(url, StatusRequest(), KeyRing([]), 2_000)
+    assert isinstance(status, StatusReply)
+    assert not status.is_authoritative
+    assert status.databases[0].instances[0].instance == "orders-1"
+    timeline = await ask(url, TimelineRequest(since_ms=60_000), KeyRing([]), 2_000)
+    assert isinstance(timeline, TimelineReply)
+    assert timeline.events
+    reply = await ask(url, DrainRequest(target="proxy-1"), KeyRing([]), 2_000)
+    assert isinstance(reply, DrainReply)
+
+
+async def test_malformed_announcement_gets_a_reason(site: _Site) -> None:
+    url = f"http://{site.settings.announcement_address}/v1/announcement"
+    async with aiohttp.ClientSession() as session:
+        for body in (b"", b"{}", b"\xff\xfe", b'{"group": 5}', b"[" * 5_000):
+            async with session.post(url, data=body) as response:
+                assert response.status == 400
+                assert (await response.json())["reason"]
+    assert site.last_status == 200
+
+
+async def test_statements_before_any_backend(proxy_settings: DaemonSettings) -> None:
+    """Guards against a hang or a false verdict while nothing is known."""
+    daemon = ProxyDaemon(proxy_settings)
+    await daemon.start()
+    try:
+        address = proxy_settings.caller_address
+        assert address is not None
+        connection = await asyncmy.connect(
+            host=address.host, port=address.port, user="c", autocommit=None
+        )
+        with pytest.raises(asyncmy.errors.Error) as raised:
+            await _query(connection, "UPDATE t SET a = 1")
+        assert raised.value.args[0] == 1046
+        await connection.select_db("orders")
+        with pytest.raises(asyncmy.errors.Error) as raised:
+            await _query(connection, "UPDATE t SET a = 1")
+        assert "verdict=NOT_RUN" in raised.value.args[1]
+        connection.close()
+    finally:
+        await daemon.stop()
