--- a/packages/cardamomshunt-testing/src/cardamomshunt_testing/_load_runner.py
+++ b/packages/cardamomshunt-testing/src/cardamomshunt_testing/_load_runner.py
@@ -18,6 +18,7 @@
 
 _LATENCY_MAX_US = 60_000_000
 _N_OWN_ORDERS = 5
+_READ_BACK_SHARE = 0.5
 
 
 class LoadSettings(msgspec.Struct, kw_only=True):
@@ -115,7 +116,9 @@
             if kind is OperationKind.LOOKUP:
                 is_answered = await self._lookup(session)
             elif kind is OperationKind.OWN_READ:
-                is_answered = await self._own_read(session)
+                is_answered = await self._own_read(
+                    session, self._random.choice(session.orders)
+                )
             else:
                 is_answered = await self._write(session, kind)
             if is_answered:
@@ -145,8 +148,13 @@
                 return True
         return False
 
-    async def _own_read(self, session: CallerSession) -> bool:
-        key = self._random.choice(session.orders)
+    async def _confirm_order(self, session: CallerSession, key: str) -> None:
+        """Note an order and, for every second one, read it back at once."""
+        session.orders = [*session.orders[1 - _N_OWN_ORDERS :], key]
+        if self._random.random() < _READ_BACK_SHARE:
+            await self._own_read(session, key)
+
+    async def _own_read(self, session: CallerSession, key: str) -> bool:
         hints = session.hints(**{"class": "lookup"})
         sql = f"{hints}SELECT COUNT(*) FROM orders WHERE order_id = '{key}'"
         for _ in range(2):
@@ -180,7 +188,7 @@
             await self._run(session, operation, database, sql)
             if operation.verdict is OperationVerdict.ANSWERED:
                 if kind is OperationKind.ORDER:
-                    session.orders = [*session.orders[1 - _N_OWN_ORDERS :], key]
+                    await self._confirm_order(session, key)
                 return True
             may_have_run = operation.verdict is not OperationVerdict.NOT_RUN
             if may_have_run and not self.settings.has_idempotency:
