--- a/packages/cardamomshunt-testing/src/cardamomshunt_testing/_load_runner.py
+++ b/packages/cardamomshunt-testing/src/cardamomshunt_testing/_load_runner.py
@@ -4,6 +4,7 @@
 import random
 from collections import Counter
 from collections.abc import Sequence
+from typing import Any
 
 import msgspec
 from hdrh.histogram import HdrHistogram
@@ -36,10 +37,12 @@
     roam_probability: float = 0.02
     timeout_ms: float = 8_000.0
     n_attempts_max: int = 6
+    n_read_attempts_max: int = 2
     retry_pause_ms: float = 100.0
     restock_rate: float = 10.0
     has_idempotency: bool = True
     asks_route: bool = True
+    deadline_ms: float | None = None
 
 
 class LoadRun:
@@ -52,6 +55,7 @@
         self.latency = HdrHistogram(1, _LATENCY_MAX_US, 3)
         self.n_not_issued = 0
         self.n_answered = 0
+        self.started_ms = 0.0
         self._random = random.Random(settings.seed)
         self._balancer = Balancer(settings.entry_vms)
         self._free = [self._make_session(index) for index in range(settings.n_sessions)]
@@ -72,6 +76,7 @@
         """Issue all operations, and wait for the last answers."""
         restock = asyncio.create_task(self._run_restock())
         start = asyncio.get_running_loop().time()
+        self.started_ms = now_ms()
         n_operations = int(self.settings.rate * self.settings.duration_s)
         kinds = list(self.mix.weights)
         weights = list(self.mix.weights.values())
@@ -128,12 +133,17 @@
         finally:
             self._free.append(session)
 
+    def _hints(self, session: CallerSession, class_name: str, **hints: Any) -> str:
+        if self.settings.deadline_ms is not None:
+            hints["deadline_ms"] = int(self.settings.deadline_ms)
+        return session.hints(**{"class": class_name}, **hints)
+
     async def _lookup(self, session: CallerSession) -> bool:
         item = self._random.randrange(N_ITEMS)
         max_age_ms = self.mix.max_age_ms
-        hints = session.hints(max_age_ms=int(max_age_ms), **{"class": "lookup"})
+        hints = self._hints(session, "lookup", max_age_ms=int(max_age_ms))
         sql = f"{hints}SELECT version FROM stock WHERE item_id = {item}"
-        for _ in range(2):
+        for _ in range(self.settings.n_read_attempts_max):
             operation = Operation(
                 kind=OperationKind.LOOKUP,
                 session=session.name,
@@ -155,9 +165,9 @@
             await self._own_read(session, key)
 
     async def _own_read(self, session: CallerSession, key: str) -> bool:
-        hints = session.hints(**{"class": "lookup"})
+        hints = self._hints(session, "lookup")
         sql = f"{hints}SELECT COUNT(*) FROM orders WHERE order_id = '{key}'"
-        for _ in range(2):
+        for _ in range(self.settings.n_read_attempts_max):
             operation = Operation(
                 kind=OperationKind.OWN_READ,
                 session=session.name,
@@ -179,7 +189,7 @@
         else:
             database = self.mix.dispatch_database
             table = f"dispatches VALUES ('{key}', '{session.name}')"
-        hints = session.hints(idempotency_key=key, **{"class": kind.value})
+        hints = self._hints(session, kind.value, idempotency_key=key)
         for _ in range(self.settings.n_attempts_max):
             operation = Operation(
                 kind=kind, session=session.name, start_ms=now_ms(), key=key
@@ -248,6 +258,19 @@
         """
         return write_gap_ms(self.operations, after_ms)
 
+    def n_answered_within(
+        self, kind: OperationKind, start_ms: float, end_ms: float
+    ) -> int:
+        """Count the answers of a kind that arrived in a time span of the run."""
+        first_ms = self.started_ms + start_ms
+        last_ms = self.started_ms + end_ms
+        return sum(
+            item.kind is kind
+            and item.verdict is OperationVerdict.ANSWERED
+            and first_ms <= item.end_ms <= last_ms
+            for item in self.operations
+        )
+
     def n_unanswered(self, kind: OperationKind) -> int:
         """Count the attempts that ended without an answer."""
         return sum(
--- a/packages/cardamomshunt-testing/src/cardamomshunt_testing/_site.py
+++ b/packages/cardamomshunt-testing/src/cardamomshunt_testing/_site.py
@@ -94,14 +94,30 @@
         for settings in self.groups.values():
             for item in settings:
                 self._start_instance(item)
-        if self.system == "cardamomshunt":
-            self._start_daemons()
-        else:
-            for vm in self.entry_vms:
-                self._start_naive(vm)
         async with asyncio.timeout(timeout_s):
+            # A naive proxy would promote another instance while the first one starts.
+            await self._wait_groups()
+            if self.system == "cardamomshunt":
+                self._start_daemons()
+            else:
+                for vm in self.entry_vms:
+                    self._start_naive(vm)
             await self._wait_ready()
 
+    async def _wait_groups(self) -> None:
+        try:
+            for settings in self.groups.values():
+                for item in settings:
+                    while not await self._has_schema(item.instance):
+                        await asyncio.sleep(_POLL_S)
+                        self._check_processes()
+        except asyncio.CancelledError:
+            raise SiteError("the database groups did not start in time") from None
+
+    async def _has_schema(self, name: str) -> bool:
+        status = await self.status(name)
+        return status is not None and status["applied_position"] != "0:0"
+
     async def _wait_ready(self) -> None:
         probes = {
             "stock": "UPDATE stock SET version = 0 WHERE item_id = -1",
