Let a restarted instance count as new only if all peers never met it

Cause: random faults on the group showed an instance that restarted while its peers were frozen and started a second log, and a replica that stopped applying after 200 entries that became due at once.

Change: ask all peers until each has answered; keep the due position apart from the queue.

--- a/packages/cardamomshunt-testing/src/cardamomshunt_testing/_standin_instance.py
+++ b/packages/cardamomshunt-testing/src/cardamomshunt_testing/_standin_instance.py
@@ -18,6 +18,7 @@
 from cardamomshunt_testing._standin_settings import StandinSettings
 
 _ASK_TERMS_MS = 600.0
+_ASK_PAUSE_MS = 50.0
 
 
 @dataclass(slots=True)
@@ -59,16 +60,32 @@
         await self.links.start()
         await self._start_listeners()
         await self.control.start()
-        answers = await self.links.ask_terms(_ASK_TERMS_MS)
         self._applier = asyncio.create_task(self.member.run_applier())
         has_log = self.log.is_persistent and self.member.term > 0
         if not has_log:
-            if any(answer.known_incarnation for answer in answers):
-                self.member.start_recovery()
-            elif self.settings.is_first_primary and self.member.term == 0:
-                self.member.start_group()
+            # Until all peers said that they never met it, it may have lost its log.
+            self.member.start_recovery()
         self.links.start_senders()
         self.announcer.start()
+        if not has_log and await self._is_first_start():
+            self.member.end_recovery()
+            if self.settings.is_first_primary and self.member.term == 0:
+                self.member.start_group()
+
+    async def _is_first_start(self) -> bool:
+        """Ask all peers whether they met this instance before."""
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + self.settings.first_start_timeout_ms / 1_000
+        own = (0, self.member.incarnation)
+        while True:
+            answers = await self.links.ask_terms(_ASK_TERMS_MS)
+            if any(answer.known_incarnation not in own for answer in answers):
+                return False
+            if len(answers) == len(self.settings.peers):
+                return True
+            if loop.time() > deadline:
+                return False
+            await asyncio.sleep(_ASK_PAUSE_MS / 1_000)
 
     async def _start_listeners(self) -> None:
         settings = self.settings
--- a/packages/cardamomshunt-testing/src/cardamomshunt_testing/_standin_member.py
+++ b/packages/cardamomshunt-testing/src/cardamomshunt_testing/_standin_member.py
@@ -72,6 +72,7 @@
         self.on_change: Callable[[bool], None] = lambda is_urgent: None
         self._primary_of_term: tuple[str, int] | None = None
         self._needs_rebuild = False
+        self._due = 0
         self._eligible: deque[tuple[float, int]] = deque()
         self._wake_applier = asyncio.Event()
         self._waiters: set[asyncio.Future[None]] = set()
@@ -120,6 +121,11 @@
         quarantine_s = self.settings.rejoin_quarantine_ms / 1_000
         self.quarantine_end = time.monotonic() + quarantine_s
 
+    def end_recovery(self) -> None:
+        """Count again in the group."""
+        self.is_recovering = False
+        self._changed(is_urgent=True)
+
     def fence(self, term: int) -> tuple[bool, int, LogPosition]:
         """Promise a term; return whether it is accepted, the term and the log's end."""
         if term < self.term:
@@ -284,8 +290,7 @@
         if not self.is_recovering or time.monotonic() < self.quarantine_end:
             return
         if match_position >= message.last_position:
-            self.is_recovering = False
-            self._changed(is_urgent=True)
+            self.end_recovery()
 
     def _reply(self, message: Append, is_accepted: bool, match: int) -> AppendReply:
         return AppendReply(
@@ -471,9 +476,9 @@
             return self.committed, None
         now = time.monotonic()
         lag_s = self.faults.lag_ms / 1_000
-        target = self.applied
         while self._eligible and self._eligible[0][0] + lag_s <= now:
-            target = max(target, self._eligible.popleft()[1])
+            self._due = max(self._due, self._eligible.popleft()[1])
+        target = max(min(self._due, self.committed), self.applied)
         if self._eligible:
             return target, max(self._eligible[0][0] + lag_s - now, 0.001)
         return target, None
--- a/packages/cardamomshunt-testing/src/cardamomshunt_testing/_standin_settings.py
+++ b/packages/cardamomshunt-testing/src/cardamomshunt_testing/_standin_settings.py
@@ -28,7 +28,9 @@
     `zone_ports` are further MySQL ports for callers of other zones; an entry VM of that
     zone is told this port, so that delay and cuts between zones reach MySQL too.
     `is_first_primary` lets the instance start the group's log with `schema` in term 1.
-    With `data_folder`, term and log survive a restart.
+    With `data_folder`, term and log survive a restart. Without it, an instance counts
+    as new only if all peers answer within `first_start_timeout_ms` that they never met
+    it; otherwise it rejoins blank and waits out `rejoin_quarantine_ms`.
     """
 
     group: str
@@ -50,6 +52,7 @@
     announce_interval_ms: float = 100.0
     position_announce_interval_ms: float = 50.0
     rejoin_quarantine_ms: float = 2_000.0
+    first_start_timeout_ms: float = 15_000.0
     is_first_primary: bool = False
     schema: list[str] = []
     data_folder: str | None = None
