Refuse a session in place of the login's OK packet

Cause: an error from on_connected came after the OK packet, and clients took it for a broken connection (2013). A second cancellation could interrupt a session's clean-up, and parameters sent ahead were unbounded.

Change: on_connected runs before the OK packet; one cancellation per client; the packet limit holds for parameters sent ahead; rows of a list are written in batches.

--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_mysql_server.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_mysql_server.py
@@ -46,6 +46,7 @@
 ) | Capabilities.CLIENT_TRANSACTIONS
 
 _ROW_BATCH_SIZE_BYTES = 32_768
+_N_ROWS_PER_BATCH = 50
 _PACKET_CHUNK_SIZE_BYTES = 0xFFFFFF
 _N_PREPARED_STATEMENTS_MAX = 1_000
 
@@ -113,6 +114,8 @@
 class MysqlSession(BaseSession, ABC):
     """Serve the statements of one client connection.
 
+    `database`, as named at connect, is set before `on_connected`. A statement is decoded
+    with surrogate escapes, so that bytes which are not UTF-8 can be passed on unchanged.
     When the client goes away, a running `handle_statement` is cancelled and
     `on_disconnected` is called. `is_in_transaction` and `is_autocommit` are kept by the
     subclass and reported to the client with each answer.
@@ -142,7 +145,10 @@
         """Run a statement; raise ServerError to answer with an error."""
 
     async def on_connected(self) -> None:  # noqa: B027
-        """Note that the client is authenticated; raise ServerError to refuse it."""
+        """Accept an authenticated client, or raise ServerError to refuse it.
+
+        A refused client gets no `on_disconnected`.
+        """
 
     async def on_reset(self) -> None:  # noqa: B027
         """Roll back and clear session state (COM_RESET_CONNECTION)."""
@@ -200,10 +206,42 @@
         return body
 
 
+class _LoginStream:
+    """Let the session accept or refuse the client in place of the login's OK packet.
+
+    An error after the OK packet would reach the client as the answer of its first
+    statement, with a sequence number that clients take for a broken connection.
+    """
+
+    def __init__(self, stream: MysqlStream, session: MysqlSession):
+        self._stream = stream
+        self._session = session
+        self.is_accepted = False
+
+    async def read(self) -> bytes:
+        """Read a packet."""
+        return cast(bytes, await self._stream.read())
+
+    async def write(self, data: bytes, drain: bool = True) -> None:
+        """Write a packet; the OK packet only after the session accepted."""
+        if data[:1] == b"\x00" and self._session.username is not None:
+            try:
+                await self._session.on_connected()
+                self.is_accepted = True
+            except ServerError as error:
+                data = make_error_packet(error)
+        await self._stream.write(data, drain)
+
+    def reset_seq(self) -> None:
+        """Start a new sequence of packets."""
+        self._stream.reset_seq()
+
+
 class _EdgeConnection(Connection):
     """Dispatch the commands of one client to its session."""
 
     session: MysqlSession
+    stream: Any
 
     def __init__(
         self,
@@ -238,25 +276,25 @@
         self.task = asyncio.current_task()
         await self._wait_while_silent()
         self._update_status()
+        stream = self.stream
+        login = _LoginStream(stream, self.session)
         try:
+            self.stream = login
             async with asyncio.timeout(limits.handshake_timeout_ms / 1_000):
                 await self.connection_phase()
-        except TimeoutError:
-            return
-        # mysql-mimic goes on after a refused login; the name is set by a good one only.
-        if self.session.username is None:
-            return
-        self.reader.size_max_bytes = limits.packet_size_max_bytes
-        self.handshake_auth_data = None
-        try:
-            try:
-                await self.session.on_connected()
-            except ServerError as error:
-                await self._write_error(error)
+            # mysql-mimic goes on after a refused login.
+            if not login.is_accepted:
                 return
+            self.stream = stream
+            self.reader.size_max_bytes = limits.packet_size_max_bytes
+            self.handshake_auth_data = None
             await self.command_phase()
+        except TimeoutError:
+            if login.is_accepted:
+                raise
         finally:
-            await self.session.on_disconnected()
+            if login.is_accepted:
+                await self.session.on_disconnected()
 
     async def command_phase(self) -> None:
         """Run commands until the client quits or the server drains."""
@@ -326,6 +364,15 @@
         self.get_stmt(struct.unpack_from("<I", data)[0]).param_buffers = None
         await self._write_ok(Ok())
 
+    async def handle_stmt_send_long_data(self, data: bytes) -> None:
+        """Add to a parameter that is sent ahead, within the size of one packet."""
+        statement = self.get_stmt(struct.unpack_from("<I", data)[0])
+        buffers = statement.param_buffers or {}
+        n_bytes = sum(map(len, buffers.values())) + len(data)
+        if n_bytes > self.edge.limits.packet_size_max_bytes:
+            raise ServerError(1153, "08S01", "The parameters sent ahead are too large")
+        await super().handle_stmt_send_long_data(data)
+
     async def handle_ping(self, data: bytes) -> None:
         """Answer that the server is alive."""
         await self._write_ok(Ok())
@@ -406,8 +453,13 @@
         columns: Sequence[ResultColumn],
         is_binary: bool,
     ) -> None:
-        for row in rows:
-            self._write_row(row, columns, is_binary)
+        for start in range(0, len(rows), _N_ROWS_PER_BATCH):
+            batch = rows[start : start + _N_ROWS_PER_BATCH]
+            if is_binary:
+                for row in batch:
+                    self._write_row(row, columns, is_binary)
+            else:
+                self.stream.write_text_rows(batch, columns)
             if len(self.stream._buffer) >= _ROW_BATCH_SIZE_BYTES:
                 await self.stream.drain()
 
@@ -454,6 +506,8 @@
     def on_client_gone(self) -> None:
         """Cancel the running command, as nobody waits for its answer."""
         if self.is_running and self.task is not None:
+            # A second cancellation would interrupt the session's clean-up.
+            self.is_running = False
             self.task.cancel()
 
 
--- a/packages/cardamomshunt-node/tests/test_mysql_server.py
+++ b/packages/cardamomshunt-node/tests/test_mysql_server.py
@@ -270,3 +270,18 @@
     await run_prepared(edge, "INSERT INTO t VALUES (?, '?')", "a' OR \\ ?")
     assert EchoSession.calls == ["INSERT INTO t VALUES ('a'' OR \\\\ ?', '?')"]
     await edge.stop()
+
+
+async def test_refused_session_gets_its_error_at_connect():
+    class RefusedSession(EchoSession):
+        async def on_connected(self) -> None:
+            raise ServerError(1049, "42000", f"Unknown database '{self.database}'")
+
+    edge = MysqlServerEdge(RefusedSession)
+    await edge.start("127.0.0.1", 0)
+    connection = None
+    with pytest.raises(asyncmy.errors.Error) as caught:
+        connection = await connect(edge, autocommit=True, db="missing")
+        await run(connection, "SELECT 1")
+    assert caught.value.args == (1049, "Unknown database 'missing'")
+    await edge.stop()
