Let primary reads of the stand-in wait for the majority on request

Cause: a read of the primary may show a write that a failover rolls back, after which the session reads backwards. Whether a real server allows this depends on its replication. Change: a setting, off by default. Measured: the test shows the wait and its end. Conclusion: checks can run under both kinds of server.

--- a/packages/cardamomshunt-testing/src/cardamomshunt_testing/_standin_session.py
+++ b/packages/cardamomshunt-testing/src/cardamomshunt_testing/_standin_session.py
@@ -16,6 +16,7 @@
 )
 
 from cardamomshunt_testing._standin_engine import Answer, ConflictError, Step
+from cardamomshunt_testing._standin_member import fenced_error
 from cardamomshunt_testing._standin_sql import (
     StatementKind,
     classify,
@@ -165,13 +166,23 @@
         self._instance.counters.n_reads += 1
         sql = translate(text)
         if not self.is_in_transaction or not (self._steps or is_locking):
-            return self._member.engine.read(sql)
+            rows = self._member.engine.read(sql)
+            await self._wait_held()
+            return rows
         self._member.check_writable(self._bound_term, self._epoch)
         answer = self._member.engine.run(self._steps, sql, is_commit=False)
         if is_locking and answer is not None:
             self._steps.append(Step(sql, answer, is_write=False))
         return answer or Ok()
 
+    async def _wait_held(self) -> None:
+        """Let a read of the primary show only what a failover keeps, if asked to."""
+        member = self._member
+        if not (member.settings.reads_wait_for_majority and member.is_primary):
+            return
+        if not await member.await_majority(member.log.end, _READY_TIMEOUT_MS):
+            raise fenced_error("the state that was read may be rolled back")
+
     async def _use_slot(self) -> None:
         await self._instance.take_slot(self._instance.service_time_ms())
         try:
--- a/packages/cardamomshunt-testing/src/cardamomshunt_testing/_standin_settings.py
+++ b/packages/cardamomshunt-testing/src/cardamomshunt_testing/_standin_settings.py
@@ -27,6 +27,8 @@
 
     `zone_ports` are further MySQL ports for callers of other zones; an entry VM of that
     zone is told this port, so that delay and cuts between zones reach MySQL too.
+    With `reads_wait_for_majority`, a read outside of transactions on the primary waits
+    until a majority holds all that it may have seen, as semi-synchronous servers do.
     `is_first_primary` lets the instance start the group's log with `schema` in term 1.
     With `data_folder`, term and log survive a restart. Without it, an instance counts
     as new only if all peers answer within `first_start_timeout_ms` that they never met
@@ -53,6 +55,7 @@
     position_announce_interval_ms: float = 50.0
     rejoin_quarantine_ms: float = 2_000.0
     first_start_timeout_ms: float = 15_000.0
+    reads_wait_for_majority: bool = False
     is_first_primary: bool = False
     schema: list[str] = []
     data_folder: str | None = None
--- a/packages/cardamomshunt-testing/tests/test_standin.py
+++ b/packages/cardamomshunt-testing/tests/test_standin.py
@@ -249,6 +249,20 @@
     await group.stop()
 
 
+async def test_primary_reads_can_wait_for_the_majority():
+    # Without the setting, a read may show a write that a failover rolls back.
+    group = await start_group(reads_wait_for_majority=True)
+    primary = group.primary()
+    primary.cut({item.settings.instance for item in group.replicas()}, set())
+    await query(primary, "INSERT INTO orders VALUES ('o1', 1)")
+    reading = asyncio.create_task(query(primary, "SELECT order_id FROM orders"))
+    await asyncio.sleep(0.1)
+    assert not reading.done()
+    primary.heal()
+    assert await asyncio.wait_for(reading, 2) == [("o1",)]
+    await group.stop()
+
+
 async def test_lag_delays_replicas_but_not_the_majority(group):
     replica = group.replicas()[0]
     replica.set_lag(300)
