--- a/packages/cardamomshunt/src/cardamomshunt/_data_path.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_data_path.py
@@ -59,6 +59,7 @@
 
 MAINTENANCE_MS = 250.0
 N_MAINTENANCES_TO_DECAY = 8  # the peak of connections in use falls by one in 2 s
+HEDGE_PAUSE_MS = 20.0  # until a connection is there for the second attempt
 IDLE_DELAY_FACTOR = 0.8
 TRANSACTION_IDLE_MS = 30_000.0  # an idle transaction holds locks and a connection
 POSITION_QUERY_TIMEOUT_MS = 500.0
@@ -604,23 +605,28 @@
         pending.step("start")
         timeout_ms = pending.remaining_ms(now_ms)
         if pending.kind is RequestKind.READ:
-            self._plan_hedge(now_ms, pending)
+            self._plan_hedge(now_ms, pending, self._hedge_after_ms(now_ms, pending))
         elif pending.rule is not RepeatRule.NEVER:
             timeout_ms *= REPEATABLE_SHARE
         self._run(
             now_ms, pending, connection, attempt_kind(pending.request), timeout_ms
         )
 
-    def _plan_hedge(self, now_ms: float, pending: PendingRequest) -> None:
-        """Set when a second attempt starts beside a read that is not answered.
+    def _hedge_after_ms(self, now_ms: float, pending: PendingRequest) -> float:
+        """Return when a second attempt starts beside a read that is not answered.
 
         Without hedging it is at half of the time left, so that a connection that went
         silent does not cost the answer, nor a slow statement its first attempt.
         """
         hedge_ms = self._configuration.policy.hedge_after_ms
-        if hedge_ms <= 0:
-            hedge_ms = REPEATABLE_SHARE * pending.remaining_ms(now_ms)
-        pending.hedge_at_ms = now_ms + hedge_ms
+        if hedge_ms > 0:
+            return hedge_ms
+        return REPEATABLE_SHARE * pending.remaining_ms(now_ms)
+
+    def _plan_hedge(
+        self, now_ms: float, pending: PendingRequest, after_ms: float
+    ) -> None:
+        pending.hedge_at_ms = now_ms + after_ms
         heapq.heappush(
             self._deadlines, (pending.hedge_at_ms, pending.request.request_id)
         )
@@ -638,11 +644,17 @@
         if not others and not self._is_stale_primary(now_ms, pending):
             others = [group.primary] if group.primary is not None else []
         others = others or fresh
+        if self._configuration.policy.hedge_after_ms <= 0:
+            self._pool.probe_all(now_ms, first)
         able = [item for item in others if item.limit.allows(item.n_running)]
-        if not able or not group.budget.take():
-            return
-        connection = self._pool.acquire(now_ms, self._routing_policy.choose(able))
-        if connection is not None:
+        connection = None
+        if able and group.budget.has_token():
+            instance = self._routing_policy.choose(able)
+            connection = self._pool.acquire(now_ms, instance)
+        if connection is None:
+            self._plan_hedge(now_ms, pending, HEDGE_PAUSE_MS)
+        else:
+            group.budget.take()
             pending.step("hedge")
             timeout_ms = pending.remaining_ms(now_ms)
             self._run(now_ms, pending, connection, AttemptKind.PLAIN, timeout_ms)
@@ -841,6 +853,7 @@
             instance.breaker.on_failure(now_ms)
             if outcome is AttemptOutcome.LOST:
                 instance.limit.on_timeout()
+                self._pool.probe_all(now_ms, instance)
             return
         instance.last_contact_ms = now_ms
         instance.breaker.on_success()
--- a/packages/cardamomshunt/src/cardamomshunt/_group.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_group.py
@@ -93,6 +93,10 @@
         primary = self.primary
         if primary is None or not primary.takes_work or now_ms < self.fenced_until_ms:
             return None
+        if primary.role is not InstanceRole.PRIMARY or primary.term != self.term:
+            # Restarted as a replica, or not promoted yet. It refuses writes, but reads
+            # from it would be stale.
+            return None
         if self.step is not FailoverStep.SERVING and (
             for_write or self.step is not FailoverStep.HANDING_OVER
         ):
--- a/packages/cardamomshunt/src/cardamomshunt/_pool.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_pool.py
@@ -23,8 +23,9 @@
 DIAL_PAUSE_MS = 20.0
 DIAL_PAUSE_MAX_MS = 1_000.0
 RESET_TIMEOUT_MS = 500.0
-PROBE_IDLE_MS = 2_000.0  # an idle connection that went silent is found within this
+PROBE_IDLE_MS = 1_000.0  # an idle connection that went silent is found within this
 PROBE_SUSPECT_MS = 250.0
+SUSPECT_RESET_TIMEOUT_MS = 200.0  # a round trip at tenfold delay takes 100 ms
 CONNECTION_AGE_MAX_MS = 300_000.0  # bounds the effect of what no probe shows
 SILENCE_MS = 600.0  # six announcements missed
 PROBE_SILENCE_MS = 300.0
@@ -127,14 +128,8 @@
         self.last_contact_ms = now_ms
         self.is_refusing = False
         self._follow_incarnation(news)
-        if news.term > self.term or news.role is not self.role:
-            # A deposed primary may have dropped entries that it had applied.
-            self.applied = news.applied_position
-            self.log_position = news.log_position
-        self.applied = max(self.applied, news.applied_position)
+        self.on_state(news.term, news.role, news.applied_position)
         self.log_position = max(self.log_position, news.log_position)
-        self.term = news.term
-        self.role = news.role
         self.address = news.address
         self.zone = news.zone
         self.n_slots = news.n_slots
@@ -142,6 +137,18 @@
         self.is_leaving = news.is_leaving
         return True
 
+    def on_state(self, term: int, role: InstanceRole, applied: LogPosition) -> None:
+        """Take over what the server reports of itself; older terms are dropped."""
+        if term < self.term:
+            return
+        if term > self.term or role is not self.role:
+            # A deposed primary may have dropped entries that it had applied.
+            self.applied = applied
+            self.log_position = applied
+        self.applied = max(self.applied, applied)
+        self.term = term
+        self.role = role
+
     def _follow_incarnation(self, news: Announcement) -> None:
         """Forget what was known of an earlier run, whose log may have been longer."""
         if news.incarnation == self.incarnation:
@@ -150,6 +157,7 @@
             self.retired_incarnations.append(self.incarnation)
             del self.retired_incarnations[:-N_RETIRED_INCARNATIONS]
         self.incarnation = news.incarnation
+        self.term = -1
         self.applied = ZERO
         self.log_position = ZERO
         self.next_dial_ms = 0.0
@@ -268,9 +276,8 @@
     ) -> None:
         instance.last_contact_ms = now_ms
         instance.is_refusing = False
-        is_same = opened.incarnation == instance.incarnation
-        if is_same and opened.term == instance.term and opened.role is instance.role:
-            instance.applied = max(instance.applied, opened.applied_position)
+        if opened.incarnation == instance.incarnation:
+            instance.on_state(opened.term, opened.role, opened.applied_position)
 
     def on_failed(
         self, now_ms: float, connection_id: ConnectionId, is_refused: bool
@@ -334,9 +341,14 @@
         connection.step("finish")
         self._make_idle(now_ms, connection)
 
-    def _reset(self, now_ms: float, connection: Connection) -> None:
+    def _reset(
+        self,
+        now_ms: float,
+        connection: Connection,
+        timeout_ms: float = RESET_TIMEOUT_MS,
+    ) -> None:
         connection.step("reset")
-        self._expire_at(connection, now_ms + RESET_TIMEOUT_MS)
+        self._expire_at(connection, now_ms + timeout_ms)
         self._emit(ResetConnection(connection_id=connection.connection_id))
 
     def on_reset(self, now_ms: float, connection_id: ConnectionId) -> Connection | None:
@@ -387,6 +399,12 @@
         connection.instance.idle.remove(connection)
         self._reset(now_ms, connection)
 
+    def probe_all(self, now_ms: float, instance: InstanceState) -> None:
+        """Probe the idle connections, as one beside them went silent."""
+        for connection in instance.idle:
+            self._reset(now_ms, connection, SUSPECT_RESET_TIMEOUT_MS)
+        instance.idle.clear()
+
     def probe_instance(self, now_ms: float, instance: InstanceState) -> None:
         """Find out whether a silent instance still answers."""
         if now_ms < instance.next_probe_ms:
--- a/packages/cardamomshunt/src/cardamomshunt/_retries.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_retries.py
@@ -64,6 +64,10 @@
         """Earn the share of one request."""
         self._n_tokens = min(N_TOKENS_MAX, self._n_tokens + self.ratio)
 
+    def has_token(self) -> bool:
+        """Tell whether a retry could be spent."""
+        return self._n_tokens >= 1.0
+
     def take(self) -> bool:
         """Spend one retry if the budget holds one."""
         if self._n_tokens < 1.0:
