--- a/packages/cardamomshunt/src/cardamomshunt/_admission.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_admission.py
@@ -115,18 +115,16 @@
 class Lane(Generic[T]):
     """Hold the queues of all classes for one kind of target."""
 
-    __slots__ = ("_policy", "_queues", "service_ms")
+    __slots__ = ("_policy", "_queues", "n_items", "service_ms")
 
     def __init__(self, policy: AdmissionPolicy) -> None:
         self._policy = policy
         self._queues: dict[RequestClass, FairQueue[T]] = {
             request_class: FairQueue() for request_class in PRIORITIES
         }
+        self.n_items = 0
         self.service_ms = 2.0  # measured by `on_service`
 
-    def __len__(self) -> int:
-        return sum(map(len, self._queues.values()))
-
     def on_service(self, elapsed_ms: float) -> None:
         """Take over a measured service time."""
         self.service_ms += 0.1 * (elapsed_ms - self.service_ms)
@@ -155,10 +153,12 @@
     def push(self, request_class: RequestClass, caller: Hashable, item: T) -> None:
         """Queue an item."""
         self._queues[request_class].push(caller, item)
+        self.n_items += 1
 
     def remove(self, request_class: RequestClass, caller: Hashable, item: T) -> None:
         """Remove an item that was queued."""
-        self._queues[request_class].remove(caller, item)
+        if self._queues[request_class].remove(caller, item):
+            self.n_items -= 1
 
     def choose(self) -> RequestClass | None:
         """Return the class whose next item is due; None if nothing is queued."""
@@ -173,10 +173,12 @@
         """Take the next item of a class."""
         if is_served:
             self._policy.on_served(request_class)
+        self.n_items -= 1
         return self._queues[request_class].pop()
 
     def take_all(self) -> list[T]:
         """Take all items."""
+        self.n_items = 0
         return [item for queue in self._queues.values() for item in queue.take_all()]
 
 
--- a/packages/cardamomshunt/src/cardamomshunt/_data_path.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_data_path.py
@@ -53,7 +53,7 @@
     RepeatRule,
     RetryPolicy,
 )
-from cardamomshunt._routing import LeastDelayPolicy, RoutingPolicy, healthy
+from cardamomshunt._routing import LeastDelayPolicy, RoutingPolicy, without_outliers
 from cardamomshunt._sessions import Session, SessionStore, required_of_read
 from cardamomshunt._verdict import Refusal, RefusalReason, Verdict
 
@@ -328,10 +328,11 @@
         if request_class is None:
             is_read = request.kind is RequestKind.READ
             request_class = RequestClass.LOOKUP if is_read else RequestClass.ORDER
-        settings = group.settings.for_class(request_class)
+        settings = group.by_class[request_class]
         deadline_ms = now_ms + (hints.deadline_ms or settings.deadline_ms)
         pending = PendingRequest(
             request,
+            request.kind,
             caller,
             group,
             self._session(caller, request),
@@ -362,10 +363,24 @@
         if pending.kind in _READS:
             self._require(now_ms, pending)
             self._place_read(now_ms, pending)
-        else:
+        elif not self._write_at_once(now_ms, pending):
             self._enqueue(now_ms, pending, group.primary_lane)
         self._pump(now_ms, group)
 
+    def _write_at_once(self, now_ms: float, pending: PendingRequest) -> bool:
+        """Start a request on the primary without queueing if none is queued."""
+        group = pending.group
+        if group.primary_lane.n_items or group.is_query_wanted:
+            return False
+        primary = group.usable_primary(now_ms, for_write=True)
+        if primary is None or not primary.limit.allows(primary.n_running):
+            return False
+        connection = self._pool.acquire(now_ms, primary)
+        if connection is None:
+            return False
+        self._start(now_ms, pending, connection)
+        return True
+
     def _require(self, now_ms: float, pending: PendingRequest) -> None:
         hints = pending.request.hints
         max_age_ms = hints.max_age_ms
@@ -382,8 +397,12 @@
         requirement = pending.requirement
         assert requirement is not None
         requirement.resolve(group.bounds)
-        if not pending.needs_primary and group.fresh_replicas(now_ms, requirement):
-            self._enqueue(now_ms, pending, group.replica_lane)
+        fresh = (
+            [] if pending.needs_primary else group.fresh_replicas(now_ms, requirement)
+        )
+        if fresh:
+            if not self._start_at_once(now_ms, pending, fresh):
+                self._enqueue(now_ms, pending, group.replica_lane)
         elif requirement.bound_since_ms is not None and group.primary_needs_bound(
             now_ms, requirement
         ):
@@ -397,6 +416,18 @@
         else:
             self._await_freshness(now_ms, pending, asks=False)
 
+    def _start_at_once(
+        self, now_ms: float, pending: PendingRequest, fresh: list[InstanceState]
+    ) -> bool:
+        """Start a read without queueing if none is queued before it."""
+        if pending.group.replica_lane.n_items:
+            return False
+        connection = self._acquire_any(now_ms, pending, fresh)
+        if connection is None:
+            return False
+        self._start(now_ms, pending, connection)
+        return True
+
     def _primary_serves(
         self, now_ms: float, group: DatabaseGroup, requirement: ReadRequirement
     ) -> bool:
@@ -509,9 +540,9 @@
     def _pump(self, now_ms: float, group: DatabaseGroup) -> None:
         if group.is_query_wanted:
             self._ask_position(now_ms, group)
-        while len(group.replica_lane) and self._pump_replicas(now_ms, group):
+        while group.replica_lane.n_items and self._pump_replicas(now_ms, group):
             pass
-        while len(group.primary_lane) and self._pump_primary(now_ms, group):
+        while group.primary_lane.n_items and self._pump_primary(now_ms, group):
             pass
 
     def _pump_replicas(self, now_ms: float, group: DatabaseGroup) -> bool:
@@ -541,7 +572,7 @@
     def _acquire_any(
         self, now_ms: float, pending: PendingRequest, fresh: list[InstanceState]
     ) -> Connection | None:
-        candidates = healthy(fresh, now_ms)
+        candidates = without_outliers(fresh)
         if pending.tried:
             candidates = [c for c in candidates if c not in pending.tried] or candidates
         while candidates:
@@ -823,7 +854,8 @@
             connection.step("finish_in_transaction")
         if is_ok:
             self._note_success(now_ms, attempt, result)
-        self._complete(now_ms, attempt, result)
+        age_ms = self._age_ms(now_ms, attempt)
+        self._complete(attempt, result, age_ms)
 
     # Ends of attempts.
 
@@ -994,14 +1026,14 @@
         pending = attempt.pending
         requirement = pending.requirement
         is_ok = result.outcome is AttemptOutcome.OK
+        age_ms = self._age_ms(now_ms, attempt) if requirement is not None else None
         if is_ok and requirement is not None and requirement.max_age_ms is not None:
-            age_ms = self._age_ms(now_ms, attempt)
             if age_ms is None or age_ms > requirement.max_age_ms:
                 self._read_again(now_ms, pending)
                 return
         if is_ok:
             self._note_success(now_ms, attempt, result)
-        self._complete(now_ms, attempt, result)
+        self._complete(attempt, result, age_ms)
 
     def _read_again(self, now_ms: float, pending: PendingRequest) -> None:
         transaction = pending.caller.transaction
@@ -1068,7 +1100,7 @@
     # Ends of requests.
 
     def _complete(
-        self, now_ms: float, attempt: RunningAttempt, result: AttemptResult
+        self, attempt: RunningAttempt, result: AttemptResult, age_ms: float | None
     ) -> None:
         pending = attempt.pending
         is_read = pending.kind is RequestKind.READ
@@ -1078,7 +1110,7 @@
                 request_id=pending.request.request_id,
                 attempt=attempt.number,
                 is_from_replica=is_read and attempt.is_from_replica,
-                age_ms=self._age_ms(now_ms, attempt) if is_read else None,
+                age_ms=age_ms if is_read else None,
                 watermark=pending.session.position,
                 first_answer=result.first_answer,
                 query_outcome=result.query_outcome,
--- a/packages/cardamomshunt/src/cardamomshunt/_group.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_group.py
@@ -1,7 +1,7 @@
 """State of one database group as an entry VM sees it."""
 
 from cardamomshunt._admission import Lane, ReservedSharePolicy
-from cardamomshunt._configuration_document import DatabaseSettings
+from cardamomshunt._configuration_document import ClassSettings, DatabaseSettings
 from cardamomshunt._effects import RequestClass
 from cardamomshunt._freshness import BoundHistory, ReadRequirement
 from cardamomshunt._messages import DatabaseTopology, FailoverStep, InstanceRole
@@ -23,12 +23,12 @@
         self, name: str, settings: DatabaseSettings, retry_ratio: float
     ) -> None:
         self.name = name
-        self.settings = settings
         self.instances: dict[str, InstanceState] = {}
         self.term = -1
         self.primary: InstanceState | None = None
         self.primary_name: str | None = None
         self.step = FailoverStep.SERVING
+        self.by_class = _by_class(settings)
         self.bounds = BoundHistory()
         self._policies = (
             ReservedSharePolicy(_shares(settings)),
@@ -47,7 +47,7 @@
 
     def on_settings(self, settings: DatabaseSettings, retry_ratio: float) -> None:
         """Take over changed limits."""
-        self.settings = settings
+        self.by_class = _by_class(settings)
         self.budget.ratio = retry_ratio
         for policy in self._policies:
             policy.shares = _shares(settings)
@@ -125,23 +125,26 @@
 
         Those that look dead are returned only if the primary cannot serve instead.
         """
+        primary = self.primary
         fresh = [
             instance
             for instance in self.instances.values()
-            if instance is not self.primary
+            if instance is not primary
             and instance.role is InstanceRole.REPLICA
+            and instance.applied >= requirement.position
             and instance.takes_work
-            and self._is_fresh(now_ms, instance, requirement)
+            and self._meets_bounds(now_ms, instance, requirement)
         ]
         alive = [instance for instance in fresh if instance.is_healthy(now_ms)]
         if alive or self.usable_primary(now_ms, for_write=False) is not None:
             return alive
         return fresh
 
-    def _is_fresh(
+    def _meets_bounds(
         self, now_ms: float, instance: InstanceState, requirement: ReadRequirement
     ) -> bool:
-        if instance.incarnation == -1 or instance.applied < requirement.position:
+        """Tell whether the age, and the order of the session's reads, are proved."""
+        if instance.incarnation == -1:
             return False
         if requirement.bound_since_ms is not None and not _served_last(
             instance, requirement
@@ -197,5 +200,9 @@
     )
 
 
+def _by_class(settings: DatabaseSettings) -> dict[RequestClass, ClassSettings]:
+    return {item: settings.for_class(item) for item in RequestClass}
+
+
 def _shares(settings: DatabaseSettings) -> dict[RequestClass, float]:
     return {item: settings.for_class(item).reserved_share for item in RequestClass}
--- a/packages/cardamomshunt/src/cardamomshunt/_pool.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_pool.py
@@ -109,7 +109,7 @@
     @property
     def takes_work(self) -> bool:
         """Tell whether new work may start here."""
-        return not (self.is_leaving or self.is_draining) and self.address is not None
+        return not self.is_leaving and not self.is_draining
 
     def is_silent(self, now_ms: float, silence_ms: float = SILENCE_MS) -> bool:
         """Tell whether nothing was heard for some time."""
@@ -117,7 +117,8 @@
 
     def is_healthy(self, now_ms: float) -> bool:
         """Tell whether the instance answers."""
-        return self.breaker.allows(now_ms) and not self.is_silent(now_ms)
+        is_silent = now_ms - self.last_contact_ms > SILENCE_MS
+        return not is_silent and self.breaker.allows(now_ms)
 
     def on_announcement(self, now_ms: float, news: Announcement) -> bool:
         """Take over an announcement; return False if it is outdated."""
--- a/packages/cardamomshunt/src/cardamomshunt/_request_state.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_request_state.py
@@ -60,6 +60,7 @@
     """Hold a request from its arrival to its end."""
 
     request: Request
+    kind: RequestKind
     caller: CallerState
     group: "DatabaseGroup"
     session: Session
@@ -80,11 +81,6 @@
     needs_primary: bool = False
     tried: list[InstanceState] = field(default_factory=list)
 
-    @property
-    def kind(self) -> RequestKind:
-        """Return the kind of the statement."""
-        return self.request.kind
-
     @property
     def fairness_key(self) -> str | CallerId:
         """Return what fairness counts as one caller."""
--- a/packages/cardamomshunt/src/cardamomshunt/_routing.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_routing.py
@@ -39,16 +39,10 @@
         return cost if instance.zone == self._zone else cost * OTHER_ZONE_FACTOR
 
 
-def healthy(instances: list[InstanceState], now_ms: float) -> list[InstanceState]:
-    """Leave out suspects, open breakers and outliers, but keep at least one.
-
-    When all look bad, all are returned: the fault may be on this side.
-    """
-    kept = [item for item in instances if item.is_healthy(now_ms)]
-    if not kept:
+def without_outliers(instances: list[InstanceState]) -> list[InstanceState]:
+    """Leave out instances that are much slower than the best, which always stays."""
+    if len(instances) < 2:
         return instances
-    if len(kept) > 1:
-        best = min(item.delay_ms for item in kept)
-        limit = max(OUTLIER_DELAY_MS_MIN, best * OUTLIER_FACTOR)
-        kept = [item for item in kept if item.delay_ms <= limit]
-    return kept
+    best_ms = min([item.delay_ms for item in instances])
+    limit_ms = max(OUTLIER_DELAY_MS_MIN, best_ms * OUTLIER_FACTOR)
+    return [item for item in instances if item.delay_ms <= limit_ms]
