--- /dev/null
+++ b/packages/cardamomshunt/src/cardamomshunt/_attempts.py
@@ -0,0 +1,200 @@
+"""Ends of attempts, and what follows."""
+
+from cardamomshunt._effects import (
+    AttemptOutcome,
+    AttemptResult,
+    RequestKind,
+)
+from cardamomshunt._group import FENCED_PAUSE_MS
+from cardamomshunt._path_state import BEGINS, READS
+from cardamomshunt._request_state import (
+    PendingRequest,
+    RunningAttempt,
+    Transaction,
+)
+from cardamomshunt._retries import (
+    Action,
+)
+from cardamomshunt._transactions import Transactions
+from cardamomshunt._verdict import Refusal, RefusalReason, Verdict
+
+
+class Attempts(Transactions):
+    """Take over results of attempts and decide on repeats."""
+
+    def _measure(
+        self, now_ms: float, attempt: RunningAttempt, result: AttemptResult
+    ) -> None:
+        instance = attempt.connection.instance
+        outcome = result.outcome
+        if outcome in (AttemptOutcome.LOST, AttemptOutcome.NOT_SENT):
+            instance.breaker.on_failure(now_ms)
+            if outcome is AttemptOutcome.LOST:
+                instance.limit.on_timeout()
+                self._pool.probe_all(now_ms, instance)
+            return
+        instance.last_contact_ms = now_ms
+        instance.breaker.on_success()
+        if outcome is not AttemptOutcome.OK:
+            return
+        elapsed_ms = now_ms - attempt.started_ms
+        pending = attempt.pending
+        is_write = pending.kind not in READS
+        if not is_write:
+            instance.delay_ms += 0.1 * (elapsed_ms - instance.delay_ms)
+        if pending.transaction is None:
+            instance.limit.on_sample(elapsed_ms, instance.n_running, is_write=is_write)
+            group = pending.group
+            lane = group.replica_lane if attempt.is_from_replica else group.primary_lane
+            lane.on_service(elapsed_ms)
+
+    def _end_attempt(
+        self,
+        now_ms: float,
+        attempt: RunningAttempt,
+        outcome: AttemptOutcome,
+        detail: str,
+    ) -> None:
+        """End an attempt on this side, without a result of the host."""
+        result = AttemptResult(
+            request_id=attempt.pending.request.request_id,
+            attempt=attempt.number,
+            connection_id=attempt.connection.connection_id,
+            outcome=outcome,
+            detail=detail,
+        )
+        self._finish_attempt(now_ms, attempt, result)
+
+    def _finish_attempt(
+        self, now_ms: float, attempt: RunningAttempt, result: AttemptResult
+    ) -> None:
+        pending = attempt.pending
+        attempt.connection.instance.n_running -= 1
+        attempt.connection.work = None
+        pending.running.remove(attempt)
+        if pending.transaction is not None:
+            self._on_transaction_attempt(now_ms, attempt, result, pending.transaction)
+            return
+        self._settle_connection(now_ms, attempt, result)
+        if pending.state != "running":
+            return  # a hedged read that lost the race
+        if result.outcome in (AttemptOutcome.LOST, AttemptOutcome.NOT_ACKNOWLEDGED):
+            pending.tried.append(attempt.connection.instance)
+        if result.outcome is not AttemptOutcome.OK and pending.running:
+            return  # the other attempt of a hedged read decides
+        self._decide(now_ms, attempt, result)
+
+    def _settle_connection(
+        self, now_ms: float, attempt: RunningAttempt, result: AttemptResult
+    ) -> None:
+        """Pin, release or close the connection of an attempt."""
+        pending = attempt.pending
+        connection = attempt.connection
+        outcome = result.outcome
+        if connection.state == "closed":
+            return
+        if outcome in (
+            AttemptOutcome.LOST,
+            AttemptOutcome.NOT_SENT,
+            AttemptOutcome.FENCED,
+            AttemptOutcome.NOT_ACKNOWLEDGED,
+        ):
+            self._pool.close(connection, f"the attempt ended as {outcome.value}")
+        elif (
+            outcome is AttemptOutcome.OK
+            and pending.kind in BEGINS
+            and pending.state == "running"
+        ):
+            self._begin_transaction(now_ms, attempt)
+        else:
+            needs_reset = pending.kind is not RequestKind.READ
+            self._pool.release(now_ms, connection, needs_reset=needs_reset)
+
+    def _decide(
+        self, now_ms: float, attempt: RunningAttempt, result: AttemptResult
+    ) -> None:
+        pending = attempt.pending
+        group = pending.group
+        outcome = result.outcome
+        decision = self._retry_policy.decide(
+            outcome,
+            pending.rule,
+            n_attempts=pending.n_attempts,
+            may_have_run=pending.may_have_run,
+            budget=group.budget,
+            detail=result.detail,
+        )
+        if outcome in (AttemptOutcome.LOST, AttemptOutcome.NOT_ACKNOWLEDGED):
+            pending.may_have_run |= pending.kind not in BEGINS
+        if decision.action is Action.COMPLETE:
+            self._complete_or_read_again(now_ms, attempt, result)
+        elif decision.action is Action.REFUSE:
+            assert decision.refusal is not None
+            self._refuse_attempted(pending, decision.refusal)
+        else:
+            if decision.action is Action.REPEAT_IN_NEW_TERM:
+                group.fenced_until_ms = now_ms + FENCED_PAUSE_MS
+                self._wake_at(group.fenced_until_ms)
+            self._repeat(now_ms, pending)
+
+    def _refuse_attempted(self, pending: PendingRequest, refusal: Refusal) -> None:
+        if pending.kind is RequestKind.OUTCOME_QUERY:
+            self._complete_unknown(pending)
+            return
+        if pending.kind in BEGINS:
+            refusal = Refusal(Verdict.NOT_RUN, refusal.reason, refusal.detail)
+        self._refuse(pending, refusal)
+
+    def _repeat(self, now_ms: float, pending: PendingRequest) -> None:
+        pending.step("retry")
+        if pending.kind in READS:
+            self._place_read(now_ms, pending)
+        else:
+            self._enqueue(now_ms, pending, pending.group.primary_lane)
+
+    def _complete_or_read_again(
+        self, now_ms: float, attempt: RunningAttempt, result: AttemptResult
+    ) -> None:
+        """Complete, unless the answer of a slow read is older than the caller accepts."""
+        pending = attempt.pending
+        requirement = pending.requirement
+        is_ok = result.outcome is AttemptOutcome.OK
+        age_ms = self._age_ms(now_ms, attempt) if requirement is not None else None
+        if is_ok and requirement is not None and requirement.is_older(age_ms):
+            self._read_again(now_ms, pending)
+            return
+        if is_ok:
+            self._note_success(now_ms, attempt, result)
+        self._complete(attempt, result, age_ms)
+
+    def _read_again(self, now_ms: float, pending: PendingRequest) -> None:
+        transaction = pending.caller.transaction
+        if transaction is not None:
+            self._pool.release(now_ms, transaction.connection, needs_reset=True)
+            self._end_transaction(pending.caller)
+        if pending.needs_primary:
+            detail = "the answer came later than its age allows"
+            self._refuse(
+                pending,
+                Refusal(Verdict.MAY_HAVE_RUN, RefusalReason.TOO_STALE, detail),
+            )
+            return
+        pending.needs_primary = True
+        pending.may_have_run = True
+        self._repeat(now_ms, pending)
+
+    def _lose_transaction(
+        self, now_ms: float, transaction: Transaction, detail: str
+    ) -> None:
+        """Mark a transaction as lost; only a COMMIT under way still ends by itself."""
+        if transaction.is_lost:
+            return
+        attempt = transaction.connection.work
+        if isinstance(attempt, RunningAttempt):
+            if attempt.pending.kind is RequestKind.COMMIT:
+                return
+            self._pool.close(transaction.connection, detail)
+            self._end_attempt(now_ms, attempt, AttemptOutcome.LOST, detail)
+            return
+        transaction.is_lost = True
+        self._pool.close(transaction.connection, detail)
--- a/packages/cardamomshunt/src/cardamomshunt/_data_path.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_data_path.py
@@ -1,36 +1,29 @@
 """The data path: decides on requests, connections and retries, without I/O."""
 
 import heapq
-import random
 
-from cardamomshunt._admission import SHED_AT_DEADLINE_SHARE, ConcurrencyLimit, Lane
+from cardamomshunt._admission import ConcurrencyLimit
+from cardamomshunt._attempts import Attempts
 from cardamomshunt._breaker import CircuitBreaker
 from cardamomshunt._configuration_document import ClusterConfiguration
-from cardamomshunt._connection_shares import ConnectionLeases
 from cardamomshunt._data_path_interface import AbstractDataPath
+from cardamomshunt._dispatch import POSITION_QUERY_TIMEOUT_MS
 from cardamomshunt._effects import (
-    AskPosition,
-    AttemptKind,
     AttemptOutcome,
     AttemptResult,
     CallerId,
-    CompleteRequest,
     ConfirmedBound,
     ConnectionId,
     ConnectionOpened,
     DataPathEffect,
-    FirstAnswer,
-    QueryOutcome,
     RefuseRequest,
     Request,
     RequestClass,
     RequestId,
     RequestKind,
-    StartAttempt,
 )
-from cardamomshunt._freshness import ReadRequirement
-from cardamomshunt._group import FENCED_PAUSE_MS, POSITION_MAX, DatabaseGroup
-from cardamomshunt._idempotency import attempt_kind, refusal_of_key, repeat_rule
+from cardamomshunt._group import DatabaseGroup
+from cardamomshunt._idempotency import refusal_of_key, repeat_rule
 from cardamomshunt._messages import (
     Announcement,
     ConnectionDemand,
@@ -39,48 +32,27 @@
     InstanceRole,
     TopologyUpdate,
 )
-from cardamomshunt._pool import Connection, ConnectionPool, InstanceState, Outbox
+from cardamomshunt._path_state import ENDS, not_run
+from cardamomshunt._pool import InstanceState
 from cardamomshunt._position import LogPosition
 from cardamomshunt._request_state import (
     CallerState,
     PendingRequest,
     RunningAttempt,
-    Transaction,
 )
 from cardamomshunt._retries import (
-    Action,
-    AtMostOnceRetryPolicy,
     RepeatRule,
-    RetryPolicy,
 )
-from cardamomshunt._routing import LeastDelayPolicy, RoutingPolicy, without_outliers
-from cardamomshunt._sessions import Session, SessionStore, required_of_read
-from cardamomshunt._verdict import Refusal, RefusalReason, Verdict
+from cardamomshunt._sessions import Session
+from cardamomshunt._verdict import Refusal, RefusalReason
 
 MAINTENANCE_MS = 250.0
 N_MAINTENANCES_TO_DECAY = 8  # the peak of connections in use falls by one in 2 s
-HEDGE_PAUSE_MS = 20.0  # until a connection is there for the second attempt
 IDLE_DELAY_FACTOR = 0.8
 TRANSACTION_IDLE_MS = 30_000.0  # an idle transaction holds locks and a connection
-POSITION_QUERY_TIMEOUT_MS = 500.0
-POSITION_QUERY_PAUSE_MS = 50.0  # after a failed query
-REPEATABLE_SHARE = 0.5  # of the time left, for an attempt that can be repeated
 
-# 1205 lock wait timeout may and 1213 deadlock does roll the transaction back; 1180 is
-# an error at commit and 3101 a rollback by the replication layer.
-ROLLBACK_ERROR_CODES = frozenset({1180, 1205, 1213, 3101})
 
-_EMPTY_ANSWER = FirstAnswer(0, 0)
-_ENDS = (RequestKind.COMMIT, RequestKind.ROLLBACK)
-_BEGINS = (RequestKind.BEGIN, RequestKind.BEGIN_READ_ONLY)
-_READS = (RequestKind.READ, RequestKind.BEGIN_READ_ONLY)
-
-
-def _refusal(reason: RefusalReason, detail: str) -> Refusal:
-    return Refusal(Verdict.NOT_RUN, reason, detail)
-
-
-class DataPath(AbstractDataPath):
+class DataPath(Attempts, AbstractDataPath):
     """Decide on everything between a caller's statement and its answer.
 
     For an outcome query the host puts the key into `hints.idempotency_key`. Answers
@@ -88,40 +60,6 @@
     an empty `first_answer`.
     """
 
-    def __init__(
-        self,
-        *,
-        zone: str,
-        generator: random.Random,
-        configuration: ClusterConfiguration | None = None,
-        retry_policy: RetryPolicy | None = None,
-        routing_policy: RoutingPolicy | None = None,
-    ) -> None:
-        self._configuration = configuration or ClusterConfiguration()
-        self._generator = generator
-        self._retry_policy = retry_policy or AtMostOnceRetryPolicy()
-        self._routing_policy = routing_policy or LeastDelayPolicy(zone, generator)
-        self._outbox = Outbox()
-        self._leases = ConnectionLeases(self._configuration.policy.n_connections_floor)
-        self._pool = ConnectionPool(self._outbox, self._leases, generator)
-        self._groups: dict[str, DatabaseGroup] = {}
-        self._instances: dict[str, InstanceState] = {}
-        self._draining: set[str] = set()
-        self._callers: dict[CallerId, CallerState] = {}
-        self._requests: dict[RequestId, PendingRequest] = {}
-        self._transactions: dict[CallerId, Transaction] = {}
-        self._named_sessions = SessionStore()
-        self._deadlines: list[tuple[float, RequestId]] = []
-        self._topology_version = -1
-        self._is_draining = False
-        self._next_maintenance_ms = 0.0
-        self._wake_ms: float | None = None
-        self._n_maintenances = 0
-        for name in self._configuration.databases:
-            self._group(name)
-
-    # Inputs from control and from backend servers.
-
     def on_topology(
         self, now_ms: float, update: TopologyUpdate
     ) -> list[DataPathEffect]:
@@ -183,16 +121,6 @@
             )
         return self._outbox.take()
 
-    def _group(self, name: str) -> DatabaseGroup:
-        group = self._groups.get(name)
-        if group is None:
-            group = self._groups[name] = DatabaseGroup(
-                name,
-                self._configuration.database(name),
-                self._configuration.policy.retry_budget_ratio,
-            )
-        return group
-
     def on_announcement(
         self, now_ms: float, announcement: Announcement, echo_issued_ms: float | None
     ) -> list[DataPathEffect]:
@@ -255,10 +183,6 @@
         self._review(now_ms, group)
         return self._outbox.take()
 
-    def _pause_queries(self, now_ms: float, group: DatabaseGroup) -> None:
-        group.next_query_ms = now_ms + POSITION_QUERY_PAUSE_MS
-        self._wake_at(group.next_query_ms)
-
     def on_grants(
         self, now_ms: float, grants: list[ConnectionGrant]
     ) -> list[DataPathEffect]:
@@ -282,8 +206,6 @@
             self._review(now_ms, self._groups[state.database])
         return self._outbox.take()
 
-    # Requests.
-
     def submit(self, now_ms: float, request: Request) -> list[DataPathEffect]:
         """Accept a request; answer it, start it or queue it."""
         caller = self._callers.get(request.caller_id)
@@ -298,11 +220,11 @@
         pending = self._new_pending(now_ms, request, caller)
         if caller.transaction is not None:
             self._submit_in_transaction(now_ms, pending, caller.transaction)
-        elif request.kind in _ENDS:
+        elif request.kind in ENDS:
             self._complete_locally(pending)
         elif request.kind is RequestKind.SESSION_STATE:
             detail = "connection state does not last outside a transaction"
-            self._refuse(pending, _refusal(RefusalReason.UNSUPPORTED_STATEMENT, detail))
+            self._refuse(pending, not_run(RefusalReason.UNSUPPORTED_STATEMENT, detail))
         else:
             self._admit(now_ms, pending)
         return self._outbox.take()
@@ -311,12 +233,12 @@
         transaction = caller.transaction
         if request.database not in self._groups:
             detail = f"no database {request.database!r} is known"
-            return _refusal(RefusalReason.UNKNOWN_DATABASE, detail)
+            return not_run(RefusalReason.UNKNOWN_DATABASE, detail)
         if caller.pending is not None:
             detail = "the caller's previous request has not ended"
-            return _refusal(RefusalReason.OVERLOADED, detail)
+            return not_run(RefusalReason.OVERLOADED, detail)
         if self._is_draining and transaction is None:
-            return _refusal(RefusalReason.SHUTTING_DOWN, "the entry VM is stopping")
+            return not_run(RefusalReason.SHUTTING_DOWN, "the entry VM is stopping")
         return refusal_of_key(request, is_in_transaction=transaction is not None)
 
     def _new_pending(
@@ -357,508 +279,6 @@
             session = caller.sessions[request.database] = Session()
         return session
 
-    def _admit(self, now_ms: float, pending: PendingRequest) -> None:
-        group = pending.group
-        group.budget.on_request()
-        if pending.kind in _READS:
-            self._require(now_ms, pending)
-            self._place_read(now_ms, pending)
-        elif not self._write_at_once(now_ms, pending):
-            self._enqueue(now_ms, pending, group.primary_lane)
-        self._pump(now_ms, group)
-
-    def _write_at_once(self, now_ms: float, pending: PendingRequest) -> bool:
-        """Start a request on the primary without queueing if none is queued."""
-        group = pending.group
-        if group.primary_lane.n_items or group.is_query_wanted:
-            return False
-        primary = group.usable_primary(now_ms, for_write=True)
-        if primary is None or not primary.limit.allows(primary.n_running):
-            return False
-        connection = self._pool.acquire(now_ms, primary)
-        if connection is None:
-            return False
-        self._start(now_ms, pending, connection)
-        return True
-
-    def _require(self, now_ms: float, pending: PendingRequest) -> None:
-        hints = pending.request.hints
-        max_age_ms = hints.max_age_ms
-        if max_age_ms is None:
-            max_age_ms = pending.settings.max_age_ms
-        pending.session.settle(pending.group.bounds)
-        pending.requirement = required_of_read(
-            pending.session, hints, max_age_ms, now_ms
-        )
-
-    def _place_read(self, now_ms: float, pending: PendingRequest) -> None:
-        """Queue a read for replicas or the primary, or let it wait for freshness."""
-        group = pending.group
-        requirement = pending.requirement
-        assert requirement is not None
-        requirement.resolve(group.bounds)
-        fresh = (
-            [] if pending.needs_primary else group.fresh_replicas(now_ms, requirement)
-        )
-        if fresh:
-            if not self._start_at_once(now_ms, pending, fresh):
-                self._enqueue(now_ms, pending, group.replica_lane)
-        elif requirement.bound_since_ms is not None and group.primary_needs_bound(
-            now_ms, requirement
-        ):
-            self._await_freshness(now_ms, pending, asks=True)
-        elif self._may_catch_up(now_ms, pending):
-            self._await_freshness(now_ms, pending, asks=False)
-        elif group.primary_needs_bound(now_ms, requirement):
-            self._await_freshness(now_ms, pending, asks=True)
-        elif self._primary_serves(now_ms, group, requirement):
-            self._enqueue(now_ms, pending, group.primary_lane)
-        else:
-            self._await_freshness(now_ms, pending, asks=False)
-
-    def _start_at_once(
-        self, now_ms: float, pending: PendingRequest, fresh: list[InstanceState]
-    ) -> bool:
-        """Start a read without queueing if none is queued before it."""
-        if pending.group.replica_lane.n_items:
-            return False
-        connection = self._acquire_any(now_ms, pending, fresh)
-        if connection is None:
-            return False
-        self._start(now_ms, pending, connection)
-        return True
-
-    def _primary_serves(
-        self, now_ms: float, group: DatabaseGroup, requirement: ReadRequirement
-    ) -> bool:
-        return (
-            group.usable_primary(now_ms, for_write=False) is not None
-            and requirement.position <= group.primary_position()
-        )
-
-    def _may_catch_up(self, now_ms: float, pending: PendingRequest) -> bool:
-        if pending.needs_primary:
-            return False
-        if pending.catch_up_until_ms is None:
-            wait_ms = self._configuration.policy.catch_up_wait_ms
-            pending.catch_up_until_ms = now_ms + wait_ms
-            heapq.heappush(
-                self._deadlines,
-                (pending.catch_up_until_ms, pending.request.request_id),
-            )
-        return (
-            now_ms < pending.catch_up_until_ms
-            and pending.group.has_catching_up_replica(now_ms)
-        )
-
-    def _await_freshness(
-        self, now_ms: float, pending: PendingRequest, *, asks: bool
-    ) -> None:
-        group = pending.group
-        if asks:
-            group.is_query_wanted = True
-            self._ask_position(now_ms, group)
-        if (
-            pending.n_attempts == 0
-            and group.is_primary_lost(now_ms)
-            and not self._may_catch_up(now_ms, pending)
-        ):
-            self._refuse_stale(pending)
-            return
-        if pending.state == "waiting":
-            return
-        pending.step("await_freshness")
-        group.waiting[pending.request.request_id] = pending
-
-    def _refuse_stale(self, pending: PendingRequest) -> None:
-        detail = "no replica is provably fresh, and the primary cannot be reached"
-        self._refuse(pending, _refusal(RefusalReason.TOO_STALE, detail))
-
-    def _ask_position(self, now_ms: float, group: DatabaseGroup) -> None:
-        """Ask once for all reads that wait; later ones are served by the next round."""
-        if group.query is not None or now_ms < group.next_query_ms:
-            return
-        primary = group.primary
-        if primary is None or not primary.takes_work:
-            return
-        connection = self._pool.acquire(now_ms, primary)
-        if connection is None:
-            return
-        group.is_query_wanted = False
-        group.query = connection
-        group.query_sent_ms = now_ms
-        connection.is_position_query = True
-        self._outbox.effects.append(
-            AskPosition(
-                database=group.name,
-                connection_id=connection.connection_id,
-                timeout_ms=POSITION_QUERY_TIMEOUT_MS,
-            )
-        )
-
-    def _enqueue(
-        self, now_ms: float, pending: PendingRequest, lane: "Lane[PendingRequest]"
-    ) -> None:
-        # A repeat is not shed: an earlier attempt of it may have run.
-        detail = "" if pending.n_attempts else self._overload(now_ms, pending, lane)
-        if detail:
-            self._refuse(pending, _refusal(RefusalReason.OVERLOADED, detail))
-            return
-        self._leave_waiting(pending)
-        pending.step("admit")
-        pending.lane = lane
-        lane.push(pending.request_class, pending.fairness_key, pending)
-
-    def _overload(
-        self, now_ms: float, pending: PendingRequest, lane: "Lane[PendingRequest]"
-    ) -> str:
-        """Tell why a request is shed on arrival; empty if it is admitted."""
-        settings = pending.settings
-        request_class = pending.request_class
-        key = pending.fairness_key
-        if not lane.has_room(request_class, key, settings.n_queued_max):
-            return "the queue is full"
-        n_parallel = pending.group.n_parallel(
-            on_primary=lane is pending.group.primary_lane
-        )
-        wait_ms = lane.estimated_wait_ms(
-            request_class, settings.reserved_share, n_parallel
-        )
-        if wait_ms > SHED_AT_DEADLINE_SHARE * pending.remaining_ms(now_ms):
-            return f"the expected wait is {wait_ms:.0f} ms"
-        return ""
-
-    # Dispatch.
-
-    def _review(self, now_ms: float, group: DatabaseGroup) -> None:
-        """Place the waiting reads anew after news, then dispatch."""
-        for pending in list(group.waiting.values()):
-            if pending.state == "waiting":
-                self._place_read(now_ms, pending)
-        self._pump(now_ms, group)
-
-    def _pump(self, now_ms: float, group: DatabaseGroup) -> None:
-        if group.is_query_wanted:
-            self._ask_position(now_ms, group)
-        while group.replica_lane.n_items and self._pump_replicas(now_ms, group):
-            pass
-        while group.primary_lane.n_items and self._pump_primary(now_ms, group):
-            pass
-
-    def _pump_replicas(self, now_ms: float, group: DatabaseGroup) -> bool:
-        """Start or move the next read; return False if it has to wait."""
-        lane = group.replica_lane
-        request_class = lane.choose()
-        assert request_class is not None
-        pending = lane.peek(request_class)
-        if self._shed(now_ms, pending):
-            return True
-        requirement = pending.requirement
-        assert requirement is not None
-        requirement.resolve(group.bounds)
-        fresh = group.fresh_replicas(now_ms, requirement)
-        if not fresh:
-            lane.pop(request_class, is_served=False)
-            pending.lane = None
-            self._place_read(now_ms, pending)
-            return True
-        connection = self._acquire_any(now_ms, pending, fresh)
-        if connection is None:
-            return False
-        lane.pop(request_class, is_served=True)
-        self._start(now_ms, pending, connection)
-        return True
-
-    def _acquire_any(
-        self, now_ms: float, pending: PendingRequest, fresh: list[InstanceState]
-    ) -> Connection | None:
-        candidates = without_outliers(fresh)
-        if pending.tried:
-            candidates = [c for c in candidates if c not in pending.tried] or candidates
-        while candidates:
-            able = [c for c in candidates if c.limit.allows(c.n_running)]
-            if not able:
-                return None
-            instance = self._routing_policy.choose(able)
-            connection = self._pool.acquire(now_ms, instance)
-            if connection is not None:
-                return connection
-            candidates = [item for item in able if item is not instance]
-        return None
-
-    def _pump_primary(self, now_ms: float, group: DatabaseGroup) -> bool:
-        """Start the next request on the primary; return False if it has to wait."""
-        lane = group.primary_lane
-        request_class = lane.choose()
-        assert request_class is not None
-        pending = lane.peek(request_class)
-        if self._shed(now_ms, pending):
-            return True
-        is_read = pending.kind in _READS
-        primary = group.usable_primary(now_ms, for_write=not is_read)
-        if is_read and (primary is None or self._is_stale_primary(now_ms, pending)):
-            lane.pop(request_class, is_served=False)
-            pending.lane = None
-            self._place_read(now_ms, pending)
-            return pending.lane is not lane
-        if primary is None or not primary.limit.allows(primary.n_running):
-            return False
-        connection = self._pool.acquire(now_ms, primary)
-        if connection is None:
-            return False
-        lane.pop(request_class, is_served=True)
-        self._start(now_ms, pending, connection)
-        return True
-
-    def _is_stale_primary(self, now_ms: float, pending: PendingRequest) -> bool:
-        group = pending.group
-        requirement = pending.requirement
-        assert requirement is not None
-        requirement.resolve(group.bounds)
-        return group.primary_needs_bound(now_ms, requirement) or not (
-            self._primary_serves(now_ms, group, requirement)
-        )
-
-    def _shed(self, now_ms: float, pending: PendingRequest) -> bool:
-        """Refuse a queued request that cannot be answered in time."""
-        lane = pending.lane
-        needed_ms = lane.service_ms if lane is not None else 0.0
-        if pending.remaining_ms(now_ms) > needed_ms:
-            return False
-        self._refuse_expired(now_ms, pending)
-        return True
-
-    def _start(
-        self, now_ms: float, pending: PendingRequest, connection: Connection
-    ) -> None:
-        self._leave_waiting(pending)
-        pending.lane = None
-        pending.step("start")
-        timeout_ms = pending.remaining_ms(now_ms)
-        if pending.kind is RequestKind.READ:
-            self._plan_hedge(now_ms, pending, self._hedge_after_ms(now_ms, pending))
-        elif pending.rule is not RepeatRule.NEVER:
-            timeout_ms *= REPEATABLE_SHARE
-        self._run(
-            now_ms, pending, connection, attempt_kind(pending.request), timeout_ms
-        )
-
-    def _hedge_after_ms(self, now_ms: float, pending: PendingRequest) -> float:
-        """Return when a second attempt starts beside a read that is not answered.
-
-        Without hedging it is at half of the time left, so that a connection that went
-        silent does not cost the answer, nor a slow statement its first attempt.
-        """
-        hedge_ms = self._configuration.policy.hedge_after_ms
-        if hedge_ms > 0:
-            return hedge_ms
-        return REPEATABLE_SHARE * pending.remaining_ms(now_ms)
-
-    def _plan_hedge(
-        self, now_ms: float, pending: PendingRequest, after_ms: float
-    ) -> None:
-        pending.hedge_at_ms = now_ms + after_ms
-        heapq.heappush(
-            self._deadlines, (pending.hedge_at_ms, pending.request.request_id)
-        )
-
-    def _hedge(self, now_ms: float, pending: PendingRequest) -> None:
-        """Start a second attempt of a read, on another instance if one is fresh."""
-        pending.hedge_at_ms = None
-        group = pending.group
-        requirement = pending.requirement
-        if requirement is None or len(pending.running) != 1:
-            return
-        first = pending.running[0].connection.instance
-        fresh = group.fresh_replicas(now_ms, requirement)
-        others = [instance for instance in fresh if instance is not first]
-        if not others and not self._is_stale_primary(now_ms, pending):
-            others = [group.primary] if group.primary is not None else []
-        others = others or fresh
-        if self._configuration.policy.hedge_after_ms <= 0:
-            self._pool.probe_all(now_ms, first)
-        able = [item for item in others if item.limit.allows(item.n_running)]
-        connection = None
-        if able and group.budget.has_token():
-            instance = self._routing_policy.choose(able)
-            connection = self._pool.acquire(now_ms, instance)
-        if connection is None:
-            self._plan_hedge(now_ms, pending, HEDGE_PAUSE_MS)
-        else:
-            group.budget.take()
-            pending.step("hedge")
-            timeout_ms = pending.remaining_ms(now_ms)
-            self._run(now_ms, pending, connection, AttemptKind.PLAIN, timeout_ms)
-
-    def _run(
-        self,
-        now_ms: float,
-        pending: PendingRequest,
-        connection: Connection,
-        kind: AttemptKind,
-        timeout_ms: float,
-    ) -> None:
-        instance = connection.instance
-        pending.n_attempts += 1
-        attempt = RunningAttempt(
-            pending,
-            pending.n_attempts,
-            connection,
-            now_ms,
-            instance.applied,
-            connection.bound_term is None,
-        )
-        pending.running.append(attempt)
-        connection.work = attempt
-        instance.n_running += 1
-        instance.breaker.on_trial(now_ms)
-        self._outbox.effects.append(
-            StartAttempt(
-                request_id=pending.request.request_id,
-                attempt=attempt.number,
-                connection_id=connection.connection_id,
-                kind=kind,
-                timeout_ms=timeout_ms,
-                idempotency_key=pending.request.hints.idempotency_key,
-                fingerprint=pending.request.fingerprint,
-            )
-        )
-
-    # Transactions.
-
-    def _submit_in_transaction(
-        self, now_ms: float, pending: PendingRequest, transaction: Transaction
-    ) -> None:
-        pending.transaction = transaction
-        if transaction.is_lost:
-            self._submit_in_lost_transaction(now_ms, pending, transaction)
-            return
-        refusal = self._refusal_in_transaction(pending, transaction)
-        if refusal is not None:
-            self._refuse(pending, refusal)
-            return
-        kind = AttemptKind.PLAIN
-        if pending.kind is RequestKind.COMMIT and not transaction.is_read_only:
-            kind = AttemptKind.ACKNOWLEDGED_COMMIT
-        transaction.used_ms = now_ms
-        transaction.connection.step("start")
-        pending.step("start")
-        timeout_ms = pending.remaining_ms(now_ms)
-        self._run(now_ms, pending, transaction.connection, kind, timeout_ms)
-
-    def _submit_in_lost_transaction(
-        self, now_ms: float, pending: PendingRequest, transaction: Transaction
-    ) -> None:
-        """Refuse until the caller ends the transaction, so that no part runs alone."""
-        if pending.kind is RequestKind.ROLLBACK:
-            self._end_transaction(pending.caller)
-            self._complete_locally(pending)
-            return
-        if pending.kind in _BEGINS and transaction.is_loss_reported:
-            self._end_transaction(pending.caller)
-            pending.transaction = None
-            self._admit(now_ms, pending)
-            return
-        if pending.kind is RequestKind.COMMIT:
-            self._end_transaction(pending.caller)
-        transaction.is_loss_reported = True
-        detail = "the transaction was rolled back; end it with ROLLBACK"
-        self._refuse(pending, _refusal(RefusalReason.TRANSACTION_LOST, detail))
-
-    def _refusal_in_transaction(
-        self, pending: PendingRequest, transaction: Transaction
-    ) -> Refusal | None:
-        kind = pending.kind
-        detail = ""
-        if pending.group is not transaction.group:
-            detail = "the open transaction belongs to another database"
-        elif kind in _BEGINS:
-            detail = "a transaction is open; COMMIT or ROLLBACK it first"
-        elif kind in (RequestKind.IMPLICIT_COMMIT, RequestKind.OUTCOME_QUERY):
-            detail = "the statement is not supported inside a transaction"
-        elif kind is RequestKind.WRITE and transaction.is_read_only:
-            detail = "the open transaction is read only"
-        if not detail:
-            return None
-        return _refusal(RefusalReason.UNSUPPORTED_STATEMENT, detail)
-
-    def _end_transaction(self, caller: CallerState) -> None:
-        caller.transaction = None
-        self._transactions.pop(caller.caller_id, None)
-
-    def _lose_transaction(
-        self, now_ms: float, transaction: Transaction, detail: str
-    ) -> None:
-        """Mark a transaction as lost; only a COMMIT under way still ends by itself."""
-        if transaction.is_lost:
-            return
-        attempt = transaction.connection.work
-        if isinstance(attempt, RunningAttempt):
-            if attempt.pending.kind is RequestKind.COMMIT:
-                return
-            self._pool.close(transaction.connection, detail)
-            self._end_attempt(now_ms, attempt, AttemptOutcome.LOST, detail)
-            return
-        transaction.is_lost = True
-        self._pool.close(transaction.connection, detail)
-
-    def _on_transaction_attempt(
-        self,
-        now_ms: float,
-        attempt: RunningAttempt,
-        result: AttemptResult,
-        transaction: Transaction,
-    ) -> None:
-        pending = attempt.pending
-        transaction.used_ms = now_ms
-        outcome = result.outcome
-        if outcome in (AttemptOutcome.OK, AttemptOutcome.BACKEND_ERROR):
-            self._answer_in_transaction(now_ms, attempt, result, transaction)
-            return
-        self._pool.close(attempt.connection, "the transaction is lost")
-        if pending.kind is RequestKind.ROLLBACK:
-            # The server rolls back when the connection closes.
-            self._end_transaction(pending.caller)
-            self._complete_locally(pending)
-        elif pending.kind is RequestKind.COMMIT:
-            self._end_transaction(pending.caller)
-            self._refuse(pending, _commit_refusal(outcome, transaction, result.detail))
-        else:
-            transaction.is_lost = True
-            transaction.is_loss_reported = True
-            detail = result.detail or "the connection of the transaction was lost"
-            self._refuse(pending, _refusal(RefusalReason.TRANSACTION_LOST, detail))
-
-    def _answer_in_transaction(
-        self,
-        now_ms: float,
-        attempt: RunningAttempt,
-        result: AttemptResult,
-        transaction: Transaction,
-    ) -> None:
-        pending = attempt.pending
-        connection = attempt.connection
-        is_ok = result.outcome is AttemptOutcome.OK
-        if pending.kind in _ENDS:
-            self._end_transaction(pending.caller)
-            if is_ok:
-                self._pool.release(now_ms, connection, needs_reset=True)
-            else:
-                self._pool.close(connection, "the transaction's end failed")
-        elif not is_ok and result.error_code in ROLLBACK_ERROR_CODES:
-            transaction.is_lost = True
-            transaction.is_loss_reported = True
-            self._pool.close(connection, "the server rolled the transaction back")
-        else:
-            connection.work = None
-            connection.step("finish_in_transaction")
-        if is_ok:
-            self._note_success(now_ms, attempt, result)
-        age_ms = self._age_ms(now_ms, attempt)
-        self._complete(attempt, result, age_ms)
-
-    # Ends of attempts.
-
     def on_attempt_result(
         self, now_ms: float, result: AttemptResult
     ) -> list[DataPathEffect]:
@@ -876,355 +296,6 @@
         self._pump(now_ms, attempt.pending.group)
         return self._outbox.take()
 
-    def _measure(
-        self, now_ms: float, attempt: RunningAttempt, result: AttemptResult
-    ) -> None:
-        instance = attempt.connection.instance
-        outcome = result.outcome
-        if outcome in (AttemptOutcome.LOST, AttemptOutcome.NOT_SENT):
-            instance.breaker.on_failure(now_ms)
-            if outcome is AttemptOutcome.LOST:
-                instance.limit.on_timeout()
-                self._pool.probe_all(now_ms, instance)
-            return
-        instance.last_contact_ms = now_ms
-        instance.breaker.on_success()
-        if outcome is not AttemptOutcome.OK:
-            return
-        elapsed_ms = now_ms - attempt.started_ms
-        pending = attempt.pending
-        is_write = pending.kind not in _READS
-        if not is_write:
-            instance.delay_ms += 0.1 * (elapsed_ms - instance.delay_ms)
-        if pending.transaction is None:
-            instance.limit.on_sample(elapsed_ms, instance.n_running, is_write=is_write)
-            group = pending.group
-            lane = group.replica_lane if attempt.is_from_replica else group.primary_lane
-            lane.on_service(elapsed_ms)
-
-    def _end_attempt(
-        self,
-        now_ms: float,
-        attempt: RunningAttempt,
-        outcome: AttemptOutcome,
-        detail: str,
-    ) -> None:
-        """End an attempt on this side, without a result of the host."""
-        result = AttemptResult(
-            request_id=attempt.pending.request.request_id,
-            attempt=attempt.number,
-            connection_id=attempt.connection.connection_id,
-            outcome=outcome,
-            detail=detail,
-        )
-        self._finish_attempt(now_ms, attempt, result)
-
-    def _finish_attempt(
-        self, now_ms: float, attempt: RunningAttempt, result: AttemptResult
-    ) -> None:
-        pending = attempt.pending
-        attempt.connection.instance.n_running -= 1
-        attempt.connection.work = None
-        pending.running.remove(attempt)
-        if pending.transaction is not None:
-            self._on_transaction_attempt(now_ms, attempt, result, pending.transaction)
-            return
-        self._settle_connection(now_ms, attempt, result)
-        if pending.state != "running":
-            return  # a hedged read that lost the race
-        if result.outcome in (AttemptOutcome.LOST, AttemptOutcome.NOT_ACKNOWLEDGED):
-            pending.tried.append(attempt.connection.instance)
-        if result.outcome is not AttemptOutcome.OK and pending.running:
-            return  # the other attempt of a hedged read decides
-        self._decide(now_ms, attempt, result)
-
-    def _settle_connection(
-        self, now_ms: float, attempt: RunningAttempt, result: AttemptResult
-    ) -> None:
-        """Pin, release or close the connection of an attempt."""
-        pending = attempt.pending
-        connection = attempt.connection
-        outcome = result.outcome
-        if connection.state == "closed":
-            return
-        if outcome in (
-            AttemptOutcome.LOST,
-            AttemptOutcome.NOT_SENT,
-            AttemptOutcome.FENCED,
-            AttemptOutcome.NOT_ACKNOWLEDGED,
-        ):
-            self._pool.close(connection, f"the attempt ended as {outcome.value}")
-        elif (
-            outcome is AttemptOutcome.OK
-            and pending.kind in _BEGINS
-            and pending.state == "running"
-        ):
-            self._begin_transaction(now_ms, attempt)
-        else:
-            needs_reset = pending.kind is not RequestKind.READ
-            self._pool.release(now_ms, connection, needs_reset=needs_reset)
-
-    def _begin_transaction(self, now_ms: float, attempt: RunningAttempt) -> None:
-        pending = attempt.pending
-        attempt.connection.step("finish_in_transaction")
-        transaction = Transaction(
-            pending.group,
-            attempt.connection,
-            pending.kind is RequestKind.BEGIN_READ_ONLY,
-            pending.session,
-            now_ms,
-        )
-        pending.caller.transaction = transaction
-        self._transactions[pending.caller.caller_id] = transaction
-
-    def _decide(
-        self, now_ms: float, attempt: RunningAttempt, result: AttemptResult
-    ) -> None:
-        pending = attempt.pending
-        group = pending.group
-        outcome = result.outcome
-        decision = self._retry_policy.decide(
-            outcome,
-            pending.rule,
-            n_attempts=pending.n_attempts,
-            may_have_run=pending.may_have_run,
-            budget=group.budget,
-            detail=result.detail,
-        )
-        if outcome in (AttemptOutcome.LOST, AttemptOutcome.NOT_ACKNOWLEDGED):
-            pending.may_have_run |= pending.kind not in _BEGINS
-        if decision.action is Action.COMPLETE:
-            self._complete_or_read_again(now_ms, attempt, result)
-        elif decision.action is Action.REFUSE:
-            assert decision.refusal is not None
-            self._refuse_attempted(pending, decision.refusal)
-        else:
-            if decision.action is Action.REPEAT_IN_NEW_TERM:
-                group.fenced_until_ms = now_ms + FENCED_PAUSE_MS
-                self._wake_at(group.fenced_until_ms)
-            self._repeat(now_ms, pending)
-
-    def _refuse_attempted(self, pending: PendingRequest, refusal: Refusal) -> None:
-        if pending.kind is RequestKind.OUTCOME_QUERY:
-            self._complete_unknown(pending)
-            return
-        if pending.kind in _BEGINS:
-            refusal = Refusal(Verdict.NOT_RUN, refusal.reason, refusal.detail)
-        self._refuse(pending, refusal)
-
-    def _repeat(self, now_ms: float, pending: PendingRequest) -> None:
-        pending.step("retry")
-        if pending.kind in _READS:
-            self._place_read(now_ms, pending)
-        else:
-            self._enqueue(now_ms, pending, pending.group.primary_lane)
-
-    def _complete_or_read_again(
-        self, now_ms: float, attempt: RunningAttempt, result: AttemptResult
-    ) -> None:
-        """Complete, unless the answer of a slow read is older than the caller accepts."""
-        pending = attempt.pending
-        requirement = pending.requirement
-        is_ok = result.outcome is AttemptOutcome.OK
-        age_ms = self._age_ms(now_ms, attempt) if requirement is not None else None
-        if is_ok and requirement is not None and requirement.max_age_ms is not None:
-            if age_ms is None or age_ms > requirement.max_age_ms:
-                self._read_again(now_ms, pending)
-                return
-        if is_ok:
-            self._note_success(now_ms, attempt, result)
-        self._complete(attempt, result, age_ms)
-
-    def _read_again(self, now_ms: float, pending: PendingRequest) -> None:
-        transaction = pending.caller.transaction
-        if transaction is not None:
-            self._pool.release(now_ms, transaction.connection, needs_reset=True)
-            self._end_transaction(pending.caller)
-        if pending.needs_primary:
-            detail = "the answer came later than its age allows"
-            self._refuse(
-                pending,
-                Refusal(Verdict.MAY_HAVE_RUN, RefusalReason.TOO_STALE, detail),
-            )
-            return
-        pending.needs_primary = True
-        pending.may_have_run = True
-        self._repeat(now_ms, pending)
-
-    def _age_ms(self, now_ms: float, attempt: RunningAttempt) -> float | None:
-        """Return the most that an answer can be old, or None if nothing proves it."""
-        group = attempt.pending.group
-        if attempt.is_from_replica:
-            as_of_ms = group.bounds.as_of_ms(attempt.applied)
-            return None if as_of_ms is None else now_ms - as_of_ms
-        position = LogPosition(attempt.connection.bound_term or 0, POSITION_MAX)
-        as_of_ms = group.bounds.as_of_ms(position)
-        if as_of_ms is None:
-            return None
-        # The primary may have answered before it confirmed a bound of later time.
-        return now_ms - min(as_of_ms, attempt.started_ms)
-
-    def _note_success(
-        self, now_ms: float, attempt: RunningAttempt, result: AttemptResult
-    ) -> None:
-        """Raise the session's watermark."""
-        pending = attempt.pending
-        session = pending.session
-        instance = attempt.connection.instance
-        is_in_transaction = pending.transaction is not None
-        is_acknowledged = pending.kind is RequestKind.COMMIT or not is_in_transaction
-        if pending.kind in _READS or not is_acknowledged:
-            if result.position is not None and attempt.is_from_replica:
-                self._note_applied(attempt, result.position)
-            if pending.requirement is not None:
-                session.position = max(session.position, pending.requirement.position)
-            session.on_read(
-                now_ms,
-                instance.applied if attempt.is_from_replica else attempt.applied,
-                instance.name,
-                attempt.connection.incarnation,
-                instance.term,
-            )
-        elif pending.kind not in (*_BEGINS, RequestKind.OUTCOME_QUERY):
-            is_read_only = (
-                pending.transaction is not None and pending.transaction.is_read_only
-            )
-            if not is_read_only:
-                session.on_write(result.position, now_ms)
-
-    def _note_applied(self, attempt: RunningAttempt, position: LogPosition) -> None:
-        instance = attempt.connection.instance
-        if attempt.connection.incarnation == instance.incarnation:
-            instance.applied = max(instance.applied, position)
-
-    # Ends of requests.
-
-    def _complete(
-        self, attempt: RunningAttempt, result: AttemptResult, age_ms: float | None
-    ) -> None:
-        pending = attempt.pending
-        is_read = pending.kind is RequestKind.READ
-        self._close_request(pending, "complete")
-        self._outbox.effects.append(
-            CompleteRequest(
-                request_id=pending.request.request_id,
-                attempt=attempt.number,
-                is_from_replica=is_read and attempt.is_from_replica,
-                age_ms=age_ms if is_read else None,
-                watermark=pending.session.position,
-                first_answer=result.first_answer,
-                query_outcome=result.query_outcome,
-            )
-        )
-
-    def _complete_locally(self, pending: PendingRequest) -> None:
-        self._close_request(pending, "complete")
-        self._outbox.effects.append(
-            CompleteRequest(
-                request_id=pending.request.request_id,
-                attempt=0,
-                first_answer=_EMPTY_ANSWER,
-            )
-        )
-
-    def _complete_unknown(self, pending: PendingRequest) -> None:
-        self._close_request(pending, "complete")
-        self._outbox.effects.append(
-            CompleteRequest(
-                request_id=pending.request.request_id,
-                attempt=0,
-                query_outcome=QueryOutcome.UNKNOWN,
-            )
-        )
-
-    def _refuse(self, pending: PendingRequest, refusal: Refusal) -> None:
-        self._close_request(pending, "refuse")
-        self._outbox.effects.append(
-            RefuseRequest(request_id=pending.request.request_id, refusal=refusal)
-        )
-
-    def _close_request(self, pending: PendingRequest, event: str) -> None:
-        self._leave_lane(pending)
-        self._leave_waiting(pending)
-        pending.step(event)
-        self._requests.pop(pending.request.request_id, None)
-        if pending.caller.pending is pending:
-            pending.caller.pending = None
-
-    def _leave_lane(self, pending: PendingRequest) -> None:
-        if pending.lane is not None:
-            pending.lane.remove(pending.request_class, pending.fairness_key, pending)
-            pending.lane = None
-
-    def _leave_waiting(self, pending: PendingRequest) -> None:
-        pending.group.waiting.pop(pending.request.request_id, None)
-
-    def _refuse_expired(self, now_ms: float, pending: PendingRequest) -> None:
-        """Refuse a request whose deadline has passed, with the true verdict."""
-        if pending.kind is RequestKind.OUTCOME_QUERY:
-            self._close_running(now_ms, pending, "the deadline has passed")
-            self._complete_unknown(pending)
-            return
-        reason, detail = self._reason_of_expiry(now_ms, pending)
-        self._abort(now_ms, pending, reason, detail)
-
-    def _reason_of_expiry(
-        self, now_ms: float, pending: PendingRequest
-    ) -> tuple[RefusalReason, str]:
-        group = pending.group
-        if pending.state == "waiting":
-            return RefusalReason.TOO_STALE, "no instance became fresh enough in time"
-        if pending.state == "queued" and pending.lane is group.primary_lane:
-            is_read = pending.kind in _READS
-            if group.usable_primary(now_ms, for_write=not is_read) is None:
-                return RefusalReason.NO_PRIMARY, "no primary took writes in time"
-        if pending.state == "queued" and not any(
-            instance.n_connections > instance.n_opening
-            for instance in group.instances.values()
-        ):
-            return RefusalReason.NO_BACKEND, "no backend server could be reached"
-        return RefusalReason.DEADLINE_EXCEEDED, "the deadline has passed"
-
-    def _abort(
-        self,
-        now_ms: float,
-        pending: PendingRequest,
-        reason: RefusalReason,
-        detail: str,
-    ) -> None:
-        """End a request from this side; what runs for it is closed."""
-        transaction = pending.transaction
-        is_running = bool(pending.running)
-        self._close_running(now_ms, pending, detail)
-        is_end = pending.kind in _ENDS
-        if transaction is not None and is_running:
-            if is_end:
-                self._end_transaction(pending.caller)
-            transaction.is_lost = True
-            transaction.is_loss_reported = True
-            if pending.kind is RequestKind.ROLLBACK:
-                self._complete_locally(pending)
-                return
-            if pending.kind is not RequestKind.COMMIT or transaction.is_read_only:
-                refusal = _refusal(RefusalReason.TRANSACTION_LOST, detail)
-                self._refuse(pending, refusal)
-                return
-        may_have_run = pending.may_have_run or (
-            is_running and pending.kind not in _BEGINS
-        )
-        verdict = Verdict.MAY_HAVE_RUN if may_have_run else Verdict.NOT_RUN
-        self._refuse(pending, Refusal(verdict, reason, detail))
-
-    def _close_running(
-        self, now_ms: float, pending: PendingRequest, detail: str
-    ) -> None:
-        for attempt in pending.running:
-            instance = attempt.connection.instance
-            instance.n_running -= 1
-            attempt.connection.work = None
-            self._pool.close(attempt.connection, detail)
-        pending.running.clear()
-
     def cancel(self, now_ms: float, request_id: RequestId) -> list[DataPathEffect]:
         """Abandon a request; it ends with a refusal that tells whether it may have run."""
         pending = self._requests.get(request_id)
@@ -1260,8 +331,6 @@
         self._is_draining = True
         return self._outbox.take()
 
-    # Connections.
-
     def on_connection_opened(
         self, now_ms: float, opened: ConnectionOpened
     ) -> list[DataPathEffect]:
@@ -1308,8 +377,6 @@
             self._review(now_ms, self._groups[connection.instance.database])
         return self._outbox.take()
 
-    # Time.
-
     def tick(self, now_ms: float) -> list[DataPathEffect]:
         """Act on deadlines that have passed."""
         groups = self._expire_requests(now_ms)
@@ -1323,11 +390,6 @@
             self._review(now_ms, group)
         return self._outbox.take()
 
-    def _wake_at(self, time_ms: float) -> None:
-        """Dispatch at a time, as a pause ends then."""
-        if self._wake_ms is None or time_ms < self._wake_ms:
-            self._wake_ms = time_ms
-
     def _expire_requests(self, now_ms: float) -> set[DatabaseGroup]:
         groups = set()
         while self._deadlines and self._deadlines[0][0] <= now_ms:
@@ -1401,8 +463,6 @@
             times.append(expiry_ms)
         return min(times)
 
-    # Reports.
-
     def watermark(self, caller_id: CallerId, database: str) -> LogPosition | None:
         """Return the watermark of a caller's session."""
         caller = self._callers.get(caller_id)
@@ -1447,24 +507,6 @@
         ]
 
 
-def _commit_refusal(
-    outcome: AttemptOutcome, transaction: Transaction, detail: str
-) -> Refusal:
-    """Tell what became of a COMMIT that was not answered."""
-    if transaction.is_read_only or outcome in (
-        AttemptOutcome.NOT_SENT,
-        AttemptOutcome.FENCED,
-    ):
-        text = detail or "the transaction was rolled back"
-        return _refusal(RefusalReason.TRANSACTION_LOST, text)
-    is_lost = outcome is AttemptOutcome.LOST
-    return Refusal(
-        Verdict.MAY_HAVE_RUN,
-        RefusalReason.CONNECTION_LOST if is_lost else RefusalReason.NOT_ACKNOWLEDGED,
-        detail or "the answer of COMMIT did not arrive",
-    )
-
-
 def _observe(now_ms: float, instance: InstanceState) -> InstanceObservation:
     assert instance.address is not None
     return InstanceObservation(
--- /dev/null
+++ b/packages/cardamomshunt/src/cardamomshunt/_dispatch.py
@@ -0,0 +1,400 @@
+"""Placing of requests on queues and instances."""
+
+import heapq
+
+from cardamomshunt._admission import SHED_AT_DEADLINE_SHARE, Lane
+from cardamomshunt._effects import (
+    AskPosition,
+    AttemptKind,
+    RequestKind,
+    StartAttempt,
+)
+from cardamomshunt._endings import Endings
+from cardamomshunt._freshness import ReadRequirement
+from cardamomshunt._group import DatabaseGroup
+from cardamomshunt._idempotency import attempt_kind
+from cardamomshunt._path_state import READS, not_run
+from cardamomshunt._pool import Connection, InstanceState
+from cardamomshunt._request_state import (
+    PendingRequest,
+    RunningAttempt,
+)
+from cardamomshunt._retries import (
+    RepeatRule,
+)
+from cardamomshunt._routing import without_outliers
+from cardamomshunt._sessions import required_of_read
+from cardamomshunt._verdict import RefusalReason
+
+POSITION_QUERY_TIMEOUT_MS = 500.0
+REPEATABLE_SHARE = 0.5  # of the time left, for an attempt that can be repeated
+HEDGE_PAUSE_MS = 20.0  # until a connection is there for the second attempt
+
+
+class Dispatch(Endings):
+    """Decide where and when a request runs."""
+
+    def _admit(self, now_ms: float, pending: PendingRequest) -> None:
+        group = pending.group
+        group.budget.on_request()
+        if pending.kind in READS:
+            self._require(now_ms, pending)
+            self._place_read(now_ms, pending)
+        elif not self._write_at_once(now_ms, pending):
+            self._enqueue(now_ms, pending, group.primary_lane)
+        self._pump(now_ms, group)
+
+    def _write_at_once(self, now_ms: float, pending: PendingRequest) -> bool:
+        """Start a request on the primary without queueing if none is queued."""
+        group = pending.group
+        if group.primary_lane.n_items or group.is_query_wanted:
+            return False
+        primary = group.usable_primary(now_ms, for_write=True)
+        if primary is None or not primary.limit.allows(primary.n_running):
+            return False
+        connection = self._pool.acquire(now_ms, primary)
+        if connection is None:
+            return False
+        self._start(now_ms, pending, connection)
+        return True
+
+    def _require(self, now_ms: float, pending: PendingRequest) -> None:
+        hints = pending.request.hints
+        max_age_ms = hints.max_age_ms
+        if max_age_ms is None:
+            max_age_ms = pending.settings.max_age_ms
+        pending.session.settle(pending.group.bounds)
+        pending.requirement = required_of_read(
+            pending.session, hints, max_age_ms, now_ms
+        )
+
+    def _place_read(self, now_ms: float, pending: PendingRequest) -> None:
+        """Queue a read for replicas or the primary, or let it wait for freshness."""
+        group = pending.group
+        requirement = pending.requirement
+        assert requirement is not None
+        requirement.resolve(group.bounds)
+        fresh = (
+            [] if pending.needs_primary else group.fresh_replicas(now_ms, requirement)
+        )
+        if fresh:
+            if not self._start_at_once(now_ms, pending, fresh):
+                self._enqueue(now_ms, pending, group.replica_lane)
+        elif requirement.bound_since_ms is not None and group.primary_needs_bound(
+            now_ms, requirement
+        ):
+            self._await_freshness(now_ms, pending, asks=True)
+        elif self._may_catch_up(now_ms, pending):
+            self._await_freshness(now_ms, pending, asks=False)
+        elif group.primary_needs_bound(now_ms, requirement):
+            self._await_freshness(now_ms, pending, asks=True)
+        elif self._primary_serves(now_ms, group, requirement):
+            self._enqueue(now_ms, pending, group.primary_lane)
+        else:
+            self._await_freshness(now_ms, pending, asks=False)
+
+    def _start_at_once(
+        self, now_ms: float, pending: PendingRequest, fresh: list[InstanceState]
+    ) -> bool:
+        """Start a read without queueing if none is queued before it."""
+        if pending.group.replica_lane.n_items:
+            return False
+        connection = self._acquire_any(now_ms, pending, fresh)
+        if connection is None:
+            return False
+        self._start(now_ms, pending, connection)
+        return True
+
+    def _primary_serves(
+        self, now_ms: float, group: DatabaseGroup, requirement: ReadRequirement
+    ) -> bool:
+        return (
+            group.usable_primary(now_ms, for_write=False) is not None
+            and requirement.position <= group.primary_position()
+        )
+
+    def _may_catch_up(self, now_ms: float, pending: PendingRequest) -> bool:
+        if pending.needs_primary:
+            return False
+        if pending.catch_up_until_ms is None:
+            wait_ms = self._configuration.policy.catch_up_wait_ms
+            pending.catch_up_until_ms = now_ms + wait_ms
+            heapq.heappush(
+                self._deadlines,
+                (pending.catch_up_until_ms, pending.request.request_id),
+            )
+        return (
+            now_ms < pending.catch_up_until_ms
+            and pending.group.has_catching_up_replica(now_ms)
+        )
+
+    def _await_freshness(
+        self, now_ms: float, pending: PendingRequest, *, asks: bool
+    ) -> None:
+        group = pending.group
+        if asks:
+            group.is_query_wanted = True
+            self._ask_position(now_ms, group)
+        if (
+            pending.n_attempts == 0
+            and group.is_primary_lost(now_ms)
+            and not self._may_catch_up(now_ms, pending)
+        ):
+            self._refuse_stale(pending)
+            return
+        if pending.state == "waiting":
+            return
+        pending.step("await_freshness")
+        group.waiting[pending.request.request_id] = pending
+
+    def _refuse_stale(self, pending: PendingRequest) -> None:
+        detail = "no replica is provably fresh, and the primary cannot be reached"
+        self._refuse(pending, not_run(RefusalReason.TOO_STALE, detail))
+
+    def _ask_position(self, now_ms: float, group: DatabaseGroup) -> None:
+        """Ask once for all reads that wait; later ones are served by the next round."""
+        if group.query is not None or now_ms < group.next_query_ms:
+            return
+        primary = group.primary
+        if primary is None or not primary.takes_work:
+            return
+        connection = self._pool.acquire(now_ms, primary)
+        if connection is None:
+            return
+        group.is_query_wanted = False
+        group.query = connection
+        group.query_sent_ms = now_ms
+        connection.is_position_query = True
+        self._outbox.effects.append(
+            AskPosition(
+                database=group.name,
+                connection_id=connection.connection_id,
+                timeout_ms=POSITION_QUERY_TIMEOUT_MS,
+            )
+        )
+
+    def _enqueue(
+        self, now_ms: float, pending: PendingRequest, lane: "Lane[PendingRequest]"
+    ) -> None:
+        # A repeat is not shed: an earlier attempt of it may have run.
+        detail = "" if pending.n_attempts else self._overload(now_ms, pending, lane)
+        if detail:
+            self._refuse(pending, not_run(RefusalReason.OVERLOADED, detail))
+            return
+        self._leave_waiting(pending)
+        pending.step("admit")
+        pending.lane = lane
+        lane.push(pending.request_class, pending.fairness_key, pending)
+
+    def _overload(
+        self, now_ms: float, pending: PendingRequest, lane: "Lane[PendingRequest]"
+    ) -> str:
+        """Tell why a request is shed on arrival; empty if it is admitted."""
+        settings = pending.settings
+        request_class = pending.request_class
+        key = pending.fairness_key
+        if not lane.has_room(request_class, key, settings.n_queued_max):
+            return "the queue is full"
+        n_parallel = pending.group.n_parallel(
+            on_primary=lane is pending.group.primary_lane
+        )
+        wait_ms = lane.estimated_wait_ms(
+            request_class, settings.reserved_share, n_parallel
+        )
+        if wait_ms > SHED_AT_DEADLINE_SHARE * pending.remaining_ms(now_ms):
+            return f"the expected wait is {wait_ms:.0f} ms"
+        return ""
+
+    def _review(self, now_ms: float, group: DatabaseGroup) -> None:
+        """Place the waiting reads anew after news, then dispatch."""
+        for pending in list(group.waiting.values()):
+            if pending.state == "waiting":
+                self._place_read(now_ms, pending)
+        self._pump(now_ms, group)
+
+    def _pump(self, now_ms: float, group: DatabaseGroup) -> None:
+        if group.is_query_wanted:
+            self._ask_position(now_ms, group)
+        while group.replica_lane.n_items and self._pump_replicas(now_ms, group):
+            pass
+        while group.primary_lane.n_items and self._pump_primary(now_ms, group):
+            pass
+
+    def _pump_replicas(self, now_ms: float, group: DatabaseGroup) -> bool:
+        """Start or move the next read; return False if it has to wait."""
+        lane = group.replica_lane
+        request_class = lane.choose()
+        assert request_class is not None
+        pending = lane.peek(request_class)
+        if self._shed(now_ms, pending):
+            return True
+        requirement = pending.requirement
+        assert requirement is not None
+        requirement.resolve(group.bounds)
+        fresh = group.fresh_replicas(now_ms, requirement)
+        if not fresh:
+            lane.pop(request_class, is_served=False)
+            pending.lane = None
+            self._place_read(now_ms, pending)
+            return True
+        connection = self._acquire_any(now_ms, pending, fresh)
+        if connection is None:
+            return False
+        lane.pop(request_class, is_served=True)
+        self._start(now_ms, pending, connection)
+        return True
+
+    def _acquire_any(
+        self, now_ms: float, pending: PendingRequest, fresh: list[InstanceState]
+    ) -> Connection | None:
+        candidates = without_outliers(fresh)
+        if pending.tried:
+            candidates = [c for c in candidates if c not in pending.tried] or candidates
+        while candidates:
+            able = [c for c in candidates if c.limit.allows(c.n_running)]
+            if not able:
+                return None
+            instance = self._routing_policy.choose(able)
+            connection = self._pool.acquire(now_ms, instance)
+            if connection is not None:
+                return connection
+            candidates = [item for item in able if item is not instance]
+        return None
+
+    def _pump_primary(self, now_ms: float, group: DatabaseGroup) -> bool:
+        """Start the next request on the primary; return False if it has to wait."""
+        lane = group.primary_lane
+        request_class = lane.choose()
+        assert request_class is not None
+        pending = lane.peek(request_class)
+        if self._shed(now_ms, pending):
+            return True
+        is_read = pending.kind in READS
+        primary = group.usable_primary(now_ms, for_write=not is_read)
+        if is_read and (primary is None or self._is_stale_primary(now_ms, pending)):
+            lane.pop(request_class, is_served=False)
+            pending.lane = None
+            self._place_read(now_ms, pending)
+            return pending.lane is not lane
+        if primary is None or not primary.limit.allows(primary.n_running):
+            return False
+        connection = self._pool.acquire(now_ms, primary)
+        if connection is None:
+            return False
+        lane.pop(request_class, is_served=True)
+        self._start(now_ms, pending, connection)
+        return True
+
+    def _is_stale_primary(self, now_ms: float, pending: PendingRequest) -> bool:
+        group = pending.group
+        requirement = pending.requirement
+        assert requirement is not None
+        requirement.resolve(group.bounds)
+        return group.primary_needs_bound(now_ms, requirement) or not (
+            self._primary_serves(now_ms, group, requirement)
+        )
+
+    def _shed(self, now_ms: float, pending: PendingRequest) -> bool:
+        """Refuse a queued request that cannot be answered in time."""
+        lane = pending.lane
+        needed_ms = lane.service_ms if lane is not None else 0.0
+        if pending.remaining_ms(now_ms) > needed_ms:
+            return False
+        self._refuse_expired(now_ms, pending)
+        return True
+
+    def _start(
+        self, now_ms: float, pending: PendingRequest, connection: Connection
+    ) -> None:
+        self._leave_waiting(pending)
+        pending.lane = None
+        pending.step("start")
+        timeout_ms = pending.remaining_ms(now_ms)
+        if pending.kind is RequestKind.READ:
+            self._plan_hedge(now_ms, pending, self._hedge_after_ms(now_ms, pending))
+        elif pending.rule is not RepeatRule.NEVER:
+            timeout_ms *= REPEATABLE_SHARE
+        self._run(
+            now_ms, pending, connection, attempt_kind(pending.request), timeout_ms
+        )
+
+    def _hedge_after_ms(self, now_ms: float, pending: PendingRequest) -> float:
+        """Return when a second attempt starts beside a read that is not answered.
+
+        Without hedging it is at half of the time left, so that a connection that went
+        silent does not cost the answer, nor a slow statement its first attempt.
+        """
+        hedge_ms = self._configuration.policy.hedge_after_ms
+        if hedge_ms > 0:
+            return hedge_ms
+        return REPEATABLE_SHARE * pending.remaining_ms(now_ms)
+
+    def _plan_hedge(
+        self, now_ms: float, pending: PendingRequest, after_ms: float
+    ) -> None:
+        pending.hedge_at_ms = now_ms + after_ms
+        heapq.heappush(
+            self._deadlines, (pending.hedge_at_ms, pending.request.request_id)
+        )
+
+    def _hedge(self, now_ms: float, pending: PendingRequest) -> None:
+        """Start a second attempt of a read, on another instance if one is fresh."""
+        pending.hedge_at_ms = None
+        group = pending.group
+        requirement = pending.requirement
+        if requirement is None or len(pending.running) != 1:
+            return
+        first = pending.running[0].connection.instance
+        fresh = group.fresh_replicas(now_ms, requirement)
+        others = [instance for instance in fresh if instance is not first]
+        if not others and not self._is_stale_primary(now_ms, pending):
+            others = [group.primary] if group.primary is not None else []
+        others = others or fresh
+        if self._configuration.policy.hedge_after_ms <= 0:
+            self._pool.probe_all(now_ms, first)
+        able = [item for item in others if item.limit.allows(item.n_running)]
+        connection = None
+        if able and group.budget.has_token():
+            instance = self._routing_policy.choose(able)
+            connection = self._pool.acquire(now_ms, instance)
+        if connection is None:
+            self._plan_hedge(now_ms, pending, HEDGE_PAUSE_MS)
+        else:
+            group.budget.take()
+            pending.step("hedge")
+            timeout_ms = pending.remaining_ms(now_ms)
+            self._run(now_ms, pending, connection, AttemptKind.PLAIN, timeout_ms)
+
+    def _run(
+        self,
+        now_ms: float,
+        pending: PendingRequest,
+        connection: Connection,
+        kind: AttemptKind,
+        timeout_ms: float,
+    ) -> None:
+        instance = connection.instance
+        pending.n_attempts += 1
+        attempt = RunningAttempt(
+            pending,
+            pending.n_attempts,
+            connection,
+            now_ms,
+            instance.applied,
+            connection.bound_term is None,
+        )
+        pending.running.append(attempt)
+        connection.work = attempt
+        instance.n_running += 1
+        instance.breaker.on_trial(now_ms)
+        self._outbox.effects.append(
+            StartAttempt(
+                request_id=pending.request.request_id,
+                attempt=attempt.number,
+                connection_id=connection.connection_id,
+                kind=kind,
+                timeout_ms=timeout_ms,
+                idempotency_key=pending.request.hints.idempotency_key,
+                fingerprint=pending.request.fingerprint,
+            )
+        )
--- a/packages/cardamomshunt/src/cardamomshunt/_freshness.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_freshness.py
@@ -89,3 +89,9 @@
         if position is not None:
             self.position = max(self.position, position)
             self.bound_since_ms = None
+
+    def is_older(self, age_ms: float | None) -> bool:
+        """Tell whether an answer is older than accepted; None is an unknown age."""
+        if self.max_age_ms is None:
+            return False
+        return age_ms is None or age_ms > self.max_age_ms
--- /dev/null
+++ b/packages/cardamomshunt/src/cardamomshunt/_path_state.py
@@ -0,0 +1,95 @@
+"""The state that all parts of the data path share."""
+
+import random
+
+from cardamomshunt._configuration_document import ClusterConfiguration
+from cardamomshunt._connection_shares import ConnectionLeases
+from cardamomshunt._effects import (
+    CallerId,
+    RequestId,
+    RequestKind,
+)
+from cardamomshunt._group import DatabaseGroup
+from cardamomshunt._pool import ConnectionPool, InstanceState, Outbox
+from cardamomshunt._request_state import (
+    CallerState,
+    PendingRequest,
+    Transaction,
+)
+from cardamomshunt._retries import (
+    AtMostOnceRetryPolicy,
+    RetryPolicy,
+)
+from cardamomshunt._routing import LeastDelayPolicy, RoutingPolicy
+from cardamomshunt._sessions import SessionStore
+from cardamomshunt._verdict import Refusal, RefusalReason, Verdict
+
+ENDS = (RequestKind.COMMIT, RequestKind.ROLLBACK)
+BEGINS = (RequestKind.BEGIN, RequestKind.BEGIN_READ_ONLY)
+READS = (RequestKind.READ, RequestKind.BEGIN_READ_ONLY)
+
+POSITION_QUERY_PAUSE_MS = 50.0  # after a failed query
+
+
+def not_run(reason: RefusalReason, detail: str) -> Refusal:
+    """Refuse what did not run."""
+    return Refusal(Verdict.NOT_RUN, reason, detail)
+
+
+class PathState:
+    """Hold groups, instances, callers and requests."""
+
+    def __init__(
+        self,
+        *,
+        zone: str,
+        generator: random.Random,
+        configuration: ClusterConfiguration | None = None,
+        retry_policy: RetryPolicy | None = None,
+        routing_policy: RoutingPolicy | None = None,
+    ) -> None:
+        self._configuration = configuration or ClusterConfiguration()
+        self._generator = generator
+        self._retry_policy = retry_policy or AtMostOnceRetryPolicy()
+        self._routing_policy = routing_policy or LeastDelayPolicy(zone, generator)
+        self._outbox = Outbox()
+        self._leases = ConnectionLeases(self._configuration.policy.n_connections_floor)
+        self._pool = ConnectionPool(self._outbox, self._leases, generator)
+        self._groups: dict[str, DatabaseGroup] = {}
+        self._instances: dict[str, InstanceState] = {}
+        self._draining: set[str] = set()
+        self._callers: dict[CallerId, CallerState] = {}
+        self._requests: dict[RequestId, PendingRequest] = {}
+        self._transactions: dict[CallerId, Transaction] = {}
+        self._named_sessions = SessionStore()
+        self._deadlines: list[tuple[float, RequestId]] = []
+        self._topology_version = -1
+        self._is_draining = False
+        self._next_maintenance_ms = 0.0
+        self._wake_ms: float | None = None
+        self._n_maintenances = 0
+        for name in self._configuration.databases:
+            self._group(name)
+
+    def _group(self, name: str) -> DatabaseGroup:
+        group = self._groups.get(name)
+        if group is None:
+            group = self._groups[name] = DatabaseGroup(
+                name,
+                self._configuration.database(name),
+                self._configuration.policy.retry_budget_ratio,
+            )
+        return group
+
+    def _wake_at(self, time_ms: float) -> None:
+        """Dispatch at a time, as a pause ends then."""
+        if self._wake_ms is None or time_ms < self._wake_ms:
+            self._wake_ms = time_ms
+
+    def _pause_queries(self, now_ms: float, group: DatabaseGroup) -> None:
+        group.next_query_ms = now_ms + POSITION_QUERY_PAUSE_MS
+        self._wake_at(group.next_query_ms)
+
+    def _end_transaction(self, caller: CallerState) -> None:
+        caller.transaction = None
+        self._transactions.pop(caller.caller_id, None)
--- /dev/null
+++ b/packages/cardamomshunt/src/cardamomshunt/_transactions.py
@@ -0,0 +1,200 @@
+"""Transactions, which are pinned to one connection."""
+
+from cardamomshunt._dispatch import Dispatch
+from cardamomshunt._effects import (
+    AttemptKind,
+    AttemptOutcome,
+    AttemptResult,
+    RequestKind,
+)
+from cardamomshunt._path_state import BEGINS, ENDS, READS, not_run
+from cardamomshunt._position import LogPosition
+from cardamomshunt._request_state import (
+    PendingRequest,
+    RunningAttempt,
+    Transaction,
+)
+from cardamomshunt._verdict import Refusal, RefusalReason, Verdict
+
+# 1205 lock wait timeout may and 1213 deadlock does roll the transaction back; 1180 is
+# an error at commit and 3101 a rollback by the replication layer.
+ROLLBACK_ERROR_CODES = frozenset({1180, 1205, 1213, 3101})
+
+
+class Transactions(Dispatch):
+    """Run statements of open transactions, and raise watermarks."""
+
+    def _submit_in_transaction(
+        self, now_ms: float, pending: PendingRequest, transaction: Transaction
+    ) -> None:
+        pending.transaction = transaction
+        if transaction.is_lost:
+            self._submit_in_lost_transaction(now_ms, pending, transaction)
+            return
+        refusal = self._refusal_in_transaction(pending, transaction)
+        if refusal is not None:
+            self._refuse(pending, refusal)
+            return
+        kind = AttemptKind.PLAIN
+        if pending.kind is RequestKind.COMMIT and not transaction.is_read_only:
+            kind = AttemptKind.ACKNOWLEDGED_COMMIT
+        transaction.used_ms = now_ms
+        transaction.connection.step("start")
+        pending.step("start")
+        timeout_ms = pending.remaining_ms(now_ms)
+        self._run(now_ms, pending, transaction.connection, kind, timeout_ms)
+
+    def _submit_in_lost_transaction(
+        self, now_ms: float, pending: PendingRequest, transaction: Transaction
+    ) -> None:
+        """Refuse until the caller ends the transaction, so that no part runs alone."""
+        if pending.kind is RequestKind.ROLLBACK:
+            self._end_transaction(pending.caller)
+            self._complete_locally(pending)
+            return
+        if pending.kind in BEGINS and transaction.is_loss_reported:
+            self._end_transaction(pending.caller)
+            pending.transaction = None
+            self._admit(now_ms, pending)
+            return
+        if pending.kind is RequestKind.COMMIT:
+            self._end_transaction(pending.caller)
+        transaction.is_loss_reported = True
+        detail = "the transaction was rolled back; end it with ROLLBACK"
+        self._refuse(pending, not_run(RefusalReason.TRANSACTION_LOST, detail))
+
+    def _refusal_in_transaction(
+        self, pending: PendingRequest, transaction: Transaction
+    ) -> Refusal | None:
+        kind = pending.kind
+        detail = ""
+        if pending.group is not transaction.group:
+            detail = "the open transaction belongs to another database"
+        elif kind in BEGINS:
+            detail = "a transaction is open; COMMIT or ROLLBACK it first"
+        elif kind in (RequestKind.IMPLICIT_COMMIT, RequestKind.OUTCOME_QUERY):
+            detail = "the statement is not supported inside a transaction"
+        elif kind is RequestKind.WRITE and transaction.is_read_only:
+            detail = "the open transaction is read only"
+        if not detail:
+            return None
+        return not_run(RefusalReason.UNSUPPORTED_STATEMENT, detail)
+
+    def _begin_transaction(self, now_ms: float, attempt: RunningAttempt) -> None:
+        pending = attempt.pending
+        attempt.connection.step("finish_in_transaction")
+        transaction = Transaction(
+            pending.group,
+            attempt.connection,
+            pending.kind is RequestKind.BEGIN_READ_ONLY,
+            pending.session,
+            now_ms,
+        )
+        pending.caller.transaction = transaction
+        self._transactions[pending.caller.caller_id] = transaction
+
+    def _on_transaction_attempt(
+        self,
+        now_ms: float,
+        attempt: RunningAttempt,
+        result: AttemptResult,
+        transaction: Transaction,
+    ) -> None:
+        pending = attempt.pending
+        transaction.used_ms = now_ms
+        outcome = result.outcome
+        if outcome in (AttemptOutcome.OK, AttemptOutcome.BACKEND_ERROR):
+            self._answer_in_transaction(now_ms, attempt, result, transaction)
+            return
+        self._pool.close(attempt.connection, "the transaction is lost")
+        if pending.kind is RequestKind.ROLLBACK:
+            # The server rolls back when the connection closes.
+            self._end_transaction(pending.caller)
+            self._complete_locally(pending)
+        elif pending.kind is RequestKind.COMMIT:
+            self._end_transaction(pending.caller)
+            self._refuse(pending, _commit_refusal(outcome, transaction, result.detail))
+        else:
+            transaction.is_lost = True
+            transaction.is_loss_reported = True
+            detail = result.detail or "the connection of the transaction was lost"
+            self._refuse(pending, not_run(RefusalReason.TRANSACTION_LOST, detail))
+
+    def _answer_in_transaction(
+        self,
+        now_ms: float,
+        attempt: RunningAttempt,
+        result: AttemptResult,
+        transaction: Transaction,
+    ) -> None:
+        pending = attempt.pending
+        connection = attempt.connection
+        is_ok = result.outcome is AttemptOutcome.OK
+        if pending.kind in ENDS:
+            self._end_transaction(pending.caller)
+            if is_ok:
+                self._pool.release(now_ms, connection, needs_reset=True)
+            else:
+                self._pool.close(connection, "the transaction's end failed")
+        elif not is_ok and result.error_code in ROLLBACK_ERROR_CODES:
+            transaction.is_lost = True
+            transaction.is_loss_reported = True
+            self._pool.close(connection, "the server rolled the transaction back")
+        else:
+            connection.work = None
+            connection.step("finish_in_transaction")
+        if is_ok:
+            self._note_success(now_ms, attempt, result)
+        age_ms = self._age_ms(now_ms, attempt)
+        self._complete(attempt, result, age_ms)
+
+    def _note_success(
+        self, now_ms: float, attempt: RunningAttempt, result: AttemptResult
+    ) -> None:
+        """Raise the session's watermark."""
+        pending = attempt.pending
+        session = pending.session
+        instance = attempt.connection.instance
+        is_in_transaction = pending.transaction is not None
+        is_acknowledged = pending.kind is RequestKind.COMMIT or not is_in_transaction
+        if pending.kind in READS or not is_acknowledged:
+            if result.position is not None and attempt.is_from_replica:
+                self._note_applied(attempt, result.position)
+            if pending.requirement is not None:
+                session.position = max(session.position, pending.requirement.position)
+            session.on_read(
+                now_ms,
+                instance.applied if attempt.is_from_replica else attempt.applied,
+                instance.name,
+                attempt.connection.incarnation,
+                instance.term,
+            )
+        elif pending.kind not in (*BEGINS, RequestKind.OUTCOME_QUERY):
+            is_read_only = (
+                pending.transaction is not None and pending.transaction.is_read_only
+            )
+            if not is_read_only:
+                session.on_write(result.position, now_ms)
+
+    def _note_applied(self, attempt: RunningAttempt, position: LogPosition) -> None:
+        instance = attempt.connection.instance
+        if attempt.connection.incarnation == instance.incarnation:
+            instance.applied = max(instance.applied, position)
+
+
+def _commit_refusal(
+    outcome: AttemptOutcome, transaction: Transaction, detail: str
+) -> Refusal:
+    """Tell what became of a COMMIT that was not answered."""
+    if transaction.is_read_only or outcome in (
+        AttemptOutcome.NOT_SENT,
+        AttemptOutcome.FENCED,
+    ):
+        text = detail or "the transaction was rolled back"
+        return not_run(RefusalReason.TRANSACTION_LOST, text)
+    is_lost = outcome is AttemptOutcome.LOST
+    return Refusal(
+        Verdict.MAY_HAVE_RUN,
+        RefusalReason.CONNECTION_LOST if is_lost else RefusalReason.NOT_ACKNOWLEDGED,
+        detail or "the answer of COMMIT did not arrive",
+    )
