Prove the data path on simulated histories

Change: derandomised hypothesis runs of 120 histories with seven checkers; naive splitter and single primary; each checker is shown to catch a broken variant. Conclusion: the checkers see what breaks; the data path passes them.

--- a/packages/cardamomshunt/src/cardamomshunt/retries.py
+++ b/packages/cardamomshunt/src/cardamomshunt/retries.py
@@ -3,8 +3,15 @@
 from cardamomshunt._retries import (
     AtMostOnceRetryPolicy,
     Decision,
+    RepeatRule,
     RetryBudget,
     RetryPolicy,
 )
 
-__all__ = ["AtMostOnceRetryPolicy", "Decision", "RetryBudget", "RetryPolicy"]
+__all__ = [
+    "AtMostOnceRetryPolicy",
+    "Decision",
+    "RepeatRule",
+    "RetryBudget",
+    "RetryPolicy",
+]
--- /dev/null
+++ b/packages/cardamomshunt/tests/test_histories.py
@@ -0,0 +1,175 @@
+"""The data path keeps its guarantees under faults, and the checkers see what breaks."""
+
+import random
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+from cardamomshunt.data_path import DataPath
+from cardamomshunt.effects import AttemptKind
+from cardamomshunt.retries import RepeatRule
+from cardamomshunt.verdict import Refusal, Verdict
+from fake_group import FakeConnection, Host, Server, Simulation
+from history_checks import (
+    CHECKS,
+    backward_reads,
+    lost_writes,
+    mixed_transactions,
+    reads_too_old,
+    repeated_writes,
+    stale_session_reads,
+    untrue_verdicts,
+)
+from hypothesis import example, given, settings
+from hypothesis import strategies as st
+from naive_paths import NaiveSplitter, OnePrimary
+
+FAULTS = (
+    "kill primary",
+    "freeze primary",
+    "cut primary",
+    "stall replica",
+    "silence",
+    "heal",
+)
+
+
+def faults_of(seed: int) -> list[tuple[float, str]]:
+    generator = random.Random(seed)
+    n_faults = seed % 6
+    faults = [
+        (generator.uniform(200.0, 2_800.0), generator.choice(FAULTS))
+        for _ in range(n_faults)
+    ]
+    return sorted(faults)
+
+
+def violated(
+    path: Callable[..., Any], check: Callable[[Simulation], list[Any]], seeds: range
+) -> bool:
+    """Tell whether a check fails in one of the runs."""
+    return any(
+        bool(check(Simulation(seed, faults_of(seed), path=path).run()))
+        for seed in seeds
+    )
+
+
+@settings(max_examples=120, deadline=None, derandomize=True, database=None)
+@given(
+    seed=st.integers(0, 2**32 - 1),
+    faults=st.lists(
+        st.tuples(st.floats(100.0, 2_900.0), st.sampled_from(FAULTS)), max_size=6
+    ),
+)
+# Reads of a server that restarted as a replica in an unchanged term were stale.
+@example(seed=245, faults=faults_of(245))
+@example(seed=418, faults=faults_of(418))
+def test_guarantees_hold(seed: int, faults: list[tuple[float, str]]) -> None:
+    simulation = Simulation(seed, sorted(faults)).run()
+    for check in CHECKS:
+        assert not check(simulation), check.__name__
+    assert all(operation.ended is not None for operation in simulation.operations)
+    assert not any(host.path.n_open_requests() for host in simulation.hosts)
+
+
+@pytest.mark.parametrize("path", [DataPath, NaiveSplitter, OnePrimary])
+def test_without_faults_nothing_is_refused(path: Callable[..., Any]) -> None:
+    simulation = Simulation(7, path=path, reply_fault_share=0.0).run()
+    late = [o for o in simulation.operations if o.started > 200.0]
+    assert len(late) > 300
+    assert all(operation.is_ok for operation in late)
+    assert not lost_writes(simulation)
+    assert not mixed_transactions(simulation)
+
+
+def test_most_reads_are_served_by_replicas() -> None:
+    """Guards against a path that is safe because it reads from the primary only."""
+    simulation = Simulation(7, reply_fault_share=0.0, roaming_share=0.0).run()
+    reads = [o for o in simulation.operations if o.kind.value == "read"]
+    assert sum(o.is_from_replica for o in reads) > 0.85 * len(reads)
+
+
+class _NoAge(DataPath):
+    def _require(self, now_ms: float, pending: Any) -> None:
+        super()._require(now_ms, pending)
+        pending.requirement.max_age_ms = None
+
+
+class _NoReadWatermark(DataPath):
+    def _note_success(self, now_ms: float, attempt: Any, result: Any) -> None:
+        super()._note_success(now_ms, attempt, result)
+        attempt.pending.session.read_since_ms = None
+
+
+class _NoBoundForRoaming(DataPath):
+    def _require(self, now_ms: float, pending: Any) -> None:
+        super()._require(now_ms, pending)
+        pending.requirement.bound_since_ms = None
+
+
+class _RepeatsUnkeyedWrites(DataPath):
+    def _new_pending(self, *arguments: Any) -> Any:
+        pending = super()._new_pending(*arguments)
+        if pending.rule is RepeatRule.NEVER:
+            pending.rule = RepeatRule.KEYED
+        return pending
+
+
+class _SaysNotRun(DataPath):
+    def _refuse(self, pending: Any, refusal: Refusal) -> None:
+        super()._refuse(
+            pending, Refusal(Verdict.NOT_RUN, refusal.reason, refusal.detail)
+        )
+
+
+class _SaysMayHaveRun(DataPath):
+    def _refuse(self, pending: Any, refusal: Refusal) -> None:
+        super()._refuse(
+            pending, Refusal(Verdict.MAY_HAVE_RUN, refusal.reason, refusal.detail)
+        )
+
+
+class _AcknowledgesAlone(DataPath):
+    def _run(
+        self, now_ms: float, pending: Any, connection: Any, kind: Any, timeout_ms: float
+    ) -> None:
+        if kind is AttemptKind.ACKNOWLEDGED_WRITE:
+            kind = AttemptKind.PLAIN
+        super()._run(now_ms, pending, connection, kind, timeout_ms)
+
+
+@pytest.mark.parametrize(
+    ("path", "check"),
+    [
+        (NaiveSplitter, stale_session_reads),
+        (NaiveSplitter, backward_reads),
+        (OnePrimary, lost_writes),
+        (_NoAge, reads_too_old),
+        (_NoReadWatermark, backward_reads),
+        (_NoBoundForRoaming, stale_session_reads),
+        (_RepeatsUnkeyedWrites, repeated_writes),
+        (_SaysNotRun, untrue_verdicts),
+        (_SaysMayHaveRun, untrue_verdicts),
+        (_AcknowledgesAlone, lost_writes),
+    ],
+)
+def test_checker_catches_broken_path(
+    path: Callable[..., Any], check: Callable[[Simulation], list[Any]]
+) -> None:
+    assert violated(path, check, range(24))
+
+
+def test_checker_catches_mixed_transactions(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Uses a group whose connections to a server share one transaction."""
+    shared: dict[Server, list[int]] = {}
+    execute = Host.execute
+
+    def execute_shared(
+        host: Host, effect: Any, connection: FakeConnection, *rest: Any
+    ) -> None:
+        if connection.buffer is not None:
+            connection.buffer = shared.setdefault(connection.server, [])
+        execute(host, effect, connection, *rest)
+
+    monkeypatch.setattr(Host, "execute", execute_shared)
+    assert violated(DataPath, mixed_transactions, range(6))
