Keep the concurrency limit from collapsing, and measure queue waits

Change: the limit compares means of delays; waits are estimated from the measured rate of service of a class; requests are shed at half of their deadline.

--- a/packages/cardamomshunt/src/cardamomshunt/_admission.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_admission.py
@@ -3,6 +3,7 @@
 from abc import ABC, abstractmethod
 from collections import OrderedDict, deque
 from collections.abc import Hashable
+from dataclasses import dataclass
 from typing import Generic, TypeVar
 
 from cardamomshunt._effects import RequestClass
@@ -13,15 +14,19 @@
 SHARE_WINDOW = 64  # dispatches after which the counts of served requests are halved
 CALLER_SHARE = 0.25  # of a queue that one caller may fill
 N_QUEUED_PER_CALLER_MIN = 4
-SHED_AT_DEADLINE_SHARE = 0.8  # the estimate of a wait is rough; leave a fifth
+# A longer queue adds delay but no throughput, and the estimate of a wait is rough.
+SHED_AT_DEADLINE_SHARE = 0.5
+N_SAMPLES_OF_WINDOW = 50
 
 
 class FairQueue(Generic[T]):
     """Queue items by caller and serve the callers in turn."""
 
-    __slots__ = ("_by_caller", "_n_items")
+    __slots__ = ("_by_caller", "_interval_ms", "_n_items", "_served_ms")
 
     def __init__(self) -> None:
+        self._interval_ms = 0.0
+        self._served_ms: float | None = None
         self._by_caller: OrderedDict[Hashable, deque[T]] = OrderedDict()
         self._n_items = 0
 
@@ -58,6 +63,20 @@
         self._n_items -= 1
         return item
 
+    def on_served(self, now_ms: float) -> None:
+        """Measure the time between services while items are queued."""
+        if self._served_ms is not None:
+            interval_ms = now_ms - self._served_ms
+            self._interval_ms += 0.1 * (interval_ms - self._interval_ms)
+        self._served_ms = now_ms if self._n_items else None
+
+    def estimated_wait_ms(self, now_ms: float) -> float:
+        """Estimate the wait of a new item from the measured rate of service."""
+        if not self._n_items or self._served_ms is None:
+            return 0.0
+        interval_ms = max(self._interval_ms, now_ms - self._served_ms)
+        return self._n_items * interval_ms
+
     def remove(self, caller: Hashable, item: T) -> bool:
         """Remove an item; return False if it is not queued."""
         items = self._by_caller.get(caller)
@@ -137,18 +156,9 @@
         n_of_caller_max = max(N_QUEUED_PER_CALLER_MIN, int(n_queued_max * CALLER_SHARE))
         return len(queue) < n_queued_max and queue.n_of(caller) < n_of_caller_max
 
-    def estimated_wait_ms(
-        self, request_class: RequestClass, share: float, n_parallel: int
-    ) -> float:
-        """Estimate the wait of a new request from the measured service time."""
-        n_own = len(self._queues[request_class])
-        n_before = n_own
-        for other in PRIORITIES:
-            if other is request_class:
-                break
-            n_before += len(self._queues[other])
-        n_before = min(n_before, int(n_own / max(share, 0.01)) + 1)
-        return n_before * self.service_ms / max(n_parallel, 1)
+    def estimated_wait_ms(self, now_ms: float, request_class: RequestClass) -> float:
+        """Estimate the wait of a new request of a class."""
+        return self._queues[request_class].estimated_wait_ms(now_ms)
 
     def push(self, request_class: RequestClass, caller: Hashable, item: T) -> None:
         """Queue an item."""
@@ -169,61 +179,85 @@
         """Return the next item of a class."""
         return self._queues[request_class].peek()
 
-    def pop(self, request_class: RequestClass, *, is_served: bool) -> T:
-        """Take the next item of a class."""
-        if is_served:
-            self._policy.on_served(request_class)
+    def pop(self, request_class: RequestClass) -> T:
+        """Take the next item of a class without serving it."""
         self.n_items -= 1
         return self._queues[request_class].pop()
 
+    def serve(self, now_ms: float, request_class: RequestClass) -> T:
+        """Take the next item of a class, which starts now."""
+        self._policy.on_served(request_class)
+        item = self.pop(request_class)
+        self._queues[request_class].on_served(now_ms)
+        return item
+
     def take_all(self) -> list[T]:
         """Take all items."""
         self.n_items = 0
         return [item for queue in self._queues.values() for item in queue.take_all()]
 
 
+@dataclass(slots=True)
+class _DelayWindow:
+    """Compare the mean delay of recent requests with the best mean seen."""
+
+    best_ms: float = 0.0
+    recent_ms: float = 0.0
+    sum_ms: float = 0.0
+    n_samples: int = 0
+
+    def add(self, elapsed_ms: float) -> None:
+        """Take over a delay."""
+        if not self.recent_ms:
+            self.recent_ms = elapsed_ms
+        self.recent_ms += 0.1 * (elapsed_ms - self.recent_ms)
+        self.sum_ms += elapsed_ms
+        self.n_samples += 1
+        if self.n_samples >= N_SAMPLES_OF_WINDOW:
+            self._close()
+
+    def _close(self) -> None:
+        mean_ms = self.sum_ms / self.n_samples
+        self.sum_ms = 0.0
+        self.n_samples = 0
+        if not self.best_ms or mean_ms < self.best_ms:
+            self.best_ms = mean_ms
+        else:
+            # Rises slowly, as paths and statements change.
+            self.best_ms += 0.005 * (mean_ms - self.best_ms)
+
+    def ratio(self) -> float:
+        """Return how many times longer recent requests take than at best."""
+        return self.recent_ms / self.best_ms if self.best_ms else 1.0
+
+
 class ConcurrencyLimit:
     """Adapt the number of requests in flight to the measured delay.
 
-    The estimate of the server's queue is limit * (1 - best delay / recent delay), as
-    in TCP Vegas. Reads and acknowledged writes have different best delays.
+    Means are compared, not single delays: service times vary by a factor of ten by
+    themselves, and a limit that follows the shortest delay stays at 2 of 5 slots.
+    Reads and acknowledged writes have different best delays.
     """
 
-    __slots__ = ("_best_ms", "_recent_ms", "_samples_until_decay", "n_max", "value")
+    __slots__ = ("_windows", "n_max", "value")
 
-    N_QUEUED_LOW = 0.6
-    N_QUEUED_HIGH = 1.8
-    N_SAMPLES_TO_DECAY = 200
+    RATIO_TO_GROW = 1.5
+    RATIO_TO_SHRINK = 2.0
 
     def __init__(self, n_slots: int) -> None:
         self.value = float(max(1, n_slots))
-        self.n_max = max(8.0, 4.0 * n_slots)
-        self._best_ms: dict[bool, float] = {}
-        self._recent_ms: dict[bool, float] = {}
-        self._samples_until_decay = self.N_SAMPLES_TO_DECAY
+        self.n_max = max(16.0, 8.0 * n_slots)
+        self._windows = (_DelayWindow(), _DelayWindow())
 
     def on_sample(self, elapsed_ms: float, n_running: int, *, is_write: bool) -> None:
         """Take over the delay of a request that ran beside `n_running - 1` others."""
-        best = min(self._best_ms.get(is_write, elapsed_ms), elapsed_ms)
-        recent = self._recent_ms.get(is_write, elapsed_ms)
-        recent += 0.2 * (elapsed_ms - recent)
-        self._best_ms[is_write] = best
-        self._recent_ms[is_write] = recent
-        self._forget_best()
-        n_queued = self.value * (1.0 - best / recent) if recent > best else 0.0
-        if n_queued > self.N_QUEUED_HIGH:
-            self.value = max(1.0, self.value - 0.5 / self.value)
-        elif n_queued < self.N_QUEUED_LOW and n_running >= int(self.value):
-            self.value = min(self.n_max, self.value + 1.0 / self.value)
-
-    def _forget_best(self) -> None:
-        """Let the best delay rise slowly, as paths and loads change."""
-        self._samples_until_decay -= 1
-        if self._samples_until_decay > 0:
-            return
-        self._samples_until_decay = self.N_SAMPLES_TO_DECAY
-        for key, recent in self._recent_ms.items():
-            self._best_ms[key] += 0.1 * max(0.0, recent - self._best_ms[key])
+        window = self._windows[is_write]
+        window.add(elapsed_ms)
+        ratio = window.ratio()
+        if ratio > self.RATIO_TO_SHRINK:
+            self.value = max(1.0, self.value - 0.25)
+        elif ratio < self.RATIO_TO_GROW and n_running >= int(self.value):
+            self.value = min(self.n_max, self.value + 0.5 / self.value)
 
     def on_timeout(self) -> None:
         """Back off after a request that was not answered in time."""
--- a/packages/cardamomshunt/src/cardamomshunt/_dispatch.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_dispatch.py
@@ -195,12 +195,7 @@
         key = pending.fairness_key
         if not lane.has_room(request_class, key, settings.n_queued_max):
             return "the queue is full"
-        n_parallel = pending.group.n_parallel(
-            on_primary=lane is pending.group.primary_lane
-        )
-        wait_ms = lane.estimated_wait_ms(
-            request_class, settings.reserved_share, n_parallel
-        )
+        wait_ms = lane.estimated_wait_ms(now_ms, request_class)
         if wait_ms > SHED_AT_DEADLINE_SHARE * pending.remaining_ms(now_ms):
             return f"the expected wait is {wait_ms:.0f} ms"
         return ""
@@ -233,14 +228,14 @@
         requirement.resolve(group.bounds)
         fresh = group.fresh_replicas(now_ms, requirement)
         if not fresh:
-            lane.pop(request_class, is_served=False)
+            lane.pop(request_class)
             pending.lane = None
             self._place_read(now_ms, pending)
             return True
         connection = self._acquire_any(now_ms, pending, fresh)
         if connection is None:
             return False
-        lane.pop(request_class, is_served=True)
+        lane.serve(now_ms, request_class)
         self._start(now_ms, pending, connection)
         return True
 
@@ -272,7 +267,7 @@
         is_read = pending.kind in READS
         primary = group.usable_primary(now_ms, for_write=not is_read)
         if is_read and (primary is None or self._is_stale_primary(now_ms, pending)):
-            lane.pop(request_class, is_served=False)
+            lane.pop(request_class)
             pending.lane = None
             self._place_read(now_ms, pending)
             return pending.lane is not lane
@@ -281,7 +276,7 @@
         connection = self._pool.acquire(now_ms, primary)
         if connection is None:
             return False
-        lane.pop(request_class, is_served=True)
+        lane.serve(now_ms, request_class)
         self._start(now_ms, pending, connection)
         return True
 
--- a/packages/cardamomshunt/src/cardamomshunt/_group.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_group.py
@@ -183,14 +183,6 @@
             for instance in self.instances.values()
         )
 
-    def n_parallel(self, *, on_primary: bool) -> int:
-        """Estimate how many requests the instances run side by side."""
-        return sum(
-            int(instance.limit.value)
-            for instance in self.instances.values()
-            if (instance is self.primary) is on_primary
-        )
-
 
 def _served_last(instance: InstanceState, requirement: ReadRequirement) -> bool:
     return (
