--- a/packages/cardamomshunt/src/cardamomshunt/retries.py
+++ b/packages/cardamomshunt/src/cardamomshunt/retries.py
@@ -1,6 +1,7 @@
 """Retry decisions, their budget, and the verdicts of lost attempts."""
 
 from cardamomshunt._retries import (
+    Action,
     AtMostOnceRetryPolicy,
     Decision,
     RepeatRule,
@@ -9,6 +10,7 @@
 )
 
 __all__ = [
+    "Action",
     "AtMostOnceRetryPolicy",
     "Decision",
     "RepeatRule",
--- /dev/null
+++ b/packages/cardamomshunt/tests/scripted_host.py
@@ -0,0 +1,192 @@
+"""A data path with one primary and two replicas, driven step by step."""
+
+import random
+from typing import Any, TypeVar
+
+from cardamomshunt.configuration import (
+    ClusterConfiguration,
+    DatabaseSettings,
+    PolicySettings,
+)
+from cardamomshunt.data_path import DataPath
+from cardamomshunt.effects import (
+    AttemptOutcome,
+    AttemptResult,
+    ConnectionOpened,
+    OpenConnection,
+    Request,
+    RequestKind,
+    ResetConnection,
+    SessionHints,
+    StartAttempt,
+)
+from cardamomshunt.messages import (
+    Announcement,
+    DatabaseTopology,
+    FailoverStep,
+    InstanceAddress,
+    InstanceRole,
+    TokenEcho,
+    TopologyUpdate,
+)
+from cardamomshunt.position import LogPosition
+
+T = TypeVar("T")
+PRIMARY = "p"
+REPLICAS = ("r1", "r2")
+
+
+class ScriptedHost:
+    """Open and reset connections at once; leave attempts to the test."""
+
+    def __init__(self, **policy: Any) -> None:
+        self.now = 0.0
+        self.next_request = 1
+        self.version = 1
+        self.term = 1
+        self.roles = dict.fromkeys(REPLICAS, InstanceRole.REPLICA)
+        self.roles[PRIMARY] = InstanceRole.PRIMARY
+        self.silent: set[str] = set()
+        configuration = ClusterConfiguration(
+            policy=PolicySettings(**policy), databases={"orders": DatabaseSettings()}
+        )
+        self.path = DataPath(
+            zone="a", generator=random.Random(5), configuration=configuration
+        )
+        self.topology(PRIMARY)
+        for name in (PRIMARY, *REPLICAS):
+            self.announce(name, 10)
+
+    def run(self, effects: list[Any]) -> list[Any]:
+        """Carry out connection effects, and return the others."""
+        rest = []
+        pending = list(effects)
+        while pending:
+            effect = pending.pop(0)
+            if self.is_silent(effect):
+                continue
+            if isinstance(effect, OpenConnection):
+                pending += self.path.on_connection_opened(self.now, self.opened(effect))
+            elif isinstance(effect, ResetConnection):
+                pending += self.path.on_connection_reset(self.now, effect.connection_id)
+            else:
+                rest.append(effect)
+        return rest
+
+    def is_silent(self, effect: Any) -> bool:
+        if not isinstance(effect, OpenConnection | ResetConnection):
+            return False
+        connection = self.path._pool.connections.get(effect.connection_id)
+        return connection is not None and connection.instance.name in self.silent
+
+    def opened(self, effect: OpenConnection) -> ConnectionOpened:
+        return ConnectionOpened(
+            connection_id=effect.connection_id,
+            instance=effect.instance,
+            incarnation=1,
+            role=self.roles[effect.instance],
+            term=self.term,
+            applied_position=LogPosition(1, 10),
+            elapsed_ms=10.0,
+        )
+
+    def topology(
+        self, primary: str, step: FailoverStep = FailoverStep.SERVING
+    ) -> list[Any]:
+        self.version += 1
+        database = DatabaseTopology(
+            database="orders", term=self.term, primary_instance=primary, step=step
+        )
+        update = TopologyUpdate(version=self.version, databases=[database])
+        return self.run(self.path.on_topology(self.now, update))
+
+    def announce(
+        self,
+        name: str,
+        position: int,
+        *,
+        echo_ms: float | None = None,
+        is_leaving: bool = False,
+        incarnation: int = 1,
+    ) -> list[Any]:
+        at = LogPosition(self.term, position)
+        news = Announcement(
+            group="orders",
+            instance=name,
+            incarnation=incarnation,
+            zone="a",
+            address=InstanceAddress("127.0.0.1", 1),
+            role=self.roles[name],
+            term=self.term,
+            log_position=at,
+            applied_position=at,
+            n_slots=4,
+            n_connections_max=35,
+            is_leaving=is_leaving,
+            echo=None if echo_ms is None else TokenEcho(token="", position=at),
+        )
+        return self.run(self.path.on_announcement(self.now, news, echo_ms))
+
+    def submit(
+        self, kind: RequestKind, *, caller_id: int = 1, **hints: Any
+    ) -> list[Any]:
+        request = Request(
+            request_id=self.next_request,
+            caller_id=caller_id,
+            database="orders",
+            kind=kind,
+            hints=SessionHints(**hints),
+        )
+        self.next_request += 1
+        return self.run(self.path.submit(self.now, request))
+
+    def end(
+        self,
+        attempt: StartAttempt,
+        outcome: AttemptOutcome = AttemptOutcome.OK,
+        **details: Any,
+    ) -> list[Any]:
+        result = AttemptResult(
+            request_id=attempt.request_id,
+            attempt=attempt.attempt,
+            connection_id=attempt.connection_id,
+            outcome=outcome,
+            **details,
+        )
+        return self.run(self.path.on_attempt_result(self.now, result))
+
+    def wait(self, duration_ms: float, *, announces: bool = True) -> list[Any]:
+        """Let time pass, with ticks when due and announcements every 100 ms."""
+        effects = []
+        until = self.now + duration_ms
+        next_news = self.now + 100.0
+        while True:
+            deadline = self.path.next_deadline_ms()
+            due = min(until, next_news, deadline or until)
+            self.now = max(self.now, due)
+            effects += self.run(self.path.tick(self.now))
+            if self.now >= next_news:
+                next_news += 100.0
+                for name in self.roles.keys() - self.silent if announces else ():
+                    effects += self.announce(name, 10)
+            if self.now >= until:
+                return effects
+
+    def begin(self, **hints: Any) -> StartAttempt:
+        """Open a transaction and return the attempt of BEGIN."""
+        attempt = only(StartAttempt, self.submit(RequestKind.BEGIN, **hints))
+        self.end(attempt)
+        return attempt
+
+    def instance_of(self, attempt: StartAttempt) -> str:
+        return self.path._pool.connections[attempt.connection_id].instance.name
+
+
+def only(kind: type[T], effects: list[Any]) -> T:
+    """Return the one effect of a type."""
+    (found,) = [effect for effect in effects if isinstance(effect, kind)]
+    return found
+
+
+def n_of(kind: type[Any], effects: list[Any]) -> int:
+    return sum(isinstance(effect, kind) for effect in effects)
--- /dev/null
+++ b/packages/cardamomshunt/tests/test_admission.py
@@ -0,0 +1,117 @@
+"""Queues are fair and bounded, and limits follow the load."""
+
+import random
+
+import pytest
+from cardamomshunt.admission import (
+    ConcurrencyLimit,
+    FairQueue,
+    Lane,
+    ReservedSharePolicy,
+)
+from cardamomshunt.breaker import CircuitBreaker
+from cardamomshunt.effects import RequestClass
+
+SHARES = {
+    RequestClass.ORDER: 0.5,
+    RequestClass.LOOKUP: 0.2,
+    RequestClass.DISPATCH: 0.1,
+}
+
+
+def test_callers_are_served_in_turn() -> None:
+    """A caller with many requests does not delay one with a single request."""
+    queue: FairQueue[str] = FairQueue()
+    for index in range(5):
+        queue.push("bulk", f"b{index}")
+    queue.push("single", "s")
+    assert queue.remove("bulk", "b2")
+    assert not queue.remove("bulk", "b2")
+    assert [queue.pop() for _ in range(len(queue))] == ["b0", "s", "b1", "b3", "b4"]
+
+
+def test_lane_bounds_classes_and_callers() -> None:
+    lane: Lane[int] = Lane(ReservedSharePolicy(SHARES))
+    for index in range(10):
+        if lane.has_room(RequestClass.ORDER, "bulk", 20):
+            lane.push(RequestClass.ORDER, "bulk", index)
+    assert lane.n_items == 5, "a quarter of 20"
+    for index in range(30):
+        if lane.has_room(RequestClass.ORDER, index, 20):
+            lane.push(RequestClass.ORDER, index, index)
+    assert lane.n_items == 20
+    assert lane.has_room(RequestClass.LOOKUP, "bulk", 20)
+
+
+@pytest.mark.parametrize(
+    ("pending", "expected"),
+    [
+        ((RequestClass.ORDER, RequestClass.LOOKUP), {"order": 0.8, "lookup": 0.2}),
+        (
+            (RequestClass.ORDER, RequestClass.DISPATCH, RequestClass.LOOKUP),
+            {"order": 0.7, "dispatch": 0.1, "lookup": 0.2},
+        ),
+        ((RequestClass.LOOKUP,), {"lookup": 1.0}),
+    ],
+)
+def test_each_class_gets_its_reserved_share(
+    pending: tuple[RequestClass, ...], expected: dict[str, float]
+) -> None:
+    policy = ReservedSharePolicy(SHARES)
+    counts = dict.fromkeys(RequestClass, 0)
+    for _ in range(1_000):
+        chosen = policy.choose(list(pending))
+        policy.on_served(chosen)
+        counts[chosen] += 1
+    for request_class in pending:
+        share = counts[request_class] / 1_000
+        assert share == pytest.approx(expected[request_class.value], abs=0.05)
+
+
+def test_wait_is_estimated_from_the_rate_of_service() -> None:
+    lane: Lane[int] = Lane(ReservedSharePolicy(SHARES))
+    for index in range(40):
+        lane.push(RequestClass.LOOKUP, index, index)
+    assert lane.estimated_wait_ms(0.0, RequestClass.LOOKUP) == 0.0
+    for index in range(30):
+        lane.serve(index * 10.0, RequestClass.LOOKUP)
+    wait_ms = lane.estimated_wait_ms(290.0, RequestClass.LOOKUP)
+    assert wait_ms == pytest.approx(10 * 10.0, rel=0.1)
+
+
+def test_limit_shrinks_when_delays_grow_and_recovers() -> None:
+    limit = ConcurrencyLimit(4)
+    for _ in range(100):
+        limit.on_sample(10.0, 1, is_write=False)
+    for _ in range(60):
+        limit.on_sample(50.0, 4, is_write=False)
+    assert limit.value < 2.0
+    for _ in range(200):
+        limit.on_sample(10.0, 4, is_write=False)
+    assert 4.0 < limit.value < 6.0, "it does not grow beyond what is used"
+    before = limit.value
+    limit.on_timeout()
+    assert limit.value < before
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_limit_does_not_collapse_under_varying_service_times(seed: int) -> None:
+    """A limit that followed the shortest delay settled at 2 of 5 slots."""
+    generator = random.Random(seed)
+    limit = ConcurrencyLimit(5)
+    for _ in range(3_000):
+        limit.on_sample(6.0 + generator.expovariate(0.1), 5, is_write=False)
+    assert limit.value > 4.0
+
+
+def test_breaker_rests_then_lets_one_trial_through() -> None:
+    breaker = CircuitBreaker(random.Random(1))
+    for _ in range(3):
+        assert breaker.allows(0.0)
+        breaker.on_failure(0.0)
+    assert not breaker.allows(100.0)
+    assert breaker.allows(400.0)
+    breaker.on_trial(400.0)
+    assert not breaker.allows(401.0)
+    breaker.on_success()
+    assert breaker.allows(402.0)
