Hold writes through a failover without shedding them

Cause: the pause of a failover counted as a slow rate of service, so that new writes were refused as overloaded; a stuck replica served reads without an age bound for ever. Change: pauses leave the estimate; a replica that lacks writes of 10 s ago is used only if the primary cannot serve; slow statements do not shut out short deadlines. Conclusion: writes of a failover wait inside their deadline as designed.

--- a/packages/cardamomshunt/src/cardamomshunt/_admission.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_admission.py
@@ -70,6 +70,10 @@
             self._interval_ms += 0.1 * (interval_ms - self._interval_ms)
         self._served_ms = now_ms if self._n_items else None
 
+    def on_pause(self) -> None:
+        """Leave a pause of all service out of the measurement."""
+        self._served_ms = None
+
     def estimated_wait_ms(self, now_ms: float) -> float:
         """Estimate the wait of a new item from the measured rate of service."""
         if not self._n_items or self._served_ms is None:
@@ -175,6 +179,11 @@
         pending = [key for key, queue in self._queues.items() if queue]
         return self._policy.choose(pending) if pending else None
 
+    def on_pause(self) -> None:
+        """Leave a pause of all service out of the measurements."""
+        for queue in self._queues.values():
+            queue.on_pause()
+
     def peek(self, request_class: RequestClass) -> T:
         """Return the next item of a class."""
         return self._queues[request_class].peek()
--- a/packages/cardamomshunt/src/cardamomshunt/_dispatch.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_dispatch.py
@@ -28,6 +28,7 @@
 
 POSITION_QUERY_TIMEOUT_MS = 500.0
 REPEATABLE_SHARE = 0.5  # of the time left, for an attempt that can be repeated
+NEEDED_SHARE_MAX = 0.25
 HEDGE_PAUSE_MS = 20.0  # until a connection is there for the second attempt
 
 
@@ -271,7 +272,11 @@
             pending.lane = None
             self._place_read(now_ms, pending)
             return pending.lane is not lane
-        if primary is None or not primary.limit.allows(primary.n_running):
+        if primary is None:
+            # Held through a failover; the wait says nothing about the load.
+            lane.on_pause()
+            return False
+        if not primary.limit.allows(primary.n_running):
             return False
         connection = self._pool.acquire(now_ms, primary)
         if connection is None:
@@ -293,6 +298,9 @@
         """Refuse a queued request that cannot be answered in time."""
         lane = pending.lane
         needed_ms = lane.service_ms if lane is not None else 0.0
+        # Slow statements of others must not shut out requests with short deadlines.
+        given_ms = pending.deadline_ms - pending.arrived_ms
+        needed_ms = min(needed_ms, NEEDED_SHARE_MAX * given_ms)
         if pending.remaining_ms(now_ms) > needed_ms:
             return False
         self._refuse_expired(now_ms, pending)
--- a/packages/cardamomshunt/src/cardamomshunt/_freshness.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_freshness.py
@@ -52,6 +52,11 @@
         index = bisect_left(self._times_ms, since_ms)
         return self._positions[index] if index < len(self._positions) else None
 
+    def lacks_old_writes(self, applied: LogPosition, until_ms: float) -> bool:
+        """Tell whether `applied` provably misses a write confirmed by a time."""
+        index = bisect_right(self._times_ms, until_ms)
+        return index > 0 and applied < self._positions[index - 1]
+
     def as_of_ms(self, applied: LogPosition) -> float | None:
         """Return the latest time of which `applied` provably holds all writes.
 
--- a/packages/cardamomshunt/src/cardamomshunt/_group.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_group.py
@@ -13,6 +13,7 @@
 POSITION_MAX = 2**63 - 1
 WRITE_HOLD_SILENCE_MS = 300.0  # three announcements missed; half the detection time
 PRIMARY_LOST_MS = 2_500.0  # longer than a failover; until then reads wait for it
+LAG_MAX_MS = 10_000.0  # a replica this far behind is stuck rather than late
 FENCED_PAUSE_MS = 100.0  # a topology update or announcement usually comes before
 
 
@@ -151,12 +152,19 @@
         ):
             return False
         if requirement.max_age_ms is None:
-            return True
+            return not self._lags_far(now_ms, instance)
         as_of_ms = self.bounds.as_of_ms(instance.applied)
         if as_of_ms is None:
             return False
         return now_ms + instance.delay_ms - as_of_ms <= requirement.max_age_ms
 
+    def _lags_far(self, now_ms: float, instance: InstanceState) -> bool:
+        """Tell whether a read without an age bound had better use the primary."""
+        return (
+            self.bounds.lacks_old_writes(instance.applied, now_ms - LAG_MAX_MS)
+            and self.usable_primary(now_ms, for_write=False) is not None
+        )
+
     def primary_needs_bound(self, now_ms: float, requirement: ReadRequirement) -> bool:
         """Tell whether the primary has to confirm its position before a read."""
         primary = self.primary
--- a/packages/cardamomshunt/tests/test_data_path.py
+++ b/packages/cardamomshunt/tests/test_data_path.py
@@ -297,6 +297,38 @@
     assert n_of(StartAttempt, host.announce(PRIMARY, 10)) == 1
 
 
+def test_writes_held_through_a_failover_are_not_shed() -> None:
+    """The length of a pause says nothing about the rate of service after it."""
+    host = ScriptedHost(n_connections_floor=1)
+    running = only(StartAttempt, host.submit(WRITE, caller_id=1))
+    for caller_id in range(2, 40):
+        host.submit(WRITE, caller_id=caller_id)
+    for _ in range(5):
+        host.now += 5.0
+        running = only(StartAttempt, host.end(running, position=LogPosition(1, 11)))
+    host.topology(PRIMARY, FailoverStep.FENCING)
+    host.end(running, position=LogPosition(1, 11))
+    host.wait(1_500.0)
+    assert host.submit(WRITE, caller_id=50) == []
+    running = only(StartAttempt, host.topology(PRIMARY))
+    host.now += 5.0
+    host.end(running, position=LogPosition(1, 11))
+    assert host.submit(WRITE, caller_id=51) == []
+
+
+def test_read_without_age_avoids_a_stuck_replica() -> None:
+    host = ScriptedHost()
+    host.announce(PRIMARY, 20, echo_ms=0.0)
+    for name in (PRIMARY, REPLICAS[0]):
+        host.announce(name, 20)
+    host.wait(10_500.0)
+    used = {
+        host.instance_of(only(StartAttempt, host.submit(READ, caller_id=caller_id)))
+        for caller_id in range(2)
+    }
+    assert used == {REPLICAS[0]}
+
+
 def test_fenced_write_is_held_for_a_new_term() -> None:
     host = ScriptedHost()
     attempt = only(StartAttempt, host.submit(WRITE))
