--- /dev/null
+++ b/packages/cardamomshunt-testing/src/cardamomshunt_testing/_fake_disk.py
@@ -0,0 +1,61 @@
+"""A disk in memory that loses what is not synced."""
+
+from random import Random
+
+from cardamomshunt.consensus import Entry, RestoredState, Snapshot, Vote
+from cardamomshunt.control import (
+    PersistEffect,
+    PersistEntries,
+    PersistSnapshot,
+    PersistVote,
+)
+
+
+class FakeDisk:
+    """Hold durable state and the writes under way."""
+
+    def __init__(self, incarnation: int) -> None:
+        self.incarnation = incarnation
+        self.pending: list[PersistEffect] = []
+        self._vote = Vote()
+        self._snapshot = Snapshot()
+        self._entries: list[Entry] = []
+
+    def sync(self) -> int | None:
+        """Make all pending writes durable; return the last sequence."""
+        if not self.pending:
+            return None
+        sequence = self.pending[-1].sequence
+        for effect in self.pending:
+            self._write(effect)
+        self.pending = []
+        return sequence
+
+    def crash(self, random: Random) -> None:
+        """Lose pending writes after a random one."""
+        n_written = random.randint(0, len(self.pending))
+        for effect in self.pending[:n_written]:
+            self._write(effect)
+        self.pending = []
+
+    def restored(self) -> RestoredState:
+        """Return what a restarted node reads."""
+        return RestoredState(
+            self.incarnation, self._vote, self._snapshot, list(self._entries)
+        )
+
+    def _write(self, effect: PersistEffect) -> None:
+        if isinstance(effect, PersistVote):
+            self._vote = effect.vote
+        elif isinstance(effect, PersistEntries):
+            first = effect.entries[0].index
+            kept = [entry for entry in self._entries if entry.index < first]
+            self._entries = kept + effect.entries
+        elif isinstance(effect, PersistSnapshot):
+            self._snapshot = Snapshot.decode(effect.data)
+            first_kept = effect.first_kept
+            self._entries = [
+                entry
+                for entry in self._entries
+                if entry.index >= first_kept and not effect.is_reset
+            ]
--- a/packages/cardamomshunt/src/cardamomshunt/_consensus.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_consensus.py
@@ -386,7 +386,7 @@
         if now_ms < self._join_due_ms:
             return
         self._join_due_ms = now_ms + self.options.join_interval_ms
-        if self._initial_members == [] or self._may_form_alone():
+        if self._may_form_alone():
             self._form(self._initial_members)
             return
         hello = JoinHello(term=self.term, incarnation=self.incarnation, node=self.node)
@@ -405,7 +405,7 @@
                 term=self.term,
                 incarnation=self.incarnation,
                 is_formed=self.is_formed or has_log,
-                initial_members=[] if has_log else self.members,
+                members=self.members,
             ),
         )
         member = self.member(message.node)
@@ -428,13 +428,15 @@
     def _on_join_reply(self, now_ms: float, sender: Peer, message: JoinReply) -> None:
         if self.is_formed:
             return
+        # A listed node with an empty log never voted, so it may vote by any list that
+        # names its disk; with an empty log it can't win against nodes that have entries.
         listed = [
             member
-            for member in message.initial_members
+            for member in message.members
             if member.node == self.node and member.incarnation == self.incarnation
         ]
         if listed and self.log.last_index == 0:
-            self._form(message.initial_members)
+            self._form(message.members)
             return
         if message.is_formed:
             self._blank_peers.clear()
--- a/packages/cardamomshunt/src/cardamomshunt/_consensus_messages.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_consensus_messages.py
@@ -159,7 +159,7 @@
 
 
 class JoinReply(ConsensusMessage, kw_only=True):
-    """Answer JoinHello; `initial_members` is set while the log is still empty."""
+    """Answer JoinHello with the members, if the sender knows them."""
 
     is_formed: bool
-    initial_members: list[Member] = []
+    members: list[Member] = []
--- a/packages/cardamomshunt/src/cardamomshunt/_control.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_control.py
@@ -91,6 +91,10 @@
 class ControlNode:
     """Combine the state machines of one control node."""
 
+    consensus_type: type[ConsensusNode] = ConsensusNode
+    failover_type: type[FailoverController] = FailoverController
+    state_type: type[ControlState] = ControlState
+
     def __init__(
         self,
         node: str,
@@ -106,19 +110,21 @@
         self.node = node
         self.zone = zone
         self.options = options or ControlOptions()
-        self.consensus = ConsensusNode(
+        self.consensus = self.consensus_type(
             node, initial_members, restored, random, now_ms, consensus_options
         )
-        self.state = ControlState.decode(restored.snapshot.state)
+        self.state = self.state_type.decode(restored.snapshot.state)
         self.applied_index = restored.snapshot.index
         self.health = HealthView()
         self.registry = NodeRegistry()
-        self.failover = FailoverController(self.health, failover_options)
+        self.failover = self.failover_type(self.health, failover_options)
         self._grants = GrantAllocator()
         self._grants_due_ms = now_ms
         self._heartbeat_due_ms = now_ms
         self._evaluation_due_ms = now_ms
         self._pending: list[_Pending] = []
+        # A restarted process may serve an older version until it hears the leader.
+        self._process_id = random.getrandbits(62)
         self._was_ready = False
         self._effects: list[ControlEffect] = []
 
@@ -232,7 +238,7 @@
     def _apply_committed(self, now_ms: float) -> None:
         for item in self.consensus.take_ready():
             if isinstance(item, Snapshot):
-                self.state = ControlState.decode(item.state)
+                self.state = self.state_type.decode(item.state)
                 self.applied_index = item.index
             else:
                 self._apply_entry(now_ms, item)
@@ -375,7 +381,7 @@
             node=self.node,
             role=NodeRole.CONTROL,
             zone=self.zone,
-            incarnation=self.consensus.incarnation,
+            incarnation=self._process_id,
             operator_address=own.operator_address,
             configuration_version=self.state.configuration.version,
             topology_version=self.state.topology_version,
--- /dev/null
+++ b/packages/cardamomshunt/tests/test_control_schedules.py
@@ -0,0 +1,218 @@
+"""Random schedules with faults keep the invariants, and broken variants don't."""
+
+from typing import Any
+
+import pytest
+from cardamomshunt.consensus import (
+    AppendEntries,
+    ConsensusMessage,
+    ConsensusNode,
+    Entry,
+    Member,
+    Peer,
+    Snapshot,
+    VoteRequest,
+)
+from cardamomshunt.control import ControlNode, ControlState, DatabaseRecord
+from cardamomshunt.failover import FailoverController
+from cardamomshunt_testing.control_schedules import (
+    run_schedule,
+)
+
+
+@pytest.mark.parametrize("seed", range(24))
+def test_log_and_patches(seed: int) -> None:
+    """Guards against lost, doubled or contradicting entries and patches."""
+    assert run_schedule(seed, has_database=False).violations == []
+
+
+@pytest.mark.parametrize("seed", range(100, 124))
+def test_failover(seed: int) -> None:
+    """Guards against lost acknowledged writes and promotions without a quorum."""
+    assert run_schedule(seed).violations == []
+
+
+@pytest.mark.parametrize("seed", range(200, 206))
+def test_five_nodes(seed: int) -> None:
+    """Guards against faults that only larger groups show."""
+    assert run_schedule(seed, n_nodes=5, has_database=False).violations == []
+
+
+class _VotesTwice(ConsensusNode):
+    """Forget the vote of this term."""
+
+    def _on_vote_request(
+        self, now_ms: float, sender: Peer, message: VoteRequest
+    ) -> None:
+        self.vote = type(self.vote)(self.vote.term, "")
+        super()._on_vote_request(now_ms, sender, message)
+
+
+class _VotesForOldLogs(ConsensusNode):
+    """Vote for candidates that lack entries."""
+
+    def _is_up_to_date(self, last_index: int, last_term: int) -> bool:
+        return True
+
+
+class _RepliesBeforeSync(ConsensusNode):
+    """Acknowledge entries and votes that are not durable."""
+
+    def _send_durable(self, address: str, message: ConsensusMessage) -> None:
+        self._send(address, message)
+
+
+class _IgnoresLogMatching(ConsensusNode):
+    """Accept entries after a different log."""
+
+    def _log_matches(self, prev_index: int, prev_term: int) -> bool:
+        return prev_index <= self.log.last_index
+
+
+class _CommitsOldTerms(ConsensusNode):
+    """Commit entries of older terms by counting copies."""
+
+    def _may_commit(self, index: int) -> bool:
+        return True
+
+
+class _VotesDuringLease(ConsensusNode):
+    """Vote while a leader may still have its lease."""
+
+    def _hears_leader(self, now_ms: float) -> bool:
+        return False
+
+
+class _LongLease(ConsensusNode):
+    """Trust the lease for longer than followers keep it."""
+
+    def has_lease(self, now_ms: float) -> bool:
+        return self.is_leader and self.commit_index >= self.first_own_index
+
+
+class _IgnoresIncarnation(ConsensusNode):
+    """Take a node with a fresh disk for the one that voted before."""
+
+    def member(self, node: str, incarnation: int | None = None) -> Member | None:
+        return super().member(node)
+
+    def _on_join_hello(self, now_ms: float, sender: Peer, message: Any) -> None:
+        return None
+
+    def _tick_joining(self, now_ms: float) -> None:
+        self._form(self._initial_members)
+
+
+class _ForgetsIdsInSnapshots(ControlState):
+    """Drop patch ids when a snapshot is written."""
+
+    def encode(self) -> bytes:
+        known, self.patch_replies = self.patch_replies, {}
+        data = super().encode()
+        self.patch_replies = known
+        return data
+
+
+class _IgnoresKnownIds(ControlState):
+    """Apply a patch id again."""
+
+    def _apply_patch(self, command: Any) -> None:
+        self.patch_replies.pop(command.patch_id, None)
+        newest = self.configuration.version
+        super()._apply_patch(type(command)(**_fields(command, base_version=newest)))
+
+
+class _IgnoresBase(ControlState):
+    """Accept a patch without a new version when its base is stale."""
+
+    def _evaluate(self, patch_id: str, base_version: int, changes: Any) -> Any:
+        newest = self.configuration
+        if base_version < newest.version:
+            self.configuration = self.document_at(base_version) or newest
+        return super()._evaluate(patch_id, base_version, changes)
+
+
+class _RestoresOldSnapshots(ConsensusNode):
+    """Take over a snapshot that is older than the applied state."""
+
+    def _on_append_entries(
+        self, now_ms: float, sender: Peer, message: AppendEntries
+    ) -> None:
+        super()._on_append_entries(now_ms, sender, message)
+        if self.log.snapshot.index:
+            self._ready.append(self.log.snapshot)
+
+    def take_ready(self) -> list[Entry | Snapshot]:
+        return super().take_ready()
+
+
+def _fields(command: Any, **changes: Any) -> dict[str, Any]:
+    names = command.__struct_fields__
+    return {**{name: getattr(command, name) for name in names}, **changes}
+
+
+class _NeedsNoMajority(FailoverController):
+    """Promote as soon as one instance is fenced."""
+
+    def _n_needed(self, record: DatabaseRecord) -> int:
+        return 1
+
+
+class _PromotesTheLeastAdvanced(FailoverController):
+    """Promote the instance with the smallest position."""
+
+    def _best_candidate(self, now_ms: float, record: Any, fenced: Any) -> str:
+        return min(fenced, key=lambda name: fenced[name])
+
+
+class _CountsBlankLogs(FailoverController):
+    """Count an instance that lost its log for the majority."""
+
+    def _counted(self, record: Any, attempt: Any) -> list[str]:
+        return list(attempt.fenced)
+
+
+class _ReusesTerms(FailoverController):
+    """Promote another instance in the term that has a primary."""
+
+    def _fence_next(self, record: Any, event: str, term: int, why: str) -> None:
+        super()._fence_next(record, event, term, why)
+        proposal = self._proposals[-1]
+        if record.term > 1:
+            fields = {"term": record.term}
+            proposal.record = type(record)(**_fields(proposal.record, **fields))
+
+
+def _variant(
+    consensus: type[ConsensusNode] = ConsensusNode,
+    failover: type[FailoverController] = FailoverController,
+    state: type[ControlState] = ControlState,
+) -> type[ControlNode]:
+    class Variant(ControlNode):
+        consensus_type = consensus
+        failover_type = failover
+        state_type = state
+
+    return Variant
+
+
+_LOG_VARIANTS = [
+    (_variant(consensus=_VotesTwice), "both lead in term"),
+    (_variant(consensus=_VotesForOldLogs), "lacks committed entry"),
+    (_variant(consensus=_RepliesBeforeSync), "entry"),
+    (_variant(consensus=_IgnoresLogMatching), "entry"),
+    (_variant(consensus=_CommitsOldTerms), "entry"),
+    (_variant(consensus=_VotesDuringLease), "have a lease"),
+    (_variant(consensus=_LongLease), "have a lease"),
+    (_variant(consensus=_IgnoresIncarnation), ""),
+    (_variant(consensus=_RestoresOldSnapshots), "went from version"),
+    (_variant(state=_ForgetsIdsInSnapshots), ""),
+    (_variant(state=_IgnoresKnownIds), ""),
+    (_variant(state=_IgnoresBase), ""),
+]
+_GROUP_VARIANTS = [
+    (_variant(failover=_NeedsNoMajority), "promoted in term"),
+    (_variant(failover=_PromotesTheLeastAdvanced), "without acknowledged"),
+    (_variant(failover=_CountsBlankLogs), "without acknowledged"),
+    (_variant(failover=_ReusesTerms), ""),
+]
