--- a/packages/cardamomshunt/src/cardamomshunt/_effects.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_effects.py
@@ -23,7 +23,11 @@
 
 
 class RequestKind(enum.Enum):
-    """Name what a statement does to its caller's transaction."""
+    """Name what a statement does to its caller's transaction.
+
+    SESSION_STATE reads or changes state of its connection. IMPLICIT_COMMIT may end
+    an open transaction, as data definition and stored procedures do.
+    """
 
     READ = "read"
     WRITE = "write"
@@ -32,6 +36,7 @@
     COMMIT = "commit"
     ROLLBACK = "rollback"
     SESSION_STATE = "session_state"
+    IMPLICIT_COMMIT = "implicit_commit"
     OUTCOME_QUERY = "outcome_query"
 
 
@@ -110,7 +115,11 @@
 
 
 class AttemptResult(msgspec.Struct, kw_only=True):
-    """Report the end of an attempt; `position` is set for acknowledged writes."""
+    """Report the end of an attempt; `position` is set for acknowledged writes.
+
+    For a read, `position` may hold the position that the server had applied when it
+    answered. `error_code` is the server's own for BACKEND_ERROR.
+    """
 
     request_id: RequestId
     attempt: int
@@ -121,6 +130,7 @@
     query_outcome: QueryOutcome | None = None
     elapsed_ms: float = 0.0
     detail: str = ""
+    error_code: int = 0
 
 
 class ConnectionOpened(msgspec.Struct, kw_only=True):
