--- a/packages/cardamomshunt-cli/src/cardamomshunt_cli/_configuration_commands.py
+++ b/packages/cardamomshunt-cli/src/cardamomshunt_cli/_configuration_commands.py
@@ -9,7 +9,6 @@
 from cardamomshunt.operator_messages import (
     ConfigurationReply,
     ConfigurationRequest,
-    PatchReply,
     PatchRequest,
 )
 
@@ -17,6 +16,7 @@
 from cardamomshunt_cli._exit_codes import CommandError, ExitCode
 from cardamomshunt_cli._output import echo_json
 from cardamomshunt_cli._patch import (
+    PatchResult,
     changes_between,
     current_version,
     exit_code_for,
@@ -73,7 +73,7 @@
     if not changes:
         raise CommandError("nothing to change: give FILE or --set", ExitCode.USAGE)
 
-    async def work(session: Session) -> PatchReply:
+    async def work(session: Session) -> PatchResult:
         version = base
         if version is None:
             version = await current_version(session.client)
@@ -89,18 +89,18 @@
     _finish_patch(options, run(options, work))
 
 
-async def _send(session: Session, request: PatchRequest, wait_s: float) -> PatchReply:
+async def _send(session: Session, request: PatchRequest, wait_s: float) -> PatchResult:
     # Shown first, so that the id is known if this command itself is cut off.
     click.echo(f"patch id {request.patch_id}, base {request.base_version}", err=True)
     return await send_patch(session.client, request, wait_s)
 
 
-def _finish_patch(options: TargetOptions, reply: PatchReply) -> None:
+def _finish_patch(options: TargetOptions, result: PatchResult) -> None:
     if options.is_json:
-        echo_json(reply)
+        echo_json(result)
     else:
-        show_patch(reply)
-    finish(exit_code_for(reply))
+        show_patch(result)
+    finish(exit_code_for(result))
 
 
 @click.group()
@@ -212,7 +212,7 @@
 ) -> None:
     """Make a new version with the content of an old one; versions only grow."""
 
-    async def work(session: Session) -> PatchReply | None:
+    async def work(session: Session) -> PatchResult | None:
         newest = await _configuration(session, None)
         target = await _document(session, version)
         changes = changes_between(json.loads(newest.document_json), target)
@@ -227,8 +227,8 @@
         )
         return await _send(session, request, wait_s)
 
-    reply = run(options, work)
-    if reply is None:
+    result = run(options, work)
+    if result is None:
         click.echo(f"the newest version already has the content of version {version}")
         return
-    _finish_patch(options, reply)
+    _finish_patch(options, result)
--- a/packages/cardamomshunt-cli/src/cardamomshunt_cli/_explanations.py
+++ b/packages/cardamomshunt-cli/src/cardamomshunt_cli/_explanations.py
@@ -89,6 +89,11 @@
         "the request did not run and never will under this key",
         "the caller uses a new key",
     ),
+    RefusalReason.CANCELLED: (
+        "the caller cancelled the request or went away",
+        "the verdict says whether it may have run",
+        "none",
+    ),
     RefusalReason.TOO_MANY_CONNECTIONS: (
         "the entry VM has as many caller connections as it accepts",
         "the connection was refused",
--- a/packages/cardamomshunt-cli/src/cardamomshunt_cli/_patch.py
+++ b/packages/cardamomshunt-cli/src/cardamomshunt_cli/_patch.py
@@ -16,15 +16,31 @@
     PatchOutcome,
     PatchReply,
     PatchRequest,
+    StatusReply,
+    StatusRequest,
 )
 
 from cardamomshunt_cli._client import DeploymentClient
 from cardamomshunt_cli._exit_codes import CommandError, ExitCode
 
 _POLL_PAUSE_S = 0.1
+# Six lost heartbeats at the usual pace; such a node takes the version over later.
+_AWAY_AFTER_MS = 3_000.0
 _VERSION_FIELD = "version"
 
 
+class PatchResult(msgspec.Struct, kw_only=True):
+    """Hold the reply to a patch; `away_on` names missing nodes that are silent."""
+
+    reply: PatchReply
+    away_on: list[str] = []
+
+    @property
+    def late_on(self) -> list[str]:
+        """Return the live nodes on which the version is not in force."""
+        return [node for node in self.reply.missing_on if node not in self.away_on]
+
+
 def parse_assignment(text: str) -> Change:
     """Parse `path=value`; `null` removes the value.
 
@@ -110,14 +126,15 @@
 
 async def send_patch(
     client: DeploymentClient, request: PatchRequest, wait_s: float
-) -> PatchReply:
+) -> PatchResult:
     """Send a patch and wait until it is in force on every live node.
 
     The same patch id is sent again when an answer is lost, so it applies once.
     """
     reply = await client.ask_leader(request, PatchReply)
+    result = PatchResult(reply=reply)
     if reply.outcome is not PatchOutcome.ACCEPTED:
-        return reply
+        return result
     deadline_s = time.monotonic() + wait_s
     while True:
         configuration = await client.ask_leader(
@@ -125,20 +142,33 @@
         )
         reply.in_force_on = configuration.in_force_on
         reply.missing_on = configuration.missing_on
-        if not reply.missing_on or time.monotonic() > deadline_s:
-            return reply
+        if reply.missing_on:
+            result.away_on = await _away(client, reply.missing_on)
+        if not result.late_on or time.monotonic() > deadline_s:
+            return result
         await asyncio.sleep(_POLL_PAUSE_S)
 
 
-def show_patch(reply: PatchReply) -> None:
+async def _away(client: DeploymentClient, nodes: list[str]) -> list[str]:
+    """Return those of the nodes that are silent."""
+    status = await client.ask_leader(StatusRequest(), StatusReply)
+    silent = {x.node for x in status.nodes if x.silence_ms > _AWAY_AFTER_MS}
+    # Control may add to a name for how long the node has been away.
+    return [node for node in nodes if node.partition(" ")[0] in silent]
+
+
+def show_patch(result: PatchResult) -> None:
     """Print what became of a patch."""
+    reply = result.reply
     if reply.outcome is PatchOutcome.ACCEPTED:
         state = "in force on every live node"
-        if reply.missing_on:
-            state = f"NOT yet in force on {', '.join(reply.missing_on)}"
+        if result.late_on:
+            state = f"NOT yet in force on {', '.join(result.late_on)}"
         click.echo(
             f"patch {reply.patch_id}: accepted as version {reply.version}, {state}"
         )
+        if result.away_on:
+            click.echo(f"silent, will get it later: {', '.join(result.away_on)}")
     elif reply.outcome is PatchOutcome.DRY_RUN_OK:
         click.echo(f"patch {reply.patch_id}: valid, nothing was changed (dry run)")
     elif reply.outcome is PatchOutcome.STALE_BASE:
@@ -162,10 +192,10 @@
         click.echo(f"  {change.path} {shown}")
 
 
-def exit_code_for(reply: PatchReply) -> ExitCode:
+def exit_code_for(result: PatchResult) -> ExitCode:
     """Return the exit code that tells what became of a patch."""
-    if reply.outcome is PatchOutcome.STALE_BASE:
+    if result.reply.outcome is PatchOutcome.STALE_BASE:
         return ExitCode.STALE_BASE
-    if reply.outcome is PatchOutcome.INVALID:
+    if result.reply.outcome is PatchOutcome.INVALID:
         return ExitCode.REFUSED
-    return ExitCode.NOT_IN_FORCE if reply.missing_on else ExitCode.OK
+    return ExitCode.NOT_IN_FORCE if result.late_on else ExitCode.OK
