--- a/packages/cardamomshunt-cli/src/cardamomshunt_cli/_inspection_commands.py
+++ b/packages/cardamomshunt-cli/src/cardamomshunt_cli/_inspection_commands.py
@@ -18,6 +18,7 @@
 )
 from cardamomshunt_cli._check import check_files
 from cardamomshunt_cli._deployment import TargetOptions
+from cardamomshunt_cli._events_page import events_page
 from cardamomshunt_cli._exit_codes import CommandError, ExitCode
 from cardamomshunt_cli._explanations import explain, names
 from cardamomshunt_cli._output import echo_json, echo_table
@@ -121,11 +122,19 @@
 
 
 @click.command("explain")
-@click.argument("name", metavar="REASON_OR_NUMBER", shell_complete=_complete_name)
+@click.argument(
+    "name", metavar="REASON_OR_NUMBER", required=False, shell_complete=_complete_name
+)
+@click.option("--all", "is_all", is_flag=True, help="Print the page of all events.")
 @click.pass_obj
 @exits_with_code
-def explain_command(options: TargetOptions, name: str) -> None:
+def explain_command(options: TargetOptions, name: str | None, is_all: bool) -> None:
     """Explain a refusal reason or an event number, and what to do."""
+    if is_all:
+        click.echo(events_page())
+        return
+    if name is None:
+        raise CommandError("give a refusal reason or an event number", ExitCode.USAGE)
     explanation = explain(name)
     if options.is_json:
         echo_json(explanation)
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_operator_link.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_operator_link.py
@@ -13,6 +13,7 @@
 from cardamomshunt.operator_messages import OperatorError, OperatorErrorCode
 
 from cardamomshunt_node._keys import KeyRing
+from cardamomshunt_node._tasks import cancel_and_wait
 
 _N_CONTEXTS = 8
 _RECEIVE_SIZE_MAX_BYTES = 8 * 1024 * 1024
@@ -52,9 +53,7 @@
 
     async def stop(self) -> None:
         """Close the listener."""
-        for worker in self._workers:
-            worker.cancel()
-        await asyncio.gather(*self._workers, return_exceptions=True)
+        await cancel_and_wait(self._workers)
         if self._socket is not None:
             self._socket.close()
 
@@ -101,8 +100,12 @@
     try:
         socket.recv_max_size = _RECEIVE_SIZE_MAX_BYTES
         socket.dial(url, block=False)
-        async with asyncio.timeout(timeout_ms / 1_000.0):
+        deadline_s = asyncio.get_running_loop().time() + timeout_ms / 1_000.0
+        # Two blocks, as a send that completes while it is cancelled swallows the
+        # timeout, and the wait for the answer would then have none.
+        async with asyncio.timeout_at(deadline_s):
             await socket.asend(payload)
+        async with asyncio.timeout_at(deadline_s):
             sealed = await socket.arecv()
     except (TimeoutError, pynng.NNGException) as error:
         raise NoReplyError(f"{url}: no answer within {timeout_ms:.0f} ms") from error
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_transport.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_transport.py
@@ -15,6 +15,7 @@
 )
 
 from cardamomshunt_node._keys import KeyRing
+from cardamomshunt_node._tasks import cancel_and_wait
 
 _RECEIVE_SIZE_MAX_BYTES = 8 * 1024 * 1024
 _N_BUFFERED_MESSAGES = 512
@@ -83,8 +84,7 @@
     async def stop(self) -> None:
         """Close all sockets."""
         if self._receiver is not None:
-            self._receiver.cancel()
-            await asyncio.gather(self._receiver, return_exceptions=True)
+            await cancel_and_wait([self._receiver])
         if self._listener is not None:
             self._listener.close()
         for dialer in self._dialers.values():
