--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_metrics.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_metrics.py
@@ -88,7 +88,7 @@
         return gap_ms
 
 
-class _RefreshingService(Service):  # type: ignore[misc]
+class _RefreshingService(Service):
     """Refresh gauges before each scrape."""
 
     def __init__(self, registry: Registry, refresh: Callable[[], None]) -> None:
@@ -318,6 +318,7 @@
         return Gauge(f"cardamomshunt_{name}", text, self._const_labels, self.registry)
 
     def _histogram(self, name: str, text: str, buckets: list[float]) -> Histogram:
+        limits = [float(limit) for limit in buckets]
         return Histogram(
-            f"cardamomshunt_{name}", text, self._const_labels, self.registry, buckets
+            f"cardamomshunt_{name}", text, self._const_labels, self.registry, limits
         )
--- a/packages/cardamomshunt-testing/src/cardamomshunt_testing/spread_cost.py
+++ b/packages/cardamomshunt-testing/src/cardamomshunt_testing/spread_cost.py
@@ -59,6 +59,7 @@
     group_size_max: int
     beat_ms: float
     seed: int
+    loss: float
     bytes_per_s_mean: float
     bytes_per_s_leader: float
     bytes_per_s_other: float
@@ -86,6 +87,7 @@
     group_size_max: int
     beat_ms: float
     seed: int
+    loss: float = 0.0
 
     def members(self) -> list[SpreadMember]:
         """Name the members, in three zones of equal size."""
@@ -169,7 +171,7 @@
         mean_ms = _LOCAL_DELAY_MS if is_local else _ZONE_DELAY_MS
         return mean_ms * random_state.uniform(0.8, 1.6)
 
-    network = VirtualNetwork(random_state, delay_ms=delay_ms)
+    network = VirtualNetwork(random_state, delay_ms=delay_ms, loss=variant.loss)
     hosts = {}
     for member in members:
         phase = random_state.random()
@@ -239,6 +241,7 @@
         group_size_max=variant.group_size_max,
         beat_ms=variant.beat_ms,
         seed=variant.seed,
+        loss=variant.loss,
         **steady,
         memory_kb_per_member=round(_memory_kb(variant), 1),
         everywhere_ms=everywhere_ms,
@@ -292,19 +295,21 @@
 @click.option("--members", multiple=True, type=click.IntRange(4, 1_000), default=SIZES)
 @click.option("--group-size", type=click.IntRange(2, 1_000), default=1_000)
 @click.option("--beat-ms", type=click.FloatRange(50, 10_000), default=500.0)
+@click.option("--loss", type=click.FloatRange(0, 0.5), default=0.0)
 @click.option("--seeds", type=click.IntRange(1, 50), default=1, show_default=True)
 def main(
     kinds: tuple[str, ...],
     members: tuple[int, ...],
     group_size: int,
     beat_ms: float,
+    loss: float,
     seeds: int,
 ) -> None:
     """Print one JSON line for each run."""
     for kind in kinds:
         for n_members in members:
             for seed in range(seeds):
-                variant = Variant(kind, n_members, group_size, beat_ms, seed)
+                variant = Variant(kind, n_members, group_size, beat_ms, seed, loss)
                 click.echo(msgspec.json.encode(measure(variant)).decode())
 
 
--- a/packages/cardamomshunt/src/cardamomshunt/_spread_relay.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_spread_relay.py
@@ -15,8 +15,9 @@
 )
 from cardamomshunt._spread_state import BeatTable, SpreadState
 
-# A relay greets its members this often, for those that missed its first greeting.
-_N_BEATS_PER_GREETING = 10
+# A member that missed a beat is greeted again, as it may have missed the greeting and
+# send its beats to the last relay. More than one beat, so that no healthy one is.
+_N_BEATS_TO_GREETING = 1.5
 
 
 class RelayDuty(Message, kw_only=True):
@@ -162,16 +163,11 @@
             if node != self._own.node:
                 beats.expect(node, now_ms)
         self._duty = _Duty(duty.epoch, duty.group, duty.members, beats)
-        return self._greet()
+        return self._greet(self._duty, list(beats.heard_ms))
 
-    def _greet(self) -> list[SpreadEffect]:
-        assert self._duty is not None
-        greeting = RelayGreeting(epoch=self._duty.epoch)
-        return [
-            SendTo(node=node, message=greeting)
-            for node in self._duty.members
-            if node != self._own.node
-        ]
+    def _greet(self, duty: _Duty, nodes: list[str]) -> list[SpreadEffect]:
+        greeting = RelayGreeting(epoch=duty.epoch)
+        return [SendTo(node=node, message=greeting) for node in nodes]
 
     def _take_report(
         self, now_ms: float, sender: str, report: GroupReport
@@ -206,22 +202,25 @@
     def _report(self, now_ms: float, duty: _Duty) -> list[SpreadEffect]:
         duty.n_reports += 1
         report = duty.beats.report(duty.group, duty.n_reports, self.version, now_ms)
-        effects: list[SpreadEffect] = [SendTo(node=self._leader, message=report)]
-        if duty.n_reports % _N_BEATS_PER_GREETING == 0:
-            effects += self._greet()
-        return effects
+        patience_ms = _N_BEATS_TO_GREETING * self._settings.beat_ms
+        late = duty.beats.unheard_for(now_ms, patience_ms)
+        return [
+            SendTo(node=self._leader, message=report),
+            *self._greet(duty, sorted(late)),
+        ]
 
     def _replace_silent_relays(self, now_ms: float) -> list[SpreadEffect]:
         effects: list[SpreadEffect] = []
         for name, group in self._groups.items():
             is_silent = now_ms - group.heard_ms > self._settings.silent_after_ms
             if not group.relay or is_silent:
-                effects += self._name_relay(now_ms, name, group)
+                self._name_relay(now_ms, group)
+            if not group.sequence:
+                # Repeated until the first report, as the order may be lost.
+                effects += self._order(name, group)
         return effects
 
-    def _name_relay(
-        self, now_ms: float, name: str, group: _Group
-    ) -> list[SpreadEffect]:
+    def _name_relay(self, now_ms: float, group: _Group) -> None:
         """Name the next member that was not silent; it is given time to report."""
         if group.relay:
             group.silent.add(group.relay)
@@ -234,6 +233,8 @@
         group.epoch = self._epoch
         group.sequence = 0
         group.heard_ms = now_ms
+
+    def _order(self, name: str, group: _Group) -> list[SpreadEffect]:
         duty = RelayDuty(epoch=group.epoch, group=name, members=group.members)
         effects: list[SpreadEffect] = [SendTo(node=group.relay, message=duty)]
         if self.version:
--- a/packages/cardamomshunt/src/cardamomshunt/_spread_state.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_spread_state.py
@@ -59,7 +59,11 @@
 
     def silent(self, now_ms: float) -> set[str]:
         """Return the members that were not heard of in time."""
-        oldest_ms = now_ms - self.silent_after_ms
+        return self.unheard_for(now_ms, self.silent_after_ms)
+
+    def unheard_for(self, now_ms: float, duration_ms: float) -> set[str]:
+        """Return the members that were not heard of for some time."""
+        oldest_ms = now_ms - duration_ms
         return {node for node, at_ms in self.heard_ms.items() if at_ms < oldest_ms}
 
     def lagging(self, version: int) -> set[str]:
--- a/packages/cardamomshunt/tests/test_spread.py
+++ b/packages/cardamomshunt/tests/test_spread.py
@@ -106,3 +106,12 @@
     deployment.network.is_linked = lambda sender, receiver: True
     _run(deployment, 20_000)
     assert len(_versions(deployment)) > 1
+
+
+def test_lost_orders_to_relays_make_nobody_silent() -> None:
+    """A relay that missed its order, or a member its greeting, was taken for dead."""
+    deployment = build(Variant("relay", 50, 9, 1_000.0, 0, loss=0.05))
+    _run(deployment, 10_000)
+    for _ in range(40):
+        _run(deployment, 500)
+        assert deployment.silent() == set()
