--- a/packages/cardamomshunt/src/cardamomshunt/_group.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_group.py
@@ -1,7 +1,7 @@
 """State of one database group as an entry VM sees it."""
 
 from cardamomshunt._admission import Lane, ReservedSharePolicy
-from cardamomshunt._configuration_document import DatabaseSettings
+from cardamomshunt._configuration_document import ClassSettings, DatabaseSettings
 from cardamomshunt._effects import RequestClass
 from cardamomshunt._freshness import BoundHistory, ReadRequirement
 from cardamomshunt._messages import DatabaseTopology, FailoverStep, InstanceRole
@@ -13,6 +13,7 @@
 POSITION_MAX = 2**63 - 1
 WRITE_HOLD_SILENCE_MS = 300.0  # three announcements missed; half the detection time
 PRIMARY_LOST_MS = 2_500.0  # longer than a failover; until then reads wait for it
+LAG_MAX_MS = 10_000.0  # a replica this far behind is stuck rather than late
 FENCED_PAUSE_MS = 100.0  # a topology update or announcement usually comes before
 
 
@@ -23,12 +24,12 @@
         self, name: str, settings: DatabaseSettings, retry_ratio: float
     ) -> None:
         self.name = name
-        self.settings = settings
         self.instances: dict[str, InstanceState] = {}
         self.term = -1
         self.primary: InstanceState | None = None
         self.primary_name: str | None = None
         self.step = FailoverStep.SERVING
+        self.by_class = _by_class(settings)
         self.bounds = BoundHistory()
         self._policies = (
             ReservedSharePolicy(_shares(settings)),
@@ -47,7 +48,7 @@
 
     def on_settings(self, settings: DatabaseSettings, retry_ratio: float) -> None:
         """Take over changed limits."""
-        self.settings = settings
+        self.by_class = _by_class(settings)
         self.budget.ratio = retry_ratio
         for policy in self._policies:
             policy.shares = _shares(settings)
@@ -93,6 +94,10 @@
         primary = self.primary
         if primary is None or not primary.takes_work or now_ms < self.fenced_until_ms:
             return None
+        if primary.role is not InstanceRole.PRIMARY or primary.term != self.term:
+            # Restarted as a replica, or not promoted yet. It refuses writes, but reads
+            # from it would be stale.
+            return None
         if self.step is not FailoverStep.SERVING and (
             for_write or self.step is not FailoverStep.HANDING_OVER
         ):
@@ -121,35 +126,45 @@
 
         Those that look dead are returned only if the primary cannot serve instead.
         """
+        primary = self.primary
         fresh = [
             instance
             for instance in self.instances.values()
-            if instance is not self.primary
+            if instance is not primary
             and instance.role is InstanceRole.REPLICA
+            and instance.applied >= requirement.position
             and instance.takes_work
-            and self._is_fresh(now_ms, instance, requirement)
+            and self._meets_bounds(now_ms, instance, requirement)
         ]
         alive = [instance for instance in fresh if instance.is_healthy(now_ms)]
         if alive or self.usable_primary(now_ms, for_write=False) is not None:
             return alive
         return fresh
 
-    def _is_fresh(
+    def _meets_bounds(
         self, now_ms: float, instance: InstanceState, requirement: ReadRequirement
     ) -> bool:
-        if instance.incarnation == -1 or instance.applied < requirement.position:
+        """Tell whether the age, and the order of the session's reads, are proved."""
+        if instance.incarnation == -1:
             return False
         if requirement.bound_since_ms is not None and not _served_last(
             instance, requirement
         ):
             return False
         if requirement.max_age_ms is None:
-            return True
+            return not self._lags_far(now_ms, instance)
         as_of_ms = self.bounds.as_of_ms(instance.applied)
         if as_of_ms is None:
             return False
         return now_ms + instance.delay_ms - as_of_ms <= requirement.max_age_ms
 
+    def _lags_far(self, now_ms: float, instance: InstanceState) -> bool:
+        """Tell whether a read without an age bound had better use the primary."""
+        return (
+            self.bounds.lacks_old_writes(instance.applied, now_ms - LAG_MAX_MS)
+            and self.usable_primary(now_ms, for_write=False) is not None
+        )
+
     def primary_needs_bound(self, now_ms: float, requirement: ReadRequirement) -> bool:
         """Tell whether the primary has to confirm its position before a read."""
         primary = self.primary
@@ -176,14 +191,6 @@
             for instance in self.instances.values()
         )
 
-    def n_parallel(self, *, on_primary: bool) -> int:
-        """Estimate how many requests the instances run side by side."""
-        return sum(
-            int(instance.limit.value)
-            for instance in self.instances.values()
-            if (instance is self.primary) is on_primary
-        )
-
 
 def _served_last(instance: InstanceState, requirement: ReadRequirement) -> bool:
     return (
@@ -193,5 +200,9 @@
     )
 
 
+def _by_class(settings: DatabaseSettings) -> dict[RequestClass, ClassSettings]:
+    return {item: settings.for_class(item) for item in RequestClass}
+
+
 def _shares(settings: DatabaseSettings) -> dict[RequestClass, float]:
     return {item: settings.for_class(item).reserved_share for item in RequestClass}
