--- a/packages/cardamomshunt-node/src/cardamomshunt_node/main.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/main.py
@@ -84,3 +84,7 @@
         _fail(f"{settings_file}: peer_address or operator_address: {error}")
     except OSError as error:
         _fail(f"{settings_file}: {_describe_os_error(error)}")
+
+
+if __name__ == "__main__":
+    main()
