Reach instances on the far side of a zone cut as control would

Cause: control kept the port of a zone that was cut and could not fence the rest. Versions of a second run on a site began again and looked like backward reads. Checks over MySQL were refused when the entry VMs held all connections, and the write probe waited for its own timeouts.

Change: commands of control pass on any port unless all other zones are cut; versions grow with the seed; checks go over the control port; the probe starts a write every 40 ms; orders fit their slots in the overload scenario.

--- a/packages/cardamomshunt-testing/src/cardamomshunt_testing/_load_runner.py
+++ b/packages/cardamomshunt-testing/src/cardamomshunt_testing/_load_runner.py
@@ -20,6 +20,7 @@
 _LATENCY_MAX_US = 60_000_000
 _N_OWN_ORDERS = 5
 _READ_BACK_SHARE = 0.5
+_N_VERSIONS_PER_SEED = 100_000
 
 
 class LoadSettings(msgspec.Struct, kw_only=True):
@@ -42,7 +43,8 @@
     restock_rate: float = 10.0
     has_idempotency: bool = True
     asks_route: bool = True
-    deadline_ms: float | None = None
+    lookup_deadline_ms: float | None = None
+    weights: dict[OperationKind, float] | None = None
 
 
 class LoadRun:
@@ -78,8 +80,9 @@
         start = asyncio.get_running_loop().time()
         self.started_ms = now_ms()
         n_operations = int(self.settings.rate * self.settings.duration_s)
-        kinds = list(self.mix.weights)
-        weights = list(self.mix.weights.values())
+        weights_by_kind = self.settings.weights or self.mix.weights
+        kinds = list(weights_by_kind)
+        weights = list(weights_by_kind.values())
         for index in range(n_operations):
             due = start + index / self.settings.rate
             delay_s = due - asyncio.get_running_loop().time()
@@ -134,8 +137,9 @@
             self._free.append(session)
 
     def _hints(self, session: CallerSession, class_name: str, **hints: Any) -> str:
-        if self.settings.deadline_ms is not None:
-            hints["deadline_ms"] = int(self.settings.deadline_ms)
+        deadline_ms = self.settings.lookup_deadline_ms
+        if deadline_ms is not None and class_name == "lookup":
+            hints["deadline_ms"] = int(deadline_ms)
         return session.hints(**{"class": class_name}, **hints)
 
     async def _lookup(self, session: CallerSession) -> bool:
@@ -226,7 +230,8 @@
             timeout_ms=self.settings.timeout_ms,
         )
         self._sessions.append(session)
-        version = 0
+        # Versions of later runs on the same site are larger.
+        version = self.settings.seed * _N_VERSIONS_PER_SEED
         while self.settings.restock_rate:
             await asyncio.sleep(1 / self.settings.restock_rate)
             version += 1
--- a/packages/cardamomshunt-testing/src/cardamomshunt_testing/_measure_failover.py
+++ b/packages/cardamomshunt-testing/src/cardamomshunt_testing/_measure_failover.py
@@ -3,9 +3,9 @@
 import asyncio
 import signal
 import statistics
+from collections import deque
 from dataclasses import dataclass, field
 
-from cardamomshunt_testing._final_state import read_final_counts
 from cardamomshunt_testing._load_checks import check_history
 from cardamomshunt_testing._load_client import Balancer, CallerSession, now_ms
 from cardamomshunt_testing._load_history import (
@@ -21,9 +21,9 @@
 _GAP_MAX_MS = 6_000.0
 _SETTLE_MS = 300.0
 _HEALTHY_TIMEOUT_S = 10.0
-_N_WRITERS = 4
-_WRITE_PAUSE_MS = 15.0
-_WRITE_TIMEOUT_MS = 1_500.0
+_N_SESSIONS = 60
+_WRITE_INTERVAL_MS = 40.0
+_WRITE_TIMEOUT_MS = 5_000.0
 
 
 @dataclass(slots=True)
@@ -45,25 +45,31 @@
         self._group = group
         self._seed = seed
         self._n_writes = 0
-        self._tasks: list[asyncio.Task[None]] = []
-
-    def start(self) -> None:
-        """Start the writers."""
-        balancer = Balancer(self._site.caller_addresses())
-        for index in range(_N_WRITERS):
-            session = CallerSession(
-                f"probe-{self._group}-{self._seed}-{index}",
+        self._tasks: set[asyncio.Task[None]] = set()
+        balancer = Balancer(site.caller_addresses())
+        self._sessions = [
+            CallerSession(
+                f"probe-{group}-{seed}-{index}",
                 balancer,
                 is_roaming=False,
                 timeout_ms=_WRITE_TIMEOUT_MS,
             )
-            self._tasks.append(asyncio.create_task(self._run(session)))
+            for index in range(_N_SESSIONS)
+        ]
+        self._free = deque(self._sessions)
+
+    def start(self) -> None:
+        """Start to write."""
+        self._tasks.add(asyncio.create_task(self._run()))
 
     async def stop(self) -> None:
-        """Stop the writers."""
-        for task in self._tasks:
+        """Stop writing."""
+        tasks = list(self._tasks)
+        for task in tasks:
             task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await asyncio.gather(*tasks, return_exceptions=True)
+        for session in self._sessions:
+            session.roam()
 
     def _statement(self, key: str) -> str:
         if self._group == "stock":
@@ -72,24 +78,26 @@
             return f"INSERT INTO orders VALUES ('{key}', 'probe', 1)"
         return f"INSERT INTO dispatches VALUES ('{key}', 'probe')"
 
-    async def _run(self, session: CallerSession) -> None:
-        try:
-            while True:
-                self._n_writes += 1
-                key = f"probe-{self._group}-{self._seed}-{self._n_writes}"
-                operation = Operation(
-                    kind=OperationKind.ORDER,
-                    session=session.name,
-                    start_ms=now_ms(),
-                    key=key,
-                )
-                self.operations.append(operation)
-                hints = session.hints(idempotency_key=key, **{"class": "order"})
-                sql = hints + self._statement(key)
-                await session.run(operation, self._group, sql)
-                await asyncio.sleep(_WRITE_PAUSE_MS / 1_000)
-        finally:
-            session.roam()
+    async def _run(self) -> None:
+        """Start a write at each interval, whether or not earlier ones have ended."""
+        while True:
+            if self._free:
+                session = self._free.popleft()
+                task = asyncio.create_task(self._write(session))
+                self._tasks.add(task)
+                task.add_done_callback(self._tasks.discard)
+            await asyncio.sleep(_WRITE_INTERVAL_MS / 1_000)
+
+    async def _write(self, session: CallerSession) -> None:
+        self._n_writes += 1
+        key = f"probe-{self._group}-{self._seed}-{self._n_writes}"
+        operation = Operation(
+            kind=OperationKind.ORDER, session=session.name, start_ms=now_ms(), key=key
+        )
+        self.operations.append(operation)
+        hints = session.hints(idempotency_key=key, **{"class": "order"})
+        await session.run(operation, self._group, hints + self._statement(key))
+        self._free.append(session)
 
     def has_written(self) -> bool:
         """Tell whether a write was acknowledged."""
@@ -198,8 +206,8 @@
     writer.add("n_failovers_not_ended", n_open, "count", len(all_gaps), seed)
     orders = [item for item in result.operations if item.key.startswith("probe-orders")]
     try:
-        counts = await read_final_counts(site.instance_addresses("orders"))
-    except RuntimeError:
+        counts = await site.final_counts()
+    except SiteError:
         # Without a failover no primary is left that could hold the orders.
         writer.add("n_lost", None, "count", 0, seed)
         return
--- a/packages/cardamomshunt-testing/src/cardamomshunt_testing/_measure_load.py
+++ b/packages/cardamomshunt-testing/src/cardamomshunt_testing/_measure_load.py
@@ -1,8 +1,5 @@
 """Load scenarios of `make measure`: normal, overload and lagging."""
 
-from collections import Counter
-
-from cardamomshunt_testing._final_state import read_final_counts
 from cardamomshunt_testing._load_checks import check_history
 from cardamomshunt_testing._load_history import OperationKind, OperationVerdict
 from cardamomshunt_testing._load_runner import LoadRun, LoadSettings
@@ -10,8 +7,16 @@
 from cardamomshunt_testing._site import Site
 
 SERVICE_TIME_MS = 10.0
-# At 80 ms per statement the slots fill up long before the processors do.
-_OVERLOAD_SLOW_FACTOR = 8.0
+# At 120 ms per statement the slots fill up long before the processors do.
+_OVERLOAD_SLOW_FACTOR = 12.0
+# Lookups overload the stock group; orders stay within their primary's slots, at three
+# statements each, so that all of them can be placed if they come first.
+_OVERLOAD_WEIGHTS = {
+    OperationKind.LOOKUP: 0.85,
+    OperationKind.OWN_READ: 0.12,
+    OperationKind.ORDER: 0.02,
+    OperationKind.DISPATCH: 0.01,
+}
 _OVERLOAD_RATIO = 2.0
 _OVERLOAD_DEADLINE_MS = 1_000.0
 _NORMAL_LOAD_RATIO = 0.15
@@ -26,16 +31,16 @@
     return _N_INSTANCES * site.mix.n_slots / service_s
 
 
-def _rate(site: Site, ratio: float, slow_factor: float = 1.0) -> float:
+def _normal_rate(site: Site) -> float:
     share = site.mix.weights[OperationKind.LOOKUP]
-    return ratio * stock_capacity(site, slow_factor) / share
+    return _NORMAL_LOAD_RATIO * stock_capacity(site) / share
 
 
 async def run_normal(
     site: Site, writer: RowWriter, seed: int, duration_s: float
 ) -> None:
     """Measure at a load that the slots carry easily."""
-    await _run(site, writer, seed, _rate(site, _NORMAL_LOAD_RATIO), duration_s)
+    await _run(site, writer, seed, _normal_rate(site), duration_s)
 
 
 async def run_lagging(
@@ -45,7 +50,7 @@
     lagging = [settings[-1].instance for settings in site.groups.values()]
     for name in lagging:
         await site.put_fault(name, "lag", lag_ms=_LAG_MS)
-    await _run(site, writer, seed, _rate(site, _NORMAL_LOAD_RATIO), duration_s)
+    await _run(site, writer, seed, _normal_rate(site), duration_s)
     for name in lagging:
         await site.put_fault(name, "lag", lag_ms=0)
 
@@ -57,7 +62,8 @@
     names = [item.instance for items in site.groups.values() for item in items]
     for name in names:
         await site.put_fault(name, "slow", factor=_OVERLOAD_SLOW_FACTOR)
-    rate = _rate(site, _OVERLOAD_RATIO, _OVERLOAD_SLOW_FACTOR)
+    capacity = stock_capacity(site, _OVERLOAD_SLOW_FACTOR)
+    rate = _OVERLOAD_RATIO * capacity / _OVERLOAD_WEIGHTS[OperationKind.LOOKUP]
     run = await _run(site, writer, seed, rate, duration_s, is_overload=True)
     for name in names:
         await site.put_fault(name, "slow", factor=1)
@@ -65,8 +71,8 @@
     n_answered = run.n_answered_within(
         OperationKind.LOOKUP, _WARM_UP_MS, duration_s * 1_000
     )
-    capacity = stock_capacity(site, _OVERLOAD_SLOW_FACTOR) * span_ms / 1_000
-    writer.add("goodput_share", n_answered / capacity, "share", n_answered, seed)
+    n_carried = capacity * span_ms / 1_000
+    writer.add("goodput_share", n_answered / n_carried, "share", n_answered, seed)
     orders = [item for item in run.operations if item.kind is OperationKind.ORDER]
     n_orders = len({item.key for item in orders})
     n_placed = sum(item.verdict is OperationVerdict.ANSWERED for item in orders)
@@ -90,16 +96,15 @@
         seed=seed,
         has_idempotency=site.system == "cardamomshunt",
         n_sessions=900 if is_overload else 100,
-        deadline_ms=_OVERLOAD_DEADLINE_MS if is_overload else None,
-        timeout_ms=2 * _OVERLOAD_DEADLINE_MS if is_overload else 8_000.0,
+        lookup_deadline_ms=_OVERLOAD_DEADLINE_MS if is_overload else None,
+        weights=_OVERLOAD_WEIGHTS if is_overload else None,
+        timeout_ms=6_000.0 if is_overload else 8_000.0,
         n_attempts_max=2 if is_overload else 6,
         n_read_attempts_max=1 if is_overload else 2,
     )
     run = LoadRun(site.mix, settings)
     await run.run()
-    counts: Counter[str] = Counter()
-    for group in site.groups:
-        counts.update(await read_final_counts(site.instance_addresses(group)))
+    counts = await site.final_counts()
     writer.add_run(run, check_history(run.operations, counts))
     peaks = await _peaks(site)
     writer.add("n_peak_backend_connections", max(peaks), "count", len(peaks), seed)
--- a/packages/cardamomshunt-testing/src/cardamomshunt_testing/_site.py
+++ b/packages/cardamomshunt-testing/src/cardamomshunt_testing/_site.py
@@ -4,6 +4,7 @@
 import secrets
 import shutil
 import tempfile
+from collections import Counter
 from pathlib import Path
 from typing import Any
 
@@ -251,13 +252,26 @@
         """Return the addresses that the balancer deals connections to."""
         return [("127.0.0.1", vm.caller_port) for vm in self.entry_vms]
 
-    def instance_addresses(self, group: str) -> list[tuple[str, int]]:
-        """Return the MySQL addresses of a group, for checks."""
-        return [(item.host, item.port) for item in self.groups[group]]
-
     async def status(self, name: str) -> dict[str, Any] | None:
         """Return an instance's counters, or None if it does not answer."""
-        url = f"http://127.0.0.1:{self.instance(name).control_port}/status"
+        return await self._get(name, "status")
+
+    async def final_counts(self) -> Counter[str]:
+        """Count the stored keys at the primaries, over the control ports.
+
+        MySQL connections for this could be refused, as the entry VMs may hold them all.
+        """
+        counts: Counter[str] = Counter()
+        for group in self.groups:
+            primary = await self.primary(group)
+            keys = None if primary is None else await self._get(primary, "keys")
+            if keys is None:
+                raise SiteError(f"{group} has no primary for the final check")
+            counts.update(keys)
+        return counts
+
+    async def _get(self, name: str, path: str) -> dict[str, Any] | None:
+        url = f"http://127.0.0.1:{self.instance(name).control_port}/{path}"
         timeout = aiohttp.ClientTimeout(total=1)
         try:
             async with (
--- a/packages/cardamomshunt-testing/src/cardamomshunt_testing/_standin_control.py
+++ b/packages/cardamomshunt-testing/src/cardamomshunt_testing/_standin_control.py
@@ -1,6 +1,7 @@
 """HTTP control port of a stand-in instance, for faults and counters.
 
-`GET /status` returns counters. The rest are `POST` with an optional JSON body:
+`GET /status` returns counters, and `GET /keys` how often each `order_id` is stored. The
+rest are `POST` with an optional JSON body:
 `/freeze`, `/thaw`, `/cut-connections`, `/cut {"instances": [], "zones": []}`, `/heal`,
 `/lag {"lag_ms": 5000}`, `/leave`, `/return`, `/slow {"factor": 10}`.
 """
@@ -26,6 +27,7 @@
         """Listen."""
         application = web.Application()
         application.router.add_get("/status", self._status)
+        application.router.add_get("/keys", self._keys)
         application.router.add_post("/{fault}", self._fault)
         self._runner = web.AppRunner(application, access_log=None)
         await self._runner.setup()
@@ -42,6 +44,9 @@
     async def _status(self, request: web.Request) -> web.Response:
         return web.json_response(self._instance.status())
 
+    async def _keys(self, request: web.Request) -> web.Response:
+        return web.json_response(self._instance.count_keys())
+
     async def _fault(self, request: web.Request) -> web.Response:
         body = await request.json() if request.can_read_body else {}
         instance = self._instance
--- a/packages/cardamomshunt-testing/src/cardamomshunt_testing/_standin_engine.py
+++ b/packages/cardamomshunt-testing/src/cardamomshunt_testing/_standin_engine.py
@@ -131,6 +131,15 @@
             for (name,) in names
         }
 
+    def tables_with_column(self, column: str) -> list[str]:
+        """Name the tables that have a column."""
+        rows = self._reader.execute(
+            "SELECT m.name FROM sqlite_master AS m, pragma_table_info(m.name) AS c "
+            "WHERE m.type = 'table' AND c.name = ?",
+            (column,),
+        ).fetchall()
+        return [name for (name,) in rows]
+
     def close(self) -> None:
         """Close the connections and drop the files."""
         self._reader.close()
--- a/packages/cardamomshunt-testing/src/cardamomshunt_testing/_standin_instance.py
+++ b/packages/cardamomshunt-testing/src/cardamomshunt_testing/_standin_instance.py
@@ -1,6 +1,7 @@
 """One instance of the stand-in database group."""
 
 import asyncio
+import re
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
@@ -17,6 +18,7 @@
 from cardamomshunt_testing._standin_session import StandinSession
 from cardamomshunt_testing._standin_settings import StandinSettings
 
+_COMMAND = re.compile(r"\s*call\s+cardamomshunt_(?:fence|promote)\b", re.I)
 _ASK_TERMS_MS = 600.0
 _ASK_PAUSE_MS = 50.0
 
@@ -54,6 +56,8 @@
         self._zones_by_port: dict[int, str] = {}
         self._applier: asyncio.Task[None] | None = None
         self._freeze_event: asyncio.Event | None = None
+        self._healed = asyncio.Event()
+        self._healed.set()
 
     async def start(self) -> None:
         """Take over the log of before, start the group's log, or rejoin blank."""
@@ -170,18 +174,33 @@
         self.edge.silence_open_connections(self.edge.ports())
 
     def cut(self, instances: set[str], zones: set[str]) -> None:
-        """Let nothing pass to or from instances and zones, besides earlier cuts."""
+        """Let nothing pass to or from instances and zones, besides earlier cuts.
+
+        New connections from a cut zone get their handshake, then no answer. Commands of
+        control pass as long as another zone is left, since control may use the port of
+        any zone.
+        """
         self.faults.cut_instances |= instances
         self.faults.cut_zones |= zones
         ports = [port for port, zone in self._zones_by_port.items() if zone in zones]
-        event = self.edge.silence_open_connections(ports)
-        self.edge.silence_new_connections(ports, event)
+        self.edge.silence_open_connections(ports)
+        if zones:
+            self._healed.clear()
+
+    async def wait_while_cut(self, port: int, sql: str) -> None:
+        """Hold a statement, or its answer, while the zone of its port is cut."""
+        if self._zones_by_port.get(port) not in self.faults.cut_zones:
+            return
+        n_other_zones = len(self._zones_by_port) - 1
+        is_isolated = len(self.faults.cut_zones) >= n_other_zones
+        if is_isolated or not _COMMAND.match(sql):
+            await self._healed.wait()
 
     def heal(self) -> None:
-        """End all cuts; connections that were cut stay silent."""
+        """End all cuts; connections that were open when cut stay silent."""
         self.faults.cut_instances.clear()
         self.faults.cut_zones.clear()
-        self.edge.silence_new_connections(self.edge.ports(), None)
+        self._healed.set()
 
     def set_lag(self, lag_ms: float) -> None:
         """Delay the application of committed entries."""
@@ -193,6 +212,16 @@
         self.faults.is_leaving = is_leaving
         self.announcer.on_change(is_urgent=True)
 
+    def count_keys(self) -> dict[str, int]:
+        """Count the rows of each `order_id`, over all tables that have one."""
+        engine = self.member.engine
+        counts: dict[str, int] = {}
+        for table in engine.tables_with_column("order_id"):
+            sql = f"SELECT order_id, COUNT(*) FROM {table} GROUP BY order_id"
+            for key, count in engine.read(sql).rows:  # type: ignore[union-attr]
+                counts[key] = counts.get(key, 0) + count
+        return counts
+
     def status(self) -> dict[str, Any]:
         """Return counters and positions for checks."""
         member = self.member
--- a/packages/cardamomshunt-testing/src/cardamomshunt_testing/_standin_session.py
+++ b/packages/cardamomshunt-testing/src/cardamomshunt_testing/_standin_session.py
@@ -95,7 +95,15 @@
         return self._user_variables.get(name)
 
     async def handle_statement(self, sql: str) -> StatementResult:
-        await self._instance.wait_one_way(self.local_port, n_ways=2)
+        instance = self._instance
+        await instance.wait_one_way(self.local_port, n_ways=2)
+        await instance.wait_while_cut(self.local_port, sql)
+        try:
+            return await self._run_translating_errors(sql)
+        finally:
+            await instance.wait_while_cut(self.local_port, sql)
+
+    async def _run_translating_errors(self, sql: str) -> StatementResult:
         text = strip_comments(sql)
         try:
             return await self._run(text, classify(text))
--- a/packages/cardamomshunt-testing/src/cardamomshunt_testing/demo.py
+++ b/packages/cardamomshunt-testing/src/cardamomshunt_testing/demo.py
@@ -11,8 +11,7 @@
 import click
 import msgspec
 
-from cardamomshunt_testing._final_state import read_final_counts
-from cardamomshunt_testing._load_checks import CheckResult, check_history
+from cardamomshunt_testing._load_checks import check_history
 from cardamomshunt_testing._load_client import now_ms
 from cardamomshunt_testing._load_history import OperationKind, OperationVerdict
 from cardamomshunt_testing._load_mixes import KITI_BORA
@@ -105,13 +104,6 @@
         await asyncio.gather(progress, killing, return_exceptions=True)
 
 
-async def _check(site: Site, run: LoadRun) -> CheckResult:
-    counts: Counter[str] = Counter()
-    for group in site.groups:
-        counts.update(await read_final_counts(site.instance_addresses(group)))
-    return check_history(run.operations, counts)
-
-
 def _explain(run: LoadRun, result: DemoResult) -> None:
     reads = [
         run.replica_share(kind)
@@ -147,7 +139,7 @@
         await site.start()
         _say(f"running {_RATE:.0f} operations/s for {_DURATION_S:.0f} s")
         run, killed_ms = await _run_load(site)
-        checks = await _check(site, run)
+        checks = check_history(run.operations, await site.final_counts())
         result = DemoResult(
             replica_read_share=round(_overall_replica_share(run), 4),
             failover_gap_ms=run.write_gap_ms(killed_ms),
--- a/packages/cardamomshunt-testing/tests/test_standin.py
+++ b/packages/cardamomshunt-testing/tests/test_standin.py
@@ -390,15 +390,37 @@
 async def test_zone_cut_reaches_the_callers_of_that_zone_only(group):
     primary = group.primary()
     cut_port = primary.port_for_zone("zone-b")
+    old = await connect(primary, cut_port)
     await post(primary, "cut", {"zones": ["zone-b"]})
     assert await query(primary, "SELECT 1") == [(1,)]
-    with pytest.raises(asyncio.TimeoutError):
-        await asyncio.wait_for(connect(primary, cut_port), 0.1)
+    new = await connect(primary, cut_port)
+    for connection in (old, new):
+        with pytest.raises(asyncio.TimeoutError):
+            await asyncio.wait_for(run(connection, "SELECT 1"), 0.1)
     await post(primary, "heal")
-    connection = await asyncio.wait_for(connect(primary, cut_port), 1)
+    connection = await connect(primary, cut_port)
+    assert await run(connection, "SELECT 1") == [(1,)]
     connection.close()
 
 
+@pytest.mark.parametrize(
+    ("zones", "is_answered"), [(["zone-b"], True), (["zone-b", "zone-c"], False)]
+)
+async def test_control_reaches_an_instance_unless_all_zones_are_cut(
+    group, zones, is_answered
+):
+    # Control may know the port of a zone that is cut, but is itself elsewhere.
+    replica = group.instances["orders-1"]
+    await post(replica, "cut", {"zones": zones})
+    connection = await connect(replica, replica.port_for_zone("zone-b"))
+    call = run(connection, "CALL cardamomshunt_fence(5)")
+    if is_answered:
+        assert (await asyncio.wait_for(call, 1))[0][0] == 1
+    else:
+        with pytest.raises(asyncio.TimeoutError):
+            await asyncio.wait_for(call, 0.1)
+
+
 class EntryVm:
     """Take announcements and hand out numbered tokens."""
 
