Use one allocator for connection leases

Cause: two allocators existed with different meanings of a grant; the one in use could promise a connection twice while an earlier lease was still held. Change: ConnectionAllocator has the interface that control uses and replaces GrantAllocator; a grant is a total with the floor included. A server that reports a lower position in an unchanged term is believed, as it rebuilds its state.

--- a/packages/cardamomshunt/src/cardamomshunt/_connection_shares.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_connection_shares.py
@@ -1,16 +1,19 @@
 """Leases of connections: the allocator of the control leader and the lease holder.
 
-Each entry VM has a floor of connections to each instance. Grants come on top of it.
+Each entry VM has a floor of connections to each instance. A grant states the total,
+with the floor included.
 """
 
 from dataclasses import dataclass, field
 
-from cardamomshunt._messages import ConnectionDemand, ConnectionGrant
+from cardamomshunt._messages import ConnectionGrant, ConnectionGrants, DemandReport
 
-LEASE_MS = 3_000.0
+GRANT_INTERVAL_MS = 500.0
+GRANT_LEASE_MS = 3_000.0
 # Until a lease has surely expired at its holder: grants travel, and clocks drift.
 LEASE_MARGIN_MS = 1_000.0
-DEMAND_KEPT_MS = 5_000.0
+DEMAND_KEPT_MS = 3_000.0
+FLOOR_KEPT_MS = 60_000.0  # an entry VM that is cut off goes on with its floors
 
 
 class ConnectionLeases:
@@ -26,118 +29,133 @@
         """Take over grants; each replaces the instance's former one."""
         for grant in grants:
             expires_ms = now_ms + grant.expires_in_ms
-            self._leases[grant.instance] = (max(0, grant.n_connections), expires_ms)
+            self._leases[grant.instance] = (grant.n_connections, expires_ms)
 
     def n_connections(self, now_ms: float, instance: str) -> int:
         """Return how many connections to an instance are allowed now."""
         n_granted, expires_ms = self._leases.get(instance, (0, 0.0))
-        return self.floor + (n_granted if now_ms < expires_ms else 0)
+        return max(self.floor, n_granted if now_ms < expires_ms else 0)
 
-    def next_expiry_ms(self, now_ms: float) -> float | None:
-        """Return when the next lease expires."""
-        times = [expiry for _, expiry in self._leases.values() if expiry > now_ms]
-        return min(times, default=None)
+
+def max_min_shares(n_available: int, wanted: dict[str, int]) -> dict[str, int]:
+    """Divide so that no node gets more than it wants, and the least get most.
+
+    >>> max_min_shares(10, {"a": 1, "b": 9, "c": 9})
+    {'a': 1, 'b': 4, 'c': 5}
+    """
+    shares = {}
+    n_left = n_available
+    order = sorted(wanted, key=lambda node: (wanted[node], node))
+    for index, node in enumerate(order):
+        shares[node] = min(wanted[node], n_left // (len(order) - index))
+        n_left -= shares[node]
+    return shares
 
 
 @dataclass(slots=True)
-class _NodeDemand:
-    reported_ms: float
+class _Demand:
+    sequence: int
+    received_ms: float
     n_wanted: dict[str, int]
 
 
 @dataclass(slots=True)
 class _Lease:
-    n_connections: int
+    n_extra: int
     free_at_ms: float
 
 
 @dataclass(slots=True)
 class _Account:
+    """Hold what is leased of one instance beyond the floors."""
+
     leases: dict[str, list[_Lease]] = field(default_factory=dict)
 
-    def n_out(self, now_ms: float, node: str) -> int:
-        """Return the largest number that a node may still believe to hold."""
-        kept = [item for item in self.leases.get(node, []) if item.free_at_ms > now_ms]
-        self.leases[node] = kept
-        return max((item.n_connections for item in kept), default=0)
+    def n_out(self, now_ms: float) -> dict[str, int]:
+        """Return the most that each node may still believe to hold."""
+        self.leases = {
+            node: kept
+            for node, leases in self.leases.items()
+            if (kept := [lease for lease in leases if lease.free_at_ms > now_ms])
+        }
+        return {
+            node: max(lease.n_extra for lease in leases)
+            for node, leases in self.leases.items()
+        }
 
 
 class ConnectionAllocator:
     """Divide the connections of all instances among entry VMs by demand.
 
-    The sum of floors and of leases that may still be held never exceeds an
-    instance's connections. A new leader waits for a lease time before it grants, as
-    it does not know its predecessor's grants.
+    The floors and what a node may still hold from an earlier grant, which may be the
+    last one that arrived, never exceed an instance's connections. A new leader does
+    not know its predecessor's grants and starts at once: until those expire, a server
+    may refuse a dial, which is harmless, whereas a wait would leave all at the floor.
     """
 
-    def __init__(
-        self, now_ms: float, *, floor: int, lease_ms: float = LEASE_MS
-    ) -> None:
-        self.floor = floor
-        self._lease_ms = lease_ms
-        self._starts_ms = now_ms + lease_ms + LEASE_MARGIN_MS
-        self._capacities: dict[str, int] = {}
-        self._demands: dict[str, _NodeDemand] = {}
+    def __init__(self) -> None:
+        self._demands: dict[str, _Demand] = {}
         self._accounts: dict[str, _Account] = {}
-
-    def on_capacity(self, instance: str, n_connections_max: int) -> None:
-        """Take over how many connections an instance accepts."""
-        self._capacities[instance] = n_connections_max
-
-    def on_demand(
-        self, now_ms: float, node: str, demands: list[ConnectionDemand]
-    ) -> None:
-        """Take over the demand report of an entry VM."""
-        wanted = {item.instance: max(0, item.n_wanted) for item in demands}
-        self._demands[node] = _NodeDemand(now_ms, wanted)
-
-    def on_node_removed(self, node: str) -> None:
-        """Forget an entry VM; what it holds stays reserved until it expires."""
-        self._demands.pop(node, None)
-
-    def grants_for(self, now_ms: float, node: str) -> list[ConnectionGrant]:
-        """Grant leases to an entry VM; empty while a new leader waits."""
-        demand = self._demands.get(node)
-        if demand is None or now_ms < self._starts_ms:
-            return []
+        self._sequence = 0
+
+    def on_demand(self, now_ms: float, report: DemandReport) -> None:
+        """Take over a demand report; late ones are dropped."""
+        known = self._demands.get(report.node)
+        is_recent = known is not None and now_ms - known.received_ms < DEMAND_KEPT_MS
+        if known is not None and is_recent and report.sequence <= known.sequence:
+            return
+        wanted = {item.instance: max(0, item.n_wanted) for item in report.demands}
+        self._demands[report.node] = _Demand(report.sequence, now_ms, wanted)
+
+    def grants(
+        self, now_ms: float, n_connections_max: dict[str, int], n_floor: int
+    ) -> list[ConnectionGrants]:
+        """Return the grants of each entry VM that reported its demand lately."""
+        self._demands = {
+            node: demand
+            for node, demand in self._demands.items()
+            if now_ms - demand.received_ms <= FLOOR_KEPT_MS
+        }
+        by_node: dict[str, list[ConnectionGrant]] = {
+            node: []
+            for node, demand in self._demands.items()
+            if now_ms - demand.received_ms <= DEMAND_KEPT_MS
+        }
+        for instance, n_max in n_connections_max.items():
+            self._grant(now_ms, instance, n_max, n_floor, by_node)
+        self._sequence = max(self._sequence + 1, int(now_ms))
         return [
-            self._grant(now_ms, node, instance, n_wanted)
-            for instance, n_wanted in demand.n_wanted.items()
-            if instance in self._capacities
+            ConnectionGrants(node=node, sequence=self._sequence, grants=grants)
+            for node, grants in by_node.items()
         ]
 
-    def _nodes(self, now_ms: float) -> list[str]:
-        oldest_ms = now_ms - DEMAND_KEPT_MS
-        return [n for n, d in self._demands.items() if d.reported_ms >= oldest_ms]
-
-    def _fair_share(self, now_ms: float, node: str, instance: str, n_spare: int) -> int:
-        """Divide by max-min fairness: no one gets more than it wants."""
-        wants = {
-            name: max(0, self._demands[name].n_wanted.get(instance, 0) - self.floor)
-            for name in self._nodes(now_ms)
-        }
-        left = n_spare
-        order = sorted(wants, key=lambda name: (wants[name], name))
-        for index, name in enumerate(order):
-            share = min(wants[name], left // (len(order) - index))
-            if name == node:
-                return share
-            left -= share
-        return 0
-
     def _grant(
-        self, now_ms: float, node: str, instance: str, n_wanted: int
-    ) -> ConnectionGrant:
+        self,
+        now_ms: float,
+        instance: str,
+        n_max: int,
+        n_floor: int,
+        by_node: dict[str, list[ConnectionGrant]],
+    ) -> None:
+        knowing = [n for n, d in self._demands.items() if instance in d.n_wanted]
+        n_spare = max(0, n_max - n_floor * len(knowing))
+        wanted = {
+            node: max(0, self._demands[node].n_wanted[instance] - n_floor)
+            for node in knowing
+            if node in by_node
+        }
         account = self._accounts.setdefault(instance, _Account())
-        # A node that is silent may still hold its floor, so all known ones count.
-        n_floors = self.floor * len(self._demands)
-        n_spare = max(0, self._capacities[instance] - n_floors)
-        share = self._fair_share(now_ms, node, instance, n_spare)
-        nodes = set(account.leases) | {node}
-        n_others = sum(account.n_out(now_ms, name) for name in nodes if name != node)
-        n_granted = max(0, min(share, n_spare - n_others))
-        lease = _Lease(n_granted, now_ms + self._lease_ms + LEASE_MARGIN_MS)
-        account.leases.setdefault(node, []).append(lease)
-        return ConnectionGrant(
-            instance=instance, n_connections=n_granted, expires_in_ms=self._lease_ms
-        )
+        n_out = account.n_out(now_ms)
+        for node, share in max_min_shares(n_spare, wanted).items():
+            n_others = sum(n_out.values()) - n_out.get(node, 0)
+            n_extra = max(0, min(share, n_spare - n_others))
+            n_out[node] = max(n_extra, n_out.get(node, 0))
+            free_at_ms = now_ms + GRANT_LEASE_MS + LEASE_MARGIN_MS
+            account.leases.setdefault(node, []).append(_Lease(n_extra, free_at_ms))
+            by_node[node].append(
+                ConnectionGrant(
+                    instance=instance,
+                    n_connections=n_floor + n_extra,
+                    expires_in_ms=GRANT_LEASE_MS,
+                )
+            )
--- a/packages/cardamomshunt/src/cardamomshunt/_control.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_control.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from cardamomshunt._connection_grants import GRANT_INTERVAL_MS, GrantAllocator
+from cardamomshunt._connection_shares import GRANT_INTERVAL_MS, ConnectionAllocator
 from cardamomshunt._consensus import ConsensusNode, ConsensusOptions, RestoredState
 from cardamomshunt._consensus_messages import (
     ConsensusMessage,
@@ -118,7 +118,7 @@
         self.health = HealthView()
         self.registry = NodeRegistry()
         self.failover = self.failover_type(self.health, failover_options)
-        self._grants = GrantAllocator()
+        self._grants = ConnectionAllocator()
         self._grants_due_ms = now_ms
         self._heartbeat_due_ms = now_ms
         self._evaluation_due_ms = now_ms
--- a/packages/cardamomshunt/src/cardamomshunt/_pool.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_pool.py
@@ -130,7 +130,9 @@
         self.is_refusing = False
         self._follow_incarnation(news)
         self.on_state(news.term, news.role, news.applied_position)
-        self.log_position = max(self.log_position, news.log_position)
+        # A server that rebuilds its state goes back within its incarnation and term.
+        self.applied = news.applied_position
+        self.log_position = news.log_position
         self.address = news.address
         self.zone = news.zone
         self.n_slots = news.n_slots
