Plug events, timeline and metrics into the control role

Cause: control logged events apart and could not answer timeline requests. Change: the control daemon uses Telemetry: hybrid times on messages, timeline answers, metrics of leader, version, bytes and CPU of control; failover events name their server and, as cause, the event before.

--- a/packages/cardamomshunt-cli/tests/test_docs.py
+++ b/packages/cardamomshunt-cli/tests/test_docs.py
@@ -12,6 +12,7 @@
 import click
 import pytest
 import yaml
+from cardamomshunt.events import CATALOGUE
 from cardamomshunt.messages import Message
 from cardamomshunt.operator_messages import (
     DrainReply,
@@ -134,6 +135,15 @@
     assert result.output == (_ROOT / "docs" / "events.md").read_text()
 
 
+def test_events_and_alerts_name_existing_sections() -> None:
+    texts = [entry.action for entry in CATALOGUE.values()]
+    texts += [rule["annotations"]["action"] for rule in _alerts()]
+    for text in texts:
+        for page, heading in re.findall(r"(docs/\w+\.md)(?:, '(.+?)')?", text):
+            content = (_ROOT / page).read_text()
+            assert not heading or f"## {heading}\n" in content, text
+
+
 def test_embedding_example_prints_what_the_page_shows() -> None:
     page = (_ROOT / "docs" / "embedding.md").read_text()
     shown = re.search(r"```text\n(.*?)```", page, re.DOTALL)
--- a/packages/cardamomshunt-cli/tests/test_real_control.py
+++ b/packages/cardamomshunt-cli/tests/test_real_control.py
@@ -12,6 +12,7 @@
 from pathlib import Path
 
 import pytest
+from cardamomshunt.events import EventNumber
 from cardamomshunt_cli import _client
 from cardamomshunt_cli._exit_codes import ExitCode
 from click.testing import Result
@@ -126,6 +127,17 @@
     assert difference.output.strip() == "no difference"
     assert "version 3" in _run(ctl, control, "config", "history").output
     assert _run(ctl, control, "drain", "nothing").exit_code == ExitCode.REFUSED
+    _check_timeline(ctl, control, dead=leader)
+
+
+def _check_timeline(ctl: Ctl, control: Control, dead: str) -> None:
+    """The survivors tell the election and the patches in order; the dead is named."""
+    merged = json.loads(_run(ctl, control, "--json", "timeline").stdout)
+    assert merged["silent_addresses"] == [control.operator_addresses[dead]]
+    numbers = [event["number"] for event in merged["events"]]
+    elected = numbers.index(EventNumber.LEADER_ELECTED)
+    assert numbers[elected:].count(EventNumber.PATCH_ACCEPTED) >= 2
+    assert numbers.count(EventNumber.CONTROL_STARTED) == 2
 
 
 def test_planned_stop_and_loss_of_the_majority(
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_control_daemon.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_control_daemon.py
@@ -6,7 +6,6 @@
 import random
 import signal
 import time
-from collections.abc import Callable
 from dataclasses import dataclass
 
 from cardamomshunt.consensus import Member, Peer
@@ -22,7 +21,11 @@
 )
 from cardamomshunt.events import EventNumber
 from cardamomshunt.messages import Message
-from cardamomshunt.operator_messages import OperatorError, OperatorErrorCode
+from cardamomshunt.operator_messages import (
+    OperatorError,
+    OperatorErrorCode,
+    TimelineRequest,
+)
 
 from cardamomshunt_node._instance_commands import InstanceCommands
 from cardamomshunt_node._keys import KeyFileError, KeyRing, load_key_ring
@@ -30,6 +33,7 @@
 from cardamomshunt_node._operator_link import OperatorServer
 from cardamomshunt_node._settings import DaemonSettings
 from cardamomshunt_node._storage_task import StorageDone, StorageFailed, StorageTask
+from cardamomshunt_node._telemetry import Telemetry
 from cardamomshunt_node._transport import PeerTransport, ReceivedMessage
 
 _OPERATOR_TIMEOUT_S = 10.0
@@ -37,8 +41,6 @@
 # Closing a socket drops what it has not sent, such as the order to take over.
 _LINGER_S = 0.1
 
-EventSink = Callable[[EmitEvent], None]
-
 
 @dataclass(slots=True, frozen=True)
 class _OperatorRequest:
@@ -94,10 +96,12 @@
         keys: KeyRing,
         storage: LogStorage,
         opened: OpenedStorage,
-        event_sink: EventSink,
+        telemetry: Telemetry,
     ) -> None:
         self._settings = settings
-        self._event_sink = event_sink
+        self._telemetry = telemetry
+        # The last failover event of each database, which the next one names as cause.
+        self._causes: dict[str, str] = {}
         self._inbox: asyncio.Queue[_Input] = asyncio.Queue()
         self._node = ControlNode(
             settings.node,
@@ -108,8 +112,14 @@
             now_ms(),
         )
         self._transport = PeerTransport(
-            settings.node, settings.peer_address.url, keys, self._inbox.put
+            settings.node,
+            settings.peer_address.url,
+            keys,
+            self._inbox.put,
+            telemetry.now_hlc,
         )
+        telemetry.watch_transport(self._transport)
+        telemetry.metrics.add_refresher(self._refresh_metrics)
         self._operators = OperatorServer(
             settings.node, settings.operator_address.url, keys, self._ask
         )
@@ -168,8 +178,11 @@
         now = now_ms()
         match item:
             case ReceivedMessage():
+                self._telemetry.observe(item.envelope.sender, item.envelope.sent_hlc)
                 sender = Peer(item.envelope.sender, item.envelope.reply_address)
-                self._run_effects(self._node.on_message(now, sender, item.message))
+                with self._telemetry.metrics.timing_control():
+                    effects = self._node.on_message(now, sender, item.message)
+                self._run_effects(effects)
             case StorageDone():
                 self._run_effects(self._node.on_storage_done(now, item.sequence))
             case StorageFailed():
@@ -202,9 +215,20 @@
         self._emit(EventNumber.KEYS_RELOADED)
 
     def _emit(self, number: EventNumber, detail: str = "") -> None:
-        self._event_sink(
-            EmitEvent(number=number.value, subject=self._settings.node, detail=detail)
+        self._telemetry.emit(number, self._settings.node, detail)
+
+    def _emit_effect(self, event: EmitEvent) -> None:
+        cause = self._causes.get(event.database, "")
+        event_id = self._telemetry.emit(
+            event.number, event.subject, event.detail, event.database, cause
         )
+        if event.database:
+            self._causes[event.database] = event_id
+
+    def _refresh_metrics(self) -> None:
+        metrics = self._telemetry.metrics
+        metrics.set_leader(self._node.consensus.is_leader)
+        metrics.set_configuration_version(self._node.state.configuration.version)
 
     def _run_effects(self, effects: list[ControlEffect]) -> None:
         for effect in effects:
@@ -218,7 +242,7 @@
                 case ReplyOperator():
                     self._answer(effect)
                 case EmitEvent():
-                    self._event_sink(effect)
+                    self._emit_effect(effect)
 
     def _answer(self, effect: ReplyOperator) -> None:
         future = self._replies.pop(effect.request_id, None)
@@ -227,6 +251,8 @@
 
     async def _ask(self, message: Message) -> Message:
         """Pass an operator's request to the main loop and wait for the answer."""
+        if isinstance(message, TimelineRequest):
+            return self._telemetry.answer(message)
         request_id = next(self._request_ids)
         future: asyncio.Future[Message] = asyncio.get_running_loop().create_future()
         self._replies[request_id] = future
--- a/packages/cardamomshunt/src/cardamomshunt/_failover.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_failover.py
@@ -59,6 +59,7 @@
     record: DatabaseRecord
     event: EventNumber | None
     detail: str
+    subject: str
 
 
 class FailoverController:
@@ -105,6 +106,7 @@
                     proposal.event,
                     proposal.record.database,
                     f"term {proposal.record.term}: {proposal.detail}",
+                    proposal.subject,
                 )
         return [proposal.record for proposal in proposals]
 
@@ -187,10 +189,15 @@
 
     # Helpers
 
-    def _emit(self, number: EventNumber, database: str, detail: str) -> None:
+    def _emit(
+        self, number: EventNumber, database: str, detail: str, subject: str = ""
+    ) -> None:
         self._effects.append(
             EmitEvent(
-                number=number.value, subject=database, detail=detail, database=database
+                number=number.value,
+                subject=subject or database,
+                detail=detail,
+                database=database,
             )
         )
 
@@ -220,7 +227,9 @@
             record, step=step, revision=record.revision + 1, **changes
         )
         self._open[record.database] = proposed.revision
-        self._proposals.append(_Proposal(proposed, number, detail))
+        # The server that the step is about; the timeline shows it as the primary.
+        subject = proposed.primary_instance or record.primary_instance or ""
+        self._proposals.append(_Proposal(proposed, number, detail, subject))
 
     def _fence_next(
         self, record: DatabaseRecord, event: str, term: int, why: str
@@ -371,7 +380,12 @@
         if why and self._is_other_alive(record, observed):
             if not self._is_damped(now_ms, record.database):
                 self._failovers_ms[record.database].append(now_ms)
-                self._emit(EventNumber.PRIMARY_SUSPECTED, record.database, why)
+                self._emit(
+                    EventNumber.PRIMARY_SUSPECTED,
+                    record.database,
+                    why,
+                    record.primary_instance or "",
+                )
                 self._fence_next(record, "suspect", record.term + 1, why)
             return
         self._fence_old_members(now_ms, record, observed)
