--- a/packages/cardamomshunt/src/cardamomshunt/retries.py
+++ b/packages/cardamomshunt/src/cardamomshunt/retries.py
@@ -1,10 +1,19 @@
 """Retry decisions, their budget, and the verdicts of lost attempts."""
 
 from cardamomshunt._retries import (
+    Action,
     AtMostOnceRetryPolicy,
     Decision,
+    RepeatRule,
     RetryBudget,
     RetryPolicy,
 )
 
-__all__ = ["AtMostOnceRetryPolicy", "Decision", "RetryBudget", "RetryPolicy"]
+__all__ = [
+    "Action",
+    "AtMostOnceRetryPolicy",
+    "Decision",
+    "RepeatRule",
+    "RetryBudget",
+    "RetryPolicy",
+]
