Keep the status of large deployments on one screen

Cause: 450 daemons and 720 databases would hide the few that need attention. Change: beyond 24 rows, only those that differ are shown, with the count of the others. Measured: a status with 450 daemons, one of them behind, takes fewer than 12 lines in a test.

--- a/packages/cardamomshunt-cli/src/cardamomshunt_cli/_status.py
+++ b/packages/cardamomshunt-cli/src/cardamomshunt_cli/_status.py
@@ -19,6 +19,8 @@
 
 _NODE_SILENT_MS = 3_000.0
 _INSTANCE_SILENT_MS = 1_000.0
+# More rows than this leave the screen; then only those that differ are shown.
+_N_ROWS_MAX = 24
 
 
 class StatusView(msgspec.Struct, kw_only=True):
@@ -140,6 +142,9 @@
 
 def _show_databases(databases: list[DatabaseStatus]) -> None:
     echo_heading("databases")
+    shown = databases
+    if len(databases) > _N_ROWS_MAX:
+        shown = [item for item in databases if not _is_healthy(item)]
     rows = [
         [
             item.database,
@@ -148,9 +153,21 @@
             item.step.value,
             ", ".join(_replica_text(x) for x in _replicas(item)) or "none known",
         ]
-        for item in databases
+        for item in shown
     ]
     echo_table(["name", "primary", "term", "step", "replicas (lag)"], rows)
+    _show_rest(len(databases) - len(shown))
+
+
+def _show_rest(n_rest: int) -> None:
+    if n_rest:
+        click.echo(f"  and {n_rest} more, which are ok (all: --json)")
+
+
+def _is_healthy(item: DatabaseStatus) -> bool:
+    is_serving = item.step is FailoverStep.SERVING and item.primary_instance
+    silent = [x for x in item.instances if x.silence_ms > _INSTANCE_SILENT_MS]
+    return bool(is_serving) and not silent
 
 
 def _replicas(item: DatabaseStatus) -> list[InstanceStatus]:
@@ -167,6 +184,10 @@
 
 def _show_nodes(view: StatusView) -> None:
     echo_heading("daemons")
+    nodes = sorted(view.nodes, key=lambda node: (node.role.value, node.node))
+    shown = nodes
+    if len(nodes) > _N_ROWS_MAX:
+        shown = [node for node in nodes if not _is_plain(node, view)]
     rows = [
         [
             node.node,
@@ -175,9 +196,17 @@
             _version_text(node, view.configuration_version),
             _state_text(node),
         ]
-        for node in sorted(view.nodes, key=lambda node: (node.role.value, node.node))
+        for node in shown
     ]
     echo_table(["name", "role", "zone", "configuration", "state"], rows)
+    _show_rest(len(nodes) - len(shown))
+
+
+def _is_plain(node: NodeStatus, view: StatusView) -> bool:
+    """Tell whether a daemon may be left out of a long list."""
+    is_current = node.configuration_version == view.configuration_version
+    is_proxy = node.role is NodeRole.PROXY
+    return is_proxy and is_current and _state_text(node) == "ok"
 
 
 def _version_text(node: NodeStatus, version: int) -> str:
--- a/packages/cardamomshunt-cli/tests/test_commands.py
+++ b/packages/cardamomshunt-cli/tests/test_commands.py
@@ -38,6 +38,17 @@
     assert as_json["databases"][0]["term"] == 4
 
 
+def test_status_of_many_nodes_fits_a_screen(host: Any, ctl: Ctl) -> None:
+    """450 rows would hide the one daemon that is behind."""
+    leader = host.daemon("control-1")
+    leader.nodes = [host.proxy_status(leader.address) for _ in range(450)]
+    leader.nodes[77].node = "proxy-77"
+    leader.nodes[77].configuration_version = 0
+    shown = ctl([leader.address], "status")
+    assert len(shown.output.splitlines()) < 12
+    assert "proxy-77" in shown.output and "and 449 more" in shown.output
+
+
 def test_status_without_control_shows_what_entry_vms_know(host: Any, ctl: Ctl) -> None:
     entry = host.daemon("proxy-1", is_leader=False)
     dead = host.free_address()
