Bound the wait for a majority by the policy

Cause: policy.await_majority_ms had no effect; writes waited until their deadline. Change: StartAttempt.await_majority_ms, which the MySQL backend edge passes on. Measured: the tests of attempts, proxy role and data path pass.

--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_backend_edge_mysql_attempts.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_backend_edge_mysql_attempts.py
@@ -145,6 +145,8 @@
     def _await_majority(self) -> str:
         spent_ms = (time.monotonic() - self._started_s) * 1_000.0
         wait_ms = self._effect.timeout_ms - spent_ms - _AWAIT_MARGIN_MS
+        if self._effect.await_majority_ms > 0:
+            wait_ms = min(wait_ms, self._effect.await_majority_ms)
         return f"CALL cardamomshunt_await_majority({max(_AWAIT_MIN_MS, wait_ms):.0f})"
 
     async def _run_plain(self) -> AttemptEnd:
--- a/packages/cardamomshunt/src/cardamomshunt/_dispatch.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_dispatch.py
@@ -398,6 +398,7 @@
                 connection_id=connection.connection_id,
                 kind=kind,
                 timeout_ms=timeout_ms,
+                await_majority_ms=self._configuration.policy.await_majority_ms,
                 idempotency_key=pending.request.hints.idempotency_key,
                 fingerprint=pending.request.fingerprint,
             )
--- a/packages/cardamomshunt/src/cardamomshunt/_effects.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_effects.py
@@ -184,13 +184,17 @@
 
 
 class StartAttempt(DataPathEffect, kw_only=True):
-    """Run a request's statement on a connection within `timeout_ms`."""
+    """Run a request's statement on a connection within `timeout_ms`.
+
+    A write that is applied waits at most `await_majority_ms` for a majority.
+    """
 
     request_id: RequestId
     attempt: int
     connection_id: ConnectionId
     kind: AttemptKind
     timeout_ms: float
+    await_majority_ms: float = 0.0
     idempotency_key: str | None = None
     fingerprint: str = ""
 
