--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_control_daemon.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_control_daemon.py
@@ -6,7 +6,6 @@
 import random
 import signal
 import time
-from collections.abc import Callable
 from dataclasses import dataclass
 
 from cardamomshunt.consensus import Member, Peer
@@ -22,11 +21,17 @@
 )
 from cardamomshunt.events import EventNumber
 from cardamomshunt.messages import Message
-from cardamomshunt.operator_messages import OperatorError, OperatorErrorCode
+from cardamomshunt.operator_messages import (
+    OperatorError,
+    OperatorErrorCode,
+    TimelineRequest,
+)
 
+from cardamomshunt_node._event_log import EventLog
 from cardamomshunt_node._instance_commands import InstanceCommands
 from cardamomshunt_node._keys import KeyFileError, KeyRing, load_key_ring
 from cardamomshunt_node._log_storage import LogStorage, OpenedStorage
+from cardamomshunt_node._metrics import NodeMetrics
 from cardamomshunt_node._operator_link import OperatorServer
 from cardamomshunt_node._settings import DaemonSettings
 from cardamomshunt_node._storage_task import StorageDone, StorageFailed, StorageTask
@@ -37,8 +42,6 @@
 # Closing a socket drops what it has not sent, such as the order to take over.
 _LINGER_S = 0.1
 
-EventSink = Callable[[EmitEvent], None]
-
 
 @dataclass(slots=True, frozen=True)
 class _OperatorRequest:
@@ -94,10 +97,12 @@
         keys: KeyRing,
         storage: LogStorage,
         opened: OpenedStorage,
-        event_sink: EventSink,
+        events: EventLog,
     ) -> None:
         self._settings = settings
-        self._event_sink = event_sink
+        self._events = events
+        self._metrics = NodeMetrics(settings.node, "control", settings.zone)
+        self._metrics.add_refresher(self._refresh_metrics)
         self._inbox: asyncio.Queue[_Input] = asyncio.Queue()
         self._node = ControlNode(
             settings.node,
@@ -108,7 +113,11 @@
             now_ms(),
         )
         self._transport = PeerTransport(
-            settings.node, settings.peer_address.url, keys, self._inbox.put
+            settings.node,
+            settings.peer_address.url,
+            keys,
+            self._inbox.put,
+            events.now_hlc,
         )
         self._operators = OperatorServer(
             settings.node, settings.operator_address.url, keys, self._ask
@@ -123,8 +132,11 @@
     async def run(self) -> None:
         """Run until SIGTERM; then hand leadership over and sync."""
         self._install_signals()
+        address = self._settings.metrics_address
+        await self._metrics.start(address.host, address.port)
         await self._transport.start()
         await self._operators.start()
+        self._emit(EventNumber.CONTROL_STARTED)
         writer = asyncio.create_task(self._storage_task.run())
         try:
             while not self._may_exit():
@@ -134,8 +146,10 @@
             await self._commands.stop()
             await self._operators.stop()
             await self._transport.stop()
+            await self._metrics.stop()
             writer.cancel()
             await asyncio.gather(writer, return_exceptions=True)
+            self._emit(EventNumber.CONTROL_STOPPED)
 
     def _install_signals(self) -> None:
         loop = asyncio.get_running_loop()
@@ -169,6 +183,8 @@
         match item:
             case ReceivedMessage():
                 sender = Peer(item.envelope.sender, item.envelope.reply_address)
+                if item.envelope.sent_hlc:
+                    self._events.observe_hlc(sender.node, item.envelope.sent_hlc)
                 self._run_effects(self._node.on_message(now, sender, item.message))
             case StorageDone():
                 self._run_effects(self._node.on_storage_done(now, item.sequence))
@@ -202,9 +218,19 @@
         self._emit(EventNumber.KEYS_RELOADED)
 
     def _emit(self, number: EventNumber, detail: str = "") -> None:
-        self._event_sink(
-            EmitEvent(number=number.value, subject=self._settings.node, detail=detail)
-        )
+        self._events.emit(number, self._settings.node, detail)
+        self._metrics.count_event(number)
+
+    def _log_event(self, event: EmitEvent) -> None:
+        self._events.emit(event.number, event.subject, event.detail, event.database)
+        self._metrics.count_event(event.number)
+
+    def _refresh_metrics(self) -> None:
+        self._metrics.set_leader(self._node.is_ready)
+        self._metrics.set_control_reachable(self._node.consensus.leader is not None)
+        version = self._node.state.configuration.version
+        self._metrics.set_configuration_version(version)
+        self._metrics.set_transport_counters(self._transport.counters)
 
     def _run_effects(self, effects: list[ControlEffect]) -> None:
         for effect in effects:
@@ -218,7 +244,7 @@
                 case ReplyOperator():
                     self._answer(effect)
                 case EmitEvent():
-                    self._event_sink(effect)
+                    self._log_event(effect)
 
     def _answer(self, effect: ReplyOperator) -> None:
         future = self._replies.pop(effect.request_id, None)
@@ -227,6 +253,8 @@
 
     async def _ask(self, message: Message) -> Message:
         """Pass an operator's request to the main loop and wait for the answer."""
+        if isinstance(message, TimelineRequest):
+            return self._events.answer(message)
         request_id = next(self._request_ids)
         future: asyncio.Future[Message] = asyncio.get_running_loop().create_future()
         self._replies[request_id] = future
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_log_storage.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_log_storage.py
@@ -155,6 +155,13 @@
             raise OSError(
                 error.errno, f"{self._folder}: another process uses this data folder"
             ) from error
+        try:
+            return self._read(new_incarnation)
+        except BaseException:
+            self.close()
+            raise
+
+    def _read(self, new_incarnation: int) -> OpenedStorage:
         is_blank = not self._has_state()
         incarnation = self._read_identity(new_incarnation, is_blank)
         vote = self._read_vote()
--- a/packages/cardamomshunt-node/tests/test_control_processes.py
+++ b/packages/cardamomshunt-node/tests/test_control_processes.py
@@ -105,9 +105,9 @@
     group.start(victim)
     log = group.folder / f"{leader}.log"
     deadline = time.monotonic() + 10
-    while "event=221" not in log.read_text():
+    while " 221 " not in log.read_text():
         assert time.monotonic() < deadline, log.read_text()
         await asyncio.sleep(0.1)
-    assert "event=223" in log.read_text()
+    assert " 223 " in log.read_text()
     reply = await group.ask(leader, ConfigurationRequest())
     assert isinstance(reply, ConfigurationReply)
--- a/packages/cardamomshunt-testing/src/cardamomshunt_testing/control_schedules.py
+++ b/packages/cardamomshunt-testing/src/cardamomshunt_testing/control_schedules.py
@@ -13,7 +13,7 @@
 from typing import Any
 
 from cardamomshunt.configuration import ClusterConfiguration, apply_changes
-from cardamomshunt.consensus import Member, Peer
+from cardamomshunt.consensus import ConsensusOptions, Member, Peer
 from cardamomshunt.control import (
     CommandInstance,
     ControlEffect,
@@ -71,6 +71,7 @@
     control: ControlOptions = field(
         default_factory=lambda: ControlOptions(n_entries_per_snapshot=30)
     )
+    consensus: ConsensusOptions = field(default_factory=ConsensusOptions)
     failover: FailoverOptions = field(default_factory=FailoverOptions)
 
 
@@ -168,6 +169,11 @@
             offset_ms=self.random.uniform(0.0, 1e6),
         )
 
+    @property
+    def n_accepted(self) -> int:
+        """Return how many patches were accepted."""
+        return len(self._accepted)
+
     # Time
 
     def after(self, delay_ms: float, action: Callable[[], None]) -> None:
@@ -237,6 +243,7 @@
             host.disk.restored(),
             Random(self.random.random()),
             host.clock(self.now_ms),
+            consensus_options=self.options.consensus,
             options=self.options.control,
             failover_options=self.options.failover,
         )
@@ -652,6 +659,8 @@
             self._fault_freeze,
             self._fault_partition,
             self._fault_partition,
+            self._fault_cut_link,
+            self._fault_cut_link,
             self._fault_heal,
             self._fault_delay,
         ]
@@ -714,6 +723,14 @@
             self.cut_node(self.random.choice(list(self.zones)))
         self.after(self.random.uniform(200.0, 2_500.0), self.blocked.clear)
 
+    def _fault_cut_link(self) -> None:
+        """Cut one link between control nodes, while others reach both ends."""
+        pair = frozenset(self.random.sample(list(self.hosts), 2))
+        self.blocked.add(pair)
+        self.after(
+            self.random.uniform(200.0, 2_500.0), lambda: self.blocked.discard(pair)
+        )
+
     def _fault_heal(self) -> None:
         self.blocked.clear()
         self.delay_factor = 1.0
--- a/packages/cardamomshunt/src/cardamomshunt/_control.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_control.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from cardamomshunt._connection_grants import GRANT_INTERVAL_MS, GrantAllocator
+from cardamomshunt._connection_shares import ConnectionAllocator
 from cardamomshunt._consensus import ConsensusNode, ConsensusOptions, RestoredState
 from cardamomshunt._consensus_messages import (
     ConsensusMessage,
@@ -40,6 +40,7 @@
 from cardamomshunt._health_view import HealthView
 from cardamomshunt._messages import (
     ConfigurationUpdate,
+    ConnectionGrants,
     DemandReport,
     DrainInstance,
     HealthReport,
@@ -75,6 +76,7 @@
     heartbeat_interval_ms: float = 500.0
     in_force_wait_ms: float = 3_000.0
     drain_interval_ms: float = 1_000.0
+    upkeep_interval_ms: float = 500.0
     n_entries_per_snapshot: int = 1_000
 
 
@@ -118,8 +120,9 @@
         self.health = HealthView()
         self.registry = NodeRegistry()
         self.failover = self.failover_type(self.health, failover_options)
-        self._grants = GrantAllocator()
-        self._grants_due_ms = now_ms
+        self._allocator: ConnectionAllocator | None = None
+        self._n_grants = 0
+        self._upkeep_due_ms = now_ms
         self._heartbeat_due_ms = now_ms
         self._evaluation_due_ms = now_ms
         self._pending: list[_Pending] = []
@@ -178,7 +181,7 @@
             case HealthReport():
                 self.health.on_report(now_ms, message)
             case DemandReport():
-                self._grants.on_demand(now_ms, message)
+                self._on_demand(now_ms, sender, message)
         return self._finish(now_ms)
 
     def on_storage_done(self, now_ms: float, sequence: int) -> list[ControlEffect]:
@@ -270,7 +273,10 @@
             return
         self._was_ready = self.is_ready
         self.failover.reset()
+        self._allocator = None
         if self._was_ready:
+            floor = self.state.configuration.policy.n_connections_floor
+            self._allocator = ConnectionAllocator(now_ms, floor=floor)
             self._spread(now_ms)
         else:
             self._drop_pending()
@@ -307,9 +313,9 @@
         for view in self.registry.proxies(now_ms):
             self._update_node(now_ms, view)
             self._send_drains(now_ms, view)
-        if now_ms >= self._grants_due_ms:
-            self._grants_due_ms = now_ms + GRANT_INTERVAL_MS
-            self._send_grants(now_ms)
+        if now_ms >= self._upkeep_due_ms:
+            self._upkeep_due_ms = now_ms + self.options.upkeep_interval_ms
+            self._learn_capacities(now_ms)
             self.health.forget_old(now_ms)
             self.registry.forget_old(now_ms)
         self._check_in_force(now_ms)
@@ -347,18 +353,32 @@
     def _send(self, address: str, message: Message) -> None:
         self._effects.append(SendMessage(address=address, message=message))
 
-    def _send_grants(self, now_ms: float) -> None:
-        n_max = {}
+    def _learn_capacities(self, now_ms: float) -> None:
+        if self._allocator is None:
+            return
+        self._allocator.floor = self.state.configuration.policy.n_connections_floor
         for database in self.health.databases():
             for instance in self.health.instances(database):
                 views = self.health.fresh_views(now_ms, database, instance)
                 if views:
-                    n_max[instance] = views[0].observation.n_connections_max
-        n_floor = self.state.configuration.policy.n_connections_floor
-        for grants in self._grants.grants(now_ms, n_max, n_floor):
-            view = self.registry.nodes.get(grants.node)
-            if view is not None and grants.grants:
-                self._send(view.address, grants)
+                    n_max = views[0].observation.n_connections_max
+                    self._allocator.on_capacity(instance, n_max)
+
+    def _on_demand(self, now_ms: float, sender: Peer, report: DemandReport) -> None:
+        """Answer a demand report with leases; only the leader grants."""
+        if self._allocator is None or not self.consensus.has_lease(now_ms):
+            return
+        self._allocator.on_demand(now_ms, report.node, report.demands)
+        grants = self._allocator.grants_for(now_ms, report.node)
+        if not grants:
+            return
+        self._n_grants += 1
+        # The term comes first, so that a new leader's grants are newer than old ones.
+        sequence = (self.consensus.term << 32) + self._n_grants
+        self._send(
+            sender.address,
+            ConnectionGrants(node=report.node, sequence=sequence, grants=grants),
+        )
 
     def _send_drains(self, now_ms: float, view: NodeView) -> None:
         """Repeat drain orders, because messages can be lost."""
--- a/packages/cardamomshunt/src/cardamomshunt/_failover.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_failover.py
@@ -499,7 +499,8 @@
             why = f"{reply.instance} knows term {reply.term}"
             self._fence_next(record, "fence_again", reply.term + 1, why)
             return
-        if not reply.is_accepted and reply.term != record.term:
+        # An instance that forgot what it held refuses, so that it doesn't count.
+        if not reply.is_accepted:
             return
         attempt.fenced[reply.instance] = reply.log_position
         self._choose(now_ms, record, attempt)
--- /dev/null
+++ b/packages/cardamomshunt/tests/test_control_scenarios.py
@@ -0,0 +1,357 @@
+"""Double faults and planned steps, each as a short script on the fakes."""
+
+from typing import Any
+
+import pytest
+from cardamomshunt.consensus import ConsensusNode, Member, Peer
+from cardamomshunt.control import ControlNode, DatabaseRecord
+from cardamomshunt.failover import FailoverController
+from cardamomshunt.messages import Change, FailoverStep, InstanceRole
+from cardamomshunt.operator_messages import (
+    ConfigurationReply,
+    ConfigurationRequest,
+    HandoverReply,
+    HandoverRequest,
+    PatchOutcome,
+    PatchReply,
+    PatchRequest,
+)
+from cardamomshunt_testing.control_schedules import Schedule, ScheduleOptions
+
+
+def _schedule(node_type: type[ControlNode] = ControlNode, **options: Any) -> Schedule:
+    """Return a calm schedule that has a leader and a known primary."""
+    settings = ScheduleOptions(
+        has_faults=False, loss=0.0, patch_interval_ms=1e9, **options
+    )
+    schedule = Schedule(3, settings, node_type).start()
+    schedule.run(3_000.0)
+    assert schedule.leader() is not None
+    return schedule
+
+
+def _record(schedule: Schedule) -> DatabaseRecord:
+    leader = schedule.leader()
+    assert leader is not None and leader.node is not None
+    return leader.node.state.databases["orders"]
+
+
+def _run_until_serving(schedule: Schedule, term: int, limit_ms: float) -> float:
+    """Run until a term serves; return how long that took."""
+    started_ms = schedule.now_ms
+    while schedule.now_ms < started_ms + limit_ms:
+        schedule.run(schedule.now_ms + 10.0)
+        if schedule.leader() is not None:
+            record = _record(schedule)
+            if record.term >= term and record.step is FailoverStep.SERVING:
+                return schedule.now_ms - started_ms
+    raise AssertionError(f"term {term} does not serve within {limit_ms} ms")
+
+
+def test_announced_primary_is_adopted() -> None:
+    """Guards against a needless failover of a new database."""
+    record = _record(_schedule())
+    assert (record.primary_instance, record.term) == ("orders-1", 1)
+    assert len(record.instances) == 3
+
+
+def test_group_without_primary_gets_one() -> None:
+    """Guards against a new database that waits for an operator."""
+    schedule = Schedule(
+        3, ScheduleOptions(has_faults=False, loss=0.0, patch_interval_ms=1e9)
+    )
+    schedule.group.instances["orders-1"].role = InstanceRole.REPLICA
+    schedule.start().run(5_000.0)
+    record = _record(schedule)
+    assert record.step is FailoverStep.SERVING
+    assert record.primary_instance in schedule.group.instances
+    assert schedule.violations == []
+
+
+@pytest.mark.parametrize("fault", ["kill", "freeze", "zone"])
+def test_failed_primary_is_replaced_in_time(fault: str) -> None:
+    """Guards against a failover gap of 2 s or more."""
+    schedule = _schedule()
+    if fault == "kill":
+        schedule.group.stop("orders-1")
+    elif fault == "freeze":
+        schedule.group.instances["orders-1"].is_frozen = True
+    else:
+        schedule.cut_zone("zone-a")
+    _run_until_serving(schedule, 2, 2_000.0)
+    assert _record(schedule).primary_instance != "orders-1"
+    schedule.run(schedule.now_ms + 500.0)
+    assert schedule.group.longest_gap_ms < 2_000.0
+    assert schedule.violations == []
+
+
+def test_leader_and_primary_die_together() -> None:
+    """Guards against a failover that needs the leader that saw the failure."""
+    schedule = _schedule()
+    leader = schedule.leader()
+    assert leader is not None
+    schedule.crash(leader)
+    schedule.group.stop("orders-1")
+    assert _run_until_serving(schedule, 2, 4_000.0) < 2_500.0
+
+
+@pytest.mark.parametrize("step", [FailoverStep.FENCING, FailoverStep.PROMOTING])
+def test_leader_dies_during_a_step(step: FailoverStep) -> None:
+    """Guards against a step that is forgotten with its leader."""
+    schedule = _schedule()
+    schedule.group.stop("orders-1")
+    while _record(schedule).step is not step:
+        schedule.run(schedule.now_ms + 1.0)
+    leader = schedule.leader()
+    assert leader is not None
+    schedule.crash(leader)
+    _run_until_serving(schedule, 2, 4_000.0)
+    assert schedule.violations == []
+
+
+def test_new_primary_dies_during_promotion() -> None:
+    """Guards against waiting for a candidate that is gone."""
+    schedule = _schedule()
+    schedule.group.instances["orders-1"].is_frozen = True
+    while _record(schedule).step is not FailoverStep.PROMOTING:
+        schedule.run(schedule.now_ms + 1.0)
+    candidate = _record(schedule).primary_instance
+    assert candidate is not None
+    schedule.group.stop(candidate)
+    schedule.group.instances["orders-1"].is_frozen = False
+    _run_until_serving(schedule, 3, 5_000.0)
+    assert _record(schedule).primary_instance != candidate
+    assert schedule.violations == []
+
+
+def test_old_primary_becomes_a_replica_when_it_thaws() -> None:
+    """Guards against an old primary that still takes itself for the primary."""
+    schedule = _schedule()
+    old = schedule.group.instances["orders-1"]
+    old.is_frozen = True
+    _run_until_serving(schedule, 2, 2_000.0)
+    # Replication would tell it too; here only control reaches it.
+    schedule.blocked |= {
+        frozenset(("orders-1", "orders-2")),
+        frozenset(("orders-1", "orders-3")),
+    }
+    old.is_frozen = False
+    schedule.run(schedule.now_ms + 1_500.0)
+    assert old.role is InstanceRole.REPLICA
+    assert old.term == 2
+
+
+def test_control_cut_off_for_long_changes_nothing() -> None:
+    """Guards against a control node that acts on what it knew before a partition."""
+    schedule = _schedule()
+    leader = schedule.leader()
+    assert leader is not None
+    schedule.cut_node(leader.name)
+    schedule.run(schedule.now_ms + 60_000.0)
+    schedule.blocked.clear()
+    schedule.run(schedule.now_ms + 3_000.0)
+    assert _record(schedule).term == 1
+    assert schedule.group.n_promotions == 0
+    assert schedule.violations == []
+
+
+def test_slow_primary_is_not_replaced() -> None:
+    """Guards against taking a slow server for a dead one."""
+    schedule = _schedule()
+    schedule.delay_factor = 20.0
+    schedule.run(schedule.now_ms + 10_000.0)
+    assert schedule.group.n_promotions == 0
+
+
+def test_own_zone_alone_does_not_condemn_an_instance() -> None:
+    """Guards against a failover because one zone's entry VMs lost a link."""
+    schedule = _schedule()
+    for proxy in schedule.proxies.values():
+        if proxy.zone == "zone-a":
+            schedule.blocked.add(frozenset((proxy.name, "orders-1")))
+    schedule.run(schedule.now_ms + 5_000.0)
+    assert schedule.group.n_promotions == 0
+
+
+def test_flapping_group_is_damped() -> None:
+    """Guards against failovers without end in a group that keeps failing."""
+    schedule = _schedule()
+    for _ in range(20):
+        primary = _record(schedule).primary_instance
+        if primary is not None:
+            schedule.group.stop(primary)
+        schedule.run(schedule.now_ms + 1_500.0)
+        for name, item in schedule.group.instances.items():
+            if not item.is_up:
+                schedule.group.start(name, keeps_log=True)
+        schedule.run(schedule.now_ms + 500.0)
+    assert 3 <= schedule.group.n_promotions <= 9
+    assert schedule.violations == []
+
+
+@pytest.mark.parametrize("target", ["orders-2", "orders-3", None])
+def test_planned_handover(target: str | None) -> None:
+    """Guards against a handover that loses writes or lasts long."""
+    schedule = _schedule()
+    replies: list[Any] = []
+    leader = schedule.leader()
+    assert leader is not None and leader.node is not None
+    request = HandoverRequest(database="orders", to_instance=target)
+    effects = leader.node.on_operator_request(leader.clock(schedule.now_ms), 1, request)
+    replies = [item.message for item in effects if hasattr(item, "request_id")]
+    schedule._run_effects(leader, effects)
+    assert isinstance(replies[0], HandoverReply)
+    schedule.group.longest_gap_ms = 0.0
+    elapsed_ms = _run_until_serving(schedule, 2, 2_000.0)
+    schedule.run(schedule.now_ms + 500.0)
+    assert _record(schedule).primary_instance == replies[0].to_instance
+    assert elapsed_ms < 600.0
+    assert schedule.group.longest_gap_ms < 800.0
+    assert schedule.violations == []
+
+
+class _CountsBlankLogs(FailoverController):
+    """Count an instance that lost its log for the majority."""
+
+    def _counted(self, record: Any, attempt: Any) -> list[str]:
+        return list(attempt.fenced)
+
+
+class _CountsBlankLogsNode(ControlNode):
+    failover_type = _CountsBlankLogs
+
+
+@pytest.mark.parametrize(
+    ("node_type", "is_safe"), [(ControlNode, True), (_CountsBlankLogsNode, False)]
+)
+def test_blank_instance_does_not_count(
+    node_type: type[ControlNode], is_safe: bool
+) -> None:
+    """Guards against a majority that includes an instance that lost its log."""
+    schedule = _schedule(node_type)
+    schedule.blocked |= {
+        frozenset(("orders-3", "orders-1")),
+        frozenset(("orders-3", "orders-2")),
+    }
+    schedule.run(schedule.now_ms + 1_000.0)
+    schedule.group.stop("orders-1")
+    schedule.group.stop("orders-2")
+    schedule.group.start("orders-2", keeps_log=False)
+    schedule.run(schedule.now_ms + 4_000.0)
+    assert (schedule.violations == []) == is_safe
+    if is_safe:
+        assert schedule.group.n_promotions == 0
+        schedule.group.start("orders-1", keeps_log=True)
+        _run_until_serving(schedule, 2, 4_000.0)
+        assert schedule.violations == []
+
+
+class _IgnoresIncarnation(ConsensusNode):
+    """Take a node with a fresh disk for the one that voted before."""
+
+    def member(self, node: str, incarnation: int | None = None) -> Member | None:
+        return super().member(node)
+
+    def _on_join_hello(self, now_ms: float, sender: Peer, message: Any) -> None:
+        return None
+
+    def _tick_joining(self, now_ms: float) -> None:
+        self._form(self._initial_members)
+
+
+class _IgnoresIncarnationNode(ControlNode):
+    consensus_type = _IgnoresIncarnation
+
+
+@pytest.mark.parametrize(
+    ("node_type", "is_safe"), [(ControlNode, True), (_IgnoresIncarnationNode, False)]
+)
+def test_lost_disk_does_not_vote(node_type: type[ControlNode], is_safe: bool) -> None:
+    """Guards against an election by a node that lost what it had acknowledged."""
+    schedule = _schedule(node_type)
+    leader = schedule.leader()
+    assert leader is not None
+    others = [host for host in schedule.hosts.values() if host is not leader]
+    schedule.cut_node(others[1].name)
+    reply = _patch(schedule, "p1", 0)
+    assert reply is None or reply.outcome is PatchOutcome.ACCEPTED
+    schedule.crash(leader)
+    schedule.crash(others[0], loses_disk=True)
+    schedule.boot(others[0])
+    schedule.blocked.clear()
+    schedule.run(schedule.now_ms + 5_000.0)
+    assert (schedule.violations == []) == is_safe
+    if is_safe:
+        assert schedule.leader() is None
+        schedule.boot(leader)
+        schedule.run(schedule.now_ms + 5_000.0)
+        assert schedule.violations == []
+        assert len(_node(schedule).consensus.voters) == 3
+
+
+def _node(schedule: Schedule) -> ControlNode:
+    leader = schedule.leader()
+    assert leader is not None and leader.node is not None
+    return leader.node
+
+
+def _ask(schedule: Schedule, request: Any) -> Any:
+    """Ask the leader and run until it answers, or for 5 s."""
+    leader = schedule.leader()
+    assert leader is not None
+    answers: list[Any] = []
+    original = schedule._on_reply
+    schedule._on_reply = lambda host, effect: answers.append(effect.message)  # type: ignore[method-assign]
+    schedule.request(leader, request)
+    for _ in range(500):
+        if answers or schedule.violations:
+            break
+        schedule.run(schedule.now_ms + 10.0)
+    schedule._on_reply = original  # type: ignore[method-assign]
+    return answers[0] if answers else None
+
+
+def _patch(schedule: Schedule, patch_id: str, base: int, value: float = 700.0) -> Any:
+    change = Change(path="policy.detection_ms", value=value)
+    request = PatchRequest(patch_id=patch_id, base_version=base, changes=[change])
+    return _ask(schedule, request)
+
+
+def test_patch_is_in_force_on_all_live_nodes() -> None:
+    """Guards against a reply that comes before the nodes serve the version."""
+    schedule = _schedule()
+    reply = _patch(schedule, "p1", 0)
+    assert reply.outcome is PatchOutcome.ACCEPTED
+    assert reply.missing_on == []
+    assert set(reply.in_force_on) == {*schedule.proxies, *schedule.hosts}
+    assert all(item.configuration.version == 1 for item in schedule.proxies.values())
+
+
+def test_cut_off_node_is_named() -> None:
+    """Guards against a patch that hides a node without the new version."""
+    schedule = _schedule()
+    schedule.cut_node("proxy-1")
+    schedule.run(schedule.now_ms + 4_000.0)
+    reply = _patch(schedule, "p1", 0)
+    assert reply.outcome is PatchOutcome.ACCEPTED
+    assert [item.split(" (")[0] for item in reply.missing_on] == ["proxy-1"]
+    assert "cut off" in reply.missing_on[0]
+
+
+def test_stale_repeated_and_invalid_patches() -> None:
+    """Guards against wrong answers in races, resends and mistakes."""
+    schedule = _schedule()
+    assert _patch(schedule, "p1", 0, 700.0).version == 1
+    stale = _patch(schedule, "p2", 0, 800.0)
+    assert stale.outcome is PatchOutcome.STALE_BASE
+    assert stale.changes_since == [Change(path="policy.detection_ms", value=700.0)]
+    again = _patch(schedule, "p1", 0, 700.0)
+    assert isinstance(again, PatchReply) and again.version == 1
+    invalid = _patch(schedule, "p3", 1, 5.0)
+    assert invalid.outcome is PatchOutcome.INVALID
+    assert invalid.errors[0].path == "policy.detection_ms"
+    assert _patch(schedule, "p2", 1, 800.0).outcome is PatchOutcome.STALE_BASE
+    old = _ask(schedule, ConfigurationRequest(version=0, n_history=5))
+    assert isinstance(old, ConfigurationReply)
+    assert '"version":0' in old.document_json
+    assert [entry.patch_id for entry in old.history] == ["p1"]
--- a/packages/cardamomshunt/tests/test_control_schedules.py
+++ b/packages/cardamomshunt/tests/test_control_schedules.py
@@ -7,6 +7,7 @@
     AppendEntries,
     ConsensusMessage,
     ConsensusNode,
+    ConsensusOptions,
     Entry,
     Member,
     Peer,
@@ -196,23 +197,28 @@
     return Variant
 
 
+_ROUGH = {"fault_interval_ms": (50.0, 400.0)}
+_SLOW_DISKS = {"sync_ms": (5.0, 60.0), "fault_interval_ms": (100.0, 600.0)}
+_ONE_ENTRY = {
+    "n_nodes": 5,
+    "fault_interval_ms": (50.0, 400.0),
+    "consensus": ConsensusOptions(n_entries_per_message=1),
+}
 _LOG_VARIANTS = [
-    (_variant(consensus=_VotesTwice), "both lead in term"),
-    (_variant(consensus=_VotesForOldLogs), "lacks committed entry"),
-    (_variant(consensus=_RepliesBeforeSync), "entry"),
-    (_variant(consensus=_IgnoresLogMatching), "entry"),
-    (_variant(consensus=_CommitsOldTerms), "entry"),
-    (_variant(consensus=_VotesDuringLease), "have a lease"),
-    (_variant(consensus=_LongLease), "have a lease"),
-    (_variant(consensus=_IgnoresIncarnation), ""),
-    (_variant(consensus=_RestoresOldSnapshots), "went from version"),
-    (_variant(state=_ForgetsIdsInSnapshots), ""),
-    (_variant(state=_IgnoresKnownIds), ""),
-    (_variant(state=_IgnoresBase), ""),
+    (_variant(consensus=_VotesTwice), 0, {}, "both lead in term"),
+    (_variant(consensus=_VotesForOldLogs), 0, {}, "lacks committed entry"),
+    (_variant(consensus=_RepliesBeforeSync), 4, _SLOW_DISKS, "lacks committed entry"),
+    (_variant(consensus=_IgnoresLogMatching), 30, {}, "committed another entry"),
+    (_variant(consensus=_CommitsOldTerms), 0, _ONE_ENTRY, "entry"),
+    (_variant(consensus=_VotesDuringLease), 0, {}, "have a lease"),
+    (_variant(consensus=_LongLease), 0, {}, "have a lease"),
+    (_variant(consensus=_RestoresOldSnapshots), 0, {}, "went from version"),
+    (_variant(state=_ForgetsIdsInSnapshots), 0, {"patch_interval_ms": 50.0}, "patch"),
+    (_variant(state=_IgnoresKnownIds), 0, {}, "patch"),
+    (_variant(state=_IgnoresBase), 0, {}, "version"),
 ]
 _GROUP_VARIANTS = [
-    (_variant(failover=_NeedsNoMajority), "promoted in term"),
-    (_variant(failover=_PromotesTheLeastAdvanced), "without acknowledged"),
-    (_variant(failover=_CountsBlankLogs), "without acknowledged"),
-    (_variant(failover=_ReusesTerms), ""),
+    (_variant(failover=_NeedsNoMajority), 0, {}, "promoted in term"),
+    (_variant(failover=_PromotesTheLeastAdvanced), 0, {}, "without acknowledged"),
+    (_variant(failover=_ReusesTerms), 0, {}, "term"),
 ]
--- a/packages/cardamomshunt/tests/test_membership.py
+++ b/packages/cardamomshunt/tests/test_membership.py
@@ -188,8 +188,8 @@
     """The partition test is worth something only if it fails without the rule."""
     monkeypatch.setattr(Membership, "_judge_zones", lambda self, now_ms: [])
     network, hosts = _cluster(0)
-    network.is_linked = lambda sender, receiver: (_zone(sender) == "b") == (
-        _zone(receiver) == "b"
+    network.is_linked = lambda sender, receiver: (
+        (_zone(sender) == "b") == (_zone(receiver) == "b")
     )
     network.run_until(60_000)
     assert _deaths(hosts)
