--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_control_daemon.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_control_daemon.py
@@ -27,14 +27,13 @@
     TimelineRequest,
 )
 
-from cardamomshunt_node._event_log import EventLog
 from cardamomshunt_node._instance_commands import InstanceCommands
 from cardamomshunt_node._keys import KeyFileError, KeyRing, load_key_ring
 from cardamomshunt_node._log_storage import LogStorage, OpenedStorage
-from cardamomshunt_node._metrics import NodeMetrics
 from cardamomshunt_node._operator_link import OperatorServer
 from cardamomshunt_node._settings import DaemonSettings
 from cardamomshunt_node._storage_task import StorageDone, StorageFailed, StorageTask
+from cardamomshunt_node._telemetry import Telemetry
 from cardamomshunt_node._transport import PeerTransport, ReceivedMessage
 
 _OPERATOR_TIMEOUT_S = 10.0
@@ -97,12 +96,12 @@
         keys: KeyRing,
         storage: LogStorage,
         opened: OpenedStorage,
-        events: EventLog,
+        telemetry: Telemetry,
     ) -> None:
         self._settings = settings
-        self._events = events
-        self._metrics = NodeMetrics(settings.node, "control", settings.zone)
-        self._metrics.add_refresher(self._refresh_metrics)
+        self._telemetry = telemetry
+        # The last failover event of each database, which the next one names as cause.
+        self._causes: dict[str, str] = {}
         self._inbox: asyncio.Queue[_Input] = asyncio.Queue()
         self._node = ControlNode(
             settings.node,
@@ -117,8 +116,10 @@
             settings.peer_address.url,
             keys,
             self._inbox.put,
-            events.now_hlc,
+            telemetry.now_hlc,
         )
+        telemetry.watch_transport(self._transport)
+        telemetry.metrics.add_refresher(self._refresh_metrics)
         self._operators = OperatorServer(
             settings.node, settings.operator_address.url, keys, self._ask
         )
@@ -132,11 +133,8 @@
     async def run(self) -> None:
         """Run until SIGTERM; then hand leadership over and sync."""
         self._install_signals()
-        address = self._settings.metrics_address
-        await self._metrics.start(address.host, address.port)
         await self._transport.start()
         await self._operators.start()
-        self._emit(EventNumber.CONTROL_STARTED)
         writer = asyncio.create_task(self._storage_task.run())
         try:
             while not self._may_exit():
@@ -146,10 +144,8 @@
             await self._commands.stop()
             await self._operators.stop()
             await self._transport.stop()
-            await self._metrics.stop()
             writer.cancel()
             await asyncio.gather(writer, return_exceptions=True)
-            self._emit(EventNumber.CONTROL_STOPPED)
 
     def _install_signals(self) -> None:
         loop = asyncio.get_running_loop()
@@ -182,10 +178,11 @@
         now = now_ms()
         match item:
             case ReceivedMessage():
+                self._telemetry.observe(item.envelope.sender, item.envelope.sent_hlc)
                 sender = Peer(item.envelope.sender, item.envelope.reply_address)
-                if item.envelope.sent_hlc:
-                    self._events.observe_hlc(sender.node, item.envelope.sent_hlc)
-                self._run_effects(self._node.on_message(now, sender, item.message))
+                with self._telemetry.metrics.timing_control():
+                    effects = self._node.on_message(now, sender, item.message)
+                self._run_effects(effects)
             case StorageDone():
                 self._run_effects(self._node.on_storage_done(now, item.sequence))
             case StorageFailed():
@@ -218,19 +215,20 @@
         self._emit(EventNumber.KEYS_RELOADED)
 
     def _emit(self, number: EventNumber, detail: str = "") -> None:
-        self._events.emit(number, self._settings.node, detail)
-        self._metrics.count_event(number)
+        self._telemetry.emit(number, self._settings.node, detail)
 
-    def _log_event(self, event: EmitEvent) -> None:
-        self._events.emit(event.number, event.subject, event.detail, event.database)
-        self._metrics.count_event(event.number)
+    def _emit_effect(self, event: EmitEvent) -> None:
+        cause = self._causes.get(event.database, "")
+        event_id = self._telemetry.emit(
+            event.number, event.subject, event.detail, event.database, cause
+        )
+        if event.database:
+            self._causes[event.database] = event_id
 
     def _refresh_metrics(self) -> None:
-        self._metrics.set_leader(self._node.is_ready)
-        self._metrics.set_control_reachable(self._node.consensus.leader is not None)
-        version = self._node.state.configuration.version
-        self._metrics.set_configuration_version(version)
-        self._metrics.set_transport_counters(self._transport.counters)
+        metrics = self._telemetry.metrics
+        metrics.set_leader(self._node.consensus.is_leader)
+        metrics.set_configuration_version(self._node.state.configuration.version)
 
     def _run_effects(self, effects: list[ControlEffect]) -> None:
         for effect in effects:
@@ -244,7 +242,7 @@
                 case ReplyOperator():
                     self._answer(effect)
                 case EmitEvent():
-                    self._log_event(effect)
+                    self._emit_effect(effect)
 
     def _answer(self, effect: ReplyOperator) -> None:
         future = self._replies.pop(effect.request_id, None)
@@ -254,7 +252,7 @@
     async def _ask(self, message: Message) -> Message:
         """Pass an operator's request to the main loop and wait for the answer."""
         if isinstance(message, TimelineRequest):
-            return self._events.answer(message)
+            return self._telemetry.answer(message)
         request_id = next(self._request_ids)
         future: asyncio.Future[Message] = asyncio.get_running_loop().create_future()
         self._replies[request_id] = future
--- a/packages/cardamomshunt/tests/test_control_scenarios.py
+++ b/packages/cardamomshunt/tests/test_control_scenarios.py
@@ -255,6 +255,9 @@
     def _on_join_hello(self, now_ms: float, sender: Peer, message: Any) -> None:
         return None
 
+    def _is_for_this_disk(self, message: Any) -> bool:
+        return True
+
     def _tick_joining(self, now_ms: float) -> None:
         self._form(self._initial_members)
 
