--- a/packages/cardamomshunt/src/cardamomshunt/_consensus_messages.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_consensus_messages.py
@@ -81,6 +81,7 @@
 class PreVoteRequest(ConsensusMessage, kw_only=True):
     """Ask whether an election of `term` could win, without starting it."""
 
+    voter_incarnation: int
     last_index: int
     last_term: int
 
@@ -93,8 +94,13 @@
 
 
 class VoteRequest(ConsensusMessage, kw_only=True):
-    """Ask for a vote; with `is_transfer` the old leader has given up its lease."""
+    """Ask for a vote; with `is_transfer` the old leader has given up its lease.
 
+    `voter_incarnation` names the disk whose vote counts. A node with another disk may
+    have voted before without knowing it.
+    """
+
+    voter_incarnation: int
     last_index: int
     last_term: int
     is_transfer: bool = False
--- /dev/null
+++ b/packages/cardamomshunt/tests/test_consensus.py
@@ -0,0 +1,222 @@
+"""Cases of the replicated log that random schedules reach too rarely."""
+
+from random import Random
+
+import msgspec
+import pytest
+from cardamomshunt.consensus import (
+    AppendEntries,
+    ConsensusNode,
+    ConsensusOptions,
+    ConsensusRole,
+    Entry,
+    EntryKind,
+    Member,
+    Peer,
+    RestoredState,
+    Snapshot,
+    SnapshotChunk,
+    Vote,
+)
+from cardamomshunt.control import ControlEffect, PersistEffect, SendMessage
+
+_NAMES = ["s1", "s2", "s3", "s4", "s5"]
+
+
+def _members(names: list[str]) -> list[Member]:
+    return [
+        Member(
+            node=name,
+            zone="z",
+            peer_address=name,
+            operator_address=name,
+            incarnation=number,
+        )
+        for number, name in enumerate(names, start=1)
+    ]
+
+
+class _Cluster:
+    """Deliver messages between nodes that are up, with instant disks."""
+
+    def __init__(
+        self,
+        node_type: type[ConsensusNode],
+        logs: dict[str, list[Entry]],
+        term: int,
+        options: ConsensusOptions | None = None,
+    ) -> None:
+        members = _members(list(logs))
+        self.up = set(logs)
+        self.queue: list[tuple[str, SendMessage]] = []
+        self.now_ms = 0.0
+        self.nodes = {
+            member.node: node_type(
+                member.node,
+                members,
+                RestoredState(
+                    incarnation=member.incarnation,
+                    vote=Vote(term, "gone"),
+                    snapshot=Snapshot(members=members),
+                    entries=logs[member.node],
+                ),
+                Random(member.incarnation),
+                0.0,
+                options,
+            )
+            for member in members
+        }
+
+    def run(self, name: str, effects: list[ControlEffect]) -> None:
+        sequences = [e.sequence for e in effects if isinstance(e, PersistEffect)]
+        self.queue += [(name, e) for e in effects if isinstance(e, SendMessage)]
+        if sequences:
+            node = self.nodes[name]
+            self.run(name, node.on_storage_done(self.now_ms, max(sequences)))
+
+    def deliver_one(self) -> None:
+        sender, effect = self.queue.pop(0)
+        if sender in self.up and effect.address in self.up:
+            node = self.nodes[effect.address]
+            peer = Peer(sender, sender)
+            self.run(node.node, node.on_message(self.now_ms, peer, effect.message))
+
+    def elect(self, name: str, at_ms: float) -> None:
+        """Let a node campaign and take all messages until it leads."""
+        self.now_ms = at_ms
+        for _ in range(3):
+            self.queue.clear()
+            self.run(name, self.nodes[name].tick(self.now_ms))
+            while self.queue and not self.nodes[name].is_leader:
+                self.deliver_one()
+            if self.nodes[name].is_leader:
+                break
+            # The first round may only tell the candidate the newest term.
+            self.now_ms += 700.0
+        assert self.nodes[name].is_leader
+
+
+def _entry(index: int, term: int) -> Entry:
+    return Entry(index, term, EntryKind.COMMAND, f"{index}/{term}".encode())
+
+
+class _CommitsOldTerms(ConsensusNode):
+    """Commit entries of older terms by counting copies."""
+
+    def _may_commit(self, index: int) -> bool:
+        return True
+
+
+@pytest.mark.parametrize(
+    ("node_type", "is_safe"), [(ConsensusNode, True), (_CommitsOldTerms, False)]
+)
+def test_entries_of_older_terms_are_not_committed_by_count(
+    node_type: type[ConsensusNode], is_safe: bool
+) -> None:
+    """Guards against a committed entry that a later leader lacks."""
+    old, newer = [_entry(1, 1), _entry(2, 2)], [_entry(1, 1), _entry(2, 3)]
+    logs = {"s1": old, "s2": old, "s3": old[:1], "s4": old[:1], "s5": newer}
+    options = ConsensusOptions(n_entries_per_message=1)
+    cluster = _Cluster(node_type, logs, 3, options)
+    cluster.up = {"s1", "s2", "s3"}
+    cluster.elect("s1", 1_000.0)
+    s1 = cluster.nodes["s1"]
+    for _ in range(200):
+        if not cluster.queue or s1.commit_index >= 2:
+            break
+        _, effect = cluster.queue[0]
+        is_for_s3 = effect.address == "s3" and isinstance(effect.message, AppendEntries)
+        if is_for_s3 and cluster.nodes["s3"].log.last_index == 2:
+            # The entry of the leader's own term doesn't reach a majority.
+            cluster.queue.pop(0)
+            continue
+        cluster.deliver_one()
+    cluster.up = {"s3", "s4", "s5"}
+    cluster.elect("s5", 3_000.0)
+    is_overwritten = cluster.nodes["s5"].log.term_at(2) != 2
+    assert is_overwritten
+    assert (s1.commit_index < 2) == is_safe
+
+
+def test_snapshot_in_chunks_reaches_a_blank_node() -> None:
+    """Guards against a node that can't catch up after the log was trimmed."""
+    options = ConsensusOptions(chunk_size_bytes=64, n_entries_kept=0)
+    logs = {name: [_entry(1, 1)] for name in _NAMES[:3]}
+    cluster = _Cluster(ConsensusNode, logs, 1, options)
+    cluster.up = {"s1", "s2"}
+    cluster.elect("s1", 1_000.0)
+    leader = cluster.nodes["s1"]
+    while cluster.queue:
+        cluster.deliver_one()
+    assert leader.commit_index == 2
+    leader.compact(b"state" * 100, 2)
+    cluster.run("s1", leader.take_effects())
+    cluster.up.add("s3")
+    n_chunks = 0
+    for _ in range(30):
+        cluster.now_ms += 100.0
+        cluster.run("s1", leader.tick(cluster.now_ms))
+        while cluster.queue:
+            n_chunks += isinstance(cluster.queue[0][1].message, SnapshotChunk)
+            cluster.deliver_one()
+    follower = cluster.nodes["s3"]
+    assert follower.log.snapshot.state == b"state" * 100
+    assert follower.commit_index == leader.commit_index
+    assert n_chunks > 5
+
+
+def test_leader_without_a_majority_steps_down() -> None:
+    """Guards against a leader that is cut off and still answers."""
+    logs = {name: [_entry(1, 1)] for name in _NAMES[:3]}
+    cluster = _Cluster(ConsensusNode, logs, 1)
+    cluster.elect("s1", 1_000.0)
+    while cluster.queue:
+        cluster.deliver_one()
+    leader = cluster.nodes["s1"]
+    assert leader.has_lease(1_200.0)
+    assert not leader.has_lease(1_300.0)
+    leader.tick(1_700.0)
+    assert leader.role is ConsensusRole.FOLLOWER
+
+
+def test_full_disk_pauses_and_failed_disk_ends_voting() -> None:
+    """Guards against a node that leads or votes without durable writes."""
+    logs = {name: [_entry(1, 1)] for name in _NAMES[:3]}
+    cluster = _Cluster(ConsensusNode, logs, 1)
+    cluster.elect("s1", 1_000.0)
+    leader = cluster.nodes["s1"]
+    index = leader.propose(1_000.0, b"x")
+    leader.on_storage_full(1_000.0, "no space left")
+    assert index is not None and not leader.is_leader
+    leader.tick(5_000.0)
+    assert leader.role is ConsensusRole.FOLLOWER
+    leader.on_storage_done(5_000.0, 1_000)
+    leader.tick(9_000.0)
+    assert leader.role is ConsensusRole.PRE_CANDIDATE
+    leader.on_storage_failed(9_000.0, "input/output error")
+    assert leader.tick(20_000.0) == []
+    assert leader.role is ConsensusRole.FOLLOWER
+
+
+@pytest.mark.parametrize(
+    ("removed", "added", "is_allowed"),
+    [([], ["s4"], True), (["s3"], [], True), (["s3"], ["s4"], False)],
+)
+def test_one_voter_changes_at_a_time(
+    removed: list[str], added: list[str], is_allowed: bool
+) -> None:
+    """Guards against two majorities that don't overlap."""
+    logs = {name: [_entry(1, 1)] for name in _NAMES[:3]}
+    cluster = _Cluster(ConsensusNode, logs, 1)
+    cluster.elect("s1", 1_000.0)
+    while cluster.queue:
+        cluster.deliver_one()
+    leader = cluster.nodes["s1"]
+    members = [item for item in leader.members if item.node not in removed]
+    template = leader.members[0]
+    members += [
+        msgspec.structs.replace(template, node=name, incarnation=9) for name in added
+    ]
+    assert leader.propose_members(1_010.0, members) == is_allowed
+    if is_allowed:
+        assert not leader.propose_members(1_010.0, leader.members)
