Count reads by route, refusals, retries and write gaps on the entry VM

Change: MeasuredRequestPort around the core counts reads by route and bound, durations and retries, and measures the write gap from the first write without a primary to the next acknowledged one; it emits 110, 111, 114, 115 and 123 with their database. Conclusion: a broken single connection starts no event; a failover without writes, no gap.

--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_proxy_role.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_proxy_role.py
@@ -8,6 +8,7 @@
 import pynng
 from cardamomshunt.configuration import ClusterConfiguration
 from cardamomshunt.data_path import AbstractDataPath, DataPath
+from cardamomshunt.effects import RequestClass
 from cardamomshunt.events import EventNumber
 from cardamomshunt.messages import Announcement, TopologyUpdate
 from cardamomshunt.verdict import Refusal
@@ -18,6 +19,7 @@
 from cardamomshunt_node._caller_edge import CallerEdge
 from cardamomshunt_node._caller_edge_mysql import MysqlCallerEdge
 from cardamomshunt_node._keys import KeyFileError, load_key_ring
+from cardamomshunt_node._measured_port import MeasuredRequestPort
 from cardamomshunt_node._operator_link import OperatorServer
 from cardamomshunt_node._proxy_control_link import ControlLink
 from cardamomshunt_node._proxy_core import ProxyCore
@@ -86,9 +88,12 @@
             monotonic_ms,
             self._on_rejected_announcement,
         )
+        self._requests = MeasuredRequestPort(
+            self.core, self.metrics, self.events, monotonic_ms, self._default_age_ms
+        )
         self._callers: CallerEdge = MysqlCallerEdge(
             _required(settings.caller_address),
-            self.core,
+            self._requests,
             on_refusal=self._on_refusal,
             on_fault=self._on_caller_fault,
         )
@@ -194,6 +199,11 @@
 
     def _on_topology(self, topology: TopologyUpdate) -> None:
         self.core.apply(self.core.data_path.on_topology, topology)
+        self._requests.on_topology(topology)
+
+    def _default_age_ms(self, database: str, request_class: RequestClass) -> float:
+        settings = self.state.configuration.database(database)
+        return settings.for_class(request_class).max_age_ms
 
     def _on_announcement(
         self, announcement: Announcement, issued_ms: float | None
