Date a write gap back to the first write that did not succeed

Cause: a trial failover showed a gap of 750 ms on the entry VMs although detection alone takes 600 ms more; writes wait during detection, or their callers give up. Change: open, lost and given-up writes since the last acknowledged one date the gap back; one broken connection alone starts none. All events of a proxy are counted now. Conclusion: the metric is what callers of this node saw.

--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_event_log.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_event_log.py
@@ -82,7 +82,8 @@
     """Write numbered events to a log and keep the newest for the timeline.
 
     `emit` returns the id of the event (`node@hlc`), which later events name as their
-    cause. One line per event, as text or JSON.
+    cause. One line per event, as text or JSON. `count` gets the number of each event,
+    logged or suppressed.
     """
 
     def __init__(
@@ -94,9 +95,11 @@
         stream: TextIO | None = None,
         wall_ms: Callable[[], float] = wall_clock_ms,
         n_events_kept: int = N_EVENTS_KEPT,
+        count: Callable[[int], None] = lambda number: None,
     ) -> None:
         self._node = node
         self._wall_ms = wall_ms
+        self._count = count
         self._is_json = is_json
         self._repeats = _RepeatFilter()
         self._next_sweep_ms = 0.0
@@ -124,6 +127,7 @@
         cause: str = "",
     ) -> str:
         """Log an event and return its id; an equal event may be suppressed."""
+        self._count(int(number))
         now_ms = self._wall_ms()
         self._report_suppressed(now_ms, is_closing=False)
         event = TimelineEvent(
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_measured_port.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_measured_port.py
@@ -1,6 +1,9 @@
 """Metrics and events of requests, around the port that serves them."""
 
+import itertools
+import math
 from collections.abc import Callable
+from dataclasses import dataclass, field
 
 from cardamomshunt.effects import (
     CallerId,
@@ -27,19 +30,33 @@
         RefusalReason.NOT_ACKNOWLEDGED,
     }
 )
-# These also come from a single broken connection, so they start a gap without an event.
+# These also come from a single broken connection. They only date a gap back that a
+# certain sign proves later.
 _POSSIBLE_REASONS = frozenset(
     {RefusalReason.CONNECTION_LOST, RefusalReason.TRANSACTION_LOST}
 )
-# Shorter gaps are single broken connections.
-_GAP_NOTED_MS = 100.0
+
+
+@dataclass(slots=True)
+class _Writes:
+    """Hold what dates a gap of one database back to its first write."""
+
+    open_since_ms: dict[int, float] = field(default_factory=dict)
+    unanswered_since_ms: float = math.inf
+    acknowledged_ms: float = -math.inf
+
+    def gap_start_ms(self, now_ms: float) -> float:
+        """Return when the first write arrived that has not succeeded since."""
+        oldest_ms = min(now_ms, self.unanswered_since_ms, *self.open_since_ms.values())
+        return max(oldest_ms, self.acknowledged_ms)
 
 
 class MeasuredRequestPort(RequestPort):
     """Serve requests by another port, and note how they end.
 
-    A write gap starts with a write that ends for want of a primary, or that is open
-    while the topology has none; it ends with the next acknowledged write.
+    A write gap is proved by a write that ends for want of a primary, or that is open
+    while the topology has none. It starts with the arrival of the first write that did
+    not succeed, and ends with the next acknowledged write.
     """
 
     def __init__(
@@ -55,7 +72,8 @@
         self._events = events
         self._clock_ms = clock_ms
         self._default_max_age_ms = default_max_age_ms
-        self._n_open_writes: dict[str, int] = {}
+        self._writes: dict[str, _Writes] = {}
+        self._write_ids = itertools.count()
         self._without_primary: set[str] = set()
         self._gap_events: dict[str, str] = {}
 
@@ -79,32 +97,42 @@
             if item.primary_instance is None or item.step is not FailoverStep.SERVING
         }
         for database in self._without_primary:
-            if self._n_open_writes.get(database):
+            if database in self._writes and self._writes[database].open_since_ms:
                 self._on_blocked(database)
 
     async def run(self, request: StatementRequest) -> RequestEnd:
         """Run a request and note its end."""
-        database = request.database
         started_ms = self._clock_ms()
-        is_write = request.kind in _WRITE_KINDS
-        if is_write:
-            self._n_open_writes[database] = self._n_open_writes.get(database, 0) + 1
-            if database in self._without_primary:
-                self._on_blocked(database)
-        try:
+        if request.kind in _WRITE_KINDS:
+            end = await self._run_write(request, started_ms)
+        else:
             end = await self._port.run(request)
-        finally:
-            if is_write:
-                self._n_open_writes[database] -= 1
-        self._metrics.observe_duration(
-            database, _class_of(request), self._clock_ms() - started_ms
-        )
+        elapsed_ms = self._clock_ms() - started_ms
+        self._metrics.observe_duration(request.database, _class_of(request), elapsed_ms)
         if isinstance(end.answer, Refusal):
             self._on_refused(request, end.answer)
         elif end.completion is not None:
             self._on_completed(request, end, end.completion)
         return end
 
+    async def _run_write(
+        self, request: StatementRequest, started_ms: float
+    ) -> RequestEnd:
+        writes = self._writes.setdefault(request.database, _Writes())
+        write_id = next(self._write_ids)
+        writes.open_since_ms[write_id] = started_ms
+        if request.database in self._without_primary:
+            self._on_blocked(request.database)
+        is_answered = False
+        try:
+            end = await self._port.run(request)
+            is_answered = not _is_lost(end)
+            return end
+        finally:
+            del writes.open_since_ms[write_id]
+            if not is_answered:
+                writes.unanswered_since_ms = min(writes.unanswered_since_ms, started_ms)
+
     def _on_refused(self, request: StatementRequest, refusal: Refusal) -> None:
         self._emit(
             EventNumber.REQUEST_REFUSED,
@@ -122,8 +150,6 @@
             )
         if refusal.reason in _CERTAIN_REASONS:
             self._on_blocked(request.database)
-        elif refusal.reason in _POSSIBLE_REASONS:
-            self._metrics.on_write_blocked(request.database, self._clock_ms())
 
     def _on_completed(
         self, request: StatementRequest, end: RequestEnd, completion: CompleteRequest
@@ -156,21 +182,27 @@
         )
 
     def _on_blocked(self, database: str) -> None:
-        self._metrics.on_write_blocked(database, self._clock_ms())
+        writes = self._writes.setdefault(database, _Writes())
+        start_ms = writes.gap_start_ms(self._clock_ms())
+        self._metrics.on_write_blocked(database, start_ms)
         if database not in self._gap_events:
             event = self._emit(EventNumber.WRITES_HELD, database)
             self._gap_events[database] = event
 
     def _on_acknowledged(self, database: str) -> None:
-        gap_ms = self._metrics.on_write_acknowledged(database, self._clock_ms())
-        cause = self._gap_events.pop(database, "")
-        if gap_ms is not None and (cause or gap_ms >= _GAP_NOTED_MS):
-            self._emit(
-                EventNumber.WRITES_RESUMED,
-                database,
-                detail=f"no write succeeded for {gap_ms:.0f} ms",
-                cause=cause,
-            )
+        now_ms = self._clock_ms()
+        writes = self._writes.setdefault(database, _Writes())
+        writes.unanswered_since_ms = math.inf
+        writes.acknowledged_ms = now_ms
+        gap_ms = self._metrics.on_write_acknowledged(database, now_ms)
+        if gap_ms is None:
+            return
+        self._emit(
+            EventNumber.WRITES_RESUMED,
+            database,
+            detail=f"no write succeeded for {gap_ms:.0f} ms",
+            cause=self._gap_events.pop(database, ""),
+        )
 
     def _emit(
         self,
@@ -180,10 +212,15 @@
         detail: str = "",
         cause: str = "",
     ) -> str:
-        self._metrics.count_event(number)
         return self._events.emit(number, subject, detail, database, cause)
 
 
+def _is_lost(end: RequestEnd) -> bool:
+    """Tell whether a write ended without an answer of a working primary."""
+    reasons = _CERTAIN_REASONS | _POSSIBLE_REASONS
+    return isinstance(end.answer, Refusal) and end.answer.reason in reasons
+
+
 def _class_of(request: StatementRequest) -> RequestClass:
     if request.hints.request_class is not None:
         return request.hints.request_class
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_proxy_role.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_proxy_role.py
@@ -49,8 +49,10 @@
         self._settings = settings
         self._drain_time_ms = drain_time_ms
         keys = load_key_ring(settings.keys)
-        self.events = EventLog(settings.node, log_file=settings.log_file)
         self.metrics = NodeMetrics(settings.node, "proxy", settings.zone)
+        self.events = EventLog(
+            settings.node, log_file=settings.log_file, count=self.metrics.count_event
+        )
         self._backend = backend or MysqlBackendEdge()
         self.core = ProxyCore(
             data_path or DataPath(zone=settings.zone, generator=Random()),
@@ -217,7 +219,6 @@
         self.metrics.count_refusal(database, refusal)
 
     def _on_event(self, number: int, subject: str, detail: str) -> None:
-        self.metrics.count_event(number)
         self.events.emit(number, subject, detail)
 
     def _on_fault(self, error: Exception) -> None:
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_telemetry.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_telemetry.py
@@ -17,8 +17,10 @@
 
     def __init__(self, settings: DaemonSettings) -> None:
         self._address = settings.metrics_address
-        self.events = EventLog(settings.node, log_file=settings.log_file)
         self.metrics = NodeMetrics(settings.node, settings.role.value, settings.zone)
+        self.events = EventLog(
+            settings.node, log_file=settings.log_file, count=self.metrics.count_event
+        )
 
     async def start(self) -> None:
         """Serve the metrics; raise OSError if their address is taken."""
@@ -38,7 +40,6 @@
         cause: str = "",
     ) -> str:
         """Log and count an event; return its id."""
-        self.metrics.count_event(number)
         return self.events.emit(number, subject, detail, database, cause)
 
     def now_hlc(self) -> int:
--- a/packages/cardamomshunt-node/tests/test_measured_port.py
+++ b/packages/cardamomshunt-node/tests/test_measured_port.py
@@ -148,6 +148,24 @@
     assert bench.metrics._last_gap.get({"database": "orders"}) == 400.0
 
 
+async def test_gap_starts_with_the_first_write_that_did_not_succeed() -> None:
+    """Detection is part of the gap: its writes wait, or their callers give up."""
+    bench = _Bench()
+    await bench.run(RequestKind.WRITE, _done())
+    bench.now_ms += 10
+    request = StatementRequest(1, "orders", "", RequestKind.WRITE, SessionHints())
+    given_up = asyncio.create_task(bench.measured.run(request))
+    await asyncio.sleep(0)
+    bench.now_ms += 300
+    given_up.cancel()
+    await asyncio.gather(given_up, return_exceptions=True)
+    bench.now_ms += 300
+    await bench.run(RequestKind.WRITE, _refused(RefusalReason.NO_PRIMARY))
+    bench.now_ms += 200
+    await bench.run(RequestKind.WRITE, _done())
+    assert bench.metrics._last_gap.get({"database": "orders"}) == 800.0
+
+
 async def test_single_broken_connection_is_no_event() -> None:
     bench = _Bench()
     lost = _refused(RefusalReason.CONNECTION_LOST, Verdict.NOT_RUN)
