--- a/packages/cardamomshunt-cli/src/cardamomshunt_cli/_status.py
+++ b/packages/cardamomshunt-cli/src/cardamomshunt_cli/_status.py
@@ -151,7 +151,7 @@
             item.primary_instance or "NONE",
             str(item.term),
             item.step.value,
-            ", ".join(_replica_text(x) for x in _replicas(item)) or "none known",
+            ", ".join(_replica_text(x, item) for x in _replicas(item)) or "none known",
         ]
         for item in shown
     ]
@@ -174,12 +174,24 @@
     return [x for x in item.instances if x.instance != item.primary_instance]
 
 
-def _replica_text(instance: InstanceStatus) -> str:
+def _replica_text(instance: InstanceStatus, database: DatabaseStatus) -> str:
     if instance.silence_ms > _INSTANCE_SILENT_MS:
         return f"{instance.instance} (silent {duration_text(instance.silence_ms)})"
-    lag = "unknown" if instance.lag_ms is None else duration_text(instance.lag_ms)
     leaving = ", leaving" if instance.is_leaving else ""
-    return f"{instance.instance} ({lag}{leaving})"
+    return f"{instance.instance} ({_lag_text(instance, database)}{leaving})"
+
+
+def _lag_text(instance: InstanceStatus, database: DatabaseStatus) -> str:
+    """Show the lag as a time, or else as log entries behind the primary."""
+    if instance.lag_ms is not None:
+        return duration_text(instance.lag_ms)
+    for primary in database.instances:
+        if primary.instance == database.primary_instance:
+            ahead, own = primary.applied_position, instance.applied_position
+            if ahead.term != own.term:
+                return f"at {own}, primary at {ahead}"
+            return f"{max(0, ahead.position - own.position)} entries"
+    return "unknown"
 
 
 def _show_nodes(view: StatusView) -> None:
--- a/packages/cardamomshunt-cli/src/cardamomshunt_cli/_steering_commands.py
+++ b/packages/cardamomshunt-cli/src/cardamomshunt_cli/_steering_commands.py
@@ -4,6 +4,7 @@
 import time
 
 import click
+from cardamomshunt.events import EventNumber
 from cardamomshunt.messages import FailoverStep, Message
 from cardamomshunt.operator_messages import (
     DrainReply,
@@ -14,6 +15,8 @@
     MemberChangeRequest,
     StatusReply,
     StatusRequest,
+    TimelineReply,
+    TimelineRequest,
 )
 
 from cardamomshunt_cli._deployment import TargetOptions
@@ -22,6 +25,9 @@
 from cardamomshunt_cli._run import Session, exits_with_code, finish, run
 
 _POLL_PAUSE_S = 0.1
+# Covers the time between the accepted request and the first look.
+_EVENT_MARGIN_S = 2.0
+_HANDOVER_NUMBERS = (EventNumber.HANDOVER_STARTED, EventNumber.HANDOVER_ABANDONED)
 
 
 def _show(options: TargetOptions, reply: Message, text: str) -> None:
@@ -74,7 +80,7 @@
 ) -> None:
     """Move the primary of a database to another server, without loss."""
 
-    async def work(session: Session) -> tuple[HandoverReply, bool]:
+    async def work(session: Session) -> tuple[HandoverReply, str]:
         # Without a target, a repeat after a lost answer would hand over once more.
         reply = await session.client.ask_leader(
             HandoverRequest(database=database, to_instance=to_instance),
@@ -83,32 +89,48 @@
         )
         return reply, await _wait_for_primary(session, reply, wait_s)
 
-    reply, is_done = run(options, work)
-    state = "done" if is_done else f"NOT finished after {wait_s:.0f} s"
+    reply, problem = run(options, work)
     _show(
         options,
         reply,
-        f"{reply.database}: {reply.from_instance} -> {reply.to_instance}, {state}",
+        f"{reply.database}: {reply.from_instance} -> {reply.to_instance}, "
+        f"{problem or 'done'}",
     )
-    finish(ExitCode.OK if is_done else ExitCode.NOT_IN_FORCE)
+    finish(ExitCode.NOT_IN_FORCE if problem else ExitCode.OK)
 
 
 async def _wait_for_primary(
     session: Session, reply: HandoverReply, wait_s: float
-) -> bool:
-    deadline_s = time.monotonic() + wait_s
+) -> str:
+    """Return an empty text once the target serves, or what went wrong."""
+    started_s = time.monotonic()
     while True:
         status = await session.client.ask_leader(StatusRequest(), StatusReply)
         for item in status.databases:
             is_moved = item.primary_instance == reply.to_instance
             is_serving = item.step is FailoverStep.SERVING
             if item.database == reply.database and is_moved and is_serving:
-                return True
-        if time.monotonic() > deadline_s:
-            return False
+                return ""
+        elapsed_s = time.monotonic() - started_s
+        abandoned = await _why_abandoned(session, reply.database, elapsed_s)
+        if abandoned:
+            return f"NOT done: {abandoned}"
+        if elapsed_s > wait_s:
+            return f"NOT finished after {wait_s:.0f} s; see `cardamomctl timeline`"
         await asyncio.sleep(_POLL_PAUSE_S)
 
 
+async def _why_abandoned(session: Session, database: str, elapsed_s: float) -> str:
+    """Return the detail of the event that ended the handover, if there is one."""
+    since_ms = (elapsed_s + _EVENT_MARGIN_S) * 1_000.0
+    request = TimelineRequest(since_ms=since_ms, database=database)
+    timeline = await session.client.ask_leader(request, TimelineReply)
+    steps = [x for x in timeline.events if x.number in _HANDOVER_NUMBERS]
+    if steps and steps[-1].number == EventNumber.HANDOVER_ABANDONED:
+        return steps[-1].detail or "it was abandoned"
+    return ""
+
+
 @click.group()
 def member() -> None:
     """Add or remove control nodes, one at a time."""
--- a/packages/cardamomshunt-cli/tests/conftest.py
+++ b/packages/cardamomshunt-cli/tests/conftest.py
@@ -66,8 +66,8 @@
     async def handle(self, message: Message) -> Message:
         if isinstance(message, StatusRequest):
             return self.status()
-        if isinstance(message, TimelineRequest) and self.timeline is not None:
-            return self.timeline
+        if isinstance(message, TimelineRequest):
+            return self.timeline or TimelineReply(node=self.node, events=[])
         if not self.is_leader:
             return OperatorError(
                 code=OperatorErrorCode.NOT_LEADER,
