--- a/packages/cardamomshunt-node/tests/test_main.py
+++ b/packages/cardamomshunt-node/tests/test_main.py
@@ -9,8 +9,8 @@
 
 import pytest
 import yaml
-from click.testing import CliRunner
 from cardamomshunt_node.main import main
+from click.testing import CliRunner
 
 
 def _document(ports: list[int], **changes: Any) -> dict[str, Any]:
