--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_mysql_server.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_mysql_server.py
@@ -350,7 +350,11 @@
             num_params=count_placeholders(sql),
         )
         self.prepared_stmts[statement.stmt_id] = statement
-        self.stream.write_many(list(self.com_stmt_prepare_response(statement)))
+        response = list(self.com_stmt_prepare_response(statement))
+        if statement.num_params and self.deprecate_eof():
+            # mysql-mimic ends the parameters with an EOF that such clients don't read.
+            response.pop()
+        self.stream.write_many(response)
         await self.stream.drain()
 
     async def handle_stmt_execute(self, data: bytes) -> None:
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_proxy_control_link.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_proxy_control_link.py
@@ -7,6 +7,7 @@
 from cardamomshunt.events import EventNumber
 from cardamomshunt.messages import (
     ConfigurationUpdate,
+    ConnectionDemand,
     ConnectionGrants,
     DemandReport,
     DrainInstance,
@@ -26,6 +27,8 @@
 
 HEARTBEAT_MS = 500.0
 URGENT_REPORT_MS = 100.0
+# Control forgets a demand after 3 s, so that two lost messages in a row do no harm.
+DEMAND_MS = 1_000.0
 # Without a word of the leader for this long, heartbeats go to all control nodes again;
 # a new leader is elected within 600 ms.
 LEADER_SILENCE_MAX_MS = 1_500.0
@@ -79,6 +82,8 @@
         self._last_standing: list[tuple[object, ...]] = []
         self._next_heartbeat_ms = 0.0
         self._next_report_ms = 0.0
+        self._next_demand_ms = 0.0
+        self._last_demands: list[ConnectionDemand] = []
         self._task: asyncio.Task[None] | None = None
         self._is_control_lost = False
         self._started_ms = core.now_ms()
@@ -244,12 +249,21 @@
             ),
             is_urgent,
         )
+        self._send_demand(now_ms)
+
+    def _send_demand(self, now_ms: float) -> None:
         demands = self._core.data_path.connection_demand(now_ms)
-        if demands:
-            self._send(
-                DemandReport(node=node, sequence=self._sequence, demands=demands),
-                is_urgent=False,
-            )
+        is_due = now_ms >= self._next_demand_ms or demands != self._last_demands
+        if not demands or not is_due:
+            return
+        self._next_demand_ms = now_ms + DEMAND_MS
+        self._last_demands = demands
+        self._send(
+            DemandReport(
+                node=self._settings.node, sequence=self._sequence, demands=demands
+            ),
+            is_urgent=False,
+        )
 
     def _note_control_silence(self, now_ms: float) -> None:
         heard_ms = self._leader.heard_ms if self._leader else self._started_ms
--- a/packages/cardamomshunt/src/cardamomshunt/_messages.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_messages.py
@@ -89,11 +89,12 @@
     is_draining: bool = False
 
 
-class InstanceObservation(msgspec.Struct, kw_only=True):
+class InstanceObservation(msgspec.Struct, kw_only=True, array_like=True):
     """Report what one entry VM knows of one backend server.
 
     `silence_ms` is the time since the last announcement or answer from the server;
-    `is_refusing` says that the last dial was refused.
+    `is_refusing` says that the last dial was refused. Encoded as an array, since reports
+    are most of what an entry VM sends to control: new fields go to the end.
     """
 
     database: str
@@ -121,7 +122,7 @@
     observations: list[InstanceObservation]
 
 
-class ConnectionDemand(msgspec.Struct, kw_only=True):
+class ConnectionDemand(msgspec.Struct, kw_only=True, array_like=True):
     """State how many connections to an instance an entry VM can use."""
 
     instance: str
