Feed the request metrics and keep columns between results

Cause: reads by route, durations, write gaps and the time spent on control were declared but not fed; column objects were built and hashed for each result. Change: a meter at the end of each request; the control link runs inside the timer of control work; one column object for each definition packet.

--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_backend_edge_answers.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_backend_edge_answers.py
@@ -7,9 +7,13 @@
 Row: TypeAlias = Sequence[bytes | None]
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True, frozen=True, eq=False)
 class Column:
-    """Describe a result column; types, character sets and flags are MySQL's codes."""
+    """Describe a result column; types, character sets and flags are MySQL's codes.
+
+    Edges keep one object for equal columns and compare by identity, which spares a
+    hash over all fields for each column of each result.
+    """
 
     name: str
     type_code: int
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_backend_edge_mysql_connection.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_backend_edge_mysql_connection.py
@@ -67,17 +67,31 @@
     return ErrorAnswer(code, error.sqlstate or _DEFAULT_SQLSTATE, message)
 
 
-def _columns(result: Any) -> list[Column]:
-    return [
-        Column(
-            name=item.name,
-            type_code=item.type_code,
-            character_set=item.charsetnr,
-            flags=item.flags,
-            n_decimals=item.scale,
-        )
-        for item in result.fields
-    ]
+class _ColumnCache:
+    """Keep one column for each definition packet, up to a number."""
+
+    def __init__(self, n_columns_max: int) -> None:
+        self._n_columns_max = n_columns_max
+        self._columns: dict[bytes, Column] = {}
+
+    def get(self, field: Any) -> Column:
+        """Return the column that a definition packet describes."""
+        packet = field.get_all_data()
+        column = self._columns.get(packet)
+        if column is None:
+            if len(self._columns) >= self._n_columns_max:
+                self._columns.clear()
+            column = self._columns[packet] = Column(
+                name=field.name,
+                type_code=field.type_code,
+                character_set=field.charsetnr,
+                flags=field.flags,
+                n_decimals=field.scale,
+            )
+        return column
+
+
+_column_cache = _ColumnCache(n_columns_max=4_096)
 
 
 def _size_bytes(rows: Sequence[Row]) -> int:
@@ -189,7 +203,7 @@
             raise LinkLostError(_describe(error), is_sent=True) from error
 
     async def _read_rows(self, result: Any, take_rows: TakeRows | None) -> Reply:
-        columns = _columns(result)
+        columns = [_column_cache.get(field) for field in result.fields]
         batch = RowBatch()
         is_streamed = False
         while True:
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_caller_edge_mysql.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_caller_edge_mysql.py
@@ -24,10 +24,7 @@
     RequestPort,
     StatementRequest,
 )
-from cardamomshunt_node._caller_edge_mysql_columns import (
-    character_set_of,
-    passed_column,
-)
+from cardamomshunt_node._caller_edge_mysql_columns import passed_column
 from cardamomshunt_node._settings import Address
 from cardamomshunt_node.mysql_server import (
     MysqlServerEdge,
@@ -258,9 +255,10 @@
             raise ServerError(answer.code, answer.sqlstate, answer.message)
         if isinstance(answer, WriteAnswer):
             return Ok(answer.n_affected_rows, answer.last_insert_id, answer.n_warnings)
-        character_set = character_set_of(self.variables)
-        columns = [passed_column(item, character_set) for item in answer.columns]
-        flags = [item.flags for item in answer.columns]
+        character_set = self.variables.charset
+        passed = [passed_column(item, character_set) for item in answer.columns]
+        columns = [column for column, _ in passed]
+        flags = [item for _, item in passed]
         if isinstance(answer.rows, list):
             return Rows(columns, answer.rows, flags)
         return Rows(columns, _checked_rows(answer), flags)
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_caller_edge_mysql_columns.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_caller_edge_mysql_columns.py
@@ -9,7 +9,7 @@
 
 from mysql_mimic.charset import CharacterSet
 from mysql_mimic.results import ResultColumn
-from mysql_mimic.types import ColumnType, str_len
+from mysql_mimic.types import ColumnDefinition, ColumnType, str_len
 
 from cardamomshunt_node._backend_edge_answers import Column
 
@@ -30,8 +30,10 @@
 
 
 @functools.lru_cache(maxsize=_N_COLUMNS_CACHED)
-def passed_column(column: Column, character_set: CharacterSet) -> ResultColumn:
-    """Return a column that passes text values on to callers of a character set.
+def passed_column(
+    column: Column, character_set: CharacterSet
+) -> tuple[ResultColumn, ColumnDefinition]:
+    """Return a column, with its flags, that passes text values on to a caller.
 
     Text rows carry the server's bytes as they are; binary rows parse them.
     """
@@ -52,7 +54,7 @@
     )
     # Bytes then go into the row without a call for each value.
     passed.use_default_text_encoder = encode is None
-    return passed
+    return passed, ColumnDefinition(column.flags)
 
 
 def _transcoder(character_set: CharacterSet) -> Callable[[Any, bytes], bytes]:
@@ -107,8 +109,3 @@
     if not fraction:
         return b"\x08" + body
     return b"\x0c" + body + struct.pack("<I", int(fraction.ljust(6, "0")[:6]))
-
-
-def character_set_of(variables: Any) -> CharacterSet:
-    """Return the character set that a session agreed on with its caller."""
-    return CharacterSet(variables.charset)
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_mysql_server.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_mysql_server.py
@@ -46,6 +46,7 @@
     & ~Capabilities.CLIENT_MULTI_RESULTS
 ) | Capabilities.CLIENT_TRANSACTIONS
 
+_NO_FLAGS = ColumnDefinition(0)
 _ROW_BATCH_SIZE_BYTES = 32_768
 _N_ROWS_PER_BATCH = 50
 _PACKET_CHUNK_SIZE_BYTES = 0xFFFFFF
@@ -82,7 +83,7 @@
 
     columns: Sequence[ResultColumn | str]
     rows: Sequence[Sequence[Any]] | AsyncIterable[Sequence[Any]]
-    column_flags: Sequence[int] = ()
+    column_flags: Sequence[ColumnDefinition] = ()
 
 
 StatementResult: TypeAlias = Ok | Rows
@@ -477,7 +478,7 @@
             self.stream.write_text_rows([row], columns)
 
     def _write_columns(
-        self, columns: Sequence[ResultColumn], column_flags: Sequence[int]
+        self, columns: Sequence[ResultColumn], column_flags: Sequence[ColumnDefinition]
     ) -> None:
         head = [packets.make_column_count(self.capabilities, len(columns))]
         head.extend(
@@ -486,9 +487,9 @@
                 name=column.name,
                 column_type=column.type,
                 character_set=column.character_set,
-                flags=ColumnDefinition(flags),
+                flags=flags,
             )
-            for column, flags in zip_longest(columns, column_flags, fillvalue=0)
+            for column, flags in zip_longest(columns, column_flags, fillvalue=_NO_FLAGS)
         )
         if not self.deprecate_eof():
             head.append(self.eof())
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_proxy_control_link.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_proxy_control_link.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import time
+from collections.abc import Callable
+from contextlib import AbstractContextManager, nullcontext
 from dataclasses import dataclass
 
 from cardamomshunt.events import EventNumber
@@ -70,12 +72,14 @@
         state: VersionedState,
         events: EventLog,
         transport: PeerTransport,
+        timing: Callable[[], AbstractContextManager[None]] = nullcontext,
     ) -> None:
         self._settings = settings
         self._core = core
         self._state = state
         self._events = events
         self._transport = transport
+        self._timing = timing
         self._incarnation = int(time.time() * 1_000)
         self._leader: _Leader | None = None
         self._sequence = 0
@@ -131,9 +135,10 @@
     async def on_message(self, received: ReceivedMessage) -> None:
         """Take over a message of control."""
         envelope = received.envelope
-        self._events.observe_hlc(envelope.sender, envelope.sent_hlc)
-        self._note_leader(envelope.sender, envelope.reply_address)
-        self._take(received.message)
+        with self._timing():
+            self._events.observe_hlc(envelope.sender, envelope.sent_hlc)
+            self._note_leader(envelope.sender, envelope.reply_address)
+            self._take(received.message)
 
     def _take(self, message: Message) -> None:
         match message:
@@ -211,7 +216,8 @@
     async def _report_forever(self) -> None:
         while True:
             try:
-                self._report()
+                with self._timing():
+                    self._report()
             except Exception as error:
                 self._events.emit(
                     EventNumber.TASK_FAILED, subject="control link", detail=repr(error)
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_proxy_core.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_proxy_core.py
@@ -50,12 +50,14 @@
 
     request: StatementRequest
     done: asyncio.Future[RequestEnd]
+    started_ms: float
     answers: dict[int, Answer | None] = field(default_factory=dict)
     stream: RowStream | None = None
     stream_attempt: int = 0
 
 
 EventSink = Callable[[int, str, str], None]
+EndSink = Callable[[StatementRequest, RequestEnd, float, float], None]
 
 
 class ProxyCore(RequestPort, BackendListener):
@@ -71,12 +73,14 @@
         clock_ms: Callable[[], float],
         on_event: EventSink,
         on_fault: Callable[[Exception], None],
+        on_end: EndSink = lambda request, end, started_ms, now_ms: None,
     ) -> None:
         self.data_path = data_path
         self._backend = backend
         self._clock_ms = clock_ms
         self._on_event = on_event
         self._on_fault = on_fault
+        self._on_end = on_end
         self._open: dict[RequestId, _OpenRequest] = {}
         self._last_request_id = 0
         self._last_caller_id = 0
@@ -109,7 +113,7 @@
         self._last_request_id += 1
         request_id = self._last_request_id
         done: asyncio.Future[RequestEnd] = asyncio.get_running_loop().create_future()
-        self._open[request_id] = _OpenRequest(request, done)
+        self._open[request_id] = _OpenRequest(request, done, self._clock_ms())
         submitted = Request(
             request_id=request_id,
             caller_id=request.caller_id,
@@ -275,13 +279,13 @@
         if open_request is None:
             return
         if open_request.stream is not None:
-            open_request.done.result().completion = effect
+            end = open_request.done.result()
+            end.completion = effect
             open_request.stream.finish()
-            return
-        if open_request.done.done():
+            self._end(open_request, end)
             return
         answer = _answer_of(effect, open_request.answers.get(effect.attempt))
-        open_request.done.set_result(RequestEnd(answer, effect))
+        self._end(open_request, RequestEnd(answer, effect))
 
     def _refuse(self, request_id: RequestId, refusal: Refusal) -> None:
         open_request = self._open.pop(request_id, None)
@@ -289,8 +293,14 @@
             return
         if open_request.stream is not None:
             open_request.stream.fail(_error_of(refusal))
-        elif not open_request.done.done():
-            open_request.done.set_result(RequestEnd(refusal))
+        self._end(open_request, RequestEnd(refusal))
+
+    def _end(self, open_request: _OpenRequest, end: RequestEnd) -> None:
+        if not open_request.done.done():
+            open_request.done.set_result(end)
+        self._on_end(
+            open_request.request, end, open_request.started_ms, self._clock_ms()
+        )
 
     def _set_timer(self) -> None:
         deadline_ms = self.data_path.next_deadline_ms()
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_proxy_role.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_proxy_role.py
@@ -10,7 +10,6 @@
 from cardamomshunt.data_path import AbstractDataPath, DataPath
 from cardamomshunt.events import EventNumber
 from cardamomshunt.messages import Announcement, TopologyUpdate
-from cardamomshunt.verdict import Refusal
 
 from cardamomshunt_node._announcements import AnnouncementReceiver
 from cardamomshunt_node._backend_edge import BackendEdge
@@ -21,6 +20,7 @@
 from cardamomshunt_node._operator_link import OperatorServer
 from cardamomshunt_node._proxy_control_link import ControlLink
 from cardamomshunt_node._proxy_core import ProxyCore
+from cardamomshunt_node._proxy_meter import RequestMeter
 from cardamomshunt_node._proxy_operator import ProxyOperatorDesk
 from cardamomshunt_node._proxy_start import CannotStartError
 from cardamomshunt_node._proxy_state_files import StateFiles
@@ -50,12 +50,14 @@
         self.events = EventLog(settings.node, log_file=settings.log_file)
         self.metrics = NodeMetrics(settings.node, "proxy", settings.zone)
         self._backend = backend or MysqlBackendEdge()
+        self._meter = RequestMeter(self.metrics)
         self.core = ProxyCore(
             data_path or DataPath(zone=settings.zone, generator=Random()),
             self._backend,
             monotonic_ms,
             self._on_event,
             self._on_fault,
+            self._meter.on_end,
         )
         self.state = VersionedState(
             StateFiles(settings.data_folder, self._on_storage_problem),
@@ -70,7 +72,12 @@
             self.events.now_hlc,
         )
         self.link = ControlLink(
-            settings, self.core, self.state, self.events, self._transport
+            settings,
+            self.core,
+            self.state,
+            self.events,
+            self._transport,
+            self.metrics.timing_control,
         )
         desk = ProxyOperatorDesk(
             settings, self.core, self.state, self.link, self.events, self.request_stop
@@ -89,7 +96,7 @@
         self._callers: CallerEdge = MysqlCallerEdge(
             _required(settings.caller_address),
             self.core,
-            on_refusal=self._on_refusal,
+            on_refusal=self._meter.on_refusal,
             on_fault=self._on_caller_fault,
         )
         self._stop_requested = asyncio.Event()
@@ -190,9 +197,11 @@
 
     def _on_configuration(self, configuration: ClusterConfiguration) -> None:
         self.core.apply(self.core.data_path.on_configuration, configuration.to_json())
+        self._meter.on_configuration(configuration)
         self.metrics.set_configuration_version(configuration.version)
 
     def _on_topology(self, topology: TopologyUpdate) -> None:
+        self._meter.on_topology(self.core.now_ms(), topology)
         self.core.apply(self.core.data_path.on_topology, topology)
 
     def _on_announcement(
@@ -203,9 +212,6 @@
     def _on_rejected_announcement(self, reason: str) -> None:
         self.events.emit(EventNumber.ANNOUNCEMENT_REJECTED, detail=reason)
 
-    def _on_refusal(self, database: str, refusal: Refusal) -> None:
-        self.metrics.count_refusal(database, refusal)
-
     def _on_event(self, number: int, subject: str, detail: str) -> None:
         self.metrics.count_event(number)
         self.events.emit(number, subject, detail)
--- a/packages/cardamomshunt-node/tests/test_proxy_role.py
+++ b/packages/cardamomshunt-node/tests/test_proxy_role.py
@@ -349,6 +349,25 @@
     assert "SET @cardamomshunt_term = 4" in site.backend.statements
 
 
+async def test_metrics_of_requests(site: _Site) -> None:
+    """Guards against metrics that nothing feeds."""
+    connection = await site.connect()
+    await _query(connection, "SELECT id FROM t")
+    await _query(connection, "UPDATE stock SET n = 1")
+    url = f"http://{site.settings.metrics_address}/metrics"
+    async with aiohttp.ClientSession() as session, session.get(url) as response:
+        text = await response.text()
+    for name in (
+        "reads_total",
+        "request_duration_seconds_count",
+        "caller_connections",
+        "control_cpu_seconds_total",
+        "control_bytes_total",
+    ):
+        lines = [line for line in text.splitlines() if f"_{name}{{" in line]
+        assert any(float(line.split()[-1]) > 0 for line in lines), name
+
+
 async def test_drain_lets_a_transaction_end(site: _Site) -> None:
     """Guards against a planned stop that cuts what is in flight."""
     busy = await site.connect()
