--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_measured_port.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_measured_port.py
@@ -21,7 +21,9 @@
 from cardamomshunt_node._event_log import EventLog
 from cardamomshunt_node._metrics import NodeMetrics, ReadBound, ReadRoute
 
-_WRITE_KINDS = frozenset({RequestKind.WRITE, RequestKind.COMMIT})
+_WRITE_KINDS = frozenset(
+    {RequestKind.WRITE, RequestKind.IMPLICIT_COMMIT, RequestKind.COMMIT}
+)
 # Reasons that a write gets only when its database has no working primary.
 _CERTAIN_REASONS = frozenset(
     {
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_proxy_role.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_proxy_role.py
@@ -74,7 +74,12 @@
             self.events.now_hlc,
         )
         self.link = ControlLink(
-            settings, self.core, self.state, self.events, self._transport
+            settings,
+            self.core,
+            self.state,
+            self.events,
+            self._transport,
+            self.metrics.timing_control,
         )
         desk = ProxyOperatorDesk(
             settings, self.core, self.state, self.link, self.events, self.request_stop
