--- a/packages/cardamomshunt-cli/src/cardamomshunt_cli/_status.py
+++ b/packages/cardamomshunt-cli/src/cardamomshunt_cli/_status.py
@@ -19,6 +19,8 @@
 
 _NODE_SILENT_MS = 3_000.0
 _INSTANCE_SILENT_MS = 1_000.0
+# More rows than this leave the screen; then only those that differ are shown.
+_N_ROWS_MAX = 24
 
 
 class StatusView(msgspec.Struct, kw_only=True):
@@ -140,33 +142,64 @@
 
 def _show_databases(databases: list[DatabaseStatus]) -> None:
     echo_heading("databases")
+    shown = databases
+    if len(databases) > _N_ROWS_MAX:
+        shown = [item for item in databases if not _is_healthy(item)]
     rows = [
         [
             item.database,
             item.primary_instance or "NONE",
             str(item.term),
             item.step.value,
-            ", ".join(_replica_text(x) for x in _replicas(item)) or "none known",
+            ", ".join(_replica_text(x, item) for x in _replicas(item)) or "none known",
         ]
-        for item in databases
+        for item in shown
     ]
     echo_table(["name", "primary", "term", "step", "replicas (lag)"], rows)
+    _show_rest(len(databases) - len(shown))
+
+
+def _show_rest(n_rest: int) -> None:
+    if n_rest:
+        click.echo(f"  and {n_rest} more, which are ok (all: --json)")
+
+
+def _is_healthy(item: DatabaseStatus) -> bool:
+    is_serving = item.step is FailoverStep.SERVING and item.primary_instance
+    silent = [x for x in item.instances if x.silence_ms > _INSTANCE_SILENT_MS]
+    return bool(is_serving) and not silent
 
 
 def _replicas(item: DatabaseStatus) -> list[InstanceStatus]:
     return [x for x in item.instances if x.instance != item.primary_instance]
 
 
-def _replica_text(instance: InstanceStatus) -> str:
+def _replica_text(instance: InstanceStatus, database: DatabaseStatus) -> str:
     if instance.silence_ms > _INSTANCE_SILENT_MS:
         return f"{instance.instance} (silent {duration_text(instance.silence_ms)})"
-    lag = "unknown" if instance.lag_ms is None else duration_text(instance.lag_ms)
     leaving = ", leaving" if instance.is_leaving else ""
-    return f"{instance.instance} ({lag}{leaving})"
+    return f"{instance.instance} ({_lag_text(instance, database)}{leaving})"
+
+
+def _lag_text(instance: InstanceStatus, database: DatabaseStatus) -> str:
+    """Show the lag as a time, or else as log entries behind the primary."""
+    if instance.lag_ms is not None:
+        return duration_text(instance.lag_ms)
+    for primary in database.instances:
+        if primary.instance == database.primary_instance:
+            ahead, own = primary.applied_position, instance.applied_position
+            if ahead.term != own.term:
+                return f"at {own}, primary at {ahead}"
+            return f"{max(0, ahead.position - own.position)} entries"
+    return "unknown"
 
 
 def _show_nodes(view: StatusView) -> None:
     echo_heading("daemons")
+    nodes = sorted(view.nodes, key=lambda node: (node.role.value, node.node))
+    shown = nodes
+    if len(nodes) > _N_ROWS_MAX:
+        shown = [node for node in nodes if not _is_plain(node, view)]
     rows = [
         [
             node.node,
@@ -175,9 +208,17 @@
             _version_text(node, view.configuration_version),
             _state_text(node),
         ]
-        for node in sorted(view.nodes, key=lambda node: (node.role.value, node.node))
+        for node in shown
     ]
     echo_table(["name", "role", "zone", "configuration", "state"], rows)
+    _show_rest(len(nodes) - len(shown))
+
+
+def _is_plain(node: NodeStatus, view: StatusView) -> bool:
+    """Tell whether a daemon may be left out of a long list."""
+    is_current = node.configuration_version == view.configuration_version
+    is_proxy = node.role is NodeRole.PROXY
+    return is_proxy and is_current and _state_text(node) == "ok"
 
 
 def _version_text(node: NodeStatus, version: int) -> str:
--- a/packages/cardamomshunt/src/cardamomshunt/_node_registry.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_node_registry.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass, field
 
-from cardamomshunt._messages import Heartbeat, NodeRole
+from cardamomshunt._messages import HealthReport, Heartbeat, NodeRole
 
 LIVE_MS = 3_000.0
 # A node that is gone this long is taken as removed and no longer named as cut off.
@@ -65,6 +65,24 @@
         known.received_ms = now_ms
         return known
 
+    def on_report(self, now_ms: float, address: str, report: HealthReport) -> None:
+        """Note a node that a new leader has no heartbeat of yet.
+
+        Its versions are not known, so it gets all there is.
+        """
+        if report.node in self.nodes:
+            return
+        heartbeat = Heartbeat(
+            node=report.node,
+            role=NodeRole.PROXY,
+            zone=report.zone,
+            incarnation=0,
+            operator_address="",
+            configuration_version=0,
+            topology_version=0,
+        )
+        self.nodes[report.node] = NodeView(heartbeat, address, now_ms)
+
     def proxies(self, now_ms: float) -> list[NodeView]:
         """Return the live entry VMs."""
         return [
