Hold control's commands to an isolated instance on every port

Cause: control reached the cut primary on the port of its own zone and promoted it again. Change: an instance cut from all other zones answers control nowhere. Conclusion: zone cuts now isolate as meant.

--- a/packages/cardamomshunt-testing/src/cardamomshunt_testing/_standin_instance.py
+++ b/packages/cardamomshunt-testing/src/cardamomshunt_testing/_standin_instance.py
@@ -177,8 +177,7 @@
         """Let nothing pass to or from instances and zones, besides earlier cuts.
 
         New connections from a cut zone get their handshake, then no answer. Commands of
-        control pass as long as another zone is left, since control may use the port of
-        any zone.
+        control pass on any port, unless all other zones are cut: then on none.
         """
         self.faults.cut_instances |= instances
         self.faults.cut_zones |= zones
@@ -189,11 +188,14 @@
 
     async def wait_while_cut(self, port: int, sql: str) -> None:
         """Hold a statement, or its answer, while the zone of its port is cut."""
-        if self._zones_by_port.get(port) not in self.faults.cut_zones:
-            return
         n_other_zones = len(self._zones_by_port) - 1
-        is_isolated = len(self.faults.cut_zones) >= n_other_zones
-        if is_isolated or not _COMMAND.match(sql):
+        is_isolated = 0 < n_other_zones <= len(self.faults.cut_zones)
+        if _COMMAND.match(sql):
+            # Control stands on the side of the majority, whichever port it knows.
+            is_held = is_isolated
+        else:
+            is_held = self._zones_by_port.get(port) in self.faults.cut_zones
+        if is_held:
             await self._healed.wait()
 
     def heal(self) -> None:
--- a/packages/cardamomshunt-testing/tests/test_standin.py
+++ b/packages/cardamomshunt-testing/tests/test_standin.py
@@ -403,16 +403,17 @@
     connection.close()
 
 
+@pytest.mark.parametrize("port_zone", ["zone-a", "zone-b"])
 @pytest.mark.parametrize(
     ("zones", "is_answered"), [(["zone-b"], True), (["zone-b", "zone-c"], False)]
 )
 async def test_control_reaches_an_instance_unless_all_zones_are_cut(
-    group, zones, is_answered
+    group, zones, is_answered, port_zone
 ):
-    # Control may know the port of a zone that is cut, but is itself elsewhere.
+    # Control may know the port of any zone, but is itself with the majority.
     replica = group.instances["orders-1"]
     await post(replica, "cut", {"zones": zones})
-    connection = await connect(replica, replica.port_for_zone("zone-b"))
+    connection = await connect(replica, replica.port_for_zone(port_zone))
     call = run(connection, "CALL cardamomshunt_fence(5)")
     if is_answered:
         assert (await asyncio.wait_for(call, 1))[0][0] == 1
