--- a/packages/cardamomshunt/src/cardamomshunt/_messages.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_messages.py
@@ -89,9 +89,12 @@
     is_draining: bool = False
 
 
-class InstanceObservation(msgspec.Struct, kw_only=True):
+class InstanceObservation(msgspec.Struct, kw_only=True, array_like=True):
     """Report what one entry VM knows of one backend server.
 
+    Reports carry hundreds of these, so they are encoded without field names; new fields
+    go to the end.
+
     `silence_ms` is the time since the last announcement or answer from the server;
     `is_refusing` says that the last dial was refused.
     """
