--- a/packages/cardamomshunt-cli/tests/test_real_control.py
+++ b/packages/cardamomshunt-cli/tests/test_real_control.py
@@ -101,7 +101,9 @@
     return ctl([], "--settings", str(control.files["control-1"]), *arguments)
 
 
-def test_first_deployment_and_loss_of_the_leader(ctl: Ctl, control: Control) -> None:
+def test_first_deployment_and_loss_of_the_leader(
+    ctl: Ctl, control: Control, monkeypatch: pytest.MonkeyPatch
+) -> None:
     leader = _leader(ctl, control)
     applied = _run(ctl, control, "patch", str(_SITE / "configuration.yaml"))
     assert applied.exit_code == ExitCode.OK, applied.output
@@ -128,6 +130,26 @@
     assert "version 3" in _run(ctl, control, "config", "history").output
     assert _run(ctl, control, "drain", "nothing").exit_code == ExitCode.REFUSED
     _check_timeline(ctl, control, dead=leader)
+    _check_planned_stop_and_loss_of_the_majority(ctl, control, dead=leader)
+    monkeypatch.setattr(_client, "_TOTAL_TIMEOUT_S", 2.0)
+    result = _run(ctl, control, "patch", "--set", "policy.detection_ms=700")
+    assert result.exit_code == ExitCode.NO_LEADER, result.output
+    assert "majority" in result.output
+
+
+def _check_planned_stop_and_loss_of_the_majority(
+    ctl: Ctl, control: Control, dead: str
+) -> None:
+    """A planned stop hands the lead over and ends with code 0, with two nodes left."""
+    control.processes[dead].wait(10)
+    _start(control, dead)
+    leader = _leader(ctl, control)
+    control.processes[leader].send_signal(signal.SIGTERM)
+    assert control.processes[leader].wait(10) == 0
+    second = _leader(ctl, control)
+    assert second != leader
+    control.processes[second].kill()
+    control.processes[second].wait(10)
 
 
 def _check_timeline(ctl: Ctl, control: Control, dead: str) -> None:
@@ -138,18 +160,3 @@
     elected = numbers.index(EventNumber.LEADER_ELECTED)
     assert numbers[elected:].count(EventNumber.PATCH_ACCEPTED) >= 2
     assert numbers.count(EventNumber.CONTROL_STARTED) == 2
-
-
-def test_planned_stop_and_loss_of_the_majority(
-    ctl: Ctl, control: Control, monkeypatch: pytest.MonkeyPatch
-) -> None:
-    monkeypatch.setattr(_client, "_TOTAL_TIMEOUT_S", 2.0)
-    leader = _leader(ctl, control)
-    control.processes[leader].send_signal(signal.SIGTERM)
-    assert control.processes[leader].wait(10) == 0
-    second = _leader(ctl, control)
-    assert second != leader
-    control.processes[second].kill()
-    result = _run(ctl, control, "patch", "--set", "policy.detection_ms=700")
-    assert result.exit_code == ExitCode.NO_LEADER, result.output
-    assert "majority" in result.output
