--- a/packages/cardamomshunt/src/cardamomshunt/_consensus.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_consensus.py
@@ -503,13 +503,14 @@
         if self._has_quorum(self._votes):
             self._start_election(now_ms, is_transfer=False)
             return
-        request = PreVoteRequest(
-            term=self.term + 1,
-            incarnation=self.incarnation,
-            last_index=self.log.last_index,
-            last_term=self.log.last_term,
-        )
         for member in self._other_voters():
+            request = PreVoteRequest(
+                term=self.term + 1,
+                incarnation=self.incarnation,
+                voter_incarnation=member.incarnation,
+                last_index=self.log.last_index,
+                last_term=self.log.last_term,
+            )
             self._send(member.peer_address, request)
 
     def _start_election(self, now_ms: float, is_transfer: bool) -> None:
@@ -518,14 +519,15 @@
         self.leader = None
         self._votes = set()
         self._set_vote(self.term + 1, f"{self.node}/{self.incarnation}")
-        request = VoteRequest(
-            term=self.term,
-            incarnation=self.incarnation,
-            last_index=self.log.last_index,
-            last_term=self.log.last_term,
-            is_transfer=is_transfer,
-        )
         for member in self._other_voters():
+            request = VoteRequest(
+                term=self.term,
+                incarnation=self.incarnation,
+                voter_incarnation=member.incarnation,
+                last_index=self.log.last_index,
+                last_term=self.log.last_term,
+                is_transfer=is_transfer,
+            )
             self._send_durable(member.peer_address, request)
         self._count_votes(now_ms)
 
@@ -549,7 +551,7 @@
         self, now_ms: float, sender: Peer, message: PreVoteRequest
     ) -> None:
         is_granted = (
-            self.is_formed
+            self._is_for_this_disk(message)
             and message.term > self.term
             and not self._hears_leader(now_ms)
             and self._is_up_to_date(message.last_index, message.last_term)
@@ -579,9 +581,17 @@
         if self._has_quorum(self._votes):
             self._start_election(now_ms, is_transfer=False)
 
+    def _is_for_this_disk(self, message: PreVoteRequest | VoteRequest) -> bool:
+        """Tell whether the candidate counts on the disk that this node has.
+
+        The node's own list of members doesn't matter: a new voter may still lack the
+        entry that lists it, and its vote may be needed.
+        """
+        return message.voter_incarnation == self.incarnation
+
     def _may_vote(self, now_ms: float, message: VoteRequest) -> bool:
         """Tell whether a vote breaks no lease; without this the term is not taken."""
-        if not self.is_formed:
+        if not self._is_for_this_disk(message):
             return False
         return message.is_transfer or not self._hears_leader(now_ms)
 
@@ -594,7 +604,7 @@
             self._become_follower(now_ms, message.term, None)
         candidate = f"{sender.node}/{message.incarnation}"
         is_granted = (
-            self.is_formed
+            self._is_for_this_disk(message)
             and message.term == self.term
             and self.vote.voted_for in ("", candidate)
             and self._is_up_to_date(message.last_index, message.last_term)
