Let the stand-in delay pipelined statements as one round trip

Cause: the stand-in delayed every statement of another zone by a round trip, also those that arrive together, so that pipelining showed no effect. Change: the server edge tells its session whether a command was pipelined; the stand-in delays the first of a group only. Round trips of each kind of attempt are tested. Measured: 1 round trip for plain statements, acknowledged writes, commits and outcome queries, 3 for keyed writes (6 statements). Conclusion: the stand-in's delay now follows the round trips of the protocol.

--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_mysql_server.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_mysql_server.py
@@ -121,7 +121,8 @@
     `database`, as named at connect, is set before `on_connected`. A statement is decoded
     with surrogate escapes, so that bytes which are not UTF-8 can be passed on unchanged.
     When the client goes away, a running `handle_statement` is cancelled and
-    `on_disconnected` is called. `is_in_transaction` and `is_autocommit` are kept by the
+    `on_disconnected` is called. `is_pipelined` tells that the client sent the command
+    before the answer to its last one. `is_in_transaction` and `is_autocommit` are kept by the
     subclass and reported to the client with each answer.
     """
 
@@ -130,6 +131,7 @@
         "database",
         "is_autocommit",
         "is_in_transaction",
+        "is_pipelined",
         "local_port",
         "username",
         "variables",
@@ -140,6 +142,7 @@
         self.username: str | None = None
         self.database: str | None = None
         self.connection_id = 0
+        self.is_pipelined = False
         self.local_port = 0
         self.is_in_transaction = False
         self.is_autocommit = True
@@ -194,6 +197,11 @@
         except (asyncio.IncompleteReadError, ConnectionError):
             return b""
 
+    @property
+    def has_more(self) -> bool:
+        """Tell whether the next command has already arrived."""
+        return bool(self._reader._buffer)  # type: ignore[attr-defined]
+
     async def readexactly(self, n_bytes: int) -> bytes:
         """Read a packet body."""
         self._n_message_bytes += n_bytes
@@ -304,6 +312,7 @@
         """Run commands until the client quits or the server drains."""
         while True:
             self.stream.reset_seq()
+            self.session.is_pipelined = self.reader.has_more
             try:
                 data = await self.stream.read()
             except ConnectionClosed:
--- a/packages/cardamomshunt-node/tests/conftest.py
+++ b/packages/cardamomshunt-node/tests/conftest.py
@@ -41,6 +41,7 @@
     statements: list[str] = field(default_factory=list)
     records: dict[str, list[Any]] = field(default_factory=dict)
     n_writes: int = 0
+    n_round_trips: int = 0
     n_rows: int = 1
     is_broken_in_rows: bool = False
     instance: str = "orders-1"
@@ -94,6 +95,7 @@
 
     async def handle_statement(self, sql: str) -> StatementResult:
         self.backend.statements.append(sql)
+        self.backend.n_round_trips += not self.is_pipelined
         for prefix, action in self.backend.faults.items():
             if sql.startswith(prefix):
                 return await self._fail(sql, action)
--- a/packages/cardamomshunt-node/tests/test_backend_edge_attempts.py
+++ b/packages/cardamomshunt-node/tests/test_backend_edge_attempts.py
@@ -317,6 +317,7 @@
 
 async def test_round_trips_of_a_keyed_write(rig: Any) -> None:
     """Guards against a write that waits for more round trips than it needs."""
+    rig.backend.n_round_trips = 0
     await rig.attempt(_KEY)
     heads = [text.split("(")[0].split(" SET")[0] for text in rig.backend.statements]
     assert heads == [
@@ -327,6 +328,7 @@
         "COMMIT",
         "CALL cardamomshunt_await_majority",
     ]
+    assert rig.backend.n_round_trips == 3
 
 
 async def test_reset_and_position_query(rig: Any) -> None:
@@ -358,3 +360,22 @@
     assert await rig.next(rig.listener.others) == "closed"
     result, _ = await rig.attempt(AttemptKind.PLAIN)
     assert result.outcome is AttemptOutcome.NOT_SENT
+
+
+@pytest.mark.parametrize(
+    ("kind", "statement", "n_round_trips"),
+    [
+        (AttemptKind.PLAIN, _WRITE, 1),
+        (_ACKNOWLEDGED, _WRITE, 1),
+        (_COMMIT, "COMMIT", 1),
+        (_KEY, _WRITE, 3),
+        (_QUERY, "", 1),
+    ],
+)
+async def test_round_trips(
+    rig: Any, kind: Any, statement: str, n_round_trips: int
+) -> None:
+    """Guards against statements that wait for each other without need."""
+    rig.backend.n_round_trips = 0
+    await rig.attempt(kind, statement)
+    assert rig.backend.n_round_trips == n_round_trips
--- a/packages/cardamomshunt-testing/src/cardamomshunt_testing/_standin_session.py
+++ b/packages/cardamomshunt-testing/src/cardamomshunt_testing/_standin_session.py
@@ -95,7 +95,9 @@
         return self._user_variables.get(name)
 
     async def handle_statement(self, sql: str) -> StatementResult:
-        await self._instance.wait_one_way(self.local_port, n_ways=2)
+        if not self.is_pipelined:
+            # Commands sent together travel together.
+            await self._instance.wait_one_way(self.local_port, n_ways=2)
         text = strip_comments(sql)
         try:
             return await self._run(text, classify(text))
