--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_proxy_core.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_proxy_core.py
@@ -50,14 +50,12 @@
 
     request: StatementRequest
     done: asyncio.Future[RequestEnd]
-    started_ms: float
     answers: dict[int, Answer | None] = field(default_factory=dict)
     stream: RowStream | None = None
     stream_attempt: int = 0
 
 
 EventSink = Callable[[int, str, str], None]
-EndSink = Callable[[StatementRequest, RequestEnd, float, float], None]
 
 
 class ProxyCore(RequestPort, BackendListener):
@@ -73,14 +71,12 @@
         clock_ms: Callable[[], float],
         on_event: EventSink,
         on_fault: Callable[[Exception], None],
-        on_end: EndSink = lambda request, end, started_ms, now_ms: None,
     ) -> None:
         self.data_path = data_path
         self._backend = backend
         self._clock_ms = clock_ms
         self._on_event = on_event
         self._on_fault = on_fault
-        self._on_end = on_end
         self._open: dict[RequestId, _OpenRequest] = {}
         self._last_request_id = 0
         self._last_caller_id = 0
@@ -113,7 +109,7 @@
         self._last_request_id += 1
         request_id = self._last_request_id
         done: asyncio.Future[RequestEnd] = asyncio.get_running_loop().create_future()
-        self._open[request_id] = _OpenRequest(request, done, self._clock_ms())
+        self._open[request_id] = _OpenRequest(request, done)
         submitted = Request(
             request_id=request_id,
             caller_id=request.caller_id,
@@ -295,12 +291,10 @@
             open_request.stream.fail(_error_of(refusal))
         self._end(open_request, RequestEnd(refusal))
 
-    def _end(self, open_request: _OpenRequest, end: RequestEnd) -> None:
+    @staticmethod
+    def _end(open_request: _OpenRequest, end: RequestEnd) -> None:
         if not open_request.done.done():
             open_request.done.set_result(end)
-        self._on_end(
-            open_request.request, end, open_request.started_ms, self._clock_ms()
-        )
 
     def _set_timer(self) -> None:
         deadline_ms = self.data_path.next_deadline_ms()
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_proxy_role.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_proxy_role.py
@@ -8,8 +8,10 @@
 import pynng
 from cardamomshunt.configuration import ClusterConfiguration
 from cardamomshunt.data_path import AbstractDataPath, DataPath
+from cardamomshunt.effects import RequestClass
 from cardamomshunt.events import EventNumber
 from cardamomshunt.messages import Announcement, TopologyUpdate
+from cardamomshunt.verdict import Refusal
 
 from cardamomshunt_node._announcements import AnnouncementReceiver
 from cardamomshunt_node._backend_edge import BackendEdge
@@ -17,10 +19,10 @@
 from cardamomshunt_node._caller_edge import CallerEdge
 from cardamomshunt_node._caller_edge_mysql import MysqlCallerEdge
 from cardamomshunt_node._keys import KeyFileError, load_key_ring
+from cardamomshunt_node._measured_port import MeasuredRequestPort
 from cardamomshunt_node._operator_link import OperatorServer
 from cardamomshunt_node._proxy_control_link import ControlLink
 from cardamomshunt_node._proxy_core import ProxyCore
-from cardamomshunt_node._proxy_meter import RequestMeter
 from cardamomshunt_node._proxy_operator import ProxyOperatorDesk
 from cardamomshunt_node._proxy_start import CannotStartError
 from cardamomshunt_node._proxy_state_files import StateFiles
@@ -47,17 +49,17 @@
         self._settings = settings
         self._drain_time_ms = drain_time_ms
         keys = load_key_ring(settings.keys)
-        self.events = EventLog(settings.node, log_file=settings.log_file)
         self.metrics = NodeMetrics(settings.node, "proxy", settings.zone)
+        self.events = EventLog(
+            settings.node, log_file=settings.log_file, count=self.metrics.count_event
+        )
         self._backend = backend or MysqlBackendEdge()
-        self._meter = RequestMeter(self.metrics)
         self.core = ProxyCore(
             data_path or DataPath(zone=settings.zone, generator=Random()),
             self._backend,
             monotonic_ms,
             self._on_event,
             self._on_fault,
-            self._meter.on_end,
         )
         self.state = VersionedState(
             StateFiles(settings.data_folder, self._on_storage_problem),
@@ -93,10 +95,13 @@
             monotonic_ms,
             self._on_rejected_announcement,
         )
+        self._requests = MeasuredRequestPort(
+            self.core, self.metrics, self.events, monotonic_ms, self._default_age_ms
+        )
         self._callers: CallerEdge = MysqlCallerEdge(
             _required(settings.caller_address),
-            self.core,
-            on_refusal=self._meter.on_refusal,
+            self._requests,
+            on_refusal=self._on_refusal,
             on_fault=self._on_caller_fault,
         )
         self._stop_requested = asyncio.Event()
@@ -197,12 +202,15 @@
 
     def _on_configuration(self, configuration: ClusterConfiguration) -> None:
         self.core.apply(self.core.data_path.on_configuration, configuration.to_json())
-        self._meter.on_configuration(configuration)
         self.metrics.set_configuration_version(configuration.version)
 
     def _on_topology(self, topology: TopologyUpdate) -> None:
-        self._meter.on_topology(self.core.now_ms(), topology)
         self.core.apply(self.core.data_path.on_topology, topology)
+        self._requests.on_topology(topology)
+
+    def _default_age_ms(self, database: str, request_class: RequestClass) -> float:
+        settings = self.state.configuration.database(database)
+        return settings.for_class(request_class).max_age_ms
 
     def _on_announcement(
         self, announcement: Announcement, issued_ms: float | None
@@ -212,8 +220,10 @@
     def _on_rejected_announcement(self, reason: str) -> None:
         self.events.emit(EventNumber.ANNOUNCEMENT_REJECTED, detail=reason)
 
+    def _on_refusal(self, database: str, refusal: Refusal) -> None:
+        self.metrics.count_refusal(database, refusal)
+
     def _on_event(self, number: int, subject: str, detail: str) -> None:
-        self.metrics.count_event(number)
         self.events.emit(number, subject, detail)
 
     def _on_fault(self, error: Exception) -> None:
--- a/packages/cardamomshunt/src/cardamomshunt/_control.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_control.py
@@ -177,6 +177,7 @@
                 self._update_node(now_ms, view)
             case HealthReport():
                 self.health.on_report(now_ms, message)
+                self.registry.on_report(now_ms, sender.address, message)
             case DemandReport():
                 self._grants.on_demand(now_ms, message)
         return self._finish(now_ms)
