End attempts on malformed replies, and find callers that are gone

Cause: an unexpected exception while a reply was parsed left the attempt, or the dial, open for ever; callers whose host vanished kept their connection; the refusal at the caller limit had no verdict and no event. Conclusion: a malformed server costs its connection only.

--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_backend_edge_mysql.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_backend_edge_mysql.py
@@ -174,7 +174,8 @@
             )
             async with asyncio.timeout(DIAL_TIMEOUT_S):
                 opened = await self._greet(effect, slot.connection, started_ms)
-        except (LinkLostError, _HandshakeError, TimeoutError) as error:
+        except Exception as error:
+            # Whatever a server answers, the dial must not stay open for ever.
             if self._slots.pop(connection_id, None) is None:
                 return
             if slot.connection is not None:
@@ -221,8 +222,8 @@
         try:
             async with asyncio.timeout(RESET_TIMEOUT_S):
                 replies = await connection.reset(*_bind(slot.term))
-        except (LinkLostError, TimeoutError) as error:
-            self._drop(connection_id, f"reset failed: {error}")
+        except Exception as error:
+            self._drop(connection_id, f"reset failed: {error!r}")
             return
         for reply in replies:
             if isinstance(reply, ErrorAnswer):
@@ -241,9 +242,9 @@
                 reply = (
                     await connection.query("CALL cardamomshunt_confirmed_position()")
                 )[0]
-        except (LinkLostError, TimeoutError) as error:
+        except Exception as error:
             self._listener.on_position_answered(effect.database, None)
-            self._drop(effect.connection_id, f"position query failed: {error}")
+            self._drop(effect.connection_id, f"position query failed: {error!r}")
             return
         parsed = read_position(reply)
         bound = parsed and ConfirmedBound(
@@ -275,13 +276,13 @@
         try:
             async with asyncio.timeout(effect.timeout_ms / 1_000.0):
                 end = await runner.run()
-        except (LinkLostError, TimeoutError) as error:
-            end = _end_of_broken(effect, runner.is_sent, error)
         except asyncio.CancelledError:
             if self._slots.get(effect.connection_id) is slot:
                 raise
             # The core closed the connection and expects no result.
             return
+        except Exception as error:
+            end = _end_of_broken(effect, runner.is_sent, error)
         if end.is_clean and connection.is_usable:
             slot.task = None
             self._report(effect, end, started_ms)
@@ -309,8 +310,10 @@
 
 
 def _end_of_broken(effect: StartAttempt, is_sent: bool, error: Exception) -> AttemptEnd:
-    # A send that broke half way through a group of statements counts as sent.
-    is_sent = is_sent or getattr(error, "is_sent", False)
+    # A send that broke half way through a group of statements counts as sent, and so
+    # does anything that a malformed reply causes.
+    is_expected = isinstance(error, (LinkLostError, TimeoutError))
+    is_sent = is_sent or not is_expected or getattr(error, "is_sent", False)
     outcome = AttemptOutcome.LOST if is_sent else AttemptOutcome.NOT_SENT
     is_query = effect.kind is Kind.QUERY_OUTCOME
     return AttemptEnd(
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_caller_edge_mysql.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_caller_edge_mysql.py
@@ -81,6 +81,13 @@
 _SHUTTING_DOWN = server_error_of(
     Refusal(Verdict.NOT_RUN, RefusalReason.SHUTTING_DOWN, "the entry VM is stopping")
 )
+_TOO_MANY_CONNECTIONS = server_error_of(
+    Refusal(
+        Verdict.NOT_RUN,
+        RefusalReason.TOO_MANY_CONNECTIONS,
+        "the entry VM has as many callers as it takes",
+    )
+)
 # An idle caller's next statement is refused for this long; then it gets the error
 # unasked. A statement that crosses the farewell would only see a closed connection.
 IDLE_DRAIN_MS = 500.0
@@ -313,6 +320,7 @@
         n_callers_max: int = N_CALLERS_MAX,
         on_refusal: Callable[[str, Refusal], None] = lambda database, refusal: None,
         on_fault: Callable[[Exception], None] = lambda error: None,
+        on_limit: Callable[[], None] = lambda: None,
     ) -> None:
         self._address = address
         shared = _Shared(port, on_refusal)
@@ -321,6 +329,8 @@
             limits=ServerLimits(n_connections_max=n_callers_max),
             on_fault=on_fault,
         )
+        self._server.on_limit = on_limit
+        self._server.limit_error = _TOO_MANY_CONNECTIONS
 
     async def start(self) -> None:
         """Listen; raise OSError if the address is taken."""
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_mysql_server.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_mysql_server.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import logging
+import socket
 import struct
 from abc import ABC, abstractmethod
 from collections.abc import AsyncIterable, Awaitable, Callable, Iterable, Sequence
@@ -46,6 +47,9 @@
     & ~Capabilities.CLIENT_MULTI_RESULTS
 ) | Capabilities.CLIENT_TRANSACTIONS
 
+# A client whose host is gone is found after 60 s and three lost probes; until then it
+# takes memory and one of the connections.
+_KEEP_ALIVE_S = {"TCP_KEEPIDLE": 60, "TCP_KEEPINTVL": 10, "TCP_KEEPCNT": 3}
 _NO_FLAGS = ColumnDefinition(0)
 _ROW_BATCH_SIZE_BYTES = 32_768
 _N_ROWS_PER_BATCH = 50
@@ -572,6 +576,14 @@
     )
 
 
+def _keep_alive(client: socket.socket) -> None:
+    """Let the system find clients that went away without a word."""
+    client.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    for name, value in _KEEP_ALIVE_S.items():
+        if hasattr(socket, name):
+            client.setsockopt(socket.IPPROTO_TCP, getattr(socket, name), value)
+
+
 class _ClientProtocol(asyncio.StreamReaderProtocol):
     """Tell the connection when its client goes away during a statement."""
 
@@ -623,6 +635,8 @@
         self.connect_delay_ms = connect_delay_ms
         self.is_draining = False
         self.drain_error = ServerError(1053, "08S01", "Server shutdown in progress")
+        self.limit_error = ServerError(1040, "08004", "Too many connections")
+        self.on_limit: Callable[[], None] = lambda: None
         self.n_connections_peak = 0
         self.on_fault = on_fault or (lambda error: None)
         self._silence_new: dict[int, asyncio.Event] = {}
@@ -661,8 +675,8 @@
     ) -> None:
         """Run one client connection to its end."""
         if self._n_clients >= self.limits.n_connections_max:
-            error = ServerError(1040, "08004", "Too many connections")
-            await MysqlStream(reader, writer).write(make_error_packet(error))
+            self.on_limit()
+            await self._try_write(writer, make_error_packet(self.limit_error))
             return
         self._n_clients += 1
         self.n_connections_peak = max(self.n_connections_peak, self._n_clients)
@@ -686,6 +700,7 @@
         writer: asyncio.StreamWriter,
         protocol: _ClientProtocol,
     ) -> None:
+        _keep_alive(writer.get_extra_info("socket"))
         limited = _LimitedReader(reader, self.limits.n_bytes_unauthenticated_max)
         session = self.session_factory()
         stream = MysqlStream(cast(asyncio.StreamReader, limited), writer)
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_proxy_role.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_proxy_role.py
@@ -103,6 +103,7 @@
             self._requests,
             on_refusal=self._on_refusal,
             on_fault=self._on_caller_fault,
+            on_limit=self._on_caller_limit,
         )
         self._stop_requested = asyncio.Event()
         self.metrics.add_refresher(self._refresh_metrics)
@@ -234,6 +235,9 @@
         detail = f"{type(error).__name__}: {error}"
         self.events.emit(EventNumber.CALLER_PROTOCOL_ERROR, detail=detail)
 
+    def _on_caller_limit(self) -> None:
+        self.events.emit(EventNumber.CALLER_LIMIT_REACHED)
+
     def _on_storage_problem(self, detail: str) -> None:
         self.events.emit(EventNumber.DISK_FAILED, detail=detail)
 
--- a/packages/cardamomshunt-node/tests/test_backend_edge_attempts.py
+++ b/packages/cardamomshunt-node/tests/test_backend_edge_attempts.py
@@ -1,6 +1,7 @@
 """Each kind of attempt reports what is true of the place where it ended."""
 
 import asyncio
+import contextlib
 from typing import Any
 
 import pytest
@@ -15,6 +16,7 @@
     QueryOutcome,
     StartAttempt,
 )
+from cardamomshunt.messages import InstanceAddress
 from cardamomshunt.position import LogPosition
 from cardamomshunt_node._backend_edge import BackendListener
 from cardamomshunt_node._backend_edge_answers import (
@@ -379,3 +381,66 @@
     rig.backend.n_round_trips = 0
     await rig.attempt(kind, statement)
     assert rig.backend.n_round_trips == n_round_trips
+
+
+class _CorruptingRelay:
+    """Pass bytes on to a server, and replace its answers once `garbage` is set."""
+
+    def __init__(self, port: int) -> None:
+        self.garbage: bytes | None = None
+        self._target_port = port
+
+    async def start(self) -> InstanceAddress:
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        port = self.server.sockets[0].getsockname()[1]
+        return InstanceAddress(host="127.0.0.1", port=port)
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        target = await asyncio.open_connection("127.0.0.1", self._target_port)
+        upstream = asyncio.create_task(self._pump(reader, target[1]))
+        with contextlib.suppress(OSError):
+            while data := await target[0].read(65_536):
+                writer.write(data if self.garbage is None else self.garbage)
+        upstream.cancel()
+        writer.close()
+
+    @staticmethod
+    async def _pump(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            while data := await reader.read(65_536):
+                writer.write(data)
+        finally:
+            writer.close()
+
+
+@pytest.mark.parametrize(
+    "garbage",
+    [
+        b"",
+        b"\x00" * 40,
+        b"\xff" * 400,
+        b"\x05\x00\x00\x01\xfe\x00\x00\x00\x00",
+        b"\x01\x00\x00\x01\x02\x01\x00\x00\x02\x00",
+        b"\x01\x00\x00\x01\x01\x03\x00\x00\x02\x03def",
+        b"\x04\x00\x00\x01\x00\x00\x00\x02",
+        b"\x02\x00\x00\x01\xff\x07",
+        b"HTTP/1.1 400 Bad Request\r\n\r\n",
+    ],
+)
+async def test_garbage_of_a_server(fake_backend: Any, garbage: bytes) -> None:
+    """Guards against an attempt that never ends, or a connection used after garbage."""
+    relay = _CorruptingRelay(fake_backend.edge.port)
+    rig = _Rig(fake_backend)
+    rig.address = await relay.start()
+    assert isinstance(await rig.open(), ConnectionOpened)
+    relay.garbage = garbage
+    result, _ = await rig.attempt(_ACKNOWLEDGED, timeout_ms=200.0)
+    assert result.outcome in (_LOST, _UNHELD)
+    assert await rig.next(rig.listener.others) == "closed"
+    assert rig.edge.n_connections == 0
+    is_refused, _ = await rig.open()
+    assert not is_refused
+    await rig.edge.stop()
+    relay.server.close()
--- a/packages/cardamomshunt-node/tests/test_proxy_role.py
+++ b/packages/cardamomshunt-node/tests/test_proxy_role.py
@@ -32,11 +32,12 @@
     TimelineRequest,
 )
 from cardamomshunt.position import LogPosition
+from cardamomshunt_node._caller_edge_mysql import MysqlCallerEdge
 from cardamomshunt_node.keys import KeyRing
 from cardamomshunt_node.mysql_server import ServerError
 from cardamomshunt_node.operator_link import ask
 from cardamomshunt_node.proxy_role import ProxyDaemon
-from cardamomshunt_node.settings import DaemonSettings
+from cardamomshunt_node.settings import Address, DaemonSettings
 from cardamomshunt_node.transport import PeerTransport, ReceivedMessage
 
 _TOPOLOGY = TopologyUpdate(
@@ -336,6 +337,19 @@
     await _stop_site(await _start_site(proxy_settings, fake_backend))
 
 
+async def test_too_many_callers(site: _Site) -> None:
+    edge = MysqlCallerEdge(Address("127.0.0.1", 0), site.daemon.core, n_callers_max=1)
+    await edge.start()
+    options = {"host": "127.0.0.1", "port": edge._server.port, "user": "caller"}
+    first = await asyncmy.connect(**options, autocommit=None)
+    with pytest.raises(asyncmy.errors.OperationalError) as raised:
+        await asyncmy.connect(**options, autocommit=None)
+    assert raised.value.args[0] == 1040
+    assert "verdict=NOT_RUN reason=too_many_connections" in raised.value.args[1]
+    first.close()
+    await edge.drain(0.0)
+
+
 async def test_term_change(site: _Site, wait_until: Any) -> None:
     """Guards against writes on connections that are bound to an older term."""
     connection = await site.connect()
