Keep addresses that differ by zone from delaying a failover

Cause: instances announce another address to each zone. Control took the address of the newest report for news and proposed an entry for each change, which ended each look at the database before its primary was suspected. Change: what is known of an instance stays while any entry VM still reports it.

--- a/packages/cardamomshunt/src/cardamomshunt/_failover.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_failover.py
@@ -333,8 +333,23 @@
         )
         return True
 
+    def _is_current(
+        self, now_ms: float, database: str, name: str, known: InstanceRecord | None
+    ) -> bool:
+        """Tell whether an entry VM still reports what is known of an instance.
+
+        An instance may have another address for each zone, and the newest view changes
+        with each report; following it would propose entries without end.
+        """
+        return known is not None and any(
+            view.observation.address == known.address
+            and view.observation.zone == known.zone
+            for view in self._health.fresh_views(now_ms, database, name)
+        )
+
     def _learn_instances(
         self,
+        now_ms: float,
         record: DatabaseRecord,
         observed: dict[str, tuple[Health, InstanceRecord]],
     ) -> bool:
@@ -343,7 +358,8 @@
         news = {
             name: item
             for name, (health, item) in observed.items()
-            if health.is_alive and known.get(name) != item
+            if health.is_alive
+            and not self._is_current(now_ms, record.database, name, known.get(name))
         }
         if not news:
             return False
@@ -355,7 +371,7 @@
     def _evaluate_record(self, now_ms: float, record: DatabaseRecord) -> None:
         attempt = self._attempt(now_ms, record)
         observed = self._observed(now_ms, record.database)
-        if self._learn_instances(record, observed):
+        if self._learn_instances(now_ms, record, observed):
             return
         match record.step:
             case FailoverStep.SERVING:
--- a/packages/cardamomshunt/tests/test_control_scenarios.py
+++ b/packages/cardamomshunt/tests/test_control_scenarios.py
@@ -2,11 +2,19 @@
 
 from typing import Any
 
+import msgspec
 import pytest
+from cardamomshunt._health_view import HealthView
 from cardamomshunt.consensus import ConsensusNode, Member, Peer
 from cardamomshunt.control import ControlNode, DatabaseRecord
 from cardamomshunt.failover import FailoverController
-from cardamomshunt.messages import Change, FailoverStep, InstanceRole
+from cardamomshunt.messages import (
+    Change,
+    FailoverStep,
+    HealthReport,
+    InstanceAddress,
+    InstanceRole,
+)
 from cardamomshunt.operator_messages import (
     ConfigurationReply,
     ConfigurationRequest,
@@ -358,3 +366,35 @@
     assert isinstance(old, ConfigurationReply)
     assert '"version":0' in old.document_json
     assert [entry.patch_id for entry in old.history] == ["p1"]
+
+
+def test_addresses_that_differ_by_zone_propose_nothing() -> None:
+    """Guards against entries without end, which keep a failure from being looked at."""
+    schedule = _schedule()
+    record = _record(schedule)
+    health = HealthView()
+    controller = FailoverController(health)
+    n_proposals = 0
+    for sequence in range(1, 40):
+        now_ms = 50_000.0 + 50.0 * sequence
+        for port, zone in ((20_000, "zone-a"), (30_000, "zone-b"), (40_000, "zone-c")):
+            observations = []
+            for instance in schedule.group.instances.values():
+                observation = schedule.group.observe(instance, now_ms % 40.0)
+                address = InstanceAddress("127.0.0.1", port + instance.number)
+                observations.append(
+                    msgspec.structs.replace(observation, address=address)
+                )
+            health.on_report(
+                now_ms,
+                HealthReport(
+                    node=f"proxy-{zone}",
+                    zone=zone,
+                    sequence=sequence,
+                    observations=observations,
+                ),
+            )
+            now_ms += 7.0
+        controller.evaluate(now_ms, {"orders": record}, 600.0, {})
+        n_proposals += len(controller.take_proposals())
+    assert n_proposals == 0
