--- a/packages/cardamomshunt-testing/src/cardamomshunt_testing/edge_cost.py
+++ b/packages/cardamomshunt-testing/src/cardamomshunt_testing/edge_cost.py
@@ -56,12 +56,14 @@
     return (int(fields[11]) + int(fields[12])) / _TICKS_PER_S
 
 
-def _resident_bytes(pid: int) -> int:
+def resident_bytes(pid: int) -> int:
+    """Return the resident memory of a process."""
     pages = Path(f"/proc/{pid}/statm").read_text().split()[1]
     return int(pages) * os.sysconf("SC_PAGE_SIZE")
 
 
-async def _connect(port: int) -> asyncmy.Connection:
+async def connect(port: int) -> asyncmy.Connection:
+    """Open a caller connection."""
     return await asyncmy.connect(
         host="127.0.0.1", port=port, user="cost", db=_GROUP, autocommit=None
     )
@@ -71,7 +73,7 @@
     port: int, n_connections: int, duration_s: float, statement: Callable[[int], str]
 ) -> float:
     """Return statements per second over all connections."""
-    connections = [await _connect(port) for _ in range(n_connections)]
+    connections = [await connect(port) for _ in range(n_connections)]
     loop = asyncio.get_running_loop()
     end_s = loop.time() + duration_s
     n_statements = 0
@@ -114,16 +116,16 @@
 
 async def _measure_idle(processes: Processes, port: int, n_callers: int) -> None:
     pid = processes.pid("proxy")
-    before_bytes = _resident_bytes(pid)
-    connections = [await _connect(port) for _ in range(n_callers)]
+    before_bytes = resident_bytes(pid)
+    connections = [await connect(port) for _ in range(n_callers)]
     await asyncio.sleep(0.5)
-    size_bytes = (_resident_bytes(pid) - before_bytes) / n_callers
+    size_bytes = (resident_bytes(pid) - before_bytes) / n_callers
     _print("idle_caller_size", size_bytes, "bytes")
     for connection in connections:
         async with connection.cursor() as cursor:
             await cursor.execute(f"/* cardamomshunt: max_age_ms=2000 */ {_READ}")
     await asyncio.sleep(0.5)
-    size_bytes = (_resident_bytes(pid) - before_bytes) / n_callers
+    size_bytes = (resident_bytes(pid) - before_bytes) / n_callers
     _print("idle_caller_size_after_a_read", size_bytes, "bytes")
     for connection in connections:
         connection.close()
@@ -135,7 +137,7 @@
     return path
 
 
-def _start(folder: Path) -> tuple[Processes, int, int]:
+def start(folder: Path) -> tuple[Processes, int, int]:
     """Start the instance and the proxy; return their MySQL ports."""
     ports = free_ports(7)
     instance = StandinSettings(
@@ -181,7 +183,8 @@
     return processes, ports[5], ports[0]
 
 
-async def _wait_ready(port: int) -> None:
+async def wait_ready(port: int) -> None:
+    """Wait until a write through a port succeeds."""
     async with asyncio.timeout(20):
         while True:
             try:
@@ -193,9 +196,9 @@
 
 async def _run(duration_s: float, n_idle: int) -> None:
     folder = Path(tempfile.mkdtemp(prefix="cardamomshunt-edge-cost-"))
-    processes, port, direct_port = _start(folder)
+    processes, port, direct_port = start(folder)
     try:
-        await _wait_ready(port)
+        await wait_ready(port)
         await _measure_rates(processes, port, direct_port, duration_s)
         await _measure_idle(processes, port, n_idle)
     finally:
--- a/packages/cardamomshunt/src/cardamomshunt/control.py
+++ b/packages/cardamomshunt/src/cardamomshunt/control.py
@@ -14,9 +14,17 @@
     ReplyOperator,
     SendMessage,
 )
-from cardamomshunt._control_state import ControlState, DatabaseRecord, InstanceRecord
+from cardamomshunt._control_state import (
+    ApplyPatch,
+    ControlState,
+    DatabaseRecord,
+    InstanceRecord,
+    SetDatabase,
+    encode_command,
+)
 
 __all__ = [
+    "ApplyPatch",
     "CommandInstance",
     "ControlEffect",
     "ControlNode",
@@ -33,4 +41,6 @@
     "PersistVote",
     "ReplyOperator",
     "SendMessage",
+    "SetDatabase",
+    "encode_command",
 ]
