Let only its own attempt end a stream well

Cause: a completion by another attempt would have ended a streamed result as if whole, and attempts that the core did not start counted against an innocent server. Change: a stream ends well only with the attempt that sent its rows; a stream that the data path wants to read again ends as too_stale; an unstarted second attempt releases its connection without a mark. Conclusion: partly delivered results end whole or with an error.

--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_proxy_core.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_proxy_core.py
@@ -206,19 +206,20 @@
         """End a partly delivered result with an error; no attempt can replace it."""
         if open_request.stream is None:
             return
+        self._fail_stream(open_request, open_request.stream, answer)
+        del self._open[result.request_id]
+        self.apply(self.data_path.cancel, result.request_id)
+
+    @staticmethod
+    def _fail_stream(
+        open_request: _OpenRequest, stream: RowStream, answer: Answer | None
+    ) -> None:
         if not isinstance(answer, ErrorAnswer):
             is_read = open_request.request.kind is RequestKind.READ
             verdict = Verdict.NOT_RUN if is_read else Verdict.MAY_HAVE_RUN
-            answer = _error_of(
-                Refusal(
-                    verdict,
-                    RefusalReason.CONNECTION_LOST,
-                    "the rest of the result is lost",
-                )
-            )
-        open_request.stream.fail(answer)
-        del self._open[result.request_id]
-        self.apply(self.data_path.cancel, result.request_id)
+            detail = "the rest of the result is lost"
+            answer = _error_of(Refusal(verdict, RefusalReason.CONNECTION_LOST, detail))
+        stream.fail(answer)
 
     # The data path and its effects.
 
@@ -257,24 +258,48 @@
 
     def _start_attempt(self, effect: StartAttempt) -> None:
         open_request = self._open.get(effect.request_id)
-        if open_request is None or open_request.stream is not None:
-            result = AttemptResult(
-                request_id=effect.request_id,
-                attempt=effect.attempt,
-                connection_id=effect.connection_id,
-                outcome=AttemptOutcome.NOT_SENT,
-                detail="the request is over",
-            )
-            # Not within the call that asked for it, as the data path is not reentrant.
-            asyncio.get_running_loop().call_soon(self.on_attempt_ended, result, None)
+        if open_request is not None and open_request.stream is None:
+            self._backend.start_attempt(effect, open_request.request.text)
+            return
+        # Not within the call that asked for it, as the data path is not reentrant.
+        call_soon = asyncio.get_running_loop().call_soon
+        if open_request is None:
+            call_soon(self._end_unstarted, effect, AttemptOutcome.NOT_SENT)
+        elif open_request.stream_attempt in open_request.answers:
+            # The rows were all sent, but the data path wants fresher ones.
+            call_soon(self._give_up_stream, effect.request_id)
+        else:
+            # A second attempt beside the one that streams; this end releases its
+            # connection without a mark against the server.
+            call_soon(self._end_unstarted, effect, AttemptOutcome.BACKEND_ERROR)
+
+    def _end_unstarted(self, effect: StartAttempt, outcome: AttemptOutcome) -> None:
+        result = AttemptResult(
+            request_id=effect.request_id,
+            attempt=effect.attempt,
+            connection_id=effect.connection_id,
+            outcome=outcome,
+            detail="the request needs no further attempt",
+        )
+        self.on_attempt_ended(result, None)
+
+    def _give_up_stream(self, request_id: RequestId) -> None:
+        open_request = self._open.pop(request_id, None)
+        if open_request is None or open_request.stream is None:
             return
-        self._backend.start_attempt(effect, open_request.request.text)
+        detail = "the rows took longer than their age allows"
+        refusal = Refusal(Verdict.NOT_RUN, RefusalReason.TOO_STALE, detail)
+        open_request.stream.fail(_error_of(refusal))
+        self.apply(self.data_path.cancel, request_id)
 
     def _complete(self, effect: CompleteRequest) -> None:
         open_request = self._open.pop(effect.request_id, None)
         if open_request is None:
             return
         if open_request.stream is not None:
+            if effect.attempt != open_request.stream_attempt:
+                self._fail_stream(open_request, open_request.stream, None)
+                return
             end = open_request.done.result()
             end.completion = effect
             open_request.stream.finish()
