Count no unanswered majority wait as contact with an instance

Cause: the wait for the majority may end on the proxy's side, and its outcome NOT_ACKNOWLEDGED then reset the silence of a frozen or partitioned primary, so that control suspected it seconds late.

Change: this outcome is no sign of life.

--- a/packages/cardamomshunt/src/cardamomshunt/_attempts.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_attempts.py
@@ -33,6 +33,9 @@
                 instance.limit.on_timeout()
                 self._pool.probe_all(now_ms, instance)
             return
+        if outcome is AttemptOutcome.NOT_ACKNOWLEDGED:
+            # The wait for the majority may have ended on this side, without an answer.
+            return
         instance.last_contact_ms = now_ms
         instance.breaker.on_success()
         if outcome is not AttemptOutcome.OK:
