--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_proxy_core.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_proxy_core.py
@@ -291,7 +291,8 @@
             open_request.stream.fail(_error_of(refusal))
         self._end(open_request, RequestEnd(refusal))
 
-    def _end(self, open_request: _OpenRequest, end: RequestEnd) -> None:
+    @staticmethod
+    def _end(open_request: _OpenRequest, end: RequestEnd) -> None:
         if not open_request.done.done():
             open_request.done.set_result(end)
 
--- a/packages/cardamomshunt-testing/src/cardamomshunt_testing/_standin_session.py
+++ b/packages/cardamomshunt-testing/src/cardamomshunt_testing/_standin_session.py
@@ -96,7 +96,9 @@
 
     async def handle_statement(self, sql: str) -> StatementResult:
         instance = self._instance
-        await instance.wait_one_way(self.local_port, n_ways=2)
+        if not self.is_pipelined:
+            # Commands sent together travel together.
+            await instance.wait_one_way(self.local_port, n_ways=2)
         await instance.wait_while_cut(self.local_port, sql)
         try:
             return await self._run_translating_errors(sql)
