Use the primary's spare slots for reads, and spare keyed writes early timeouts

Cause: at twice the load the slots of the primary of a read-only database stayed unused, and keyed writes were cut off at half of their deadline and sent again, which wasted the work under overload; a read behind a write waited less than one announcement takes. Change: reads that waited 30 ms overflow to the primary beside recent writes' share; a keyed attempt gets at least eight mean durations; the limit starts at half of the slots and shrinks on delays that use up 40% of a deadline; catch_up_wait_ms is 80.

--- a/packages/cardamomshunt/src/cardamomshunt/_admission.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_admission.py
@@ -17,6 +17,7 @@
 # A longer queue adds delay but no throughput, and the estimate of a wait is rough.
 SHED_AT_DEADLINE_SHARE = 0.5
 N_SAMPLES_OF_WINDOW = 50
+N_SAMPLES_OF_FIRST_WINDOW = 10
 
 
 class FairQueue(Generic[T]):
@@ -216,6 +217,8 @@
     recent_ms: float = 0.0
     sum_ms: float = 0.0
     n_samples: int = 0
+    n_samples_to_close: int = N_SAMPLES_OF_FIRST_WINDOW
+    n_windows: int = 0
 
     def add(self, elapsed_ms: float) -> None:
         """Take over a delay."""
@@ -224,14 +227,17 @@
         self.recent_ms += 0.1 * (elapsed_ms - self.recent_ms)
         self.sum_ms += elapsed_ms
         self.n_samples += 1
-        if self.n_samples >= N_SAMPLES_OF_WINDOW:
+        if self.n_samples >= self.n_samples_to_close:
             self._close()
 
     def _close(self) -> None:
         mean_ms = self.sum_ms / self.n_samples
         self.sum_ms = 0.0
         self.n_samples = 0
-        if not self.best_ms or mean_ms < self.best_ms:
+        self.n_samples_to_close = N_SAMPLES_OF_WINDOW
+        self.n_windows += 1
+        # The few delays of the first window may have been lucky.
+        if self.n_windows <= 2 or mean_ms < self.best_ms:
             self.best_ms = mean_ms
         else:
             # Rises slowly, as paths and statements change.
@@ -247,25 +253,37 @@
 
     Means are compared, not single delays: service times vary by a factor of ten by
     themselves, and a limit that follows the shortest delay stays at 2 of 5 slots.
-    Reads and acknowledged writes have different best delays.
+    Reads and acknowledged writes have different best delays. Delays that use up much
+    of a deadline shrink the limit whatever the best delay is.
     """
 
     __slots__ = ("_windows", "n_max", "value")
 
     RATIO_TO_GROW = 1.5
-    RATIO_TO_SHRINK = 2.0
+    RATIO_TO_SHRINK = 2.5  # at 2.0, VMs with a lucky best delay starve beside others
 
     def __init__(self, n_slots: int) -> None:
-        self.value = float(max(1, n_slots))
+        # Other entry VMs use the same slots.
+        self.value = float(max(1, (n_slots + 1) // 2))
         self.n_max = max(16.0, 8.0 * n_slots)
         self._windows = (_DelayWindow(), _DelayWindow())
 
-    def on_sample(self, elapsed_ms: float, n_running: int, *, is_write: bool) -> None:
+    def on_sample(
+        self,
+        elapsed_ms: float,
+        n_running: int,
+        *,
+        is_write: bool,
+        is_late: bool = False,
+    ) -> None:
         """Take over the delay of a request that ran beside `n_running - 1` others."""
         window = self._windows[is_write]
         window.add(elapsed_ms)
         ratio = window.ratio()
-        if ratio > self.RATIO_TO_SHRINK:
+        if self.value <= 1.0 and ratio >= self.RATIO_TO_GROW:
+            # The delay is not due to what runs from here.
+            window.best_ms *= 1.02
+        if is_late or ratio > self.RATIO_TO_SHRINK:
             self.value = max(1.0, self.value - 0.25)
         elif ratio < self.RATIO_TO_GROW and n_running >= int(self.value):
             self.value = min(self.n_max, self.value + 0.5 / self.value)
--- a/packages/cardamomshunt/src/cardamomshunt/_attempts.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_attempts.py
@@ -18,6 +18,8 @@
 from cardamomshunt._transactions import Transactions
 from cardamomshunt._verdict import Refusal, RefusalReason, Verdict
 
+LATE_SHARE = 0.4  # of a deadline, after which an attempt counts as late
+
 
 class Attempts(Transactions):
     """Take over results of attempts and decide on repeats."""
@@ -30,6 +32,7 @@
         if outcome in (AttemptOutcome.LOST, AttemptOutcome.NOT_SENT):
             instance.breaker.on_failure(now_ms)
             if outcome is AttemptOutcome.LOST:
+                self._note_duration(now_ms, attempt)
                 instance.limit.on_timeout()
                 self._pool.probe_all(now_ms, instance)
             return
@@ -43,10 +46,20 @@
         if not is_write:
             instance.delay_ms += 0.1 * (elapsed_ms - instance.delay_ms)
         if pending.transaction is None:
-            instance.limit.on_sample(elapsed_ms, instance.n_running, is_write=is_write)
-            group = pending.group
-            lane = group.replica_lane if attempt.is_from_replica else group.primary_lane
-            lane.on_service(elapsed_ms)
+            given_ms = pending.deadline_ms - pending.arrived_ms
+            instance.limit.on_sample(
+                elapsed_ms,
+                instance.n_running,
+                is_write=is_write,
+                is_late=elapsed_ms > LATE_SHARE * given_ms,
+            )
+            self._note_duration(now_ms, attempt)
+
+    def _note_duration(self, now_ms: float, attempt: RunningAttempt) -> None:
+        """Measure the time of service; a lost attempt counts with what it took."""
+        group = attempt.pending.group
+        lane = group.replica_lane if attempt.is_from_replica else group.primary_lane
+        lane.on_service(now_ms - attempt.started_ms)
 
     def _end_attempt(
         self,
--- a/packages/cardamomshunt/src/cardamomshunt/_configuration_document.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_configuration_document.py
@@ -40,7 +40,8 @@
     """Set the policy that holds for all databases."""
 
     detection_ms: float = 600.0
-    catch_up_wait_ms: float = 40.0
+    # Longer than one announcement of a changed position takes (50 ms and the way).
+    catch_up_wait_ms: float = 80.0
     await_majority_ms: float = 1_500.0
     n_connections_floor: int = 2
     idempotency_retention_s: float = 604_800.0
--- a/packages/cardamomshunt/src/cardamomshunt/_dispatch.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_dispatch.py
@@ -6,6 +6,7 @@
 from cardamomshunt._effects import (
     AskPosition,
     AttemptKind,
+    RequestClass,
     RequestKind,
     StartAttempt,
 )
@@ -28,7 +29,10 @@
 
 POSITION_QUERY_TIMEOUT_MS = 500.0
 REPEATABLE_SHARE = 0.5  # of the time left, for an attempt that can be repeated
-NEEDED_SHARE_MAX = 0.25
+SILENT_FACTOR = 8.0  # of the mean duration, after which a connection looks silent
+NEEDED_SHARE_MAX = 0.5
+OVERFLOW_WAIT_MS = 30.0  # a short burst of reads is left to the replicas
+WRITES_RECENT_MS = 1_000.0
 HEDGE_PAUSE_MS = 20.0  # until a connection is there for the second attempt
 
 
@@ -234,12 +238,33 @@
             self._place_read(now_ms, pending)
             return True
         connection = self._acquire_any(now_ms, pending, fresh)
+        if connection is None:
+            connection = self._acquire_overflow(now_ms, pending)
         if connection is None:
             return False
         lane.serve(now_ms, request_class)
         self._start(now_ms, pending, connection)
         return True
 
+    def _acquire_overflow(
+        self, now_ms: float, pending: PendingRequest
+    ) -> Connection | None:
+        """Let a read that waits for replicas use what the primary has to spare."""
+        group = pending.group
+        primary = group.usable_primary(now_ms, for_write=False)
+        if primary is None or group.primary_lane.n_items:
+            return None
+        if now_ms - pending.arrived_ms < OVERFLOW_WAIT_MS:
+            return None
+        n_allowed = primary.limit.value
+        if now_ms - group.write_started_ms < WRITES_RECENT_MS:
+            n_allowed *= 1.0 - group.by_class[RequestClass.ORDER].reserved_share
+        if primary.n_running >= int(n_allowed):
+            return None
+        if self._is_stale_primary(now_ms, pending):
+            return None
+        return self._pool.acquire(now_ms, primary)
+
     def _acquire_any(
         self, now_ms: float, pending: PendingRequest, fresh: list[InstanceState]
     ) -> Connection | None:
@@ -314,10 +339,14 @@
         pending.lane = None
         pending.step("start")
         timeout_ms = pending.remaining_ms(now_ms)
+        if pending.kind not in READS:
+            pending.group.write_started_ms = now_ms
         if pending.kind is RequestKind.READ:
             self._plan_hedge(now_ms, pending, self._hedge_after_ms(now_ms, pending))
         elif pending.rule is not RepeatRule.NEVER:
-            timeout_ms *= REPEATABLE_SHARE
+            # Under overload an early timeout would waste the work done so far.
+            usual_ms = SILENT_FACTOR * pending.group.primary_lane.service_ms
+            timeout_ms = min(timeout_ms, max(REPEATABLE_SHARE * timeout_ms, usual_ms))
         self._run(
             now_ms, pending, connection, attempt_kind(pending.request), timeout_ms
         )
--- a/packages/cardamomshunt/src/cardamomshunt/_group.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_group.py
@@ -44,6 +44,7 @@
         self.query_sent_ms = 0.0
         self.is_query_wanted = False
         self.next_query_ms = 0.0
+        self.write_started_ms = float("-inf")
         self._unusable_since_ms: float | None = None
 
     def on_settings(self, settings: DatabaseSettings, retry_ratio: float) -> None:
