--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_caller_edge_mysql.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_caller_edge_mysql.py
@@ -24,10 +24,7 @@
     RequestPort,
     StatementRequest,
 )
-from cardamomshunt_node._caller_edge_mysql_columns import (
-    character_set_of,
-    passed_column,
-)
+from cardamomshunt_node._caller_edge_mysql_columns import passed_column
 from cardamomshunt_node._settings import Address
 from cardamomshunt_node.mysql_server import (
     MysqlServerEdge,
@@ -84,6 +81,13 @@
 _SHUTTING_DOWN = server_error_of(
     Refusal(Verdict.NOT_RUN, RefusalReason.SHUTTING_DOWN, "the entry VM is stopping")
 )
+_TOO_MANY_CONNECTIONS = server_error_of(
+    Refusal(
+        Verdict.NOT_RUN,
+        RefusalReason.TOO_MANY_CONNECTIONS,
+        "the entry VM has as many callers as it takes",
+    )
+)
 # An idle caller's next statement is refused for this long; then it gets the error
 # unasked. A statement that crosses the farewell would only see a closed connection.
 IDLE_DRAIN_MS = 500.0
@@ -258,9 +262,10 @@
             raise ServerError(answer.code, answer.sqlstate, answer.message)
         if isinstance(answer, WriteAnswer):
             return Ok(answer.n_affected_rows, answer.last_insert_id, answer.n_warnings)
-        character_set = character_set_of(self.variables)
-        columns = [passed_column(item, character_set) for item in answer.columns]
-        flags = [item.flags for item in answer.columns]
+        character_set = self.variables.charset
+        passed = [passed_column(item, character_set) for item in answer.columns]
+        columns = [column for column, _ in passed]
+        flags = [item for _, item in passed]
         if isinstance(answer.rows, list):
             return Rows(columns, answer.rows, flags)
         return Rows(columns, _checked_rows(answer), flags)
@@ -315,6 +320,7 @@
         n_callers_max: int = N_CALLERS_MAX,
         on_refusal: Callable[[str, Refusal], None] = lambda database, refusal: None,
         on_fault: Callable[[Exception], None] = lambda error: None,
+        on_limit: Callable[[], None] = lambda: None,
     ) -> None:
         self._address = address
         shared = _Shared(port, on_refusal)
@@ -323,6 +329,8 @@
             limits=ServerLimits(n_connections_max=n_callers_max),
             on_fault=on_fault,
         )
+        self._server.on_limit = on_limit
+        self._server.limit_error = _TOO_MANY_CONNECTIONS
 
     async def start(self) -> None:
         """Listen; raise OSError if the address is taken."""
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_mysql_server.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_mysql_server.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import logging
+import socket
 import struct
 from abc import ABC, abstractmethod
 from collections.abc import AsyncIterable, Awaitable, Callable, Iterable, Sequence
@@ -46,6 +47,10 @@
     & ~Capabilities.CLIENT_MULTI_RESULTS
 ) | Capabilities.CLIENT_TRANSACTIONS
 
+# A client whose host is gone is found after 60 s and three lost probes; until then it
+# takes memory and one of the connections.
+_KEEP_ALIVE_S = {"TCP_KEEPIDLE": 60, "TCP_KEEPINTVL": 10, "TCP_KEEPCNT": 3}
+_NO_FLAGS = ColumnDefinition(0)
 _ROW_BATCH_SIZE_BYTES = 32_768
 _N_ROWS_PER_BATCH = 50
 _PACKET_CHUNK_SIZE_BYTES = 0xFFFFFF
@@ -82,7 +87,7 @@
 
     columns: Sequence[ResultColumn | str]
     rows: Sequence[Sequence[Any]] | AsyncIterable[Sequence[Any]]
-    column_flags: Sequence[int] = ()
+    column_flags: Sequence[ColumnDefinition] = ()
 
 
 StatementResult: TypeAlias = Ok | Rows
@@ -120,7 +125,8 @@
     `database`, as named at connect, is set before `on_connected`. A statement is decoded
     with surrogate escapes, so that bytes which are not UTF-8 can be passed on unchanged.
     When the client goes away, a running `handle_statement` is cancelled and
-    `on_disconnected` is called. `is_in_transaction` and `is_autocommit` are kept by the
+    `on_disconnected` is called. `is_pipelined` tells that the client sent the command
+    before the answer to its last one. `is_in_transaction` and `is_autocommit` are kept by the
     subclass and reported to the client with each answer.
     """
 
@@ -129,6 +135,7 @@
         "database",
         "is_autocommit",
         "is_in_transaction",
+        "is_pipelined",
         "local_port",
         "username",
         "variables",
@@ -139,6 +146,7 @@
         self.username: str | None = None
         self.database: str | None = None
         self.connection_id = 0
+        self.is_pipelined = False
         self.local_port = 0
         self.is_in_transaction = False
         self.is_autocommit = True
@@ -193,6 +201,11 @@
         except (asyncio.IncompleteReadError, ConnectionError):
             return b""
 
+    @property
+    def has_more(self) -> bool:
+        """Tell whether the next command has already arrived."""
+        return bool(self._reader._buffer)  # type: ignore[attr-defined]
+
     async def readexactly(self, n_bytes: int) -> bytes:
         """Read a packet body."""
         self._n_message_bytes += n_bytes
@@ -303,6 +316,7 @@
         """Run commands until the client quits or the server drains."""
         while True:
             self.stream.reset_seq()
+            self.session.is_pipelined = self.reader.has_more
             try:
                 data = await self.stream.read()
             except ConnectionClosed:
@@ -350,7 +364,11 @@
             num_params=count_placeholders(sql),
         )
         self.prepared_stmts[statement.stmt_id] = statement
-        self.stream.write_many(list(self.com_stmt_prepare_response(statement)))
+        response = list(self.com_stmt_prepare_response(statement))
+        if statement.num_params and self.deprecate_eof():
+            # mysql-mimic ends the parameters with an EOF that such clients don't read.
+            response.pop()
+        self.stream.write_many(response)
         await self.stream.drain()
 
     async def handle_stmt_execute(self, data: bytes) -> None:
@@ -473,7 +491,7 @@
             self.stream.write_text_rows([row], columns)
 
     def _write_columns(
-        self, columns: Sequence[ResultColumn], column_flags: Sequence[int]
+        self, columns: Sequence[ResultColumn], column_flags: Sequence[ColumnDefinition]
     ) -> None:
         head = [packets.make_column_count(self.capabilities, len(columns))]
         head.extend(
@@ -482,9 +500,9 @@
                 name=column.name,
                 column_type=column.type,
                 character_set=column.character_set,
-                flags=ColumnDefinition(flags),
+                flags=flags,
             )
-            for column, flags in zip_longest(columns, column_flags, fillvalue=0)
+            for column, flags in zip_longest(columns, column_flags, fillvalue=_NO_FLAGS)
         )
         if not self.deprecate_eof():
             head.append(self.eof())
@@ -558,6 +576,14 @@
     )
 
 
+def _keep_alive(client: socket.socket) -> None:
+    """Let the system find clients that went away without a word."""
+    client.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    for name, value in _KEEP_ALIVE_S.items():
+        if hasattr(socket, name):
+            client.setsockopt(socket.IPPROTO_TCP, getattr(socket, name), value)
+
+
 class _ClientProtocol(asyncio.StreamReaderProtocol):
     """Tell the connection when its client goes away during a statement."""
 
@@ -609,6 +635,8 @@
         self.connect_delay_ms = connect_delay_ms
         self.is_draining = False
         self.drain_error = ServerError(1053, "08S01", "Server shutdown in progress")
+        self.limit_error = ServerError(1040, "08004", "Too many connections")
+        self.on_limit: Callable[[], None] = lambda: None
         self.n_connections_peak = 0
         self.on_fault = on_fault or (lambda error: None)
         self._silence_new: dict[int, asyncio.Event] = {}
@@ -647,8 +675,8 @@
     ) -> None:
         """Run one client connection to its end."""
         if self._n_clients >= self.limits.n_connections_max:
-            error = ServerError(1040, "08004", "Too many connections")
-            await MysqlStream(reader, writer).write(make_error_packet(error))
+            self.on_limit()
+            await self._try_write(writer, make_error_packet(self.limit_error))
             return
         self._n_clients += 1
         self.n_connections_peak = max(self.n_connections_peak, self._n_clients)
@@ -672,6 +700,7 @@
         writer: asyncio.StreamWriter,
         protocol: _ClientProtocol,
     ) -> None:
+        _keep_alive(writer.get_extra_info("socket"))
         limited = _LimitedReader(reader, self.limits.n_bytes_unauthenticated_max)
         session = self.session_factory()
         stream = MysqlStream(cast(asyncio.StreamReader, limited), writer)
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_proxy_core.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_proxy_core.py
@@ -275,13 +275,13 @@
         if open_request is None:
             return
         if open_request.stream is not None:
-            open_request.done.result().completion = effect
+            end = open_request.done.result()
+            end.completion = effect
             open_request.stream.finish()
-            return
-        if open_request.done.done():
+            self._end(open_request, end)
             return
         answer = _answer_of(effect, open_request.answers.get(effect.attempt))
-        open_request.done.set_result(RequestEnd(answer, effect))
+        self._end(open_request, RequestEnd(answer, effect))
 
     def _refuse(self, request_id: RequestId, refusal: Refusal) -> None:
         open_request = self._open.pop(request_id, None)
@@ -289,8 +289,12 @@
             return
         if open_request.stream is not None:
             open_request.stream.fail(_error_of(refusal))
-        elif not open_request.done.done():
-            open_request.done.set_result(RequestEnd(refusal))
+        self._end(open_request, RequestEnd(refusal))
+
+    @staticmethod
+    def _end(open_request: _OpenRequest, end: RequestEnd) -> None:
+        if not open_request.done.done():
+            open_request.done.set_result(end)
 
     def _set_timer(self) -> None:
         deadline_ms = self.data_path.next_deadline_ms()
--- a/packages/cardamomshunt-node/tests/test_proxy_role.py
+++ b/packages/cardamomshunt-node/tests/test_proxy_role.py
@@ -32,11 +32,12 @@
     TimelineRequest,
 )
 from cardamomshunt.position import LogPosition
+from cardamomshunt_node._caller_edge_mysql import MysqlCallerEdge
 from cardamomshunt_node.keys import KeyRing
 from cardamomshunt_node.mysql_server import ServerError
 from cardamomshunt_node.operator_link import ask
 from cardamomshunt_node.proxy_role import ProxyDaemon
-from cardamomshunt_node.settings import DaemonSettings
+from cardamomshunt_node.settings import Address, DaemonSettings
 from cardamomshunt_node.transport import PeerTransport, ReceivedMessage
 
 _TOPOLOGY = TopologyUpdate(
@@ -336,6 +337,19 @@
     await _stop_site(await _start_site(proxy_settings, fake_backend))
 
 
+async def test_too_many_callers(site: _Site) -> None:
+    edge = MysqlCallerEdge(Address("127.0.0.1", 0), site.daemon.core, n_callers_max=1)
+    await edge.start()
+    options = {"host": "127.0.0.1", "port": edge._server.port, "user": "caller"}
+    first = await asyncmy.connect(**options, autocommit=None)
+    with pytest.raises(asyncmy.errors.OperationalError) as raised:
+        await asyncmy.connect(**options, autocommit=None)
+    assert raised.value.args[0] == 1040
+    assert "verdict=NOT_RUN reason=too_many_connections" in raised.value.args[1]
+    first.close()
+    await edge.drain(0.0)
+
+
 async def test_term_change(site: _Site, wait_until: Any) -> None:
     """Guards against writes on connections that are bound to an older term."""
     connection = await site.connect()
@@ -349,6 +363,25 @@
     assert "SET @cardamomshunt_term = 4" in site.backend.statements
 
 
+async def test_metrics_of_requests(site: _Site) -> None:
+    """Guards against metrics that nothing feeds."""
+    connection = await site.connect()
+    await _query(connection, "SELECT id FROM t")
+    await _query(connection, "UPDATE stock SET n = 1")
+    url = f"http://{site.settings.metrics_address}/metrics"
+    async with aiohttp.ClientSession() as session, session.get(url) as response:
+        text = await response.text()
+    for name in (
+        "reads_total",
+        "request_duration_seconds_count",
+        "caller_connections",
+        "control_cpu_seconds_total",
+        "control_bytes_total",
+    ):
+        lines = [line for line in text.splitlines() if f"_{name}{{" in line]
+        assert any(float(line.split()[-1]) > 0 for line in lines), name
+
+
 async def test_drain_lets_a_transaction_end(site: _Site) -> None:
     """Guards against a planned stop that cuts what is in flight."""
     busy = await site.connect()
