Relay commands, leave silent instances out of the choice, damp only quick failures

Change: commands go through the other control nodes from the second try on; instances that the entry VMs see as silent don't count while others may still answer; only primaries that fail within 3 s count as flapping; an address is news only if no entry VM sees it; only databases with news are judged.

--- a/packages/cardamomshunt-testing/src/cardamomshunt_testing/_fake_group.py
+++ b/packages/cardamomshunt-testing/src/cardamomshunt_testing/_fake_group.py
@@ -44,6 +44,7 @@
 
     def __init__(self, database: str, zones: list[str]) -> None:
         self.database = database
+        self._zones = zones
         self.instances = {
             f"{database}-{number}": FakeInstance(f"{database}-{number}", zone, number)
             for number, zone in enumerate(zones, start=1)
@@ -58,7 +59,7 @@
         self.longest_gap_ms = 0.0
         self.violations: list[str] = []
         self.n_promotions = 0
-        self.is_holding = False
+        self.has_zone_addresses = False
 
     @property
     def n_majority(self) -> int:
@@ -183,14 +184,19 @@
         if not keeps_log:
             instance.log = []
 
-    def observe(self, instance: FakeInstance, silence_ms: float) -> InstanceObservation:
-        """Describe a server as an entry VM reports it."""
+    def observe(
+        self, instance: FakeInstance, silence_ms: float, zone: str
+    ) -> InstanceObservation:
+        """Describe a server as an entry VM of a zone reports it."""
+        port = 20_000 + instance.number
+        if self.has_zone_addresses:
+            port += 100 * self._zones.index(zone)
         return InstanceObservation(
             database=self.database,
             instance=instance.name,
             incarnation=instance.incarnation,
             zone=instance.zone,
-            address=InstanceAddress("127.0.0.1", 20_000 + instance.number),
+            address=InstanceAddress("127.0.0.1", port),
             role=instance.role,
             term=instance.term,
             log_position=instance.position,
--- a/packages/cardamomshunt-testing/src/cardamomshunt_testing/control_schedules.py
+++ b/packages/cardamomshunt-testing/src/cardamomshunt_testing/control_schedules.py
@@ -425,7 +425,7 @@
                 proxy.heard_ms[item.name] = self.now_ms - self._delay_ms()
             if item.name in proxy.heard_ms:
                 silence_ms = self.now_ms - proxy.heard_ms[item.name]
-                observations.append(self.group.observe(item, silence_ms))
+                observations.append(self.group.observe(item, silence_ms, proxy.zone))
         report = HealthReport(
             node=proxy.name,
             zone=proxy.zone,
@@ -464,7 +464,6 @@
             for item in proxy.topology.databases
         ]
         is_held = any(step is not FailoverStep.SERVING for step in steps)
-        self.group.is_holding = is_held
         if not is_held:
             self.group.write()
 
--- /dev/null
+++ b/packages/cardamomshunt/src/cardamomshunt/_command_relay.py
@@ -0,0 +1,121 @@
+"""Commands to backend servers that the control leader can't reach itself."""
+
+from dataclasses import dataclass, field
+from typing import TypeAlias
+
+from cardamomshunt._control_effects import (
+    CommandInstance,
+    InstanceCommandKind,
+    InstanceReply,
+)
+from cardamomshunt._messages import InstanceAddress, Message
+from cardamomshunt._position import LogPosition
+
+_N_WAITING_MAX = 1_000
+
+_Key: TypeAlias = tuple[str, str, InstanceCommandKind, int]
+
+
+class RelayedCommand(Message, kw_only=True):
+    """Ask another control node to run a command; `address` is the leader's view."""
+
+    database: str
+    instance: str
+    address: InstanceAddress
+    kind: InstanceCommandKind
+    command_term: int
+    timeout_ms: float
+
+
+class RelayedReply(Message, kw_only=True):
+    """Carry the answer to a relayed command."""
+
+    database: str
+    instance: str
+    kind: InstanceCommandKind
+    command_term: int
+    is_accepted: bool
+    term: int
+    log_position: LogPosition
+
+    def as_reply(self) -> InstanceReply:
+        """Return the answer as if the leader had got it."""
+        return InstanceReply(
+            database=self.database,
+            instance=self.instance,
+            kind=self.kind,
+            command_term=self.command_term,
+            is_answered=True,
+            is_accepted=self.is_accepted,
+            term=self.term,
+            log_position=self.log_position,
+        )
+
+
+@dataclass(slots=True)
+class CommandRelay:
+    """Decide when to ask others, and remember who asked this node.
+
+    Commands may run more than once, by several nodes and late: servers refuse older
+    terms and accept the current one again.
+    """
+
+    _n_sent: dict[_Key, int] = field(default_factory=dict)
+    _waiting: dict[_Key, str] = field(default_factory=dict)
+
+    def relayed(self, command: CommandInstance) -> RelayedCommand | None:
+        """Return a message for the other control nodes, from the second try on."""
+        key = (command.database, command.instance, command.kind, command.term)
+        self._n_sent[key] = self._n_sent.get(key, 0) + 1
+        if self._n_sent[key] < 2:
+            return None
+        return RelayedCommand(
+            database=command.database,
+            instance=command.instance,
+            address=command.address,
+            kind=command.kind,
+            command_term=command.term,
+            timeout_ms=command.timeout_ms,
+        )
+
+    def forget(self, database: str) -> None:
+        """Forget the commands of a step that is over."""
+        self._n_sent = {
+            key: count for key, count in self._n_sent.items() if key[0] != database
+        }
+
+    def accept(
+        self,
+        sender_address: str,
+        message: RelayedCommand,
+        own_view: InstanceAddress | None,
+    ) -> CommandInstance:
+        """Note who asked, and return the command to run."""
+        key = (message.database, message.instance, message.kind, message.command_term)
+        while len(self._waiting) >= _N_WAITING_MAX:
+            del self._waiting[next(iter(self._waiting))]
+        self._waiting[key] = sender_address
+        return CommandInstance(
+            database=message.database,
+            instance=message.instance,
+            address=own_view or message.address,
+            kind=message.kind,
+            term=message.command_term,
+            timeout_ms=message.timeout_ms,
+        )
+
+    def answer(self, reply: InstanceReply) -> tuple[str, RelayedReply] | None:
+        """Return the address and the answer for the node that asked, if one did."""
+        key = (reply.database, reply.instance, reply.kind, reply.command_term)
+        address = self._waiting.pop(key, None)
+        if address is None or not reply.is_answered:
+            return None
+        return address, RelayedReply(
+            database=reply.database,
+            instance=reply.instance,
+            kind=reply.kind,
+            command_term=reply.command_term,
+            is_accepted=reply.is_accepted,
+            term=reply.term,
+            log_position=reply.log_position,
+        )
--- a/packages/cardamomshunt/src/cardamomshunt/_control.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_control.py
@@ -5,6 +5,11 @@
 
 import msgspec
 
+from cardamomshunt._command_relay import (
+    CommandRelay,
+    RelayedCommand,
+    RelayedReply,
+)
 from cardamomshunt._connection_shares import GRANT_INTERVAL_MS, ConnectionAllocator
 from cardamomshunt._consensus import ConsensusNode, ConsensusOptions, RestoredState
 from cardamomshunt._consensus_messages import (
@@ -16,6 +21,7 @@
     Snapshot,
 )
 from cardamomshunt._control_effects import (
+    CommandInstance,
     ControlEffect,
     EmitEvent,
     InstanceReply,
@@ -71,7 +77,8 @@
 class ControlOptions:
     """Set the times of a control node."""
 
-    evaluation_interval_ms: float = 50.0
+    evaluation_interval_ms: float = 20.0
+    nodes_interval_ms: float = 250.0
     heartbeat_interval_ms: float = 500.0
     in_force_wait_ms: float = 3_000.0
     drain_interval_ms: float = 1_000.0
@@ -117,11 +124,13 @@
         self.applied_index = restored.snapshot.index
         self.health = HealthView()
         self.registry = NodeRegistry()
-        self.failover = self.failover_type(self.health, failover_options)
+        self._relay = CommandRelay()
+        self.failover = self.failover_type(self.health, failover_options, zone)
         self._grants = ConnectionAllocator()
         self._grants_due_ms = now_ms
         self._heartbeat_due_ms = now_ms
         self._evaluation_due_ms = now_ms
+        self._nodes_due_ms = now_ms
         self._pending: list[_Pending] = []
         # A restarted process may serve an older version until it hears the leader.
         self._process_id = random.getrandbits(62)
@@ -180,6 +189,12 @@
                 self.registry.on_report(now_ms, sender.address, message)
             case DemandReport():
                 self._grants.on_demand(now_ms, message)
+            case RelayedCommand():
+                self._run_relayed(sender, message)
+            case RelayedReply():
+                if self.is_ready:
+                    reply = message.as_reply()
+                    self.failover.on_reply(now_ms, self.state.databases, reply)
         return self._finish(now_ms)
 
     def on_storage_done(self, now_ms: float, sequence: int) -> list[ControlEffect]:
@@ -201,6 +216,9 @@
         self, now_ms: float, reply: InstanceReply
     ) -> list[ControlEffect]:
         """Take the answer of a backend server to a command."""
+        relayed = self._relay.answer(reply)
+        if relayed is not None:
+            self._send(*relayed)
         if self.is_ready:
             self.failover.on_reply(now_ms, self.state.databases, reply)
         return self._finish(now_ms)
@@ -227,10 +245,29 @@
         self._apply_committed(now_ms)
         self._note_leadership(now_ms)
         self._effects.extend(self.consensus.take_effects())
-        self._effects.extend(self.failover.take_effects())
+        for effect in self.failover.take_effects():
+            self._effects.append(effect)
+            if isinstance(effect, CommandInstance):
+                self._ask_others(effect)
         effects, self._effects = self._effects, []
         return effects
 
+    def _ask_others(self, command: CommandInstance) -> None:
+        """Let the other control nodes try too, if the leader may not reach a server."""
+        message = self._relay.relayed(command)
+        if message is None:
+            return
+        for member in self.consensus.members:
+            if member.node != self.node:
+                self._send(member.peer_address, message)
+
+    def _run_relayed(self, sender: Peer, message: RelayedCommand) -> None:
+        # Only members may command servers.
+        if self.consensus.member(sender.node) is None:
+            return
+        view = self.health.address(message.database, message.instance, self.zone)
+        self._effects.append(self._relay.accept(sender.address, message, view))
+
     def _propose_records(self, now_ms: float) -> None:
         for record in self.failover.take_proposals():
             command = SetDatabase(record=record)
@@ -257,6 +294,7 @@
         match command:
             case SetDatabase():
                 self.failover.on_applied(command.record)
+                self._relay.forget(command.record.database)
             case ApplyPatch():
                 self._on_patch_applied(now_ms, command)
             case SetDrain():
@@ -305,9 +343,11 @@
         )
 
     def _maintain_nodes(self, now_ms: float) -> None:
-        for view in self.registry.proxies(now_ms):
-            self._update_node(now_ms, view)
-            self._send_drains(now_ms, view)
+        if now_ms >= self._nodes_due_ms:
+            self._nodes_due_ms = now_ms + self.options.nodes_interval_ms
+            for view in self.registry.proxies(now_ms):
+                self._update_node(now_ms, view)
+                self._send_drains(now_ms, view)
         if now_ms >= self._grants_due_ms:
             self._grants_due_ms = now_ms + GRANT_INTERVAL_MS
             self._send_grants(now_ms)
--- a/packages/cardamomshunt/src/cardamomshunt/_failover.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_failover.py
@@ -1,6 +1,6 @@
 """Failover and handover of databases, as the control leader decides them."""
 
-from collections import defaultdict, deque
+from collections import defaultdict
 from dataclasses import dataclass, field
 
 import msgspec
@@ -31,13 +31,15 @@
     promotion_limit_ms: float = 900.0
     blocked_after_ms: float = 5_000.0
     settle_ms: float = 1_000.0
+    all_interval_ms: float = 1_000.0
     role_grace_ms: float = 1_500.0
     old_primary_interval_ms: float = 500.0
     handover_quiet_ms: float = 150.0
     handover_limit_ms: float = 2_000.0
     handover_fence_wait_ms: float = 300.0
     n_undamped: int = 3
-    damping_window_ms: float = 60_000.0
+    stable_ms: float = 3_000.0
+    silent_fence_wait_ms: float = 1_000.0
     damping_base_ms: float = 1_000.0
     damping_max_ms: float = 30_000.0
 
@@ -54,6 +56,14 @@
     is_blocked: bool = False
 
 
+@dataclass(slots=True)
+class _Flaps:
+    """Count failovers of primaries that had just begun to serve."""
+
+    n_quick: int = 0
+    last_ms: float = 0.0
+
+
 @dataclass(slots=True)
 class _Proposal:
     record: DatabaseRecord
@@ -70,18 +80,23 @@
     """
 
     def __init__(
-        self, health: HealthView, options: FailoverOptions | None = None
+        self,
+        health: HealthView,
+        options: FailoverOptions | None = None,
+        zone: str = "",
     ) -> None:
+        self._zone = zone
         self.options = options or FailoverOptions()
         self._health = health
         self._attempts: dict[str, _Attempt] = {}
         self._first_seen_ms: dict[str, float] = {}
-        self._failovers_ms: dict[str, deque[float]] = defaultdict(deque)
+        self._flaps: dict[str, _Flaps] = defaultdict(_Flaps)
         self._old_primary_due_ms: dict[tuple[str, str], float] = {}
         self._open: dict[str, int] = {}
         self._proposals: list[_Proposal] = []
         self._effects: list[ControlEffect] = []
         self._detection_ms = 600.0
+        self._all_due_ms = 0.0
         self._draining: dict[str, bool] = {}
 
     def reset(self) -> None:
@@ -91,6 +106,7 @@
         self._proposals.clear()
         self._effects.clear()
         self._first_seen_ms.clear()
+        self._all_due_ms = 0.0
 
     def on_applied(self, record: DatabaseRecord) -> None:
         """Note that a record is committed."""
@@ -132,7 +148,7 @@
         """Look at all databases and decide what is due."""
         self._detection_ms = detection_ms
         self._draining = draining
-        for database in {*self._health.databases(), *records}:
+        for database in self._due_databases(now_ms, records):
             if database in self._open:
                 continue
             record = records.get(database)
@@ -141,6 +157,22 @@
             else:
                 self._evaluate_record(now_ms, record)
 
+    def _due_databases(
+        self, now_ms: float, records: dict[str, DatabaseRecord]
+    ) -> set[str]:
+        """Return the databases with news or a step under way; from time to time all.
+
+        Judging all of them each time would cost most of a core at 450 entry VMs.
+        """
+        due = self._health.take_attention()
+        if now_ms >= self._all_due_ms:
+            self._all_due_ms = now_ms + self.options.all_interval_ms
+            return due | {*self._health.databases(), *records}
+        for database, record in records.items():
+            if record.step is not FailoverStep.SERVING:
+                due.add(database)
+        return due
+
     def start_handover(
         self, now_ms: float, record: DatabaseRecord, target: str | None
     ) -> str:
@@ -260,11 +292,12 @@
     def _send_command(
         self, record: DatabaseRecord, instance: str, kind: InstanceCommandKind
     ) -> None:
+        address = self._health.address(record.database, instance, self._zone)
         self._effects.append(
             CommandInstance(
                 database=record.database,
                 instance=instance,
-                address=record.instances[instance].address,
+                address=address or record.instances[instance].address,
                 kind=kind,
                 term=record.term,
                 timeout_ms=self.options.command_timeout_ms,
@@ -339,11 +372,10 @@
         observed: dict[str, tuple[Health, InstanceRecord]],
     ) -> bool:
         """Propose instances that are new or have moved; none is ever removed."""
-        known = record.instances
         news = {
             name: item
             for name, (health, item) in observed.items()
-            if health.is_alive and known.get(name) != item
+            if health.is_alive and _is_news(record.instances.get(name), health)
         }
         if not news:
             return False
@@ -379,7 +411,7 @@
         why = self._why_failed(now_ms, record, attempt)
         if why and self._is_other_alive(record, observed):
             if not self._is_damped(now_ms, record.database):
-                self._failovers_ms[record.database].append(now_ms)
+                self._count_failover(now_ms, record.database, attempt)
                 self._emit(
                     EventNumber.PRIMARY_SUSPECTED,
                     record.database,
@@ -416,18 +448,26 @@
             if instance != record.primary_instance
         )
 
+    def _count_failover(self, now_ms: float, database: str, attempt: _Attempt) -> None:
+        flaps = self._flaps[database]
+        is_quick = now_ms - attempt.since_ms < self.options.stable_ms
+        flaps.n_quick = flaps.n_quick + 1 if is_quick else 0
+        flaps.last_ms = now_ms
+
     def _is_damped(self, now_ms: float, database: str) -> bool:
-        """Tell whether a further failover has to wait, so that a group can't flap."""
-        recent = self._failovers_ms[database]
-        while recent and now_ms - recent[0] > self.options.damping_window_ms:
-            recent.popleft()
-        n_excess = len(recent) - self.options.n_undamped
+        """Tell whether a further failover has to wait, so that a group can't flap.
+
+        Only primaries that fail soon after their promotion count: a second failure
+        right after a repair must not wait.
+        """
+        flaps = self._flaps[database]
+        n_excess = flaps.n_quick - self.options.n_undamped
         if n_excess < 0:
             return False
         wait_ms = min(
             self.options.damping_base_ms * 2.0**n_excess, self.options.damping_max_ms
         )
-        return now_ms - recent[-1] < wait_ms
+        return now_ms - flaps.last_ms < wait_ms
 
     def _fence_old_members(
         self,
@@ -522,33 +562,64 @@
     def _n_needed(self, record: DatabaseRecord) -> int:
         return len(record.instances) // 2 + 1
 
-    def _counted(self, record: DatabaseRecord, attempt: _Attempt) -> list[str]:
+    def _counted(
+        self, now_ms: float, record: DatabaseRecord, attempt: _Attempt
+    ) -> list[str]:
         """Return the fenced instances that count for a majority."""
         if len(attempt.fenced) == len(record.instances):
-            return list(attempt.fenced)
-        return [
+            counted = list(attempt.fenced)
+        else:
+            counted = [
+                instance
+                for instance, position in attempt.fenced.items()
+                if not self._health.has_lost_entries(
+                    record.database, instance, position
+                )
+            ]
+        return self._without_silent(now_ms, record, attempt, counted)
+
+    def _without_silent(
+        self,
+        now_ms: float,
+        record: DatabaseRecord,
+        attempt: _Attempt,
+        counted: list[str],
+    ) -> list[str]:
+        """Leave out instances that control reaches but the entry VMs don't.
+
+        A cut-off old primary would be promoted again and again, as it holds entries
+        that nobody acknowledged. Any majority is safe, so the others are awaited.
+        """
+        seen = [
             instance
-            for instance, position in attempt.fenced.items()
-            if not self._health.has_lost_entries(record.database, instance, position)
+            for instance in counted
+            if not self._health_of(now_ms, record.database, instance).is_silent
         ]
+        waited_ms = now_ms - attempt.since_ms
+        is_enough = len(seen) >= self._n_needed(record)
+        if is_enough or waited_ms < self.options.silent_fence_wait_ms:
+            return seen
+        return counted
 
     def _choose(self, now_ms: float, record: DatabaseRecord, attempt: _Attempt) -> None:
         """Propose the most advanced fenced instance, given a majority."""
         if record.database in self._open:
             return
-        if len(self._counted(record, attempt)) < self._n_needed(record):
+        counted = self._counted(now_ms, record, attempt)
+        if len(counted) < self._n_needed(record):
             return
         target = record.target_instance
         is_target_awaited = target is not None and target not in attempt.fenced
         waited_ms = now_ms - attempt.since_ms
         if is_target_awaited and waited_ms < self.options.handover_fence_wait_ms:
             return
-        chosen = self._best_candidate(now_ms, record, attempt.fenced)
+        fenced = {instance: attempt.fenced[instance] for instance in counted}
+        chosen = self._best_candidate(now_ms, record, fenced)
         self._propose(
             record,
             "choose",
             EventNumber.PROMOTION_STARTED,
-            f"{chosen} at {attempt.fenced[chosen]}, fenced {sorted(attempt.fenced)}",
+            f"{chosen} at {fenced[chosen]}, fenced {sorted(fenced)}",
             primary_instance=chosen,
         )
 
@@ -614,6 +685,11 @@
         return max(candidates)[1] if candidates else None
 
 
+def _is_news(known: InstanceRecord | None, health: Health) -> bool:
+    """Tell whether no entry VM sees an instance where the record has it."""
+    return known is None or known.address not in health.addresses
+
+
 def _term_of(health: Health) -> int:
     return health.newest.observation.term if health.newest else 0
 
--- a/packages/cardamomshunt/src/cardamomshunt/_health_view.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_health_view.py
@@ -3,11 +3,18 @@
 from collections import defaultdict
 from dataclasses import dataclass, field
 
-from cardamomshunt._messages import HealthReport, InstanceObservation, InstanceRole
+from cardamomshunt._messages import (
+    HealthReport,
+    InstanceAddress,
+    InstanceObservation,
+    InstanceRole,
+)
 from cardamomshunt._position import ZERO, LogPosition
 
 # Reports of an entry VM that is cut off or frozen must not outvote newer ones.
 REPORT_AGE_MAX_MS = 1_000.0
+# Shorter than any detection time; announcements come every 100 ms.
+ATTENTION_SILENCE_MS = 100.0
 # A restarted entry VM counts from 1 again; its reports are taken after this pause.
 _SEQUENCE_RESET_MS = 1_000.0
 # Views of entry VMs that are gone for good are dropped.
@@ -40,6 +47,7 @@
     is_leaving: bool = False
     n_replica: int = 0
     newest: View | None = None
+    addresses: frozenset[InstanceAddress] = frozenset()
 
     @property
     def lost_role(self) -> bool:
@@ -65,6 +73,7 @@
     _seen: dict[tuple[str, str], _Seen] = field(
         default_factory=lambda: defaultdict(_Seen)
     )
+    _attention: set[str] = field(default_factory=set)
 
     def on_report(self, now_ms: float, report: HealthReport) -> None:
         """Take over a report, unless a newer one of the same node is known."""
@@ -75,10 +84,17 @@
         self._reporters[report.node] = _Reporter(report.zone, report.sequence, now_ms)
         for observation in report.observations:
             views = self._views[observation.database][observation.instance]
+            if _needs_attention(views.get(report.node), observation):
+                self._attention.add(observation.database)
             views[report.node] = View(report.zone, observation, now_ms)
             seen = self._seen[observation.database, observation.instance]
             seen.position = max(seen.position, observation.log_position)
 
+    def take_attention(self) -> set[str]:
+        """Return the databases that a report since the last call gives reason to judge."""
+        attention, self._attention = self._attention, set()
+        return attention
+
     def databases(self) -> list[str]:
         """Return the databases that were ever reported."""
         return list(self._views)
@@ -125,6 +141,7 @@
             is_leaving=any(view.observation.is_leaving for view in views),
             n_replica=len(replica),
             newest=newest,
+            addresses=frozenset(view.observation.address for view in views),
         )
 
     def _agree(
@@ -153,6 +170,19 @@
         is_seen_from_outside = any(view.zone != own_zone for view in all_views)
         return not is_seen_from_outside or bool(silent_zones - {own_zone})
 
+    def address(
+        self, database: str, instance: str, zone: str
+    ) -> InstanceAddress | None:
+        """Return the address of an instance as the entry VMs of a zone see it.
+
+        An instance may have an address for each zone.
+        """
+        views = self._views.get(database, {}).get(instance, {})
+        seen = [view for view in views.values() if view.zone == zone]
+        if not seen:
+            return None
+        return max(seen, key=lambda view: view.received_ms).observation.address
+
     def forget_old(self, now_ms: float) -> None:
         """Drop the views of entry VMs that are gone."""
         for instances in self._views.values():
@@ -162,6 +192,19 @@
                         del views[node]
 
 
+def _needs_attention(known: View | None, seen: InstanceObservation) -> bool:
+    """Tell whether an observation is bad news or differs from the one before."""
+    if known is None or seen.silence_ms >= ATTENTION_SILENCE_MS or seen.is_refusing:
+        return True
+    before = known.observation
+    return (before.role, before.term, before.incarnation, before.address) != (
+        seen.role,
+        seen.term,
+        seen.incarnation,
+        seen.address,
+    )
+
+
 def _is_majority(n: int, n_all: int) -> bool:
     return n * 2 > n_all
 
