--- a/packages/cardamomshunt-cli/tests/test_real_control.py
+++ b/packages/cardamomshunt-cli/tests/test_real_control.py
@@ -73,6 +73,11 @@
         )
 
 
+@pytest.fixture
+def short_timeouts() -> None:
+    """Keep the real timeouts, as real daemons on a busy machine need them."""
+
+
 @pytest.fixture
 def control(tmp_path: Path) -> Iterator[Control]:
     started = _write_settings(tmp_path)
