Release what a caller held when it leaves during a stream

Cause: the data path abandons the request of a caller that is gone without an effect, so the core kept the request and its stream for ever. Change: the core forgets a caller's request when the caller closes; a proxy creates its data folder. Measured: the new test failed after 5 s of waiting before, and passes now; a caller that reads nothing of 200,000 rows holds less than 512 KiB of batches. Conclusion: a caller that leaves or stalls during a stream costs a bounded amount.

--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_proxy_core.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_proxy_core.py
@@ -78,6 +78,7 @@
         self._on_event = on_event
         self._on_fault = on_fault
         self._open: dict[RequestId, _OpenRequest] = {}
+        self._last_request_of: dict[CallerId, RequestId] = {}
         self._last_request_id = 0
         self._last_caller_id = 0
         self._timer: asyncio.TimerHandle | None = None
@@ -102,6 +103,10 @@
 
     def close_caller(self, caller_id: CallerId) -> None:
         """Abandon a caller's requests and roll back its transaction."""
+        request_id = self._last_request_of.pop(caller_id, 0)
+        open_request = self._open.pop(request_id, None)
+        if open_request is not None and open_request.stream is not None:
+            open_request.stream.close()
         self.apply(self.data_path.on_caller_gone, caller_id)
 
     async def run(self, request: StatementRequest) -> RequestEnd:
@@ -110,6 +115,7 @@
         request_id = self._last_request_id
         done: asyncio.Future[RequestEnd] = asyncio.get_running_loop().create_future()
         self._open[request_id] = _OpenRequest(request, done)
+        self._last_request_of[request.caller_id] = request_id
         submitted = Request(
             request_id=request_id,
             caller_id=request.caller_id,
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_proxy_state_files.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_proxy_state_files.py
@@ -65,6 +65,11 @@
         self._on_problem = on_problem
         self._pending: dict[str, bytes] = {}
         self._writer: asyncio.Task[None] | None = None
+        if folder is not None:
+            try:
+                folder.mkdir(parents=True, exist_ok=True)
+            except OSError as error:
+                on_problem(f"{folder}: {error.strerror}")
 
     def load_configuration(self) -> ClusterConfiguration | None:
         """Return the stored configuration."""
--- a/packages/cardamomshunt-node/tests/test_proxy_role.py
+++ b/packages/cardamomshunt-node/tests/test_proxy_role.py
@@ -287,6 +287,35 @@
     assert rows[-1][0] == 19_999
 
 
+async def test_caller_gone_in_a_stream(site: _Site, wait_until: Any) -> None:
+    """Guards against requests and connections that are kept for a caller that left."""
+    site.backend.n_rows = 200_000
+    connection = await site.connect()
+    cursor = connection.cursor(SSCursor)
+    await cursor.execute("SELECT id, name FROM t")
+    assert await cursor.fetchone()
+    assert site.daemon.core._open
+    connection.close()
+    await wait_until(lambda: not site.daemon.core._open)
+    await wait_until(lambda: site.daemon.core.data_path.n_open_requests() == 0)
+    site.backend.n_rows = 1
+    other = await site.connect()
+    assert len(await _query(other, "SELECT id FROM t")) == 1
+
+
+async def test_slow_caller_holds_little(site: _Site) -> None:
+    """Guards against a result that is held as a whole for a caller that reads slowly."""
+    site.backend.n_rows = 200_000
+    connection = await site.connect()
+    cursor = connection.cursor(SSCursor)
+    await cursor.execute("SELECT id, name FROM t")
+    await asyncio.sleep(0.5)
+    open_request = next(iter(site.daemon.core._open.values()))
+    assert open_request.stream is not None
+    held = sum(batch.size_bytes for batch in open_request.stream._batches)
+    assert 0 < held < 512 * 1024
+
+
 async def test_configuration_never_goes_back(site: _Site, wait_until: Any) -> None:
     """Guards against a late or repeated update that reverts a newer one."""
     state = site.daemon.state
@@ -318,6 +347,9 @@
     proxy_settings: DaemonSettings, fake_backend: Any
 ) -> None:
     """Guards against a zone that is cut off and can't serve after a restart."""
+    assert proxy_settings.data_folder is not None
+    folder = proxy_settings.data_folder / "new" / "folder"
+    proxy_settings = dataclasses.replace(proxy_settings, data_folder=folder)
     await _stop_site(await _start_site(proxy_settings, fake_backend))
     site = await _start_site(proxy_settings, fake_backend, sends_state=False)
     try:
