Confirm health reports by heartbeats instead of repeating them

Cause: an entry VM sent all observations every 500 ms; a leader with 9 entry VMs received 22 KB/s, each entry VM sent 2.5 KB/s and more with each further database. Change: a whole report goes out on a change, again after a beat, and every 5 s; heartbeats name the report that still holds. Heartbeats and envelopes are encoded without field names. Positions keep the time of their report, so a handover never takes an old one for new.

--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_proxy_control_link.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_proxy_control_link.py
@@ -13,6 +13,7 @@
     ConnectionGrants,
     DemandReport,
     DrainInstance,
+    FailoverStep,
     HealthReport,
     Heartbeat,
     InstanceObservation,
@@ -29,6 +30,8 @@
 
 HEARTBEAT_MS = 500.0
 URGENT_REPORT_MS = 100.0
+# In between, heartbeats confirm the last report, which saves most of its bytes.
+FULL_REPORT_MS = 5_000.0
 # Control forgets a demand after 3 s, so that two lost messages in a row do no harm.
 DEMAND_MS = 1_000.0
 # Without a word of the leader for this long, heartbeats go to all control nodes again;
@@ -82,7 +85,11 @@
         self._timing = timing
         self._incarnation = int(time.time() * 1_000)
         self._leader: _Leader | None = None
-        self._sequence = 0
+        # Grows over restarts too, so that control never takes a new report for an old one.
+        self._sequence = self._incarnation
+        self._confirmed_sequence = 0
+        self._is_repeat_due = True
+        self._demand_sequence = self._incarnation
         self._last_standing: list[tuple[object, ...]] = []
         self._next_heartbeat_ms = 0.0
         self._next_report_ms = 0.0
@@ -128,6 +135,7 @@
                 configuration_version=self._state.configuration.version,
                 topology_version=self._state.topology.version,
                 is_draining=self.is_draining,
+                health_sequence=self._confirmed_sequence,
             ),
             is_urgent=self.is_draining,
         )
@@ -192,6 +200,7 @@
         now_ms = self._core.now_ms()
         if self._leader is None or self._leader.node != node:
             self._leader = _Leader(node, url, now_ms)
+            self._next_report_ms = now_ms
         self._leader.url = url
         self._leader.heard_ms = now_ms
 
@@ -227,23 +236,40 @@
     def _report(self) -> None:
         now_ms = self._core.now_ms()
         self._note_control_silence(now_ms)
-        if now_ms >= self._next_heartbeat_ms:
-            self._next_heartbeat_ms = now_ms + HEARTBEAT_MS
-            self.send_heartbeat()
         observations = self._core.data_path.observations(now_ms)
         standing = _standing(observations)
         is_urgent = standing != self._last_standing or any(
             is_unhealthy(item) for item in observations
         )
-        if not is_urgent and now_ms < self._next_report_ms:
-            return
-        self._next_report_ms = now_ms + HEARTBEAT_MS
-        self._last_standing = standing
-        self._sequence += 1
-        self._send_reports(now_ms, observations, is_urgent)
+        has_steps = any(
+            item.step is not FailoverStep.SERVING
+            for item in self._state.topology.databases
+        )
+        if is_urgent or has_steps or now_ms >= self._next_report_ms:
+            self._last_standing = standing
+            self._sequence += 1
+            self._plan_report(now_ms, is_urgent or has_steps)
+            self._send_report(observations, is_urgent)
+        self._confirmed_sequence = 0 if is_urgent else self._sequence
+        if now_ms >= self._next_heartbeat_ms:
+            self._next_heartbeat_ms = now_ms + HEARTBEAT_MS
+            self.send_heartbeat()
+            self._send_demand(now_ms)
+
+    def _plan_report(self, now_ms: float, is_change: bool) -> None:
+        """Set when the next report is due; one after a change is sent twice.
 
-    def _send_reports(
-        self, now_ms: float, observations: list[InstanceObservation], is_urgent: bool
+        A lost report would leave control without a view of this entry VM.
+        """
+        is_repeated = is_change or self._fresh_leader() is None
+        wait_ms = HEARTBEAT_MS if is_repeated else FULL_REPORT_MS
+        if self._is_repeat_due:
+            wait_ms = HEARTBEAT_MS
+        self._is_repeat_due = is_repeated
+        self._next_report_ms = now_ms + wait_ms
+
+    def _send_report(
+        self, observations: list[InstanceObservation], is_urgent: bool
     ) -> None:
         node = self._settings.node
         self._send(
@@ -255,7 +281,6 @@
             ),
             is_urgent,
         )
-        self._send_demand(now_ms)
 
     def _send_demand(self, now_ms: float) -> None:
         demands = self._core.data_path.connection_demand(now_ms)
@@ -264,9 +289,12 @@
             return
         self._next_demand_ms = now_ms + DEMAND_MS
         self._last_demands = demands
+        self._demand_sequence += 1
         self._send(
             DemandReport(
-                node=self._settings.node, sequence=self._sequence, demands=demands
+                node=self._settings.node,
+                sequence=self._demand_sequence,
+                demands=demands,
             ),
             is_urgent=False,
         )
--- a/packages/cardamomshunt-testing/src/cardamomshunt_testing/control_measure.py
+++ b/packages/cardamomshunt-testing/src/cardamomshunt_testing/control_measure.py
@@ -35,6 +35,8 @@
 
 # One-way delays between zones; with the jitter that a process adds.
 _SIZES = {"Kiti Bora": (3.0, 6.0), "Zarqa": (5.0, 9.0)}
+# A beat is 500 ms, and a healthy entry VM sends its whole report every 5 s.
+_N_BEATS_PER_REPORT = 10
 _FAULTS = ("kill", "freeze", "zone")
 
 
@@ -144,6 +146,7 @@
     number: int, sequence: int, version: int, n_databases: int
 ) -> list[bytes]:
     name = f"proxy-{number}"
+    report_sequence = 1 + sequence // _N_BEATS_PER_REPORT
     heartbeat = Heartbeat(
         node=name,
         role=NodeRole.PROXY,
@@ -152,22 +155,24 @@
         operator_address="127.0.0.1:7101",
         configuration_version=0,
         topology_version=version,
+        health_sequence=report_sequence,
     )
     report = HealthReport(
         node=name,
         zone=f"zone-{number % 3}",
-        sequence=sequence,
+        sequence=report_sequence,
         observations=_observations(n_databases),
     )
     address = "tcp://127.0.0.1:7100"
+    has_report = sequence % _N_BEATS_PER_REPORT == 0
+    messages = (heartbeat, report) if has_report else (heartbeat,)
     return [
-        encode_envelope(item, sender=name, reply_address=address)
-        for item in (heartbeat, report)
+        encode_envelope(item, sender=name, reply_address=address) for item in messages
     ]
 
 
-def leader_cost(n_proxies: int, n_databases: int = 3, n_rounds: int = 20) -> Cost:
-    """Return the cost with a heartbeat and a report per entry VM every 500 ms."""
+def leader_cost(n_proxies: int, n_databases: int = 3, n_rounds: int = 35) -> Cost:
+    """Return the cost with a heartbeat per entry VM every 500 ms, a report every 5 s."""
     leader = _LeaderAlone()
     now_ms = 0.0
     while not leader.node.is_ready:
--- a/packages/cardamomshunt/src/cardamomshunt/_control.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_control.py
@@ -183,6 +183,7 @@
                 self._effects.extend(effects)
             case Heartbeat():
                 view = self.registry.on_heartbeat(now_ms, sender.address, message)
+                self.health.on_unchanged(now_ms, message.node, message.health_sequence)
                 self._update_node(now_ms, view)
             case HealthReport():
                 self.health.on_report(now_ms, message)
--- a/packages/cardamomshunt/src/cardamomshunt/_control_status.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_control_status.py
@@ -47,7 +47,7 @@
                 applied_position=seen.applied_position if seen else ZERO,
                 lag_ms=None,
                 silence_ms=(
-                    now_ms - newest.received_ms + newest.observation.silence_ms
+                    now_ms - newest.confirmed_ms + newest.observation.silence_ms
                     if newest
                     else float("inf")
                 ),
--- a/packages/cardamomshunt/src/cardamomshunt/_health_view.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_health_view.py
@@ -30,11 +30,23 @@
 
 @dataclass(slots=True)
 class View:
-    """Hold the last observation of an instance by one entry VM."""
+    """Hold the last observation of an instance by one entry VM.
+
+    `received_ms` is the time of the report, and so of its positions.
+    """
 
     zone: str
     observation: InstanceObservation
     received_ms: float
+    sequence: int
+    reporter: _Reporter
+
+    @property
+    def confirmed_ms(self) -> float:
+        """Return when the entry VM last said that the instance is like this."""
+        if self.sequence == self.reporter.sequence:
+            return self.reporter.received_ms
+        return self.received_ms
 
 
 @dataclass(slots=True)
@@ -81,12 +93,18 @@
         is_recent = known and now_ms - known.received_ms < _SEQUENCE_RESET_MS
         if known and is_recent and report.sequence <= known.sequence:
             return
-        self._reporters[report.node] = _Reporter(report.zone, report.sequence, now_ms)
+        reporter = known or _Reporter(report.zone, report.sequence, now_ms)
+        reporter.zone = report.zone
+        reporter.sequence = report.sequence
+        reporter.received_ms = now_ms
+        self._reporters[report.node] = reporter
         for observation in report.observations:
             views = self._views[observation.database][observation.instance]
             if _needs_attention(views.get(report.node), observation):
                 self._attention.add(observation.database)
-            views[report.node] = View(report.zone, observation, now_ms)
+            views[report.node] = View(
+                report.zone, observation, now_ms, report.sequence, reporter
+            )
             seen = self._seen[observation.database, observation.instance]
             seen.position = max(seen.position, observation.log_position)
 
@@ -95,6 +113,12 @@
         attention, self._attention = self._attention, set()
         return attention
 
+    def on_unchanged(self, now_ms: float, node: str, sequence: int) -> None:
+        """Take an entry VM's word that all is as in a report, if that one is known."""
+        reporter = self._reporters.get(node)
+        if reporter is not None and reporter.sequence == sequence:
+            reporter.received_ms = now_ms
+
     def databases(self) -> list[str]:
         """Return the databases that were ever reported."""
         return list(self._views)
@@ -109,7 +133,7 @@
         return [
             view
             for view in views.values()
-            if now_ms - view.received_ms <= REPORT_AGE_MAX_MS
+            if now_ms - view.confirmed_ms <= REPORT_AGE_MAX_MS
         ]
 
     def has_lost_entries(
@@ -181,14 +205,14 @@
         seen = [view for view in views.values() if view.zone == zone]
         if not seen:
             return None
-        return max(seen, key=lambda view: view.received_ms).observation.address
+        return max(seen, key=lambda view: view.confirmed_ms).observation.address
 
     def forget_old(self, now_ms: float) -> None:
         """Drop the views of entry VMs that are gone."""
         for instances in self._views.values():
             for views in instances.values():
                 for node in list(views):
-                    if now_ms - views[node].received_ms > _VIEW_AGE_MAX_MS:
+                    if now_ms - views[node].confirmed_ms > _VIEW_AGE_MAX_MS:
                         del views[node]
 
 
@@ -219,4 +243,4 @@
 
 
 def _age_ms(now_ms: float, view: View) -> float:
-    return now_ms - view.received_ms + view.observation.silence_ms
+    return now_ms - view.confirmed_ms + view.observation.silence_ms
--- a/packages/cardamomshunt/src/cardamomshunt/_messages.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_messages.py
@@ -76,8 +76,13 @@
     echo: TokenEcho | None = None
 
 
-class Heartbeat(Message, kw_only=True):
-    """Report a daemon as alive to the control leader."""
+class Heartbeat(Message, kw_only=True, array_like=True):
+    """Report a daemon as alive to the control leader.
+
+    `health_sequence` names the last health report if all instances are still as it
+    says, but for their positions; 0 says nothing. Heartbeats are the most frequent
+    messages, so they are encoded without field names; new fields go to the end.
+    """
 
     node: str
     role: NodeRole
@@ -87,6 +92,7 @@
     configuration_version: int
     topology_version: int
     is_draining: bool = False
+    health_sequence: int = 0
 
 
 class InstanceObservation(msgspec.Struct, kw_only=True, array_like=True):
@@ -205,8 +211,11 @@
     tag_name: str
 
 
-class Envelope(msgspec.Struct, kw_only=True):
-    """Wrap a message on the wire; `reply_address` is the sender's listener."""
+class Envelope(msgspec.Struct, kw_only=True, array_like=True):
+    """Wrap a message on the wire; `reply_address` is the sender's listener.
+
+    It is encoded without field names; new fields go to the end.
+    """
 
     protocol_version: int = PROTOCOL_VERSION
     sender: str
@@ -225,6 +234,20 @@
 
 
 _TAG_DECODER = msgspec.msgpack.Decoder(_Tag)
+_ITEMS_DECODER = msgspec.msgpack.Decoder(list[msgspec.Raw])
+_STRING_DECODER = msgspec.msgpack.Decoder(str)
+# Codes of MessagePack arrays: up to 15 items, 16-bit and 32-bit sizes.
+_ARRAY_CODES = frozenset({*range(0x90, 0xA0), 0xDC, 0xDD})
+
+
+def _tag_of(message: msgspec.Raw) -> str:
+    """Return the tag of a message that is encoded with or without field names."""
+    if memoryview(message)[0] not in _ARRAY_CODES:
+        return _TAG_DECODER.decode(message).type
+    items = _ITEMS_DECODER.decode(message)
+    if not items:
+        raise msgspec.ValidationError("expected a tag, got an empty array")
+    return _STRING_DECODER.decode(items[0])
 
 
 def _known_types() -> dict[str, type[Message]]:
@@ -262,7 +285,7 @@
     DrainInstance(instance='orders-1', is_draining=True)
     """
     envelope = _ENVELOPE_DECODER.decode(payload)
-    tag = _TAG_DECODER.decode(envelope.message).type
+    tag = _tag_of(envelope.message)
     message_type = _REGISTRY.get(tag) or _known_types().get(tag)
     if message_type is None:
         return envelope, UnknownMessage(tag_name=tag)
