--- a/packages/cardamomshunt/src/cardamomshunt/_admission.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_admission.py
@@ -152,8 +152,9 @@
         self.service_ms = 2.0  # measured by `on_service`
 
     def on_service(self, elapsed_ms: float) -> None:
-        """Take over a measured service time."""
-        self.service_ms += 0.1 * (elapsed_ms - self.service_ms)
+        """Take over a measured service time; one outlier counts for little."""
+        sample_ms = min(elapsed_ms, 4.0 * self.service_ms + 10.0)
+        self.service_ms += 0.1 * (sample_ms - self.service_ms)
 
     def has_room(
         self, request_class: RequestClass, caller: Hashable, n_queued_max: int
--- a/packages/cardamomshunt/src/cardamomshunt/_group.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_group.py
@@ -84,7 +84,7 @@
         """Point to the primary, and tell instances which term binds connections."""
         self.primary = self.instances.get(self.primary_name or "")
         for instance in self.instances.values():
-            instance.binding_term = self.term if instance is self.primary else None
+            instance.bind(self.term if instance is self.primary else None)
 
     def usable_primary(self, now_ms: float, *, for_write: bool) -> InstanceState | None:
         """Return the primary if it takes new work now.
--- a/packages/cardamomshunt/src/cardamomshunt/_pool.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_pool.py
@@ -120,6 +120,13 @@
         is_silent = now_ms - self.last_contact_ms > SILENCE_MS
         return not is_silent and self.breaker.allows(now_ms)
 
+    def bind(self, term: int | None) -> None:
+        """Set the term that new connections are bound to; dial at once for a new one."""
+        if term != self.binding_term:
+            self.binding_term = term
+            self.next_dial_ms = 0.0
+            self.dial_pause_ms = DIAL_PAUSE_MS
+
     def on_announcement(self, now_ms: float, news: Announcement) -> bool:
         """Take over an announcement; return False if it is outdated."""
         if news.incarnation in self.retired_incarnations:
