Call a read whose stream breaks MAY_HAVE_RUN

Cause: a partly delivered read was refused with NOT_RUN, which is not true. Change: the verdict is MAY_HAVE_RUN for every broken stream. Measured: no test asserted the old verdict. Conclusion: NOT_RUN stays true.

--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_proxy_core.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_proxy_core.py
@@ -21,7 +21,6 @@
     RefuseRequest,
     Request,
     RequestId,
-    RequestKind,
     ResetConnection,
     StartAttempt,
 )
@@ -221,8 +220,7 @@
         open_request: _OpenRequest, stream: RowStream, answer: Answer | None
     ) -> None:
         if not isinstance(answer, ErrorAnswer):
-            is_read = open_request.request.kind is RequestKind.READ
-            verdict = Verdict.NOT_RUN if is_read else Verdict.MAY_HAVE_RUN
+            verdict = Verdict.MAY_HAVE_RUN
             detail = "the rest of the result is lost"
             answer = _error_of(Refusal(verdict, RefusalReason.CONNECTION_LOST, detail))
         stream.fail(answer)
