--- a/packages/cardamomshunt-testing/src/cardamomshunt_testing/_measure_failover.py
+++ b/packages/cardamomshunt-testing/src/cardamomshunt_testing/_measure_failover.py
@@ -124,7 +124,8 @@
             result.gaps_ms[fault].append(gap_ms)
             result.operations.extend(operations)
         n_rounds += 1
-        if not await _wait_healthy(site):
+        is_last = n_rounds >= n_runs_max or loop.time() >= deadline_s
+        if is_last or not await _wait_healthy(site):
             break
     await _report(site, writer, result, seed)
 
