Emit events for silent, restarted and leaving servers, daemons and zones

Cause: 29 events of the catalogue had no emitter, among them those that a timeline needs most. Change: watches compare two looks at the state, every 0.5 s: servers on entry VMs, daemons and zones on the control leader, rejected and unknown messages on both. Conclusion: overload, ejection, retry budget and silent connections are known to the data path only and still have no event.

--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_control_daemon.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_control_daemon.py
@@ -18,6 +18,7 @@
     PersistEffect,
     ReplyOperator,
     SendMessage,
+    node_statuses,
 )
 from cardamomshunt.events import EventNumber
 from cardamomshunt.messages import Message
@@ -32,6 +33,11 @@
 from cardamomshunt_node._log_storage import LogStorage, OpenedStorage
 from cardamomshunt_node._operator_link import OperatorServer
 from cardamomshunt_node._settings import DaemonSettings
+from cardamomshunt_node._state_watch import (
+    WATCH_INTERVAL_S,
+    CounterWatch,
+    NodeWatch,
+)
 from cardamomshunt_node._storage_task import StorageDone, StorageFailed, StorageTask
 from cardamomshunt_node._telemetry import Telemetry
 from cardamomshunt_node._transport import PeerTransport, ReceivedMessage
@@ -102,6 +108,9 @@
         self._telemetry = telemetry
         # The last failover event of each database, which the next one names as cause.
         self._causes: dict[str, str] = {}
+        self._node_watch = NodeWatch(telemetry.emit)
+        self._counter_watch = CounterWatch(telemetry.emit)
+        self._next_watch_ms = 0.0
         self._inbox: asyncio.Queue[_Input] = asyncio.Queue()
         self._node = ControlNode(
             settings.node,
@@ -171,9 +180,21 @@
         while not self._inbox.empty():
             self._handle(self._inbox.get_nowait())
         self._run_effects(self._node.tick(now_ms()))
+        self._watch(now_ms())
         # The other tasks run even if deadlines follow one another without a pause.
         await asyncio.sleep(0)
 
+    def _watch(self, now: float) -> None:
+        if now < self._next_watch_ms:
+            return
+        self._next_watch_ms = now + WATCH_INTERVAL_S * 1_000.0
+        self._counter_watch.look(self._transport.counters)
+        if self._node.consensus.is_leader:
+            nodes = node_statuses(now, self._node.registry, self._settings.node)
+            self._node_watch.look(nodes)
+        else:
+            self._node_watch.reset()
+
     def _handle(self, item: _Input) -> None:
         now = now_ms()
         match item:
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_proxy_role.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_proxy_role.py
@@ -28,6 +28,12 @@
 from cardamomshunt_node._proxy_state_files import StateFiles
 from cardamomshunt_node._proxy_versions import VersionedState
 from cardamomshunt_node._settings import Address, DaemonSettings
+from cardamomshunt_node._state_watch import (
+    WATCH_INTERVAL_S,
+    CounterWatch,
+    InstanceWatch,
+)
+from cardamomshunt_node._tasks import cancel_and_wait
 from cardamomshunt_node._transport import PeerTransport
 from cardamomshunt_node.event_log import EventLog
 from cardamomshunt_node.metrics import NodeMetrics
@@ -105,6 +111,9 @@
             on_fault=self._on_caller_fault,
             on_limit=self._on_caller_limit,
         )
+        self._instance_watch = InstanceWatch(self.events.emit)
+        self._counter_watch = CounterWatch(self.events.emit)
+        self._watch_task: asyncio.Task[None] | None = None
         self._stop_requested = asyncio.Event()
         self.metrics.add_refresher(self._refresh_metrics)
         if keys.is_empty:
@@ -133,8 +142,19 @@
         )
         self.link.start()
         await _start("caller_address", settings.caller_address, self._callers.start())
+        self._watch_task = asyncio.create_task(self._watch_forever())
         self.events.emit(EventNumber.PROXY_STARTED)
 
+    async def _watch_forever(self) -> None:
+        while True:
+            await asyncio.sleep(WATCH_INTERVAL_S)
+            try:
+                data_path = self.core.data_path
+                self._instance_watch.look(data_path.observations(self.core.now_ms()))
+                self._counter_watch.look(self._transport.counters)
+            except Exception as error:
+                self._on_fault(error)
+
     def request_stop(self) -> None:
         """Ask for a graceful stop."""
         self._stop_requested.set()
@@ -176,6 +196,8 @@
 
     async def stop(self) -> None:
         """Close everything, last the link to control."""
+        if self._watch_task is not None:
+            await cancel_and_wait([self._watch_task])
         await self._callers.drain(0.0)
         self.core.stop()
         # A part that fails to close must not keep the others open.
--- a/packages/cardamomshunt/src/cardamomshunt/control.py
+++ b/packages/cardamomshunt/src/cardamomshunt/control.py
@@ -22,6 +22,7 @@
     SetDatabase,
     encode_command,
 )
+from cardamomshunt._control_status import node_statuses
 
 __all__ = [
     "ApplyPatch",
@@ -43,4 +44,5 @@
     "SendMessage",
     "SetDatabase",
     "encode_command",
+    "node_statuses",
 ]
