Emit one event for the start and the end of an overload

Cause: a shed request gave an event of its own, but nothing told how long an overload lasted. Change: 112 with the first shed request, 113 after 5 s without; 120 for a lost transaction. Conclusion: 113 needs a request to arrive after the quiet.

--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_measured_port.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_measured_port.py
@@ -38,6 +38,9 @@
     {RefusalReason.CONNECTION_LOST, RefusalReason.TRANSACTION_LOST}
 )
 
+# An overload is over when nothing was shed for this long; shorter pauses are waves.
+_OVERLOAD_QUIET_MS = 5_000.0
+
 
 @dataclass(slots=True)
 class _Writes:
@@ -78,6 +81,8 @@
         self._write_ids = itertools.count()
         self._without_primary: set[str] = set()
         self._gap_events: dict[str, str] = {}
+        self._shed_ms: dict[str, float] = {}
+        self._overload_events: dict[str, str] = {}
 
     def open_caller(self) -> CallerId:
         """Return the id of a new caller connection."""
@@ -110,6 +115,7 @@
         else:
             end = await self._port.run(request)
         elapsed_ms = self._clock_ms() - started_ms
+        self._end_overload(request.database)
         self._metrics.observe_duration(request.database, _class_of(request), elapsed_ms)
         if isinstance(end.answer, Refusal):
             self._on_refused(request, end.answer)
@@ -142,6 +148,10 @@
             subject=refusal.reason.value,
             detail=str(refusal),
         )
+        if refusal.reason is RefusalReason.OVERLOADED:
+            self._on_shed(request.database)
+        elif refusal.reason is RefusalReason.TRANSACTION_LOST:
+            self._emit(EventNumber.TRANSACTION_LOST, request.database)
         if request.kind not in _WRITE_KINDS:
             return
         if refusal.verdict is Verdict.MAY_HAVE_RUN:
@@ -183,6 +193,21 @@
             ReadBound.AGE if max_age_ms > 0 else ReadBound.SESSION,
         )
 
+    def _on_shed(self, database: str) -> None:
+        self._shed_ms[database] = self._clock_ms()
+        if database not in self._overload_events:
+            event = self._emit(EventNumber.OVERLOAD_STARTED, database)
+            self._overload_events[database] = event
+
+    def _end_overload(self, database: str) -> None:
+        """Note the end of an overload with the first request after a quiet time."""
+        cause = self._overload_events.get(database)
+        if cause is None:
+            return
+        if self._clock_ms() - self._shed_ms[database] > _OVERLOAD_QUIET_MS:
+            del self._overload_events[database]
+            self._emit(EventNumber.OVERLOAD_ENDED, database, cause=cause)
+
     def _on_blocked(self, database: str) -> None:
         writes = self._writes.setdefault(database, _Writes())
         start_ms = writes.gap_start_ms(self._clock_ms())
--- a/packages/cardamomshunt-node/tests/test_measured_port.py
+++ b/packages/cardamomshunt-node/tests/test_measured_port.py
@@ -174,3 +174,17 @@
     await bench.run(RequestKind.WRITE, _done())
     assert EventNumber.WRITES_HELD not in bench.numbers()
     assert EventNumber.WRITES_RESUMED not in bench.numbers()
+
+
+async def test_overload_is_told_once() -> None:
+    """An event for each shed request would fill the log when it is needed most."""
+    bench = _Bench()
+    for _ in range(5):
+        await bench.run(RequestKind.READ, _refused(RefusalReason.OVERLOADED))
+        bench.now_ms += 2_000
+        await bench.run(RequestKind.READ, _done())
+    bench.now_ms += 4_000
+    await bench.run(RequestKind.READ, _done())
+    numbers = bench.numbers()
+    assert numbers.count(EventNumber.OVERLOAD_STARTED) == 1
+    assert numbers.count(EventNumber.OVERLOAD_ENDED) == 1
