--- a/packages/cardamomshunt-testing/src/cardamomshunt_testing/control_schedules.py
+++ b/packages/cardamomshunt-testing/src/cardamomshunt_testing/control_schedules.py
@@ -8,7 +8,7 @@
 import heapq
 import itertools
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from random import Random
 from typing import Any
 
@@ -115,7 +115,8 @@
         options: ScheduleOptions | None = None,
         node_type: type[ControlNode] = ControlNode,
     ) -> None:
-        self.options = options or ScheduleOptions()
+        # A copy, because the faults are switched off for the end of the schedule.
+        self.options = replace(options or ScheduleOptions())
         self.random = Random(seed)
         self.now_ms = 0.0
         self.violations: list[str] = []
--- a/packages/cardamomshunt/src/cardamomshunt/_control_state.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_control_state.py
@@ -29,10 +29,15 @@
 
 
 class InstanceRecord(msgspec.Struct, frozen=True, kw_only=True):
-    """Hold what was seen of a backend server."""
+    """Hold what was seen of a backend server.
+
+    `incarnation` is the newest life that is known to hold all that the server ever
+    acknowledged. A server in another life doesn't count for a majority by itself.
+    """
 
     zone: str
     address: InstanceAddress
+    incarnation: int = 0
 
 
 class DatabaseRecord(msgspec.Struct, frozen=True, kw_only=True):
--- a/packages/cardamomshunt/src/cardamomshunt/_failover.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_failover.py
@@ -317,7 +317,11 @@
             observation = health.newest.observation
             found[instance] = (
                 health,
-                InstanceRecord(zone=observation.zone, address=observation.address),
+                InstanceRecord(
+                    zone=observation.zone,
+                    address=observation.address,
+                    incarnation=observation.incarnation,
+                ),
             )
         return found
 
@@ -366,17 +370,51 @@
         )
         return True
 
+    def _has_caught_up(
+        self, now_ms: float, record: DatabaseRecord, instance: str
+    ) -> bool:
+        """Tell whether a restarted instance holds all that its former life held."""
+        if record.step is not FailoverStep.SERVING or record.primary_instance is None:
+            return False
+        if instance == record.primary_instance:
+            # It was promoted with a majority, so it holds all that was acknowledged.
+            return self._is_serving(now_ms, record)
+        return self._is_serving(now_ms, record) and self._health.has_caught_up(
+            now_ms, record.database, instance, record.primary_instance
+        )
+
+    def _is_serving(self, now_ms: float, record: DatabaseRecord) -> bool:
+        primary = record.primary_instance or ""
+        newest = self._health_of(now_ms, record.database, primary).newest
+        if newest is None:
+            return False
+        seen = newest.observation
+        return seen.role is InstanceRole.PRIMARY and seen.term == record.term
+
     def _learn_instances(
         self,
+        now_ms: float,
         record: DatabaseRecord,
         observed: dict[str, tuple[Health, InstanceRecord]],
     ) -> bool:
         """Propose instances that are new or have moved; none is ever removed."""
-        news = {
-            name: item
-            for name, (health, item) in observed.items()
-            if health.is_alive and _is_news(record.instances.get(name), health)
-        }
+        news = {}
+        for name, (health, item) in observed.items():
+            known = record.instances.get(name)
+            if not health.is_alive:
+                continue
+            if known is None:
+                news[name] = item
+                continue
+            kept = known
+            if known.address not in health.addresses:
+                kept = msgspec.structs.replace(kept, address=item.address)
+            if known.incarnation != item.incarnation and self._has_caught_up(
+                now_ms, record, name
+            ):
+                kept = msgspec.structs.replace(kept, incarnation=item.incarnation)
+            if kept != known:
+                news[name] = kept
         if not news:
             return False
         self._propose(record, "learn", None, "", instances={**record.instances, **news})
@@ -387,7 +425,7 @@
     def _evaluate_record(self, now_ms: float, record: DatabaseRecord) -> None:
         attempt = self._attempt(now_ms, record)
         observed = self._observed(now_ms, record.database)
-        if self._learn_instances(record, observed):
+        if self._learn_instances(now_ms, record, observed):
             return
         match record.step:
             case FailoverStep.SERVING:
@@ -450,10 +488,20 @@
 
     def _count_failover(self, now_ms: float, database: str, attempt: _Attempt) -> None:
         flaps = self._flaps[database]
-        is_quick = now_ms - attempt.since_ms < self.options.stable_ms
+        # A failed primary that had to wait has not served during that wait.
+        quick_ms = self.options.stable_ms + self._damping_ms(flaps)
+        is_quick = now_ms - attempt.since_ms < quick_ms
         flaps.n_quick = flaps.n_quick + 1 if is_quick else 0
         flaps.last_ms = now_ms
 
+    def _damping_ms(self, flaps: _Flaps) -> float:
+        n_excess = flaps.n_quick - self.options.n_undamped
+        if n_excess < 0:
+            return 0.0
+        return min(
+            self.options.damping_base_ms * 2.0**n_excess, self.options.damping_max_ms
+        )
+
     def _is_damped(self, now_ms: float, database: str) -> bool:
         """Tell whether a further failover has to wait, so that a group can't flap.
 
@@ -461,13 +509,7 @@
         right after a repair must not wait.
         """
         flaps = self._flaps[database]
-        n_excess = flaps.n_quick - self.options.n_undamped
-        if n_excess < 0:
-            return False
-        wait_ms = min(
-            self.options.damping_base_ms * 2.0**n_excess, self.options.damping_max_ms
-        )
-        return now_ms - flaps.last_ms < wait_ms
+        return now_ms - flaps.last_ms < self._damping_ms(flaps)
 
     def _fence_old_members(
         self,
@@ -565,41 +607,34 @@
     def _counted(
         self, now_ms: float, record: DatabaseRecord, attempt: _Attempt
     ) -> list[str]:
-        """Return the fenced instances that count for a majority."""
-        if len(attempt.fenced) == len(record.instances):
-            counted = list(attempt.fenced)
-        else:
-            counted = [
-                instance
-                for instance, position in attempt.fenced.items()
-                if not self._health.has_lost_entries(
-                    record.database, instance, position
-                )
-            ]
-        return self._without_silent(now_ms, record, attempt, counted)
-
-    def _without_silent(
-        self,
-        now_ms: float,
-        record: DatabaseRecord,
-        attempt: _Attempt,
-        counted: list[str],
-    ) -> list[str]:
-        """Leave out instances that control reaches but the entry VMs don't.
+        """Return the fenced instances to choose from; too few if none is safe yet.
 
-        A cut-off old primary would be promoted again and again, as it holds entries
-        that nobody acknowledged. Any majority is safe, so the others are awaited.
+        Instances that control reaches but the entry VMs don't are left out at first:
+        a cut-off old primary holds entries that nobody acknowledged, and would be
+        promoted again and again.
         """
+        whole = [
+            instance
+            for instance, position in attempt.fenced.items()
+            if not self._health.has_lost_entries(
+                record.database,
+                instance,
+                record.instances[instance].incarnation,
+                position,
+            )
+        ]
         seen = [
             instance
-            for instance in counted
+            for instance in whole
             if not self._health_of(now_ms, record.database, instance).is_silent
         ]
-        waited_ms = now_ms - attempt.since_ms
-        is_enough = len(seen) >= self._n_needed(record)
-        if is_enough or waited_ms < self.options.silent_fence_wait_ms:
+        if len(seen) >= self._n_needed(record):
             return seen
-        return counted
+        if len(attempt.fenced) == len(record.instances):
+            # Nobody else can hold more, so even those that lost entries may be chosen.
+            return list(attempt.fenced)
+        waited_ms = now_ms - attempt.since_ms
+        return whole if waited_ms >= self.options.silent_fence_wait_ms else seen
 
     def _choose(self, now_ms: float, record: DatabaseRecord, attempt: _Attempt) -> None:
         """Propose the most advanced fenced instance, given a majority."""
@@ -685,11 +720,6 @@
         return max(candidates)[1] if candidates else None
 
 
-def _is_news(known: InstanceRecord | None, health: Health) -> bool:
-    """Tell whether no entry VM sees an instance where the record has it."""
-    return known is None or known.address not in health.addresses
-
-
 def _term_of(health: Health) -> int:
     return health.newest.observation.term if health.newest else 0
 
--- a/packages/cardamomshunt/src/cardamomshunt/_health_view.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_health_view.py
@@ -15,6 +15,7 @@
 REPORT_AGE_MAX_MS = 1_000.0
 # Shorter than any detection time; announcements come every 100 ms.
 ATTENTION_SILENCE_MS = 100.0
+CATCH_UP_PROOF_MS = 1_000.0
 # A restarted entry VM counts from 1 again; its reports are taken after this pause.
 _SEQUENCE_RESET_MS = 1_000.0
 # Views of entry VMs that are gone for good are dropped.
@@ -57,9 +58,11 @@
 
 @dataclass(slots=True)
 class _Seen:
-    """Hold the largest position that an instance ever reported."""
+    """Hold the largest position that an instance ever reported, and its lives."""
 
     position: LogPosition = ZERO
+    first_seen_ms: dict[int, float] = field(default_factory=dict)
+    incarnation: int = 0
 
 
 @dataclass(slots=True)
@@ -89,6 +92,8 @@
             views[report.node] = View(report.zone, observation, now_ms)
             seen = self._seen[observation.database, observation.instance]
             seen.position = max(seen.position, observation.log_position)
+            seen.first_seen_ms.setdefault(observation.incarnation, now_ms)
+            seen.incarnation = max(seen.incarnation, observation.incarnation)
 
     def take_attention(self) -> set[str]:
         """Return the databases that a report since the last call gives reason to judge."""
@@ -113,14 +118,44 @@
         ]
 
     def has_lost_entries(
-        self, database: str, instance: str, position: LogPosition
+        self, database: str, instance: str, incarnation: int, position: LogPosition
     ) -> bool:
-        """Tell whether an instance held more than it holds now.
+        """Tell whether an instance may hold less than it held in a known life.
 
         Such an instance may have helped to acknowledge writes that it lost, so it
-        doesn't count for a majority.
+        doesn't count for a majority. If this node never saw the known life, it can't
+        tell what that life held.
         """
-        return position < self._seen[database, instance].position
+        seen = self._seen[database, instance]
+        if seen.incarnation != incarnation and incarnation not in seen.first_seen_ms:
+            return True
+        return position < seen.position
+
+    def has_caught_up(
+        self, now_ms: float, database: str, instance: str, primary: str
+    ) -> bool:
+        """Tell whether a restarted instance reached the primary's end of the log.
+
+        The life must be older than the newest report of the primary, so that this end
+        covers all that the former life held.
+        """
+        seen = self._seen[database, instance]
+        since_ms = seen.first_seen_ms.get(seen.incarnation, now_ms)
+        if now_ms - since_ms < CATCH_UP_PROOF_MS:
+            return False
+        views = self._views[database]
+        for node, view in views[instance].items():
+            other = views[primary].get(node)
+            if other is None or other.received_ms != view.received_ms:
+                continue
+            if now_ms - view.received_ms > REPORT_AGE_MAX_MS:
+                continue
+            copy, source = view.observation, other.observation
+            is_recent = source.silence_ms < CATCH_UP_PROOF_MS / 2
+            is_current = copy.incarnation == seen.incarnation
+            if is_recent and is_current and copy.log_position >= source.log_position:
+                return True
+        return False
 
     def health(
         self, now_ms: float, database: str, instance: str, detection_ms: float
