--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_proxy_core.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_proxy_core.py
@@ -21,7 +21,6 @@
     RefuseRequest,
     Request,
     RequestId,
-    RequestKind,
     ResetConnection,
     StartAttempt,
 )
@@ -78,6 +77,7 @@
         self._on_event = on_event
         self._on_fault = on_fault
         self._open: dict[RequestId, _OpenRequest] = {}
+        self._last_request_of: dict[CallerId, RequestId] = {}
         self._last_request_id = 0
         self._last_caller_id = 0
         self._timer: asyncio.TimerHandle | None = None
@@ -102,6 +102,10 @@
 
     def close_caller(self, caller_id: CallerId) -> None:
         """Abandon a caller's requests and roll back its transaction."""
+        request_id = self._last_request_of.pop(caller_id, 0)
+        open_request = self._open.pop(request_id, None)
+        if open_request is not None and open_request.stream is not None:
+            open_request.stream.close()
         self.apply(self.data_path.on_caller_gone, caller_id)
 
     async def run(self, request: StatementRequest) -> RequestEnd:
@@ -110,6 +114,7 @@
         request_id = self._last_request_id
         done: asyncio.Future[RequestEnd] = asyncio.get_running_loop().create_future()
         self._open[request_id] = _OpenRequest(request, done)
+        self._last_request_of[request.caller_id] = request_id
         submitted = Request(
             request_id=request_id,
             caller_id=request.caller_id,
@@ -206,20 +211,20 @@
         """End a partly delivered result with an error; no attempt can replace it."""
         if open_request.stream is None:
             return
-        if not isinstance(answer, ErrorAnswer):
-            is_read = open_request.request.kind is RequestKind.READ
-            verdict = Verdict.NOT_RUN if is_read else Verdict.MAY_HAVE_RUN
-            answer = _error_of(
-                Refusal(
-                    verdict,
-                    RefusalReason.CONNECTION_LOST,
-                    "the rest of the result is lost",
-                )
-            )
-        open_request.stream.fail(answer)
+        self._fail_stream(open_request, open_request.stream, answer)
         del self._open[result.request_id]
         self.apply(self.data_path.cancel, result.request_id)
 
+    @staticmethod
+    def _fail_stream(
+        open_request: _OpenRequest, stream: RowStream, answer: Answer | None
+    ) -> None:
+        if not isinstance(answer, ErrorAnswer):
+            verdict = Verdict.MAY_HAVE_RUN
+            detail = "the rest of the result is lost"
+            answer = _error_of(Refusal(verdict, RefusalReason.CONNECTION_LOST, detail))
+        stream.fail(answer)
+
     # The data path and its effects.
 
     def apply(
@@ -257,31 +262,55 @@
 
     def _start_attempt(self, effect: StartAttempt) -> None:
         open_request = self._open.get(effect.request_id)
-        if open_request is None or open_request.stream is not None:
-            result = AttemptResult(
-                request_id=effect.request_id,
-                attempt=effect.attempt,
-                connection_id=effect.connection_id,
-                outcome=AttemptOutcome.NOT_SENT,
-                detail="the request is over",
-            )
-            # Not within the call that asked for it, as the data path is not reentrant.
-            asyncio.get_running_loop().call_soon(self.on_attempt_ended, result, None)
+        if open_request is not None and open_request.stream is None:
+            self._backend.start_attempt(effect, open_request.request.text)
             return
-        self._backend.start_attempt(effect, open_request.request.text)
+        # Not within the call that asked for it, as the data path is not reentrant.
+        call_soon = asyncio.get_running_loop().call_soon
+        if open_request is None:
+            call_soon(self._end_unstarted, effect, AttemptOutcome.NOT_SENT)
+        elif open_request.stream_attempt in open_request.answers:
+            # The rows were all sent, but the data path wants fresher ones.
+            call_soon(self._give_up_stream, effect.request_id)
+        else:
+            # A second attempt beside the one that streams; this end releases its
+            # connection without a mark against the server.
+            call_soon(self._end_unstarted, effect, AttemptOutcome.BACKEND_ERROR)
+
+    def _end_unstarted(self, effect: StartAttempt, outcome: AttemptOutcome) -> None:
+        result = AttemptResult(
+            request_id=effect.request_id,
+            attempt=effect.attempt,
+            connection_id=effect.connection_id,
+            outcome=outcome,
+            detail="the request needs no further attempt",
+        )
+        self.on_attempt_ended(result, None)
+
+    def _give_up_stream(self, request_id: RequestId) -> None:
+        open_request = self._open.pop(request_id, None)
+        if open_request is None or open_request.stream is None:
+            return
+        detail = "the rows took longer than their age allows"
+        refusal = Refusal(Verdict.NOT_RUN, RefusalReason.TOO_STALE, detail)
+        open_request.stream.fail(_error_of(refusal))
+        self.apply(self.data_path.cancel, request_id)
 
     def _complete(self, effect: CompleteRequest) -> None:
         open_request = self._open.pop(effect.request_id, None)
         if open_request is None:
             return
         if open_request.stream is not None:
-            open_request.done.result().completion = effect
+            if effect.attempt != open_request.stream_attempt:
+                self._fail_stream(open_request, open_request.stream, None)
+                return
+            end = open_request.done.result()
+            end.completion = effect
             open_request.stream.finish()
-            return
-        if open_request.done.done():
+            self._end(open_request, end)
             return
         answer = _answer_of(effect, open_request.answers.get(effect.attempt))
-        open_request.done.set_result(RequestEnd(answer, effect))
+        self._end(open_request, RequestEnd(answer, effect))
 
     def _refuse(self, request_id: RequestId, refusal: Refusal) -> None:
         open_request = self._open.pop(request_id, None)
@@ -289,8 +318,12 @@
             return
         if open_request.stream is not None:
             open_request.stream.fail(_error_of(refusal))
-        elif not open_request.done.done():
-            open_request.done.set_result(RequestEnd(refusal))
+        self._end(open_request, RequestEnd(refusal))
+
+    @staticmethod
+    def _end(open_request: _OpenRequest, end: RequestEnd) -> None:
+        if not open_request.done.done():
+            open_request.done.set_result(end)
 
     def _set_timer(self) -> None:
         deadline_ms = self.data_path.next_deadline_ms()
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_proxy_role.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_proxy_role.py
@@ -8,6 +8,7 @@
 import pynng
 from cardamomshunt.configuration import ClusterConfiguration
 from cardamomshunt.data_path import AbstractDataPath, DataPath
+from cardamomshunt.effects import RequestClass
 from cardamomshunt.events import EventNumber
 from cardamomshunt.messages import Announcement, TopologyUpdate
 from cardamomshunt.verdict import Refusal
@@ -18,6 +19,7 @@
 from cardamomshunt_node._caller_edge import CallerEdge
 from cardamomshunt_node._caller_edge_mysql import MysqlCallerEdge
 from cardamomshunt_node._keys import KeyFileError, load_key_ring
+from cardamomshunt_node._measured_port import MeasuredRequestPort
 from cardamomshunt_node._operator_link import OperatorServer
 from cardamomshunt_node._proxy_control_link import ControlLink
 from cardamomshunt_node._proxy_core import ProxyCore
@@ -26,6 +28,12 @@
 from cardamomshunt_node._proxy_state_files import StateFiles
 from cardamomshunt_node._proxy_versions import VersionedState
 from cardamomshunt_node._settings import Address, DaemonSettings
+from cardamomshunt_node._state_watch import (
+    WATCH_INTERVAL_S,
+    CounterWatch,
+    InstanceWatch,
+)
+from cardamomshunt_node._tasks import cancel_and_wait
 from cardamomshunt_node._transport import PeerTransport
 from cardamomshunt_node.event_log import EventLog
 from cardamomshunt_node.metrics import NodeMetrics
@@ -47,8 +55,10 @@
         self._settings = settings
         self._drain_time_ms = drain_time_ms
         keys = load_key_ring(settings.keys)
-        self.events = EventLog(settings.node, log_file=settings.log_file)
         self.metrics = NodeMetrics(settings.node, "proxy", settings.zone)
+        self.events = EventLog(
+            settings.node, log_file=settings.log_file, count=self.metrics.count_event
+        )
         self._backend = backend or MysqlBackendEdge()
         self.core = ProxyCore(
             data_path or DataPath(zone=settings.zone, generator=Random()),
@@ -70,7 +80,12 @@
             self.events.now_hlc,
         )
         self.link = ControlLink(
-            settings, self.core, self.state, self.events, self._transport
+            settings,
+            self.core,
+            self.state,
+            self.events,
+            self._transport,
+            self.metrics.timing_control,
         )
         desk = ProxyOperatorDesk(
             settings, self.core, self.state, self.link, self.events, self.request_stop
@@ -86,12 +101,19 @@
             monotonic_ms,
             self._on_rejected_announcement,
         )
+        self._requests = MeasuredRequestPort(
+            self.core, self.metrics, self.events, monotonic_ms, self._default_age_ms
+        )
         self._callers: CallerEdge = MysqlCallerEdge(
             _required(settings.caller_address),
-            self.core,
+            self._requests,
             on_refusal=self._on_refusal,
             on_fault=self._on_caller_fault,
+            on_limit=self._on_caller_limit,
         )
+        self._instance_watch = InstanceWatch(self.events.emit)
+        self._counter_watch = CounterWatch(self.events.emit)
+        self._watch_task: asyncio.Task[None] | None = None
         self._stop_requested = asyncio.Event()
         self.metrics.add_refresher(self._refresh_metrics)
         if keys.is_empty:
@@ -120,8 +142,19 @@
         )
         self.link.start()
         await _start("caller_address", settings.caller_address, self._callers.start())
+        self._watch_task = asyncio.create_task(self._watch_forever())
         self.events.emit(EventNumber.PROXY_STARTED)
 
+    async def _watch_forever(self) -> None:
+        while True:
+            await asyncio.sleep(WATCH_INTERVAL_S)
+            try:
+                data_path = self.core.data_path
+                self._instance_watch.look(data_path.observations(self.core.now_ms()))
+                self._counter_watch.look(self._transport.counters)
+            except Exception as error:
+                self._on_fault(error)
+
     def request_stop(self) -> None:
         """Ask for a graceful stop."""
         self._stop_requested.set()
@@ -163,6 +196,8 @@
 
     async def stop(self) -> None:
         """Close everything, last the link to control."""
+        if self._watch_task is not None:
+            await cancel_and_wait([self._watch_task])
         await self._callers.drain(0.0)
         self.core.stop()
         # A part that fails to close must not keep the others open.
@@ -194,6 +229,11 @@
 
     def _on_topology(self, topology: TopologyUpdate) -> None:
         self.core.apply(self.core.data_path.on_topology, topology)
+        self._requests.on_topology(topology)
+
+    def _default_age_ms(self, database: str, request_class: RequestClass) -> float:
+        settings = self.state.configuration.database(database)
+        return settings.for_class(request_class).max_age_ms
 
     def _on_announcement(
         self, announcement: Announcement, issued_ms: float | None
@@ -207,7 +247,6 @@
         self.metrics.count_refusal(database, refusal)
 
     def _on_event(self, number: int, subject: str, detail: str) -> None:
-        self.metrics.count_event(number)
         self.events.emit(number, subject, detail)
 
     def _on_fault(self, error: Exception) -> None:
@@ -218,6 +257,9 @@
         detail = f"{type(error).__name__}: {error}"
         self.events.emit(EventNumber.CALLER_PROTOCOL_ERROR, detail=detail)
 
+    def _on_caller_limit(self) -> None:
+        self.events.emit(EventNumber.CALLER_LIMIT_REACHED)
+
     def _on_storage_problem(self, detail: str) -> None:
         self.events.emit(EventNumber.DISK_FAILED, detail=detail)
 
--- a/packages/cardamomshunt-node/tests/conftest.py
+++ b/packages/cardamomshunt-node/tests/conftest.py
@@ -41,6 +41,8 @@
     statements: list[str] = field(default_factory=list)
     records: dict[str, list[Any]] = field(default_factory=dict)
     n_writes: int = 0
+    n_round_trips: int = 0
+    refuses_variables: bool = False
     n_rows: int = 1
     is_broken_in_rows: bool = False
     instance: str = "orders-1"
@@ -78,6 +80,8 @@
         self.undo: list[Callable[[], None]] = []
 
     async def set_variable(self, name: str, value: Any) -> None:
+        if self.backend.refuses_variables:
+            raise ServerError(1193, "HY000", f"Unknown variable '@{name}'")
         self.backend.statements.append(f"SET @{name} = {value}")
 
     async def on_disconnected(self) -> None:
@@ -94,6 +98,7 @@
 
     async def handle_statement(self, sql: str) -> StatementResult:
         self.backend.statements.append(sql)
+        self.backend.n_round_trips += not self.is_pipelined
         for prefix, action in self.backend.faults.items():
             if sql.startswith(prefix):
                 return await self._fail(sql, action)
--- a/packages/cardamomshunt-node/tests/test_proxy_role.py
+++ b/packages/cardamomshunt-node/tests/test_proxy_role.py
@@ -32,11 +32,12 @@
     TimelineRequest,
 )
 from cardamomshunt.position import LogPosition
+from cardamomshunt_node._caller_edge_mysql import MysqlCallerEdge
 from cardamomshunt_node.keys import KeyRing
 from cardamomshunt_node.mysql_server import ServerError
 from cardamomshunt_node.operator_link import ask
 from cardamomshunt_node.proxy_role import ProxyDaemon
-from cardamomshunt_node.settings import DaemonSettings
+from cardamomshunt_node.settings import Address, DaemonSettings
 from cardamomshunt_node.transport import PeerTransport, ReceivedMessage
 
 _TOPOLOGY = TopologyUpdate(
@@ -286,6 +287,35 @@
     assert rows[-1][0] == 19_999
 
 
+async def test_caller_gone_in_a_stream(site: _Site, wait_until: Any) -> None:
+    """Guards against requests and connections that are kept for a caller that left."""
+    site.backend.n_rows = 200_000
+    connection = await site.connect()
+    cursor = connection.cursor(SSCursor)
+    await cursor.execute("SELECT id, name FROM t")
+    assert await cursor.fetchone()
+    assert site.daemon.core._open
+    connection.close()
+    await wait_until(lambda: not site.daemon.core._open)
+    await wait_until(lambda: site.daemon.core.data_path.n_open_requests() == 0)
+    site.backend.n_rows = 1
+    other = await site.connect()
+    assert len(await _query(other, "SELECT id FROM t")) == 1
+
+
+async def test_slow_caller_holds_little(site: _Site) -> None:
+    """Guards against a result that is held as a whole for a caller that reads slowly."""
+    site.backend.n_rows = 200_000
+    connection = await site.connect()
+    cursor = connection.cursor(SSCursor)
+    await cursor.execute("SELECT id, name FROM t")
+    await asyncio.sleep(0.5)
+    open_request = next(iter(site.daemon.core._open.values()))
+    assert open_request.stream is not None
+    held = sum(batch.size_bytes for batch in open_request.stream._batches)
+    assert 0 < held < 512 * 1024
+
+
 async def test_configuration_never_goes_back(site: _Site, wait_until: Any) -> None:
     """Guards against a late or repeated update that reverts a newer one."""
     state = site.daemon.state
@@ -317,6 +347,9 @@
     proxy_settings: DaemonSettings, fake_backend: Any
 ) -> None:
     """Guards against a zone that is cut off and can't serve after a restart."""
+    assert proxy_settings.data_folder is not None
+    folder = proxy_settings.data_folder / "new" / "folder"
+    proxy_settings = dataclasses.replace(proxy_settings, data_folder=folder)
     await _stop_site(await _start_site(proxy_settings, fake_backend))
     site = await _start_site(proxy_settings, fake_backend, sends_state=False)
     try:
@@ -336,6 +369,19 @@
     await _stop_site(await _start_site(proxy_settings, fake_backend))
 
 
+async def test_too_many_callers(site: _Site) -> None:
+    edge = MysqlCallerEdge(Address("127.0.0.1", 0), site.daemon.core, n_callers_max=1)
+    await edge.start()
+    options = {"host": "127.0.0.1", "port": edge._server.port, "user": "caller"}
+    first = await asyncmy.connect(**options, autocommit=None)
+    with pytest.raises(asyncmy.errors.OperationalError) as raised:
+        await asyncmy.connect(**options, autocommit=None)
+    assert raised.value.args[0] == 1040
+    assert "verdict=NOT_RUN reason=too_many_connections" in raised.value.args[1]
+    first.close()
+    await edge.drain(0.0)
+
+
 async def test_term_change(site: _Site, wait_until: Any) -> None:
     """Guards against writes on connections that are bound to an older term."""
     connection = await site.connect()
@@ -349,6 +395,25 @@
     assert "SET @cardamomshunt_term = 4" in site.backend.statements
 
 
+async def test_metrics_of_requests(site: _Site) -> None:
+    """Guards against metrics that nothing feeds."""
+    connection = await site.connect()
+    await _query(connection, "SELECT id FROM t")
+    await _query(connection, "UPDATE stock SET n = 1")
+    url = f"http://{site.settings.metrics_address}/metrics"
+    async with aiohttp.ClientSession() as session, session.get(url) as response:
+        text = await response.text()
+    for name in (
+        "reads_total",
+        "request_duration_seconds_count",
+        "caller_connections",
+        "control_cpu_seconds_total",
+        "control_bytes_total",
+    ):
+        lines = [line for line in text.splitlines() if f"_{name}{{" in line]
+        assert any(float(line.split()[-1]) > 0 for line in lines), name
+
+
 async def test_drain_lets_a_transaction_end(site: _Site) -> None:
     """Guards against a planned stop that cuts what is in flight."""
     busy = await site.connect()
--- a/packages/cardamomshunt/src/cardamomshunt/_group.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_group.py
@@ -44,6 +44,7 @@
         self.query_sent_ms = 0.0
         self.is_query_wanted = False
         self.next_query_ms = 0.0
+        self.write_started_ms = float("-inf")
         self._unusable_since_ms: float | None = None
 
     def on_settings(self, settings: DatabaseSettings, retry_ratio: float) -> None:
@@ -83,7 +84,7 @@
         """Point to the primary, and tell instances which term binds connections."""
         self.primary = self.instances.get(self.primary_name or "")
         for instance in self.instances.values():
-            instance.binding_term = self.term if instance is self.primary else None
+            instance.bind(self.term if instance is self.primary else None)
 
     def usable_primary(self, now_ms: float, *, for_write: bool) -> InstanceState | None:
         """Return the primary if it takes new work now.
--- a/packages/cardamomshunt/src/cardamomshunt/control.py
+++ b/packages/cardamomshunt/src/cardamomshunt/control.py
@@ -14,9 +14,18 @@
     ReplyOperator,
     SendMessage,
 )
-from cardamomshunt._control_state import ControlState, DatabaseRecord, InstanceRecord
+from cardamomshunt._control_state import (
+    ApplyPatch,
+    ControlState,
+    DatabaseRecord,
+    InstanceRecord,
+    SetDatabase,
+    encode_command,
+)
+from cardamomshunt._control_status import node_statuses
 
 __all__ = [
+    "ApplyPatch",
     "CommandInstance",
     "ControlEffect",
     "ControlNode",
@@ -33,4 +42,7 @@
     "PersistVote",
     "ReplyOperator",
     "SendMessage",
+    "SetDatabase",
+    "encode_command",
+    "node_statuses",
 ]
