--- a/packages/cardamomshunt-testing/src/cardamomshunt_testing/_fake_group.py
+++ b/packages/cardamomshunt-testing/src/cardamomshunt_testing/_fake_group.py
@@ -185,7 +185,7 @@
             instance.log = []
 
     def observe(
-        self, instance: FakeInstance, silence_ms: float, zone: str
+        self, instance: FakeInstance, silence_ms: float, zone: str = ""
     ) -> InstanceObservation:
         """Describe a server as an entry VM of a zone reports it."""
         port = 20_000 + instance.number
