--- a/packages/cardamomshunt-cli/tests/conftest.py
+++ b/packages/cardamomshunt-cli/tests/conftest.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import json
-import socket
 import threading
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
@@ -31,13 +30,12 @@
 from cardamomshunt_cli.main import main
 from cardamomshunt_node.keys import KeyRing
 from cardamomshunt_node.operator_link import OperatorServer
+from cardamomshunt_testing._ports import free_ports
 from click.testing import CliRunner, Result
 
 
 def free_address() -> str:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
+    return f"127.0.0.1:{free_ports(1)[0]}"
 
 
 @dataclass
--- a/packages/cardamomshunt-cli/tests/test_bench.py
+++ b/packages/cardamomshunt-cli/tests/test_bench.py
@@ -1,12 +1,12 @@
 """The load of `bench` ends by itself and counts failures apart."""
 
 import json
-import socket
 from typing import Any
 
 import pytest
 from cardamomshunt_cli._bench import BenchOptions, BenchReport, run_bench
 from cardamomshunt_cli.main import main
+from cardamomshunt_testing._ports import free_ports
 from click.testing import CliRunner
 from mysql_mimic import MysqlServer, Session
 from mysql_mimic.results import ensure_result_set
@@ -24,9 +24,7 @@
 
 
 async def _run(statements: tuple[str, ...], rate: float | None) -> BenchReport:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        port = probe.getsockname()[1]
+    port = free_ports(1)[0]
     server = MysqlServer(session_factory=_Session)
     await server.start_server(host="127.0.0.1", port=port)
     try:
@@ -65,9 +63,7 @@
     [(["--duration", "0.3s"], 3), (["--duration", "2h"], 2), (["--rate", "0"], 2)],
 )
 def test_bounds(arguments: list[str], exit_code: int) -> None:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        port = str(probe.getsockname()[1])
+    port = str(free_ports(1)[0])
     result = CliRunner().invoke(main, ["--json", "bench", "--port", port, *arguments])
     assert result.exit_code == exit_code, result.output
     if exit_code == 3:
--- a/packages/cardamomshunt-cli/tests/test_real_control.py
+++ b/packages/cardamomshunt-cli/tests/test_real_control.py
@@ -1,9 +1,7 @@
 """The command line works with real control daemons, through the loss of the leader."""
 
-import contextlib
 import json
 import signal
-import socket
 import subprocess
 import sys
 import time
@@ -15,6 +13,7 @@
 from cardamomshunt.events import EventNumber
 from cardamomshunt_cli import _client
 from cardamomshunt_cli._exit_codes import ExitCode
+from cardamomshunt_testing._ports import free_ports
 from click.testing import Result
 
 Ctl = Callable[..., Result]
@@ -31,19 +30,11 @@
     operator_addresses: dict[str, str]
 
 
-def _free_ports(n_ports: int) -> list[int]:
-    with contextlib.ExitStack() as stack:
-        probes = [stack.enter_context(socket.socket()) for _ in range(n_ports)]
-        for probe in probes:
-            probe.bind(("127.0.0.1", 0))
-        return [probe.getsockname()[1] for probe in probes]
-
-
 def _write_settings(folder: Path) -> Control:
     """Write the example settings with free ports, and with a key of their own."""
     key = folder / "k1.key"
     key.write_text("an example secret of 32 characters")
-    ports = iter(_free_ports(9))
+    ports = iter(free_ports(9))
     replacements = {"/etc/cardamomshunt/k1.key": str(key)}
     for old in range(7000, 7030, 10):
         for offset in range(3):
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_proxy_control_link.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_proxy_control_link.py
@@ -75,6 +75,7 @@
         state: VersionedState,
         events: EventLog,
         transport: PeerTransport,
+        request_drain: Callable[[], None],
         timing: Callable[[], AbstractContextManager[None]] = nullcontext,
     ) -> None:
         self._settings = settings
@@ -82,6 +83,7 @@
         self._state = state
         self._events = events
         self._transport = transport
+        self._request_drain = request_drain
         self._timing = timing
         self._incarnation = int(time.time() * 1_000)
         self._leader: _Leader | None = None
@@ -162,11 +164,16 @@
             case ConnectionGrants():
                 self._take_grants(message)
             case DrainInstance():
-                self._core.apply(
-                    self._core.data_path.on_drain,
-                    message.instance,
-                    message.is_draining,
-                )
+                self._take_drain(message)
+
+    def _take_drain(self, order: DrainInstance) -> None:
+        if order.instance == self._settings.node:
+            if order.is_draining:
+                self._request_drain()
+            return
+        self._core.apply(
+            self._core.data_path.on_drain, order.instance, order.is_draining
+        )
 
     def _take_configuration(self, update: ConfigurationUpdate) -> None:
         try:
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_proxy_role.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_proxy_role.py
@@ -85,6 +85,7 @@
             self.state,
             self.events,
             self._transport,
+            self.request_stop,
             self.metrics.timing_control,
         )
         desk = ProxyOperatorDesk(
--- a/packages/cardamomshunt-node/tests/conftest.py
+++ b/packages/cardamomshunt-node/tests/conftest.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import re
-import socket
 from collections.abc import AsyncIterator, Awaitable, Callable
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -20,6 +19,7 @@
     StatementResult,
 )
 from cardamomshunt_node.settings import Address, ControlNodeAddress, DaemonSettings
+from cardamomshunt_testing._ports import free_ports
 
 _RECORD = re.compile(r"VALUES \('(\w+)', '(\w*)', (-?\d+),")
 _ANSWER = re.compile(r"affected_rows = (\d+), last_insert_id = (\d+) .*'(\w+)'$")
@@ -191,9 +191,7 @@
 
 
 def free_address() -> Address:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return Address("127.0.0.1", probe.getsockname()[1])
+    return Address("127.0.0.1", free_ports(1)[0])
 
 
 @pytest.fixture
--- a/packages/cardamomshunt-node/tests/control_processes.py
+++ b/packages/cardamomshunt-node/tests/control_processes.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import signal
-import socket
 import subprocess
 import sys
 import time
@@ -13,20 +12,11 @@
 from cardamomshunt.operator_messages import StatusReply, StatusRequest
 from cardamomshunt_node.keys import KeyRing
 from cardamomshunt_node.operator_link import NoReplyError, ask
+from cardamomshunt_testing._ports import free_ports
 
 _KEYS = KeyRing([])
 
 
-def free_ports(n: int) -> list[int]:
-    sockets = [socket.socket() for _ in range(n)]
-    for item in sockets:
-        item.bind(("127.0.0.1", 0))
-    ports = [item.getsockname()[1] for item in sockets]
-    for item in sockets:
-        item.close()
-    return ports
-
-
 class ControlProcesses:
     """Start, stop and ask control daemons."""
 
--- a/packages/cardamomshunt-node/tests/test_main.py
+++ b/packages/cardamomshunt-node/tests/test_main.py
@@ -10,6 +10,7 @@
 import pytest
 import yaml
 from cardamomshunt_node.main import main
+from cardamomshunt_testing._ports import free_ports
 from click.testing import CliRunner
 
 
@@ -37,11 +38,7 @@
 
 @pytest.fixture
 def ports() -> list[int]:
-    sockets = [socket.create_server(("127.0.0.1", 0)) for _ in range(5)]
-    ports = [item.getsockname()[1] for item in sockets]
-    for item in sockets:
-        item.close()
-    return ports
+    return free_ports(5)
 
 
 def _write(folder: Path, document: Any) -> str:
--- a/packages/cardamomshunt-node/tests/test_proxy_role.py
+++ b/packages/cardamomshunt-node/tests/test_proxy_role.py
@@ -17,6 +17,7 @@
     Change,
     ConfigurationUpdate,
     DatabaseTopology,
+    DrainInstance,
     FailoverStep,
     Heartbeat,
     Message,
@@ -316,6 +317,23 @@
     assert 0 < held < 512 * 1024
 
 
+@pytest.mark.parametrize(
+    ("target", "is_draining", "is_stopping"),
+    [("proxy-1", True, True), ("proxy-1", False, False), ("orders-1", True, False)],
+    ids=["this entry VM", "resumed", "a backend server"],
+)
+async def test_drain_order_of_control(
+    site: _Site, target: str, is_draining: bool, is_stopping: bool, wait_until: Any
+) -> None:
+    """Guards against an entry VM that ignores the order to drain itself."""
+    transport = site.daemon._transport
+    n_before = transport.counters.n_received
+    site.control.send(DrainInstance(instance=target, is_draining=is_draining))
+    await wait_until(lambda: transport.counters.n_received > n_before)
+    await asyncio.sleep(0.05)
+    assert site.daemon._stop_requested.is_set() == is_stopping
+
+
 async def test_configuration_never_goes_back(site: _Site, wait_until: Any) -> None:
     """Guards against a late or repeated update that reverts a newer one."""
     state = site.daemon.state
--- a/packages/cardamomshunt-node/tests/test_transport.py
+++ b/packages/cardamomshunt-node/tests/test_transport.py
@@ -1,7 +1,6 @@
 """Messages reach peers, and unauthenticated or malformed input is dropped."""
 
 import asyncio
-import socket
 
 import pynng
 import pytest
@@ -14,6 +13,7 @@
 from cardamomshunt_node.keys import Key, KeyRing
 from cardamomshunt_node.operator_link import NoReplyError, OperatorServer, ask
 from cardamomshunt_node.transport import PeerTransport, ReceivedMessage
+from cardamomshunt_testing._ports import free_ports
 
 _KEYS = KeyRing([Key("k2", b"second secret 16"), Key("k1", b"first secret 16 ")])
 _OLD_KEYS = KeyRing([Key("k1", b"first secret 16 ")])
@@ -21,9 +21,7 @@
 
 
 def _free_url() -> str:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"tcp://127.0.0.1:{probe.getsockname()[1]}"
+    return f"tcp://127.0.0.1:{free_ports(1)[0]}"
 
 
 @pytest.mark.parametrize(
--- a/packages/cardamomshunt/src/cardamomshunt/_connection_shares.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_connection_shares.py
@@ -13,6 +13,8 @@
 # Until a lease has surely expired at its holder: grants travel, and clocks drift.
 LEASE_MARGIN_MS = 1_000.0
 DEMAND_KEPT_MS = 3_000.0
+# Left for control, which dials to fence and promote while entry VMs hold their shares.
+N_CONNECTIONS_RESERVED = 2
 FLOOR_KEPT_MS = 60_000.0  # an entry VM that is cut off goes on with its floors
 
 
@@ -88,7 +90,7 @@
     """Divide the connections of all instances among entry VMs by demand.
 
     The floors and what a node may still hold from an earlier grant, which may be the
-    last one that arrived, never exceed an instance's connections. A new leader does
+    last one that arrived, never exceed an instance's connections less the reserve. A new leader does
     not know its predecessor's grants and starts at once: until those expire, a server
     may refuse a dial, which is harmless, whereas a wait would leave all at the floor.
     """
@@ -138,7 +140,8 @@
         by_node: dict[str, list[ConnectionGrant]],
     ) -> None:
         knowing = [n for n, d in self._demands.items() if instance in d.n_wanted]
-        n_spare = max(0, n_max - n_floor * len(knowing))
+        n_usable = n_max - N_CONNECTIONS_RESERVED
+        n_spare = max(0, n_usable - n_floor * len(knowing))
         wanted = {
             node: max(0, self._demands[node].n_wanted[instance] - n_floor)
             for node in knowing
--- a/packages/cardamomshunt/src/cardamomshunt/connection_shares.py
+++ b/packages/cardamomshunt/src/cardamomshunt/connection_shares.py
@@ -2,8 +2,14 @@
 
 from cardamomshunt._connection_shares import (
     GRANT_INTERVAL_MS,
+    N_CONNECTIONS_RESERVED,
     ConnectionAllocator,
     ConnectionLeases,
 )
 
-__all__ = ["GRANT_INTERVAL_MS", "ConnectionAllocator", "ConnectionLeases"]
+__all__ = [
+    "GRANT_INTERVAL_MS",
+    "N_CONNECTIONS_RESERVED",
+    "ConnectionAllocator",
+    "ConnectionLeases",
+]
--- a/packages/cardamomshunt/tests/test_connection_shares.py
+++ b/packages/cardamomshunt/tests/test_connection_shares.py
@@ -1,6 +1,10 @@
 """An instance's connections are never promised twice."""
 
-from cardamomshunt.connection_shares import ConnectionAllocator, ConnectionLeases
+from cardamomshunt.connection_shares import (
+    N_CONNECTIONS_RESERVED,
+    ConnectionAllocator,
+    ConnectionLeases,
+)
 from cardamomshunt.messages import ConnectionDemand, ConnectionGrant, DemandReport
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -30,7 +34,7 @@
 def test_leases_and_floors_fit(
     steps: list[tuple[str, int, float, set[str]]],
 ) -> None:
-    """Grants may be lost, so that a node goes on with an earlier one."""
+    """Guards against a full server that refuses control; grants may be lost."""
     allocator = ConnectionAllocator()
     holders = {node: ConnectionLeases(FLOOR) for node in NODES}
     for node in NODES:
@@ -43,7 +47,7 @@
             if message.node in reached:
                 holders[message.node].on_grants(now_ms, message.grants)
         held = sum(holder.n_connections(now_ms, "s") for holder in holders.values())
-        assert held <= N_MAX
+        assert held <= N_MAX - N_CONNECTIONS_RESERVED
 
 
 def test_demand_is_met_fairly() -> None:
@@ -54,7 +58,7 @@
         message.node: message.grants[0].n_connections
         for message in allocator.grants(0.0, {"s": N_MAX}, FLOOR)
     }
-    assert granted == {"p1": 8, "p2": 3, "p3": 9}
+    assert granted == {"p1": 7, "p2": 3, "p3": 8}
 
 
 def test_late_report_does_not_replace_a_newer_one() -> None:
