Let the concurrency limit adapt when all statements become slow

The limit compared delays with the best delay of that phase, shrank to 1 and forgot the old best by 2% a request; 3 entry VMs at 1 leave 2 of 5 slots idle. Change: after 10 delays with one request in flight, their mean is the new best delay.

--- a/packages/cardamomshunt/src/cardamomshunt/_admission.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_admission.py
@@ -18,6 +18,7 @@
 SHED_AT_DEADLINE_SHARE = 0.5
 N_SAMPLES_OF_WINDOW = 50
 N_SAMPLES_OF_FIRST_WINDOW = 10
+N_SAMPLES_ALONE = 10
 
 
 class FairQueue(Generic[T]):
@@ -220,6 +221,7 @@
     n_samples: int = 0
     n_samples_to_close: int = N_SAMPLES_OF_FIRST_WINDOW
     n_windows: int = 0
+    n_slow_alone: int = 0
 
     def add(self, elapsed_ms: float) -> None:
         """Take over a delay."""
@@ -244,6 +246,17 @@
             # Rises slowly, as paths and statements change.
             self.best_ms += 0.005 * (mean_ms - self.best_ms)
 
+    def on_slow_alone(self) -> None:
+        """Take a delay that stays with one request in flight for the new best one.
+
+        It is not due to what runs from here. A slow approach would leave slots idle
+        for seconds after all statements became slower.
+        """
+        self.n_slow_alone += 1
+        if self.n_slow_alone >= N_SAMPLES_ALONE:
+            self.best_ms = self.recent_ms
+            self.n_slow_alone = 0
+
     def ratio(self) -> float:
         """Return how many times longer recent requests take than at best."""
         return self.recent_ms / self.best_ms if self.best_ms else 1.0
@@ -281,9 +294,10 @@
         window = self._windows[is_write]
         window.add(elapsed_ms)
         ratio = window.ratio()
-        if self.value <= 1.0 and ratio >= self.RATIO_TO_GROW:
-            # The delay is not due to what runs from here.
-            window.best_ms *= 1.02
+        if n_running <= 1 and ratio >= self.RATIO_TO_GROW:
+            window.on_slow_alone()
+        else:
+            window.n_slow_alone = 0
         if is_late or ratio > self.RATIO_TO_SHRINK:
             self.value = max(1.0, self.value - 0.25)
         elif ratio < self.RATIO_TO_GROW and n_running >= int(self.value):
--- a/packages/cardamomshunt/tests/test_admission.py
+++ b/packages/cardamomshunt/tests/test_admission.py
@@ -115,3 +115,27 @@
     assert not breaker.allows(401.0)
     breaker.on_success()
     assert breaker.allows(402.0)
+
+
+def _samples_until(limit: ConcurrencyLimit, value: float, elapsed_ms: float) -> int:
+    """Count requests at the limit until it reaches a value."""
+    for n_samples in range(1_000):
+        if limit.value >= value:
+            return n_samples
+        limit.on_sample(elapsed_ms, int(limit.value), is_write=False)
+    raise AssertionError(f"the limit stays at {limit.value}")
+
+
+@pytest.mark.parametrize("slow_factor", [4.0, 12.0, 40.0])
+def test_limit_recovers_when_statements_become_slow(slow_factor: float) -> None:
+    """Guards against slots left idle after all statements became slower.
+
+    Delays that do not depend on what runs from here must not hold the limit at 1:
+    3 entry VMs at 1 used 3 of 5 slots, and served 71% of the capacity.
+    """
+    limit = ConcurrencyLimit(n_slots=5)
+    for _ in range(300):
+        limit.on_sample(10.0, n_running=1, is_write=False)
+    for _ in range(20):
+        limit.on_sample(10.0 * slow_factor, int(limit.value), is_write=False)
+    assert _samples_until(limit, 2.0, 10.0 * slow_factor) <= 20
