--- /dev/null
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_caller_edge_lines.py
@@ -0,0 +1,204 @@
+"""Connections of callers that speak the line protocol."""
+
+import asyncio
+import itertools
+from collections import deque
+
+from cardamomshunt_node._boot_clock import boot_ms
+from cardamomshunt_node._decision_log import DecisionLog
+from cardamomshunt_node._fleet_view import FleetView
+from cardamomshunt_node._line_sessions import LineSession, StatementRunner
+from cardamomshunt_node._session_protocol import (
+    MESSAGE_SIZE_MAX_BYTES,
+    CallerEnd,
+    CallerMessage,
+    CallerOpen,
+    CallerQuery,
+    ErrorCode,
+    SessionProtocol,
+    TransactionState,
+)
+from cardamomshunt_node._stream_transport import host_and_port
+
+_N_PENDING_LINES_MAX = 64
+
+
+class _CallerConnection(asyncio.Protocol):
+    """Own one caller's connection; its statements run one after the other."""
+
+    def __init__(self, edge: "LineEdge", session_id: int) -> None:
+        self._edge = edge
+        self._session_id = session_id
+        self.session: LineSession | None = None
+        self._transport: asyncio.Transport | None = None
+        self._buffer = bytearray()
+        self._lines: deque[bytes] = deque()
+        self._worker: asyncio.Task[None] | None = None
+        self.used_ms = boot_ms()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Take over the connection."""
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        self._edge.connections.add(self)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Roll back what the caller left open, once its statement has ended."""
+        self._transport = None
+        self._edge.connections.discard(self)
+        if self._worker is None and self.session is not None:
+            self._edge.runner.abandon(self.session)
+
+    def data_received(self, data: bytes) -> None:
+        """Split lines and start to work on them."""
+        self._buffer += data
+        while (end := self._buffer.find(b"\n")) >= 0:
+            line = bytes(self._buffer[:end]).rstrip(b"\r")
+            del self._buffer[: end + 1]
+            self._lines.append(line)
+        if (
+            len(self._buffer) > MESSAGE_SIZE_MAX_BYTES
+            or len(self._lines) > _N_PENDING_LINES_MAX
+        ):
+            self._close_with(ErrorCode.TOO_LARGE, "the message is too large")
+            return
+        if self._lines and self._worker is None:
+            self._worker = asyncio.get_running_loop().create_task(self._work())
+
+    @property
+    def is_idle(self) -> bool:
+        """Tell whether nothing is asked and no transaction is open."""
+        return (
+            self._worker is None
+            and not self._buffer
+            and (self.session is None or self.session.transaction is None)
+        )
+
+    async def _work(self) -> None:
+        try:
+            while self._lines and self._transport is not None:
+                await self._handle(self._lines.popleft())
+        finally:
+            self._worker = None
+            self.used_ms = boot_ms()
+            if self._transport is None and self.session is not None:
+                self._edge.runner.abandon(self.session)
+
+    async def _handle(self, line: bytes) -> None:
+        try:
+            message: CallerMessage = self._edge.protocol.parse_caller_line(line)
+        except ValueError as error:
+            self._close_with(ErrorCode.MALFORMED, str(error))
+            return
+        match message:
+            case CallerOpen():
+                await self._open(message)
+            case CallerQuery():
+                await self._run(message)
+            case CallerEnd():
+                self.close()
+
+    async def _open(self, message: CallerOpen) -> None:
+        if self.session is not None:
+            self._close_with(ErrorCode.MALFORMED, "the session is open")
+            return
+        if not await self._edge.wait_configured():
+            self._close_with(ErrorCode.BUSY, "no configuration is known yet")
+            return
+        if self._edge.view.table.route_of(message.database) is None:
+            self._edge.log.write_request(
+                "session_refused",
+                database=message.database,
+                configuration_version=self._edge.view.table.version,
+            )
+            self._close_with(ErrorCode.UNKNOWN_DATABASE, message.database)
+            return
+        self.session = LineSession(self._session_id, message.database)
+        self._write(self._edge.protocol.ready(TransactionState.IDLE, None))
+
+    async def _run(self, message: CallerQuery) -> None:
+        if self.session is None:
+            self._close_with(ErrorCode.MALFORMED, "no session is open")
+            return
+        self._write(await self._edge.runner.run(self.session, message))
+
+    def _write(self, data: bytes) -> None:
+        if self._transport is not None:
+            self._transport.write(data)
+
+    def _close_with(self, code: ErrorCode, text: str) -> None:
+        self._write(self._edge.protocol.error(code, text))
+        self.close()
+
+    def close(self) -> None:
+        """Close after what is written."""
+        if self._transport is not None:
+            self._transport.close()
+
+
+class LineEdge:
+    """Own the listener for callers and their connections."""
+
+    def __init__(
+        self,
+        address: str,
+        protocol: SessionProtocol,
+        view: FleetView,
+        runner: StatementRunner,
+        log: DecisionLog,
+    ) -> None:
+        self._address = address
+        self.protocol = protocol
+        self.view = view
+        self.runner = runner
+        self.log = log
+        self.connections: set[_CallerConnection] = set()
+        self._session_ids = itertools.count(1)
+        self._server: asyncio.Server | None = None
+
+    async def start(self) -> None:
+        """Listen; raise OSError if the address is taken."""
+        host, port = host_and_port(self._address)
+        self._server = await asyncio.get_running_loop().create_server(
+            lambda: _CallerConnection(self, next(self._session_ids)),
+            host,
+            port,
+            backlog=1_024,
+        )
+
+    async def wait_configured(self) -> bool:
+        """Wait a moment for the first configuration."""
+        for _ in range(5):
+            if self.view.table.version:
+                return True
+            await self.view.wait_change(300.0)
+        return bool(self.view.table.version)
+
+    def end_idle_transactions(self) -> None:
+        """End transactions that their callers left idle too long."""
+        now = boot_ms()
+        for connection in list(self.connections):
+            if connection.session is not None:
+                self.runner.end_idle_transaction(connection.session, now)
+
+    def close_idle(self, idle_ms: float) -> int:
+        """Close sessions that ask nothing, so that they open again elsewhere."""
+        now = boot_ms()
+        idle = [
+            connection
+            for connection in self.connections
+            if connection.is_idle and now > connection.used_ms + idle_ms
+        ]
+        for connection in idle:
+            connection.close()
+        return len(idle)
+
+    @property
+    def n_busy(self) -> int:
+        """Return how many sessions ask something or have an open transaction."""
+        return sum(not connection.is_idle for connection in self.connections)
+
+    def stop_listening(self) -> None:
+        """Take no new connections."""
+        if self._server is not None:
+            self._server.close()
--- /dev/null
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_consensus_host.py
@@ -0,0 +1,240 @@
+"""Runs one control node's replicated log on its sockets and its disk."""
+
+import asyncio
+import random
+from collections.abc import Callable
+
+from cardamomshunt.consensus import (
+    ConsensusMessage,
+    ConsensusNode,
+    ConsensusOptions,
+    Entry,
+    EntryKind,
+    Member,
+    Peer,
+    Snapshot,
+)
+from cardamomshunt.control import (
+    ControlEffect,
+    EmitEvent,
+    PersistEffect,
+    SendMessage,
+)
+from cardamomshunt.events import EventNumber
+
+from cardamomshunt_node._boot_clock import boot_ms
+from cardamomshunt_node._decision_log import DecisionLog
+from cardamomshunt_node._log_storage import LogStorage, OpenedStorage
+from cardamomshunt_node._storage_task import StorageDone, StorageFailed, StorageTask
+from cardamomshunt_node._stream_transport import StreamMessage, StreamTransport
+
+# One lost packet holds a connection up for 200 ms; an election must outlast two.
+OPTIONS = ConsensusOptions(
+    election_min_ms=700.0,
+    election_max_ms=1_200.0,
+    heartbeat_ms=150.0,
+    join_interval_ms=150.0,
+    n_entries_per_message=16,
+)
+_N_ENTRIES_BETWEEN_SNAPSHOTS = 200
+_PEER_RESET_MS = 600.0
+
+
+class NotLeaderError(Exception):
+    """Say that a command was not committed by this node; it may still be."""
+
+
+class ConsensusHost:
+    """Own the consensus node, its timers, and the commands that wait for it."""
+
+    def __init__(
+        self,
+        node: str,
+        members: list[Member],
+        opened: OpenedStorage,
+        storage: LogStorage,
+        transport: StreamTransport,
+        log: DecisionLog,
+        apply: Callable[[int, bytes], bool],
+        install: Callable[[bytes], None],
+        encode_state: Callable[[], bytes],
+        options: ConsensusOptions = OPTIONS,
+    ) -> None:
+        self.node = ConsensusNode(
+            node, members, opened.restored, random.Random(), boot_ms(), options
+        )
+        self._transport = transport
+        self._log = log
+        self._apply = apply
+        self._install = install
+        self._encode_state = encode_state
+        self._storage = StorageTask(storage, self._on_storage)
+        self._waiting: dict[int, tuple[int, asyncio.Future[bool]]] = {}
+        self.applied_index = 0
+        self._snapshot_index = 0
+        self._changed = asyncio.Event()
+        self._was_leader = False
+        self._heard_ms: dict[str, float] = {}
+        self._tasks: list[asyncio.Task[None]] = []
+        self.on_leadership: Callable[[bool], None] = lambda is_leader: None
+        if opened.restored.snapshot.index:
+            self._install(opened.restored.snapshot.state)
+            self.applied_index = opened.restored.snapshot.index
+            self._snapshot_index = self.applied_index
+
+    def start(self) -> None:
+        """Start the timers and the writer."""
+        self._tasks = [
+            asyncio.create_task(self._run_timers()),
+            asyncio.create_task(self._storage.run()),
+        ]
+
+    async def stop(self) -> None:
+        """Stop after what is written."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    @property
+    def is_idle(self) -> bool:
+        """Tell whether all writes are durable."""
+        return self._storage.is_idle
+
+    @property
+    def may_act(self) -> bool:
+        """Tell whether this node leads and no other node can."""
+        return self.node.has_lease(boot_ms())
+
+    def leader_address(self) -> str | None:
+        """Return the address of the leader that this node follows."""
+        leader = self.node.member(self.node.leader or "")
+        return leader.peer_address if leader else None
+
+    def leader_operator_address(self) -> str | None:
+        """Return where the leader takes the operator's requests."""
+        leader = self.node.member(self.node.leader or "")
+        return leader.operator_address if leader else None
+
+    async def propose(self, payload: bytes, timeout_ms: float) -> bool:
+        """Commit a command; return whether it took effect.
+
+        Raise NotLeaderError or TimeoutError if that is not known.
+        """
+        index = self.node.propose(boot_ms(), payload)
+        if index is None:
+            raise NotLeaderError
+        future: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
+        self._waiting[index] = (self.node.term, future)
+        self._run_effects(self.node.take_effects())
+        self._after_input()
+        try:
+            async with asyncio.timeout(timeout_ms / 1_000.0):
+                return await future
+        finally:
+            self._waiting.pop(index, None)
+
+    def hand_over(self) -> None:
+        """Hand leadership to another node before a stop."""
+        self.node.transfer_leadership(boot_ms())
+        self._run_effects(self.node.take_effects())
+        self._after_input()
+
+    def on_message(self, received: StreamMessage, message: ConsensusMessage) -> None:
+        """Handle a message of another control node."""
+        sender = received.envelope.sender
+        self._heard_ms[sender] = boot_ms()
+        peer = Peer(sender, received.envelope.reply_address)
+        self._run_effects(self.node.on_message(boot_ms(), peer, message))
+        self._after_input()
+
+    def _on_storage(self, done: StorageDone | StorageFailed) -> None:
+        if isinstance(done, StorageDone):
+            effects = self.node.on_storage_done(boot_ms(), done.sequence)
+        elif done.is_full:
+            effects = self.node.on_storage_full(boot_ms(), done.reason)
+        else:
+            effects = self.node.on_storage_failed(boot_ms(), done.reason)
+        self._run_effects(effects)
+        self._after_input()
+
+    async def _run_timers(self) -> None:
+        while True:
+            deadline_ms = self.node.next_deadline_ms()
+            wait_ms = 500.0 if deadline_ms is None else deadline_ms - boot_ms()
+            if wait_ms > 0.0:
+                await self._wait(wait_ms)
+            self._run_effects(self.node.tick(boot_ms()))
+            self._reset_silent_peers()
+            self._after_input()
+            await asyncio.sleep(0.002)
+
+    async def _wait(self, wait_ms: float) -> None:
+        self._changed.clear()
+        try:
+            async with asyncio.timeout(wait_ms / 1_000.0):
+                await self._changed.wait()
+        except TimeoutError:
+            return
+
+    def _reset_silent_peers(self) -> None:
+        """Dial members anew that answer nothing, as their connection may be dead."""
+        now = boot_ms()
+        if not self.node.is_leader:
+            return
+        for member in self.node.members:
+            heard_ms = self._heard_ms.setdefault(member.node, now)
+            if member.node != self.node.node and now > heard_ms + _PEER_RESET_MS:
+                self._heard_ms[member.node] = now
+                self._transport.reset(member.peer_address)
+
+    def _run_effects(self, effects: list[ControlEffect]) -> None:
+        for effect in effects:
+            match effect:
+                case SendMessage():
+                    self._transport.send(effect.address, effect.message)
+                case PersistEffect():
+                    self._storage.put(effect)
+                case EmitEvent():
+                    self._log.write(
+                        EventNumber(effect.number).name.lower(),
+                        subject=effect.subject,
+                        detail=effect.detail,
+                        term=self.node.term,
+                    )
+
+    def _after_input(self) -> None:
+        """Apply what is committed, and tell of a change of leadership."""
+        for item in self.node.take_ready():
+            if isinstance(item, Snapshot):
+                self._install(item.state)
+                self.applied_index = self._snapshot_index = item.index
+            else:
+                self._apply_entry(item)
+        if self.applied_index >= self._snapshot_index + _N_ENTRIES_BETWEEN_SNAPSHOTS:
+            self._snapshot_index = self.applied_index
+            self.node.compact(self._encode_state(), self.applied_index)
+            self._run_effects(self.node.take_effects())
+        if self.node.is_leader != self._was_leader:
+            self._was_leader = self.node.is_leader
+            if not self._was_leader:
+                self._fail_waiting()
+            self.on_leadership(self._was_leader)
+        self._changed.set()
+
+    def _apply_entry(self, entry: Entry) -> None:
+        took_effect = False
+        if entry.kind is EntryKind.COMMAND:
+            took_effect = self._apply(entry.index, entry.payload)
+        self.applied_index = entry.index
+        term, future = self._waiting.get(entry.index, (0, None))
+        if future is None or future.done():
+            return
+        if term == entry.term:
+            future.set_result(took_effect)
+        else:
+            future.set_exception(NotLeaderError())
+
+    def _fail_waiting(self) -> None:
+        for _, future in self._waiting.values():
+            if not future.done():
+                future.set_exception(NotLeaderError())
--- /dev/null
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_entry_metrics.py
@@ -0,0 +1,75 @@
+"""Counters and latency histograms of an entry VM."""
+
+from aioprometheus import Counter, Gauge, Histogram, Registry, render
+
+_LATENCY_BUCKETS_MS = [
+    2.0, 5.0, 10.0, 20.0, 50.0, 100.0, 200.0, 400.0, 800.0, 1_600.0, 3_200.0
+]  # fmt: skip
+
+
+class EntryMetrics:
+    """Hold the metrics that the address of the settings serves."""
+
+    def __init__(self) -> None:
+        self._registry = Registry()
+        self._latency = Histogram(
+            "cardamomshunt_statement_ms",
+            "Time from a statement's arrival to its answer.",
+            registry=self._registry,
+            buckets=_LATENCY_BUCKETS_MS,
+        )
+        self._refusals = Counter(
+            "cardamomshunt_refusals_total",
+            "Statements refused or without an outcome, by code.",
+            registry=self._registry,
+        )
+        self._reads = Counter(
+            "cardamomshunt_reads_total",
+            "Reads by the role of the server that ran them.",
+            registry=self._registry,
+        )
+        self._hedges = Counter(
+            "cardamomshunt_hedged_reads_total",
+            "Second attempts of reads whose first one is still without an answer.",
+            registry=self._registry,
+        )
+        self._sessions = Gauge(
+            "cardamomshunt_sessions", "Open sessions.", registry=self._registry
+        )
+        self._has_lease = Gauge(
+            "cardamomshunt_has_lease",
+            "1 while primaries may be used.",
+            registry=self._registry,
+        )
+        self._version = Gauge(
+            "cardamomshunt_configuration_version",
+            "Version of the configuration in force.",
+            registry=self._registry,
+        )
+
+    def observe_statement(self, kind: str, elapsed_ms: float) -> None:
+        """Note the time of one statement."""
+        self._latency.observe({"kind": kind}, elapsed_ms)
+
+    def count_refusal(self, code: str) -> None:
+        """Count a refusal."""
+        self._refusals.inc({"code": code})
+
+    def count_read(self, is_primary: bool) -> None:
+        """Count a read that a server answered."""
+        self._reads.inc({"role": "primary" if is_primary else "replica"})
+
+    def count_hedge(self) -> None:
+        """Count a second attempt."""
+        self._hedges.inc({})
+
+    def set_state(self, n_sessions: int, has_lease: bool, version: int) -> None:
+        """Set the gauges."""
+        self._sessions.set({}, n_sessions)
+        self._has_lease.set({}, int(has_lease))
+        self._version.set({}, version)
+
+    def render(self) -> bytes:
+        """Return the metrics as text."""
+        content, _ = render(self._registry, ["text/plain"])
+        return content
--- /dev/null
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_fleet_view.py
@@ -0,0 +1,202 @@
+"""What an entry VM knows of routes, servers and primaries, and its connections."""
+
+import asyncio
+
+from cardamomshunt.fleet import (
+    AssignmentPhase,
+    PrimaryLease,
+    RouteTable,
+    ServerRegistry,
+    ServerReport,
+    ServerState,
+    Suspicion,
+)
+from cardamomshunt.freshness import BoundHistory
+from cardamomshunt.position import LogPosition
+
+from cardamomshunt_node._backend_pool import ServerPool
+from cardamomshunt_node._boot_clock import boot_ms
+from cardamomshunt_node._decision_log import DecisionLog
+from cardamomshunt_node._session_protocol import SessionProtocol
+
+# Connections that control and a reconnecting entry VM need besides the shares.
+_N_RESERVED_CONNECTIONS = 3
+_N_CONNECTIONS_MIN = 2
+_LAG_DEFAULT_MS = 120.0
+_LAG_MAX_MS = 8_000.0
+# A replica that was behind is asked again after this long.
+_BEHIND_PAUSE_MS = 250.0
+_N_LOCAL_LOAD_MAX = 5
+
+
+class FleetView:
+    """Own the pools of one entry VM and choose among them."""
+
+    def __init__(self, zone: str, protocol: SessionProtocol, log: DecisionLog) -> None:
+        self._zone = zone
+        self._protocol = protocol
+        self._log = log
+        self.table = RouteTable()
+        self.lease = PrimaryLease()
+        self.registry = ServerRegistry()
+        self.n_entries = 1
+        self._pools: dict[str, ServerPool] = {}
+        self._bounds: dict[str, BoundHistory] = {}
+        self._ended: dict[str, int] = {}
+        self._change = asyncio.Event()
+
+    # Changes
+
+    def set_table(self, table: RouteTable) -> None:
+        """Put a newer configuration in force."""
+        self.table = table
+        self.notify()
+
+    def notify(self) -> None:
+        """Wake statements that wait for a server."""
+        self._change.set()
+        self._change = asyncio.Event()
+
+    async def wait_change(self, wait_ms: float) -> None:
+        """Wait until something changes, or for a time."""
+        try:
+            async with asyncio.timeout(wait_ms / 1_000.0):
+                await self._change.wait()
+        except TimeoutError:
+            return
+
+    def merge_report(self, report: ServerReport) -> bool:
+        """Take over a report of a server; return whether it is news."""
+        if not self.registry.merge(report):
+            return False
+        if report.state is ServerState.GONE:
+            self._drop_pool(report.server, "the server is gone")
+        self.notify()
+        return True
+
+    # Pools
+
+    def pool(self, report: ServerReport) -> ServerPool:
+        """Return the pool of a server."""
+        pool = self._pools.get(report.server)
+        if pool is not None and pool.address == report.address:
+            return pool
+        if pool is not None:
+            self._drop_pool(report.server, "the server moved")
+        group = report.group
+        pool = ServerPool(
+            self._protocol,
+            group,
+            report.server,
+            report.address,
+            lambda: self._share(group),
+        )
+        self._pools[report.server] = pool
+        return pool
+
+    def _share(self, group: str) -> int:
+        """Return how many connections to one server are this entry VM's."""
+        limits = self.table.groups.get(group)
+        n_max = limits.n_connections_max if limits else _N_CONNECTIONS_MIN
+        share = (n_max - _N_RESERVED_CONNECTIONS) // max(self.n_entries, 1)
+        return max(share, _N_CONNECTIONS_MIN)
+
+    def _drop_pool(self, server: str, reason: str) -> None:
+        pool = self._pools.pop(server, None)
+        if pool is not None:
+            pool.close(reason)
+
+    @property
+    def pools(self) -> list[ServerPool]:
+        """Return all pools."""
+        return list(self._pools.values())
+
+    # Primaries
+
+    def primary(self, group: str) -> tuple[ServerPool, int] | None:
+        """Return the pool of the primary and its epoch, if it may be used now."""
+        assignment = self.lease.usable(group, boot_ms())
+        if assignment is None or self._ended.get(group, -1) >= assignment.epoch:
+            return None
+        report = self.registry.get(assignment.server)
+        if report is None or report.state is ServerState.GONE:
+            return None
+        return self.pool(report), assignment.epoch
+
+    def may_acknowledge(self, group: str, epoch: int) -> bool:
+        """Tell whether no other primary can have taken over since `epoch` began."""
+        return self.lease.is_valid(boot_ms()) and self._ended.get(group, -1) < epoch
+
+    def end_epoch(self, group: str) -> None:
+        """Use the former primary of a group no more, whatever runs there."""
+        assignment = self.lease.known(group)
+        if assignment is None:
+            return
+        self._ended[group] = assignment.epoch - 1
+        pool = self._pools.get(assignment.server)
+        if assignment.phase is AssignmentPhase.ACTIVE:
+            return
+        if pool is not None:
+            self._drop_pool(assignment.server, "the primary is being replaced")
+
+    def suspicions(self) -> list[Suspicion]:
+        """Return the primaries that do not answer."""
+        now = boot_ms()
+        found = []
+        for pool in self._pools.values():
+            assignment = self.lease.known(pool.group)
+            if assignment is None or assignment.server != pool.server:
+                continue
+            if pool.is_down(now):
+                found.append(Suspicion(pool.group, pool.server, assignment.epoch))
+        return found
+
+    # Reads
+
+    def add_bound(self, group: str, position: LogPosition, sent_ms: float) -> None:
+        """Note a primary's position in an answer to what was sent at a time."""
+        self._bounds.setdefault(group, BoundHistory()).add(position, sent_ms)
+
+    def bound_since(self, group: str, since_ms: float) -> LogPosition | None:
+        """Return a position that holds all that was acknowledged before a time."""
+        bounds = self._bounds.get(group)
+        return bounds.first_since(since_ms) if bounds else None
+
+    def readers(
+        self, group: str, at_least: LogPosition | None, age_ms: float, tried: set[str]
+    ) -> list[ServerPool]:
+        """Return the servers that may serve a read, best first.
+
+        `at_least` None leaves only the primary; `age_ms` is how long that position
+        has been known.
+        """
+        now = boot_ms()
+        primary = self.primary(group)
+        found: list[tuple[tuple[bool, bool, int, bool], ServerPool]] = []
+        for report in self.registry.of_group(group):
+            pool = self.pool(report)
+            is_primary = primary is not None and primary[0] is pool
+            if report.server in tried or pool.is_down(now):
+                continue
+            if not is_primary and (
+                at_least is None
+                or report.state is not ServerState.READY
+                or now < pool.behind_until_ms
+                or age_ms < pool.lag_ms
+            ):
+                continue
+            is_far = report.zone != self._zone
+            key = (pool.load >= _N_LOCAL_LOAD_MAX, is_far, pool.load, is_primary)
+            found.append((key, pool))
+        found.sort(key=lambda item: item[0])
+        return [pool for _, pool in found]
+
+    def note_behind(self, pool: ServerPool, age_ms: float) -> None:
+        """Note that a replica lacked a position that is `age_ms` old."""
+        pool.behind_until_ms = boot_ms() + _BEHIND_PAUSE_MS
+        pool.lag_ms = min(max(pool.lag_ms, age_ms * 1.2, _LAG_DEFAULT_MS), _LAG_MAX_MS)
+
+    def note_caught_up(self, pool: ServerPool, age_ms: float) -> None:
+        """Note that a replica had a position that is `age_ms` old."""
+        if age_ms < pool.lag_ms * 2.0:
+            pool.lag_ms *= 0.8
--- /dev/null
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_replacement.py
@@ -0,0 +1,258 @@
+"""The replacement of a primary, step by step, by the leader of the control nodes."""
+
+import asyncio
+from abc import ABC, abstractmethod
+
+from cardamomshunt.fleet import (
+    Assignment,
+    AssignmentCommand,
+    AssignmentPhase,
+    FinishPromotion,
+    PromoteSuccessor,
+    ServerReport,
+    ServerState,
+    ServerStatus,
+    StopPrimary,
+    choose_successor,
+)
+
+from cardamomshunt_node._boot_clock import boot_ms
+from cardamomshunt_node._consensus_host import NotLeaderError
+from cardamomshunt_node._decision_log import DecisionLog
+from cardamomshunt_node._deployment import Promotion
+from cardamomshunt_node._server_admin import ServerAdmin
+
+COMMIT_TIMEOUT_MS = 2_000.0
+_POLL_S = 0.02
+_RETRY_S = 0.1
+# A replica that does not catch up in this time is promoted as it is.
+_CATCH_UP_TIMEOUT_MS = 1_000.0
+_DEMOTE_TIMEOUT_MS = 6_000.0
+
+
+class ReplacementPort(ABC):
+    """Give a replacement what it needs of its control node."""
+
+    @abstractmethod
+    def assignment(self, group: str) -> Assignment | None:
+        """Return the assignment that is committed."""
+
+    @abstractmethod
+    def servers(self, group: str) -> list[ServerReport]:
+        """Return the servers of a group that are not gone."""
+
+    @abstractmethod
+    def n_sync_replicas(self, group: str) -> int:
+        """Return how many replicas hold an acknowledged write."""
+
+    @abstractmethod
+    async def commit(self, command: AssignmentCommand) -> bool:
+        """Commit a command and tell the entry VMs; raise NotLeaderError."""
+
+    @abstractmethod
+    def is_free(self, group: str, epoch: int) -> bool:
+        """Tell whether no entry VM uses the stopped primary any more."""
+
+    @abstractmethod
+    def is_own_token(self, token: int) -> bool:
+        """Tell whether a token was committed by this node since it leads."""
+
+    @abstractmethod
+    async def promote(self, promotion: Promotion) -> int:
+        """Order a promotion; return the status, or 0 without an answer."""
+
+
+class Replacement:
+    """Replace the primary of one group."""
+
+    def __init__(
+        self,
+        group: str,
+        node: str,
+        port: ReplacementPort,
+        admin: ServerAdmin,
+        log: DecisionLog,
+    ) -> None:
+        self._group = group
+        self._node = node
+        self._port = port
+        self._admin = admin
+        self._log = log
+        self._refused: set[str] = set()
+        self._began_ms = boot_ms()
+
+    async def run(self) -> None:
+        """Go on from the committed step until a primary is active again."""
+        try:
+            while not await self._step():
+                await asyncio.sleep(0)
+        except (NotLeaderError, TimeoutError):
+            self._log.write("replacement_left", group=self._group)
+
+    async def _step(self) -> bool:
+        assignment = self._port.assignment(self._group)
+        assert assignment is not None
+        match assignment.phase:
+            case AssignmentPhase.ACTIVE:
+                self._began_ms = boot_ms()
+                await self._port.commit(
+                    StopPrimary(group=self._group, epoch=assignment.epoch)
+                )
+                return False
+            case AssignmentPhase.STOPPING:
+                await self._choose(assignment)
+                return False
+            case AssignmentPhase.PROMOTING:
+                return await self._promote(assignment)
+
+    # Choosing
+
+    async def _choose(self, assignment: Assignment) -> None:
+        while not self._port.is_free(self._group, assignment.epoch):
+            await asyncio.sleep(_POLL_S)
+        released_ms = boot_ms()
+        servers = self._port.servers(self._group)
+        former = next(
+            (item for item in servers if item.server == assignment.server), None
+        )
+        statuses = await self._statuses(servers)
+        if former is not None and former.state is ServerState.DRAINING:
+            statuses = await self._await_catch_up(assignment.server, servers, statuses)
+        candidates = [
+            status
+            for status in statuses
+            if status.server not in self._refused and _is_staying(status, servers)
+        ]
+        successor = choose_successor(
+            candidates,
+            former=assignment.server,
+            n_group=len(servers),
+            n_sync_replicas=self._port.n_sync_replicas(self._group),
+        )
+        self._log.write(
+            "successor",
+            group=self._group,
+            former=assignment.server,
+            successor=successor,
+            released_after_ms=round(released_ms - self._began_ms),
+            received={item.server: str(item.received) for item in statuses},
+        )
+        if successor is None:
+            await self._keep_former(assignment, statuses)
+            return
+        await self._port.commit(
+            PromoteSuccessor(
+                group=self._group, epoch=assignment.epoch, successor=successor
+            )
+        )
+
+    async def _statuses(self, servers: list[ServerReport]) -> list[ServerStatus]:
+        found = await asyncio.gather(*(self._admin.status(item) for item in servers))
+        return [status for status in found if status is not None]
+
+    async def _await_catch_up(
+        self, former: str, servers: list[ServerReport], statuses: list[ServerStatus]
+    ) -> list[ServerStatus]:
+        """Wait until a replica has all that the leaving primary wrote."""
+        others = [item for item in servers if item.server != former]
+        end_ms = boot_ms() + _CATCH_UP_TIMEOUT_MS
+        end = max(
+            (item.received for item in statuses if item.server == former), default=None
+        )
+        while (
+            end is not None
+            and boot_ms() < end_ms
+            and not any(
+                item.server != former and item.received >= end for item in statuses
+            )
+        ):
+            await asyncio.sleep(_POLL_S)
+            statuses = await self._statuses(others)
+        return statuses
+
+    async def _keep_former(
+        self, assignment: Assignment, statuses: list[ServerStatus]
+    ) -> None:
+        """Go on with the former primary if it is the only one that answers."""
+        self._refused.clear()
+        is_alive = any(
+            item.server == assignment.server and item.is_primary for item in statuses
+        )
+        if not is_alive:
+            await asyncio.sleep(_RETRY_S)
+            return
+        await self._port.commit(
+            FinishPromotion(
+                group=self._group, epoch=assignment.epoch, server=assignment.server
+            )
+        )
+
+    # Promoting
+
+    async def _promote(self, assignment: Assignment) -> bool:
+        if not self._port.is_own_token(assignment.epoch):
+            # Another leader's order may still be on its way, with a lower token.
+            while not self._port.is_free(self._group, assignment.epoch):
+                await asyncio.sleep(_POLL_S)
+            await self._port.commit(
+                PromoteSuccessor(
+                    group=self._group,
+                    epoch=assignment.epoch,
+                    successor=assignment.successor,
+                )
+            )
+            return False
+        status = await self._port.promote(
+            Promotion(self._group, assignment.successor, self._node, assignment.epoch)
+        )
+        self._log.write(
+            "promotion",
+            group=self._group,
+            server=assignment.successor,
+            token=assignment.epoch,
+            status=status,
+            elapsed_ms=round(boot_ms() - self._began_ms),
+        )
+        if status == 200:
+            return await self._finish(assignment)
+        if status == 409:
+            self._refused.add(assignment.successor)
+            await self._port.commit(
+                StopPrimary(group=self._group, epoch=assignment.epoch)
+            )
+            return False
+        await asyncio.sleep(_RETRY_S)
+        return False
+
+    async def _finish(self, assignment: Assignment) -> bool:
+        await self._port.commit(
+            FinishPromotion(
+                group=self._group, epoch=assignment.epoch, server=assignment.successor
+            )
+        )
+        await self._demote(assignment)
+        return True
+
+    async def _demote(self, assignment: Assignment) -> None:
+        """Tell the former primary of the new term, as far as it can be reached."""
+        end_ms = boot_ms() + _DEMOTE_TIMEOUT_MS
+        while boot_ms() < end_ms:
+            reports = {item.server: item for item in self._port.servers(self._group)}
+            former = reports.get(assignment.server)
+            leading = reports.get(assignment.successor)
+            if former is None or leading is None:
+                return
+            status = await self._admin.status(leading)
+            if status is not None and status.is_primary:
+                demoted = await self._admin.demote(former, status.term)
+                if demoted is not None and not demoted.is_primary:
+                    self._log.write("demoted", server=former.server, term=status.term)
+                    return
+            await asyncio.sleep(_RETRY_S * 3.0)
+
+
+def _is_staying(status: ServerStatus, servers: list[ServerReport]) -> bool:
+    return any(
+        item.server == status.server and item.state is ServerState.READY
+        for item in servers
+    )
--- /dev/null
+++ b/packages/cardamomshunt/src/cardamomshunt/_primary_lease.py
@@ -0,0 +1,139 @@
+"""Leases on the use of primaries, on both ends, and the suspicion of a primary."""
+
+from dataclasses import dataclass, field
+
+from cardamomshunt._fleet_messages import LeaseGrant, LeaseRequest, Suspicion
+from cardamomshunt._primary_assignments import Assignment, AssignmentPhase
+
+LEASE_MS = 2_000.0
+# Covers the drift of two clocks over a lease and the time between check and send.
+LEASE_MARGIN_MS = 100.0
+SUSPICION_KEPT_MS = 1_200.0
+ENTRY_FORGOTTEN_MS = 6_000.0
+# An entry VM that has been silent this long has no say on whether a primary is dead.
+ENTRY_LIVE_MS = 900.0
+
+
+class PrimaryLease:
+    """Hold the right of one entry VM to use primaries.
+
+    Times are of a clock that goes on while the machine is suspended.
+    """
+
+    def __init__(self) -> None:
+        self._assignments: dict[str, Assignment] = {}
+        self._valid_until_ms = float("-inf")
+        self._sent_ms: dict[int, float] = {}
+
+    def on_request_sent(self, sequence: int, now_ms: float) -> None:
+        """Note when a request was sent, from which its grant counts."""
+        self._sent_ms[sequence] = now_ms
+        while len(self._sent_ms) > 32:
+            del self._sent_ms[next(iter(self._sent_ms))]
+
+    def on_grant(self, grant: LeaseGrant) -> list[str]:
+        """Take over a grant; return the groups whose assignment changed."""
+        sent_ms = self._sent_ms.pop(grant.sequence, None)
+        if sent_ms is None:
+            return []
+        until_ms = sent_ms + grant.lease_ms - LEASE_MARGIN_MS
+        self._valid_until_ms = max(self._valid_until_ms, until_ms)
+        return self.on_assignments(grant.assignments)
+
+    def on_assignments(self, assignments: dict[str, Assignment]) -> list[str]:
+        """Take over newer assignments; return the groups that changed."""
+        changed = []
+        for group, assignment in assignments.items():
+            known = self._assignments.get(group)
+            if known is None or assignment.epoch > known.epoch:
+                self._assignments[group] = assignment
+                changed.append(group)
+        return changed
+
+    def is_valid(self, now_ms: float) -> bool:
+        """Tell whether primaries may be used at all."""
+        return now_ms < self._valid_until_ms
+
+    def usable(self, group: str, now_ms: float) -> Assignment | None:
+        """Return the assignment if its primary may be used now."""
+        assignment = self._assignments.get(group)
+        if assignment is None or not self.is_valid(now_ms):
+            return None
+        return assignment if assignment.phase is AssignmentPhase.ACTIVE else None
+
+    def known(self, group: str) -> Assignment | None:
+        """Return the newest known assignment, usable or not."""
+        return self._assignments.get(group)
+
+
+@dataclass(slots=True)
+class _Holder:
+    granted_until_ms: float = float("-inf")
+    heard_ms: float = float("-inf")
+    released: dict[str, int] = field(default_factory=dict)
+    suspicions: dict[Suspicion, float] = field(default_factory=dict)
+
+
+class LeaseTable:
+    """Hold what the leader granted to entry VMs since it leads."""
+
+    def __init__(self, leads_since_ms: float) -> None:
+        # An earlier leader may have granted a lease just before this one took over.
+        self._earlier_until_ms = leads_since_ms + LEASE_MS
+        self._holders: dict[str, _Holder] = {}
+
+    def on_request(self, entry: str, request: LeaseRequest, now_ms: float) -> None:
+        """Note a request, which is granted for `LEASE_MS` from now at the most."""
+        holder = self._holders.setdefault(entry, _Holder())
+        holder.heard_ms = now_ms
+        holder.granted_until_ms = now_ms + LEASE_MS
+        holder.released.update(request.released)
+        for suspicion in request.suspicions:
+            holder.suspicions[suspicion] = now_ms
+        self._forget(now_ms)
+
+    def _forget(self, now_ms: float) -> None:
+        for entry in [
+            name
+            for name, holder in self._holders.items()
+            if now_ms > holder.heard_ms + ENTRY_FORGOTTEN_MS
+        ]:
+            del self._holders[entry]
+
+    @property
+    def entries(self) -> list[str]:
+        """Return the addresses of the entry VMs that asked lately."""
+        return list(self._holders)
+
+    def is_free(self, group: str, stop_epoch: int, now_ms: float) -> bool:
+        """Tell whether no entry VM may use the primary that was stopped any more."""
+        if now_ms < self._earlier_until_ms:
+            return False
+        return all(
+            now_ms >= holder.granted_until_ms
+            or holder.released.get(group, -1) >= stop_epoch
+            for holder in self._holders.values()
+        )
+
+    def is_suspected(self, suspicion: Suspicion, now_ms: float) -> bool:
+        """Tell whether half of the live entry VMs or more suspect a primary."""
+        live = [
+            holder
+            for holder in self._holders.values()
+            if now_ms <= holder.heard_ms + ENTRY_LIVE_MS
+        ]
+        n_suspecting = sum(
+            now_ms
+            <= holder.suspicions.get(suspicion, float("-inf")) + SUSPICION_KEPT_MS
+            for holder in live
+        )
+        return n_suspecting > 0 and 2 * n_suspecting >= len(live)
+
+    def reach(self, suspicion: Suspicion, now_ms: float) -> int:
+        """Return how many live entry VMs do not suspect a server."""
+        return sum(
+            now_ms <= holder.heard_ms + ENTRY_LIVE_MS
+            and now_ms
+            > holder.suspicions.get(suspicion, float("-inf")) + SUSPICION_KEPT_MS
+            for holder in self._holders.values()
+        )
--- /dev/null
+++ b/packages/cardamomshunt/src/cardamomshunt/_server_registry.py
@@ -0,0 +1,89 @@
+"""What backend servers report of themselves, merged from any path."""
+
+import enum
+import zlib
+
+import msgspec
+
+from cardamomshunt._messages import InstanceRole
+
+
+class ServerState(enum.Enum):
+    """Name whether a backend server takes new work."""
+
+    READY = "ready"
+    DRAINING = "draining"
+    GONE = "gone"
+
+
+class ServerReport(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """Hold one report of a backend server.
+
+    `started_ms` is the wall clock of the server at its start, and `sequence` counts
+    its reports since then; together they order the reports of one server.
+    """
+
+    server: str
+    group: str
+    address: str
+    zone: str
+    state: ServerState
+    role: InstanceRole
+    started_ms: int
+    sequence: int
+    n_slots: int = 1
+
+    @property
+    def order(self) -> tuple[int, bool, int]:
+        """Return what orders the reports of one server; leaving is final in a life."""
+        return (self.started_ms, self.state is ServerState.GONE, self.sequence)
+
+    def is_change_of(self, other: "ServerReport") -> bool:
+        """Tell whether more than the sequence differs."""
+        return msgspec.structs.replace(self, sequence=other.sequence) != other
+
+
+class ServerRegistry:
+    """Keep the newest report of each backend server."""
+
+    def __init__(self) -> None:
+        self._reports: dict[str, ServerReport] = {}
+
+    def merge(self, report: ServerReport) -> bool:
+        """Take over a report; return whether it changes what the server is."""
+        known = self._reports.get(report.server)
+        if known is not None and report.order <= known.order:
+            return False
+        if (
+            known is not None
+            and known.started_ms == report.started_ms
+            and known.state is ServerState.DRAINING
+            and report.state is ServerState.READY
+        ):
+            return False
+        self._reports[report.server] = report
+        return known is None or report.is_change_of(known)
+
+    def get(self, server: str) -> ServerReport | None:
+        """Return the newest report of a server."""
+        return self._reports.get(server)
+
+    def all(self) -> list[ServerReport]:
+        """Return all reports, of servers that are gone too."""
+        return list(self._reports.values())
+
+    def of_group(self, group: str) -> list[ServerReport]:
+        """Return the servers of a group that are not gone."""
+        return [
+            report
+            for report in self._reports.values()
+            if report.group == group and report.state is not ServerState.GONE
+        ]
+
+    def digest(self) -> int:
+        """Return a checksum of what the reports say, whatever their sequence."""
+        lines = sorted(
+            f"{item.server} {item.started_ms} {item.state.value} {item.role.value}"
+            for item in self._reports.values()
+        )
+        return zlib.crc32("\n".join(lines).encode())
