--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_backend_pool.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_backend_pool.py
@@ -339,6 +339,9 @@
         if not connection.is_quiet:
             connection.close("given back in the middle of a statement")
             return
+        if len(self._open) > self._limit():
+            connection.close("more connections than the share")
+            return
         while self._waiters:
             waiter = heapq.heappop(self._waiters)
             if not waiter.future.done():
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_consensus_host.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_consensus_host.py
@@ -76,6 +76,7 @@
         self._was_leader = False
         self._heard_ms: dict[str, float] = {}
         self._tasks: list[asyncio.Task[None]] = []
+        self.on_applied: Callable[[], None] = lambda: None
         self.on_leadership: Callable[[bool], None] = lambda is_leader: None
         if opened.restored.snapshot.index:
             self._install(opened.restored.snapshot.state)
@@ -204,12 +205,15 @@
 
     def _after_input(self) -> None:
         """Apply what is committed, and tell of a change of leadership."""
-        for item in self.node.take_ready():
+        ready = self.node.take_ready()
+        for item in ready:
             if isinstance(item, Snapshot):
                 self._install(item.state)
                 self.applied_index = self._snapshot_index = item.index
             else:
                 self._apply_entry(item)
+        if ready:
+            self.on_applied()
         if self.applied_index >= self._snapshot_index + _N_ENTRIES_BETWEEN_SNAPSHOTS:
             self._snapshot_index = self.applied_index
             self.node.compact(self._encode_state(), self.applied_index)
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_control_node.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_control_node.py
@@ -92,6 +92,7 @@
         self._entries: dict[str, float] = {}
         self._pushed_ms: dict[str, float] = {}
         self._leases: LeaseTable | None = None
+        self._told_assignments: dict[str, Assignment] = {}
         self._own_tokens: set[int] = set()
         self._replacements: dict[str, asyncio.Task[None]] = {}
         self._receipts: dict[int, asyncio.Event] = {}
@@ -132,6 +133,7 @@
             lambda: self._state.encode(),
         )
         host.on_leadership = self._on_leadership
+        host.on_applied = self._on_applied
         return host
 
     async def run(self) -> None:
@@ -173,20 +175,22 @@
     # Replicated state
 
     def _apply(self, index: int, payload: bytes) -> bool:
-        former_version = self._state.version
-        took_effect = self._state.apply(index, payload)
-        if self._state.version != former_version:
+        return self._state.apply(index, payload)
+
+    def _on_applied(self) -> None:
+        """Put what was applied in force, and tell the entry VMs of it."""
+        if self._state.version != self._table.version:
             self._load_table()
             self._tell_entries(
                 DocumentChanged(
                     version=self._state.version, document=self._state.document
                 )
             )
-        elif took_effect:
+        if self._state.assignments != self._told_assignments:
+            self._told_assignments = dict(self._state.assignments)
             self._tell_entries(
                 AssignmentsChanged(assignments=dict(self._state.assignments))
             )
-        return took_effect
 
     def _install(self, data: bytes) -> None:
         self._state = FleetState.decode(data)
@@ -200,7 +204,7 @@
 
     def _tell_entries(self, message: Message) -> None:
         """Send news at once; only the leader does, and requests repair the rest."""
-        if not self._host.node.is_leader:
+        if not self._host.may_act:
             return
         for address in self._live_entries():
             self._transport.send(address, message)
@@ -258,7 +262,7 @@
             grant = LeaseGrant(
                 sequence=request.sequence,
                 lease_ms=LEASE_MS,
-                n_entries=len(self._leases.entries),
+                n_entries=len(self._live_entries()),
                 assignments=dict(self._state.assignments),
                 control_addresses=self._control_addresses(),
             )
@@ -487,7 +491,8 @@
         if not has_successor:
             return ""
         if report is not None and report.state is not ServerState.READY:
-            return report.state.value
+            state: str = report.state.value
+            return state
         suspicion = Suspicion(group, assignment.server, assignment.epoch)
         if leases.is_suspected(suspicion, boot_ms()):
             return "silent"
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_entry_daemon.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_entry_daemon.py
@@ -208,7 +208,7 @@
             self._log.write("leader", leader=address)
         self._leader = address
         self._leader_heard_ms = boot_ms()
-        self._view.n_entries = grant.n_entries
+        self._view.note_n_entries(grant.n_entries)
         self._learn_control(grant.control_addresses)
         known = dict(grant.assignments)
         changed = self._view.lease.on_grant(grant)
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_fleet_view.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_fleet_view.py
@@ -1,6 +1,7 @@
 """What an entry VM knows of routes, servers and primaries, and its connections."""
 
 import asyncio
+from collections import deque
 
 from cardamomshunt.fleet import (
     AssignmentPhase,
@@ -22,6 +23,7 @@
 # Connections that control and a reconnecting entry VM need besides the shares.
 _N_RESERVED_CONNECTIONS = 3
 _N_CONNECTIONS_MIN = 2
+_ENTRY_COUNT_KEPT_MS = 10_000.0
 _LAG_DEFAULT_MS = 120.0
 _LAG_MAX_MS = 8_000.0
 # A replica that was behind is asked again after this long.
@@ -39,7 +41,7 @@
         self.table = RouteTable()
         self.lease = PrimaryLease()
         self.registry = ServerRegistry()
-        self.n_entries = 1
+        self._entry_counts: deque[tuple[float, int]] = deque()
         self._pools: dict[str, ServerPool] = {}
         self._bounds: dict[str, BoundHistory] = {}
         self._ended: dict[str, int] = {}
@@ -94,11 +96,24 @@
         self._pools[report.server] = pool
         return pool
 
+    def note_n_entries(self, n_entries: int) -> None:
+        """Note how many entry VMs a leader knows of.
+
+        A new leader knows few at first, so that the most of the last seconds counts.
+        """
+        now = boot_ms()
+        self._entry_counts.append((now, n_entries))
+        while self._entry_counts[0][0] < now - _ENTRY_COUNT_KEPT_MS:
+            self._entry_counts.popleft()
+
     def _share(self, group: str) -> int:
         """Return how many connections to one server are this entry VM's."""
         limits = self.table.groups.get(group)
         n_max = limits.n_connections_max if limits else _N_CONNECTIONS_MIN
-        share = (n_max - _N_RESERVED_CONNECTIONS) // max(self.n_entries, 1)
+        n_entries = max((count for _, count in self._entry_counts), default=0)
+        if not n_entries:
+            return _N_CONNECTIONS_MIN
+        share = (n_max - _N_RESERVED_CONNECTIONS) // n_entries
         return max(share, _N_CONNECTIONS_MIN)
 
     def _drop_pool(self, server: str, reason: str) -> None:
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_line_sessions.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_line_sessions.py
@@ -418,6 +418,18 @@
             pool.release(connection)
         self._learn(pool, route, reply, is_primary, sent_ms)
         self._metrics.count_read(is_primary)
+        self._log.write_request(
+            "read",
+            request=query.request_id,
+            session=session.session_id,
+            server=pool.server,
+            role="primary" if is_primary else "replica",
+            required=required,
+            position=reply.position,
+            code=reply.code,
+            elapsed_ms=round(boot_ms() - sent_ms, 1),
+            configuration_version=self._view.table.version,
+        )
         return reply
 
     def _learn(
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_replacement.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_replacement.py
@@ -28,6 +28,8 @@
 # A replica that does not catch up in this time is promoted as it is.
 _CATCH_UP_TIMEOUT_MS = 1_000.0
 _DEMOTE_TIMEOUT_MS = 6_000.0
+_PROMOTION_EFFECT_TIMEOUT_MS = 1_500.0
+_LEADS_POLL_S = 0.05
 
 
 class ReplacementPort(ABC):
@@ -213,7 +215,7 @@
             status=status,
             elapsed_ms=round(boot_ms() - self._began_ms),
         )
-        if status == 200:
+        if status == 200 and await self._leads(assignment.successor):
             return await self._finish(assignment)
         if status == 409:
             self._refused.add(assignment.successor)
@@ -224,6 +226,26 @@
         await asyncio.sleep(_RETRY_S)
         return False
 
+    async def _leads(self, server: str) -> bool:
+        """Wait until a promoted server says that it leads.
+
+        Until then its log may lack writes that were acknowledged by the former
+        primary and that the promotion has not taken back yet.
+        """
+        end_ms = boot_ms() + _PROMOTION_EFFECT_TIMEOUT_MS
+        while boot_ms() < end_ms:
+            report = next(
+                (x for x in self._port.servers(self._group) if x.server == server),
+                None,
+            )
+            if report is None:
+                return False
+            status = await self._admin.status(report)
+            if status is not None and status.is_primary:
+                return True
+            await asyncio.sleep(_LEADS_POLL_S)
+        return False
+
     async def _finish(self, assignment: Assignment) -> bool:
         await self._port.commit(
             FinishPromotion(
