--- a/Makefile
+++ b/Makefile
@@ -8,10 +8,10 @@
 
 install: $(INSTALLED)
 
-$(INSTALLED): constraints.txt $(PACKAGES:%=packages/%/pyproject.toml)
+$(INSTALLED): constraints.txt $(PACKAGES:%=packages/%/pyproject.toml) platform/pyproject.toml
 	$(PYTHON) -m venv $(VENV)
 	$(BIN)/pip install --quiet --disable-pip-version-check -c constraints.txt \
-	    $(PACKAGES:%=-e packages/%) -r requirements-dev.txt
+	    $(PACKAGES:%=-e packages/%) -e platform -r requirements-dev.txt
 	touch $(INSTALLED)
 
 demo: install
@@ -21,12 +21,12 @@
 	$(BIN)/python -m pytest
 
 lint: install
-	$(BIN)/ruff format --check packages
-	$(BIN)/ruff check packages
+	$(BIN)/ruff format --check packages platform tests
+	$(BIN)/ruff check packages platform tests
 
 format: install
-	$(BIN)/ruff format packages
-	$(BIN)/ruff check --fix packages
+	$(BIN)/ruff format packages platform tests
+	$(BIN)/ruff check --fix packages platform tests
 
 types: install
 	$(BIN)/mypy
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_backend_pool.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_backend_pool.py
@@ -25,7 +25,7 @@
 _SILENCE_TIMEOUT_MS = 700
 _REDIAL_PAUSE_MS = 120.0
 # A server that took statements and answered none for this long counts as silent.
-SILENT_AFTER_MS = 600.0
+SILENT_AFTER_MS = 450.0
 
 
 class ServerLostError(Exception):
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_consensus_host.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_consensus_host.py
@@ -30,14 +30,14 @@
 
 # One lost packet holds a connection up for 200 ms; an election must outlast two.
 OPTIONS = ConsensusOptions(
-    election_min_ms=700.0,
-    election_max_ms=1_200.0,
-    heartbeat_ms=150.0,
+    election_min_ms=450.0,
+    election_max_ms=800.0,
+    heartbeat_ms=120.0,
     join_interval_ms=150.0,
     n_entries_per_message=16,
 )
 _N_ENTRIES_BETWEEN_SNAPSHOTS = 200
-_PEER_RESET_MS = 600.0
+_PEER_RESET_MS = 500.0
 
 
 class NotLeaderError(Exception):
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_control_node.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_control_node.py
@@ -263,7 +263,7 @@
                 sequence=request.sequence,
                 lease_ms=LEASE_MS,
                 n_entries=len(self._live_entries()),
-                assignments=dict(self._state.assignments),
+                assignments=self._newer_assignments(request.newest_epoch),
                 control_addresses=self._control_addresses(),
             )
             self._transport.send(address, grant)
@@ -278,6 +278,13 @@
             )
         self._repair(address, request, now)
 
+    def _newer_assignments(self, known_epoch: int) -> dict[str, Assignment] | None:
+        """Return the assignments unless an entry VM knows the newest of them."""
+        newest = max(
+            (item.epoch for item in self._state.assignments.values()), default=-1
+        )
+        return dict(self._state.assignments) if known_epoch != newest else None
+
     def _repair(self, address: str, request: LeaseRequest, now: float) -> None:
         """Send what an entry VM lacks; news may have been lost on the way."""
         is_behind = request.version < self._state.version
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_entry_daemon.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_entry_daemon.py
@@ -15,6 +15,7 @@
     ReportsChanged,
     ReportsRequest,
     ServerState,
+    Suspicion,
 )
 
 from cardamomshunt_node._boot_clock import boot_ms, wall_ms
@@ -27,19 +28,21 @@
 from cardamomshunt_node._line_sessions import StatementRunner
 from cardamomshunt_node._stream_transport import StreamMessage, StreamTransport
 
-_RENEW_INTERVAL_MS = 300.0
+_RENEW_INTERVAL_MS = 250.0
 _SEARCH_INTERVAL_MS = 150.0
-_LEADER_SILENCE_MS = 700.0
+_LEADER_SILENCE_MS = 500.0
 _CONTACT_INTERVAL_MS = 1_000.0
 _CONTROL_SILENCE_MS = 2_500.0
-_SUSPICION_INTERVAL_MS = 100.0
+_SUSPICION_INTERVAL_S = 0.05
+# Without a leader all control nodes are asked many times in this time.
+_CUT_OFF_AFTER_MS = 500.0
 _SWEEP_INTERVAL_S = 0.25
 # Statements in flight at a primary that still answers may end in this time.
 _STOP_GRACE_MS = 400.0
 # A reader of the health check takes a process out after two misses a second apart.
 _ROTATION_MS = 2_200.0
 _EXIT_MARGIN_MS = 700.0
-_CUT_OFF_IDLE_MS = 200.0
+_CUT_OFF_IDLE_MS = 100.0
 
 
 class EntryDaemon:
@@ -63,6 +66,8 @@
         self._sequence = 0
         self._leader = ""
         self._leader_heard_ms = float("-inf")
+        self._leaderless_since_ms = boot_ms()
+        self._cut_off_since_ms: float | None = None
         self._control = set(settings.seed_peer_addresses)
         self._heard_ms: dict[str, float] = {}
         self._contacted_ms: dict[str, float] = {}
@@ -92,6 +97,7 @@
         self._tasks = [
             asyncio.create_task(self._keep_lease()),
             asyncio.create_task(self._sweep()),
+            asyncio.create_task(self._report_suspicions()),
         ]
         await self._stop.wait()
         await self._drain()
@@ -140,6 +146,23 @@
             except TimeoutError:
                 continue
 
+    async def _report_suspicions(self) -> None:
+        """Tell the leader at once when a primary stops to answer."""
+        reported: list[Suspicion] = []
+        while True:
+            await asyncio.sleep(_SUSPICION_INTERVAL_S)
+            suspicions = self._view.suspicions()
+            if suspicions != reported:
+                reported = suspicions
+                for item in suspicions:
+                    self._log.write(
+                        "primary_silent",
+                        group=item.group,
+                        server=item.server,
+                        epoch=item.epoch,
+                    )
+                self._renew.set()
+
     def _send_requests(self) -> None:
         now = boot_ms()
         if self._leader and now > self._leader_heard_ms + _LEADER_SILENCE_MS:
@@ -150,6 +173,7 @@
             )
             self._transport.reset(self._leader)
             self._leader = ""
+            self._leaderless_since_ms = now
         for address in sorted(self._control):
             contacted_ms = self._contacted_ms.get(address, float("-inf"))
             is_due = now >= contacted_ms + _CONTACT_INTERVAL_MS
@@ -171,6 +195,7 @@
                 started_ms=self._started_ms,
                 version=self._view.table.version,
                 registry_digest=self._view.registry.digest(),
+                newest_epoch=self._view.lease.newest_epoch,
                 suspicions=self._view.suspicions(),
                 released=self._released,
             ),
@@ -210,7 +235,7 @@
         self._leader_heard_ms = boot_ms()
         self._view.note_n_entries(grant.n_entries)
         self._learn_control(grant.control_addresses)
-        known = dict(grant.assignments)
+        known = grant.assignments or {}
         changed = self._view.lease.on_grant(grant)
         if not self._had_lease:
             self._had_lease = True
@@ -299,19 +324,29 @@
             self._edge.end_idle_transactions()
             for pool in self._view.pools:
                 pool.probe()
-            if self._is_cut_off(now):
-                self._edge.close_idle(_CUT_OFF_IDLE_MS)
+            self._watch_cut_off(now)
             self._metrics.set_state(
                 len(self._edge.connections), has_lease, self._view.table.version
             )
             self._log.flush()
 
+    def _watch_cut_off(self, now: float) -> None:
+        """Send sessions elsewhere once the balancer uses other entry VMs."""
+        if not self._is_cut_off(now):
+            self._cut_off_since_ms = None
+            return
+        if self._cut_off_since_ms is None:
+            self._cut_off_since_ms = now
+            self._log.write("cut_off", control=sorted(self._control))
+        if now > self._cut_off_since_ms + _ROTATION_MS:
+            self._edge.close_idle(_CUT_OFF_IDLE_MS)
+
     def _is_cut_off(self, now: float) -> bool:
         """Tell whether this VM reaches too few control nodes to get a lease again."""
-        if self._view.lease.is_valid(now) or not self._control:
+        if self._leader or now < self._leaderless_since_ms + _CUT_OFF_AFTER_MS:
             return False
         n_heard = sum(
-            now <= self._heard_ms.get(address, 0.0) + _CONTROL_SILENCE_MS
+            now <= self._heard_ms.get(address, 0.0) + _CUT_OFF_AFTER_MS
             for address in self._control
         )
         return 2 * n_heard <= len(self._control)
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_replacement.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_replacement.py
@@ -117,8 +117,10 @@
         former = next(
             (item for item in servers if item.server == assignment.server), None
         )
-        statuses = await self._statuses(servers)
-        if former is not None and former.state is ServerState.DRAINING:
+        is_planned = former is not None and former.state is ServerState.DRAINING
+        others = [item for item in servers if item is not former]
+        statuses = await self._statuses(servers if is_planned else others)
+        if is_planned:
             statuses = await self._await_catch_up(assignment.server, servers, statuses)
         candidates = [
             status
@@ -140,7 +142,7 @@
             received={item.server: str(item.received) for item in statuses},
         )
         if successor is None:
-            await self._keep_former(assignment, statuses)
+            await self._keep_former(assignment, former)
             return
         await self._port.commit(
             PromoteSuccessor(
@@ -173,14 +175,12 @@
         return statuses
 
     async def _keep_former(
-        self, assignment: Assignment, statuses: list[ServerStatus]
+        self, assignment: Assignment, former: ServerReport | None
     ) -> None:
         """Go on with the former primary if it is the only one that answers."""
         self._refused.clear()
-        is_alive = any(
-            item.server == assignment.server and item.is_primary for item in statuses
-        )
-        if not is_alive:
+        status = await self._admin.status(former) if former is not None else None
+        if status is None or not status.is_primary:
             await asyncio.sleep(_RETRY_S)
             return
         await self._port.commit(
--- a/packages/cardamomshunt/src/cardamomshunt/_fleet_messages.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_fleet_messages.py
@@ -26,17 +26,21 @@
     started_ms: int
     version: int
     registry_digest: int = 0
+    newest_epoch: int = -1
     suspicions: list[Suspicion] = []
     released: dict[str, int] = {}
 
 
 class LeaseGrant(Message, kw_only=True, array_like=True):
-    """Allow the use of primaries for `lease_ms` from when `sequence` was sent."""
+    """Allow the use of primaries for `lease_ms` from when `sequence` was sent.
+
+    `assignments` is None if the entry VM's newest epoch is the leader's.
+    """
 
     sequence: int
     lease_ms: float
     n_entries: int
-    assignments: dict[str, Assignment]
+    assignments: dict[str, Assignment] | None
     control_addresses: list[str]
 
 
--- a/packages/cardamomshunt/src/cardamomshunt/_primary_lease.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_primary_lease.py
@@ -5,13 +5,13 @@
 from cardamomshunt._fleet_messages import LeaseGrant, LeaseRequest, Suspicion
 from cardamomshunt._primary_assignments import Assignment, AssignmentPhase
 
-LEASE_MS = 2_000.0
+LEASE_MS = 1_300.0
 # Covers the drift of two clocks over a lease and the time between check and send.
-LEASE_MARGIN_MS = 100.0
-SUSPICION_KEPT_MS = 1_200.0
+LEASE_MARGIN_MS = 80.0
+SUSPICION_KEPT_MS = 800.0
 ENTRY_FORGOTTEN_MS = 6_000.0
 # An entry VM that has been silent this long has no say on whether a primary is dead.
-ENTRY_LIVE_MS = 900.0
+ENTRY_LIVE_MS = 700.0
 
 
 class PrimaryLease:
@@ -38,7 +38,7 @@
             return []
         until_ms = sent_ms + grant.lease_ms - LEASE_MARGIN_MS
         self._valid_until_ms = max(self._valid_until_ms, until_ms)
-        return self.on_assignments(grant.assignments)
+        return self.on_assignments(grant.assignments or {})
 
     def on_assignments(self, assignments: dict[str, Assignment]) -> list[str]:
         """Take over newer assignments; return the groups that changed."""
@@ -50,6 +50,11 @@
                 changed.append(group)
         return changed
 
+    @property
+    def newest_epoch(self) -> int:
+        """Return the newest epoch that is known, which names all assignments."""
+        return max((item.epoch for item in self._assignments.values()), default=-1)
+
     def is_valid(self, now_ms: float) -> bool:
         """Tell whether primaries may be used at all."""
         return now_ms < self._valid_until_ms
--- /dev/null
+++ b/packages/cardamomshunt/tests/test_fleet.py
@@ -0,0 +1,255 @@
+"""Tests of routes, reports, assignments, leases and the choice of a successor."""
+
+import pytest
+from cardamomshunt.fleet import (
+    LEASE_MARGIN_MS,
+    LEASE_MS,
+    Assignment,
+    AssignmentPhase,
+    AssignPrimary,
+    ConfigurationInvalidError,
+    FinishPromotion,
+    FleetState,
+    GroupLimits,
+    LeaseGrant,
+    LeaseRequest,
+    LeaseTable,
+    PrimaryLease,
+    PromoteSuccessor,
+    PutDocument,
+    Route,
+    RouteKind,
+    ServerRegistry,
+    ServerReport,
+    ServerState,
+    ServerStatus,
+    StopPrimary,
+    Suspicion,
+    build_route_table,
+    choose_successor,
+    encode_command,
+)
+from cardamomshunt.messages import InstanceRole
+from cardamomshunt.position import LogPosition
+
+
+def make_route(name="r", database="orders", group="g", timeout_ms=1_000.0):
+    return Route(name, database, group, RouteKind.PRIMARY, timeout_ms, 200.0)
+
+
+@pytest.mark.parametrize(
+    ("routes", "problem"),
+    [
+        ([make_route(group="other")], "unknown group"),
+        ([make_route(), make_route(name="r2")], "another route"),
+        ([make_route(timeout_ms=0.0)], "timeout"),
+    ],
+)
+def test_invalid_configurations_are_refused_with_a_reason(routes, problem):
+    with pytest.raises(ConfigurationInvalidError, match=problem):
+        build_route_table(1, routes, [GroupLimits("g", 34)], 3_000.0)
+
+
+def make_report(**changes):
+    fields = {
+        "server": "s1",
+        "group": "g",
+        "address": "10.0.0.1:1",
+        "zone": "a",
+        "state": ServerState.READY,
+        "role": InstanceRole.REPLICA,
+        "started_ms": 100,
+        "sequence": 1,
+    }
+    return ServerReport(**(fields | changes))
+
+
+@pytest.mark.parametrize(
+    ("later", "is_news"),
+    [
+        ({"sequence": 1}, False),
+        ({"sequence": 2}, False),
+        ({"sequence": 2, "role": InstanceRole.PRIMARY}, True),
+        ({"sequence": 0, "role": InstanceRole.PRIMARY}, False),
+        # A late report of an earlier life must not replace the present one.
+        ({"started_ms": 50, "sequence": 9, "role": InstanceRole.PRIMARY}, False),
+        # A new life counts its reports from the start.
+        ({"started_ms": 200, "sequence": 0}, True),
+    ],
+)
+def test_reports_are_ordered_by_life_and_sequence(later, is_news):
+    registry = ServerRegistry()
+    registry.merge(make_report())
+    assert registry.merge(make_report(**later)) is is_news
+
+
+def test_a_draining_server_does_not_become_ready_in_the_same_life():
+    registry = ServerRegistry()
+    registry.merge(make_report(state=ServerState.DRAINING))
+    assert not registry.merge(make_report(sequence=2))
+    assert registry.get("s1").state is ServerState.DRAINING
+
+
+def test_a_late_report_does_not_bring_a_server_back_that_is_gone():
+    registry = ServerRegistry()
+    registry.merge(make_report(sequence=4))
+    registry.merge(make_report(state=ServerState.GONE, sequence=5))
+    assert not registry.merge(make_report(sequence=6))
+    assert registry.of_group("g") == []
+
+
+def test_digests_agree_whatever_the_sequence():
+    first, second = ServerRegistry(), ServerRegistry()
+    first.merge(make_report(sequence=1))
+    second.merge(make_report(sequence=8))
+    assert first.digest() == second.digest()
+    second.merge(make_report(sequence=9, role=InstanceRole.PRIMARY))
+    assert first.digest() != second.digest()
+
+
+def apply(state, index, command):
+    return state.apply(index, encode_command(command))
+
+
+def test_only_a_higher_version_replaces_the_configuration():
+    state = FleetState()
+    assert apply(state, 1, PutDocument(version=5, document=b"five"))
+    assert not apply(state, 2, PutDocument(version=5, document=b"other"))
+    assert not apply(state, 3, PutDocument(version=4, document=b"four"))
+    assert (state.version, state.document) == (5, b"five")
+
+
+def test_a_replacement_goes_through_its_phases():
+    state = FleetState()
+    apply(state, 1, AssignPrimary(group="g", server="a"))
+    assert not apply(state, 2, AssignPrimary(group="g", server="b"))
+    apply(state, 3, StopPrimary(group="g", epoch=1))
+    apply(state, 4, PromoteSuccessor(group="g", epoch=3, successor="b"))
+    assert state.assignments["g"].phase is AssignmentPhase.PROMOTING
+    apply(state, 5, FinishPromotion(group="g", epoch=4, server="b"))
+    assert state.assignments["g"] == Assignment(server="b", epoch=5)
+    assert FleetState.decode(state.encode()) == state
+
+
+def test_a_step_that_another_leader_overtook_has_no_effect():
+    state = FleetState()
+    apply(state, 1, AssignPrimary(group="g", server="a"))
+    apply(state, 2, StopPrimary(group="g", epoch=1))
+    assert not apply(state, 3, StopPrimary(group="g", epoch=1))
+    assert not apply(state, 4, FinishPromotion(group="g", epoch=1, server="b"))
+
+
+def make_grant(sequence, assignments=None):
+    return LeaseGrant(
+        sequence=sequence,
+        lease_ms=LEASE_MS,
+        n_entries=1,
+        assignments=assignments,
+        control_addresses=[],
+    )
+
+
+def test_a_lease_counts_from_when_it_was_asked_for():
+    lease = PrimaryLease()
+    lease.on_request_sent(1, now_ms=1_000.0)
+    lease.on_grant(make_grant(1, {"g": Assignment(server="a", epoch=1)}))
+    end_ms = 1_000.0 + LEASE_MS - LEASE_MARGIN_MS
+    assert lease.usable("g", end_ms - 1.0) is not None
+    assert lease.usable("g", end_ms) is None
+
+
+def test_a_grant_for_nothing_that_was_asked_extends_no_lease():
+    lease = PrimaryLease()
+    lease.on_grant(make_grant(7))
+    assert not lease.is_valid(0.0)
+
+
+def test_a_primary_that_is_stopped_is_not_usable_under_a_valid_lease():
+    lease = PrimaryLease()
+    lease.on_request_sent(1, now_ms=0.0)
+    lease.on_grant(make_grant(1, {"g": Assignment(server="a", epoch=1)}))
+    stopped = Assignment(server="a", epoch=2, phase=AssignmentPhase.STOPPING)
+    assert lease.on_assignments({"g": stopped}) == ["g"]
+    assert lease.usable("g", 1.0) is None
+    # An older assignment that comes late does not bring it back.
+    assert lease.on_assignments({"g": Assignment(server="a", epoch=1)}) == []
+    assert lease.usable("g", 1.0) is None
+
+
+def ask(table, entry, now_ms, **fields):
+    request = LeaseRequest(sequence=1, started_ms=0, version=1, **fields)
+    table.on_request(entry, request, now_ms)
+
+
+def test_a_stopped_primary_is_free_once_each_lease_is_over_or_given_back():
+    table = LeaseTable(leads_since_ms=0.0)
+    start_ms = 10_000.0
+    ask(table, "e1", start_ms)
+    ask(table, "e2", start_ms)
+    assert not table.is_free("g", 5, start_ms)
+    ask(table, "e1", start_ms + 10.0, released={"g": 5})
+    assert not table.is_free("g", 5, start_ms + 20.0)
+    assert table.is_free("g", 5, start_ms + LEASE_MS)
+
+
+def test_a_release_of_an_earlier_stop_does_not_count():
+    table = LeaseTable(leads_since_ms=0.0)
+    ask(table, "e1", 10_000.0, released={"g": 5})
+    assert not table.is_free("g", 9, 10_001.0)
+
+
+def test_a_new_leader_waits_for_leases_of_the_former_one():
+    table = LeaseTable(leads_since_ms=1_000.0)
+    assert not table.is_free("g", 1, 1_000.0 + LEASE_MS - 1.0)
+    assert table.is_free("g", 1, 1_000.0 + LEASE_MS)
+
+
+@pytest.mark.parametrize(
+    ("n_entries", "n_suspecting", "is_suspected"),
+    [(4, 0, False), (4, 1, False), (4, 2, True), (1, 1, True), (9, 4, False)],
+)
+def test_half_of_the_live_entries_make_a_suspicion(
+    n_entries, n_suspecting, is_suspected
+):
+    table = LeaseTable(leads_since_ms=0.0)
+    suspicion = Suspicion("g", "a", 1)
+    for number in range(n_entries):
+        suspicions = [suspicion] if number < n_suspecting else []
+        ask(table, f"e{number}", 100.0, suspicions=suspicions)
+    assert table.is_suspected(suspicion, 150.0) is is_suspected
+
+
+def test_entries_that_are_cut_off_have_no_say():
+    table = LeaseTable(leads_since_ms=0.0)
+    suspicion = Suspicion("g", "a", 1)
+    for number in range(3):
+        ask(table, f"cut{number}", 100.0)
+    ask(table, "e1", 2_000.0, suspicions=[suspicion])
+    assert table.is_suspected(suspicion, 2_000.0)
+
+
+def make_status(server, term, position):
+    return ServerStatus(
+        server=server,
+        is_primary=False,
+        term=term,
+        received=LogPosition(term, position),
+    )
+
+
+@pytest.mark.parametrize(
+    ("statuses", "n_sync", "chosen"),
+    [
+        ([make_status("b", 1, 9), make_status("c", 1, 12)], 0, "c"),
+        # A longer log of an older term is not more advanced.
+        ([make_status("b", 2, 3), make_status("c", 1, 12)], 0, "b"),
+        ([make_status("a", 1, 20)], 0, None),
+        ([make_status("b", 1, 9)], 0, "b"),
+        # With one synchronous replica the one that is missing may hold the write.
+        ([make_status("b", 1, 9)], 1, None),
+        ([make_status("b", 1, 9), make_status("c", 1, 12)], 1, "c"),
+    ],
+)
+def test_the_most_advanced_server_succeeds(statuses, n_sync, chosen):
+    found = choose_successor(statuses, former="a", n_group=3, n_sync_replicas=n_sync)
+    assert found == chosen
--- /dev/null
+++ b/tests/users_platform/test_formats.py
@@ -0,0 +1,270 @@
+"""Tests of the platform's formats: lines, documents, settings and calls."""
+
+import doctest
+import json
+
+import pytest
+from cardamomshunt.fleet import ConfigurationInvalidError, ServerState
+from cardamomshunt.position import LogPosition
+from cardamomshunt_node.deployment import (
+    CallerEnd,
+    CallerOpen,
+    ConfigurationAsked,
+    ControlReply,
+    ErrorCode,
+    HttpRequest,
+    LineKind,
+    Promotion,
+    ServerLeft,
+    ServerReported,
+    Shape,
+    StatementKind,
+    TransactionState,
+    UnknownCall,
+)
+from cardamomshunt_platform import _lines
+from cardamomshunt_platform._documents import parse_configuration, parse_report
+from cardamomshunt_platform._lines import LineProtocol, parse_statement
+from cardamomshunt_platform._platform import UsersPlatform
+from cardamomshunt_platform._settings import parse_settings
+
+PROTOCOL = LineProtocol()
+
+
+@pytest.mark.parametrize(
+    ("text", "kind"),
+    [
+        ("BEGIN", StatementKind.BEGIN),
+        ("BEGIN READ", StatementKind.BEGIN_READ_ONLY),
+        ("BEGIN WRITE", StatementKind.INVALID),
+        ("COMMIT", StatementKind.COMMIT),
+        ("ROLLBACK", StatementKind.ROLLBACK),
+        ("READ 1a4", StatementKind.READ),
+        ("READ", StatementKind.INVALID),
+        ("WRITE 1a4 data of a row", StatementKind.WRITE),
+        ("SET lang sw", StatementKind.SET),
+        ("SET", StatementKind.INVALID),
+        ("PREPARE s1 READ q2c", StatementKind.PREPARE),
+        ("PREPARE s1 DELETE q2c", StatementKind.INVALID),
+        ("EXECUTE s1 1a4 data", StatementKind.EXECUTE),
+        ("DEALLOCATE s1", StatementKind.DEALLOCATE),
+        ("WAITFOR 1.2 READ 1a4", StatementKind.INVALID),
+        ("STATUS", StatementKind.INVALID),
+        ("", StatementKind.INVALID),
+    ],
+)
+def test_statements_are_told_apart(text, kind):
+    assert parse_statement(text).kind is kind
+
+
+def test_named_statements_keep_their_parts():
+    prepared = parse_statement("PREPARE s1 WRITE q2c")
+    assert (prepared.name, prepared.shape) == ("s1", Shape(True, "q2c"))
+    executed = parse_statement("EXECUTE s1 1a4 some data")
+    assert PROTOCOL.execute_text("p9", executed.arguments) == (
+        "EXECUTE p9 1a4 some data"
+    )
+
+
+def test_callers_messages_are_told_apart():
+    assert PROTOCOL.parse_caller_line(b"START orders u3f1") == CallerOpen("orders")
+    assert PROTOCOL.parse_caller_line(b"TERMINATE") == CallerEnd()
+    with pytest.raises(ValueError, match="unknown message"):
+        PROTOCOL.parse_caller_line(b"GET / HTTP/1.1")
+
+
+@pytest.mark.parametrize(
+    ("line", "kind", "code", "state", "position"),
+    [
+        (b"ROW abc", LineKind.ROW, None, TransactionState.IDLE, None),
+        (b"COMPLETE 7.1f", LineKind.COMPLETE, None, TransactionState.IDLE, None),
+        (
+            b"ERROR READONLY i-1",
+            LineKind.ERROR,
+            ErrorCode.READ_ONLY,
+            TransactionState.IDLE,
+            None,
+        ),
+        (b"ERROR NEW", LineKind.ERROR, ErrorCode.OTHER, TransactionState.IDLE, None),
+        (
+            b"READY T 3.12",
+            LineKind.READY,
+            None,
+            TransactionState.OPEN,
+            LogPosition(3, 12),
+        ),
+        (b"READY E -", LineKind.READY, None, TransactionState.FAILED, None),
+    ],
+)
+def test_lines_of_servers_are_decoded(line, kind, code, state, position):
+    found = PROTOCOL.parse_server_line(line)
+    assert (found.kind, found.code, found.state, found.position) == (
+        kind,
+        code,
+        state,
+        position,
+    )
+
+
+@pytest.mark.parametrize("line", [b"READY X 1.2", b"READY I 1.x", b"HELLO", b""])
+def test_malformed_lines_of_servers_are_errors(line):
+    with pytest.raises(ValueError):
+        PROTOCOL.parse_server_line(line)
+
+
+def test_a_read_carries_the_position_that_it_needs():
+    line = PROTOCOL.statement("5c0e", "READ 1a4", LogPosition(3, 1207))
+    assert line == b"QUERY 5c0e WAITFOR 3.1207 READ 1a4\r\n"
+    assert PROTOCOL.statement("5c0e", "READ 1a4", None) == b"QUERY 5c0e READ 1a4\r\n"
+
+
+def test_a_status_row_is_decoded():
+    status = PROTOCOL.parse_status("i-1", "replica 3 3.1209 0 12 2 17")
+    assert status.received == LogPosition(3, 1209)
+    assert not status.is_primary
+    assert status.term == 3
+
+
+def make_document(**changes):
+    route = {
+        "name": "r1",
+        "host": "orders",
+        "path_prefix": "/",
+        "kind": "primary",
+        "timeout_ms": 1000,
+        "target_latency_ms": 250,
+        "priority": 1,
+        "service": "db",
+        "max_attempts": 2,
+    }
+    service = {"name": "db", "connection_limit": 36, "sync_replicas": 0}
+    fields = {
+        "version": 7,
+        "routes": [route],
+        "services": [service],
+        "limits": {"transaction_idle_ms": 3000},
+    }
+    return json.dumps(fields | changes).encode()
+
+
+def test_a_configuration_is_decoded():
+    table = parse_configuration(make_document())
+    assert table.version == 7
+    assert table.route_of("orders").group == "db"
+    assert table.groups["db"].n_connections_max == 36
+
+
+@pytest.mark.parametrize(
+    "document",
+    [
+        b"",
+        make_document()[:-20],
+        make_document(version="7"),
+        make_document(routes=None),
+        make_document(services=[]),
+        b"\xff\xfe",
+    ],
+)
+def test_configurations_that_cannot_be_read_are_invalid(document):
+    with pytest.raises(ConfigurationInvalidError):
+        parse_configuration(document)
+
+
+REPORT = {
+    "service": "db",
+    "address": "10.0.0.9:8080",
+    "zone": "a",
+    "version": "v1",
+    "slots": 3,
+    "state": "ready",
+    "warmup_remaining_ms": 0,
+    "database_role": "replica",
+    "sequence": 4,
+    "born": 1768462717284,
+}
+
+
+def test_a_report_is_decoded():
+    report = parse_report("i-1", json.dumps(REPORT).encode())
+    assert report.state is ServerState.READY
+    assert (report.started_ms, report.sequence) == (1768462717284, 4)
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"sequence": "4"},
+        {"state": "resting"},
+        {"database_role": "witness"},
+        {"born": None},
+        {"address": 7},
+    ],
+)
+def test_reports_of_other_writers_name_no_server(changes):
+    assert parse_report("i-1", json.dumps(REPORT | changes).encode()) is None
+    assert parse_report("i-1", b"\x00not json") is None
+
+
+SETTINGS = """
+node_name = "core-a-1"
+ip_address = "10.1.0.8"
+zone = "a"
+internal_port_range = [7440, 7455]
+seeds = ["10.1.0.11:8782", "10.2.0.9:8782"]
+bootstrap = true
+data_directory = "/data"
+a_new_field = 3
+[listen_addresses]
+control = "10.1.0.8:8782"
+[bounds]
+grace_period_s = 6
+[cloud_api]
+address = "10.200.0.160:8783"
+"""
+
+
+def test_settings_are_decoded_and_new_fields_ignored():
+    settings = parse_settings(SETTINGS)
+    assert settings.peer_address == "10.1.0.8:7440"
+    assert settings.seed_peer_addresses == ["10.1.0.11:7440", "10.2.0.9:7440"]
+    assert settings.stop_timeout_ms == 6_000.0
+    assert settings.is_first_start
+
+
+@pytest.mark.parametrize("text", ["", "zone = ", 'node_name = "x"'])
+def test_settings_that_lack_a_field_are_refused(text):
+    with pytest.raises(ValueError):
+        parse_settings(text)
+
+
+@pytest.mark.parametrize(
+    ("method", "path", "kind"),
+    [
+        ("POST", "/Instances.Heartbeat/i-1", ServerReported),
+        ("POST", "/Instances.Deregister/i-1", ServerLeft),
+        ("GET", "/Configuration.Read", ConfigurationAsked),
+        ("POST", "/Configuration.Read", UnknownCall),
+        ("GET", "/", UnknownCall),
+    ],
+)
+def test_calls_are_told_apart(method, path, kind):
+    call = UsersPlatform().parse_control_call(HttpRequest(method, path))
+    assert isinstance(call, kind)
+
+
+def test_a_redirect_names_the_same_path():
+    request = HttpRequest("GET", "/Configuration.Read")
+    reply = ControlReply(307, redirect="10.0.0.4:8080")
+    response = UsersPlatform().control_response(reply, request)
+    assert response.headers["Location"] == "http://10.0.0.4:8080/Configuration.Read"
+
+
+def test_a_promotion_carries_holder_and_token():
+    request = UsersPlatform().promotion_request(Promotion("db", "i-2", "core-1", 17))
+    assert request.headers == {"X-Duty-Holder": "core-1", "X-Fencing-Token": "17"}
+    assert json.loads(request.body) == {"service": "db", "id": "i-2"}
+
+
+def test_the_examples_of_the_documentation_hold():
+    # pytest can't collect a folder whose name is that of a standard module.
+    assert doctest.testmod(_lines).failed == 0
