--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_backend_pool.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_backend_pool.py
@@ -24,6 +24,10 @@
 _OPEN_TIMEOUT_S = 1.0
 _SILENCE_TIMEOUT_MS = 700
 _REDIAL_PAUSE_MS = 120.0
+_LAG_MIN_MS = 50.0
+_LAG_MAX_MS = 5_000.0
+_LAG_MARGIN = 1.5
+_LAG_HALF_LIFE_MS = 400.0
 # A server that took statements and answered none for this long counts as silent.
 SILENT_AFTER_MS = 450.0
 
@@ -205,8 +209,8 @@
         self.replied_ms = boot_ms()
         self.down_since_ms: float | None = None
         self.dial_after_ms = 0.0
-        self.behind_until_ms = 0.0
-        self.lag_ms = 0.0
+        self._lag_ms = 0.0
+        self._lag_noted_ms = 0.0
         self.n_opened = 0
 
     @property
@@ -228,6 +232,21 @@
             for connection in self._open
         )
 
+    def expected_lag_ms(self, now_ms: float) -> float:
+        """Return how far this replica is expected to be behind.
+
+        What was found once fades, so that a replica that caught up is used again.
+        """
+        age_ms = now_ms - self._lag_noted_ms
+        return float(self._lag_ms * 0.5 ** (age_ms / _LAG_HALF_LIFE_MS))
+
+    def note_behind(self, known_ms: float) -> None:
+        """Note that the server lacked a position known for `known_ms`."""
+        now = boot_ms()
+        found_ms = min(known_ms * _LAG_MARGIN, _LAG_MAX_MS)
+        self._lag_ms = max(self.expected_lag_ms(now), found_ms, _LAG_MIN_MS)
+        self._lag_noted_ms = now
+
     async def acquire(
         self, priority: int, deadline_ms: float, values: dict[str, str]
     ) -> BackendConnection:
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_consensus_host.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_consensus_host.py
@@ -30,9 +30,9 @@
 
 # One lost packet holds a connection up for 200 ms; an election must outlast two.
 OPTIONS = ConsensusOptions(
-    election_min_ms=450.0,
-    election_max_ms=800.0,
-    heartbeat_ms=120.0,
+    election_min_ms=400.0,
+    election_max_ms=650.0,
+    heartbeat_ms=100.0,
     join_interval_ms=150.0,
     n_entries_per_message=16,
 )
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_control_node.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_control_node.py
@@ -93,6 +93,7 @@
         self._pushed_ms: dict[str, float] = {}
         self._leases: LeaseTable | None = None
         self._told_assignments: dict[str, Assignment] = {}
+        self._is_announced = False
         self._own_tokens: set[int] = set()
         self._replacements: dict[str, asyncio.Task[None]] = {}
         self._receipts: dict[int, asyncio.Event] = {}
@@ -186,6 +187,13 @@
                     version=self._state.version, document=self._state.document
                 )
             )
+        if self._host.may_act and not self._is_announced:
+            self._is_announced = True
+            hint = LeaderHint(
+                leader_address=self._settings.peer_address,
+                control_addresses=self._control_addresses(),
+            )
+            self._tell_entries(hint)
         if self._state.assignments != self._told_assignments:
             self._told_assignments = dict(self._state.assignments)
             self._tell_entries(
@@ -227,6 +235,7 @@
 
     def _on_leadership(self, is_leader: bool) -> None:
         self._own_tokens.clear()
+        self._is_announced = False
         self._leases = LeaseTable(boot_ms()) if is_leader else None
         self._log.write(
             "leading" if is_leader else "following", term=self._host.node.term
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_entry_daemon.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_entry_daemon.py
@@ -31,11 +31,13 @@
 _RENEW_INTERVAL_MS = 250.0
 _SEARCH_INTERVAL_MS = 150.0
 _LEADER_SILENCE_MS = 500.0
+# All control nodes are asked once the leader is late.
+_LEADER_LATE_MS = 350.0
 _CONTACT_INTERVAL_MS = 1_000.0
 _CONTROL_SILENCE_MS = 2_500.0
 _SUSPICION_INTERVAL_S = 0.05
 # Without a leader all control nodes are asked many times in this time.
-_CUT_OFF_AFTER_MS = 500.0
+_CUT_OFF_AFTER_MS = 650.0
 _SWEEP_INTERVAL_S = 0.25
 # Statements in flight at a primary that still answers may end in this time.
 _STOP_GRACE_MS = 400.0
@@ -66,7 +68,7 @@
         self._sequence = 0
         self._leader = ""
         self._leader_heard_ms = float("-inf")
-        self._leaderless_since_ms = boot_ms()
+        self._started_boot_ms = boot_ms()
         self._cut_off_since_ms: float | None = None
         self._control = set(settings.seed_peer_addresses)
         self._heard_ms: dict[str, float] = {}
@@ -137,8 +139,12 @@
     async def _keep_lease(self) -> None:
         while True:
             self._send_requests()
-            found = self._leader and not self._view.suspicions()
-            interval_ms = _RENEW_INTERVAL_MS if found else _SEARCH_INTERVAL_MS
+            is_calm = (
+                self._leader
+                and boot_ms() <= self._leader_heard_ms + _RENEW_INTERVAL_MS
+                and not self._view.suspicions()
+            )
+            interval_ms = _RENEW_INTERVAL_MS if is_calm else _SEARCH_INTERVAL_MS
             self._renew.clear()
             try:
                 async with asyncio.timeout(interval_ms / 1_000.0):
@@ -173,11 +179,13 @@
             )
             self._transport.reset(self._leader)
             self._leader = ""
-            self._leaderless_since_ms = now
+        has_leader = bool(self._leader) and (
+            now <= self._leader_heard_ms + _LEADER_LATE_MS
+        )
         for address in sorted(self._control):
             contacted_ms = self._contacted_ms.get(address, float("-inf"))
             is_due = now >= contacted_ms + _CONTACT_INTERVAL_MS
-            if address != self._leader and self._leader and not is_due:
+            if address != self._leader and has_leader and not is_due:
                 continue
             if now > self._heard_ms.setdefault(address, now) + _CONTROL_SILENCE_MS:
                 self._heard_ms[address] = now
@@ -247,8 +255,10 @@
         self._learn_control(hint.control_addresses)
         if hint.leader_address and hint.leader_address != self._leader:
             self._control.add(hint.leader_address)
-            if not self._leader:
-                self._contacted_ms.pop(hint.leader_address, None)
+            is_late = boot_ms() > self._leader_heard_ms + _RENEW_INTERVAL_MS
+            if not self._leader or is_late:
+                self._leader = ""
+                self._send_request(hint.leader_address, boot_ms())
 
     def _learn_control(self, addresses: list[str]) -> None:
         if addresses:
@@ -343,7 +353,8 @@
 
     def _is_cut_off(self, now: float) -> bool:
         """Tell whether this VM reaches too few control nodes to get a lease again."""
-        if self._leader or now < self._leaderless_since_ms + _CUT_OFF_AFTER_MS:
+        last_ms = max(self._leader_heard_ms, self._started_boot_ms)
+        if now < last_ms + _CUT_OFF_AFTER_MS:
             return False
         n_heard = sum(
             now <= self._heard_ms.get(address, 0.0) + _CUT_OFF_AFTER_MS
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_fleet_view.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_fleet_view.py
@@ -12,7 +12,7 @@
     ServerState,
     Suspicion,
 )
-from cardamomshunt.freshness import BoundHistory
+from cardamomshunt.freshness import BoundHistory, DatedPosition
 from cardamomshunt.position import LogPosition
 
 from cardamomshunt_node._backend_pool import ServerPool
@@ -24,10 +24,6 @@
 _N_RESERVED_CONNECTIONS = 3
 _N_CONNECTIONS_MIN = 2
 _ENTRY_COUNT_KEPT_MS = 10_000.0
-_LAG_DEFAULT_MS = 120.0
-_LAG_MAX_MS = 8_000.0
-# A replica that was behind is asked again after this long.
-_BEHIND_PAUSE_MS = 250.0
 _N_LOCAL_LOAD_MAX = 5
 
 
@@ -172,18 +168,17 @@
         """Note a primary's position in an answer to what was sent at a time."""
         self._bounds.setdefault(group, BoundHistory()).add(position, sent_ms)
 
-    def bound_since(self, group: str, since_ms: float) -> LogPosition | None:
+    def bound_since(self, group: str, since_ms: float) -> DatedPosition | None:
         """Return a position that holds all that was acknowledged before a time."""
         bounds = self._bounds.get(group)
-        return bounds.first_since(since_ms) if bounds else None
+        return bounds.first_bound_since(since_ms) if bounds else None
 
     def readers(
-        self, group: str, at_least: LogPosition | None, age_ms: float, tried: set[str]
+        self, group: str, at_least: DatedPosition | None, tried: set[str]
     ) -> list[ServerPool]:
         """Return the servers that may serve a read, best first.
 
-        `at_least` None leaves only the primary; `age_ms` is how long that position
-        has been known.
+        `at_least` None leaves only the primary.
         """
         now = boot_ms()
         primary = self.primary(group)
@@ -196,8 +191,7 @@
             if not is_primary and (
                 at_least is None
                 or report.state is not ServerState.READY
-                or now < pool.behind_until_ms
-                or age_ms < pool.lag_ms
+                or now - at_least.since_ms < pool.expected_lag_ms(now)
             ):
                 continue
             is_far = report.zone != self._zone
@@ -205,13 +199,3 @@
             found.append((key, pool))
         found.sort(key=lambda item: item[0])
         return [pool for _, pool in found]
-
-    def note_behind(self, pool: ServerPool, age_ms: float) -> None:
-        """Note that a replica lacked a position that is `age_ms` old."""
-        pool.behind_until_ms = boot_ms() + _BEHIND_PAUSE_MS
-        pool.lag_ms = min(max(pool.lag_ms, age_ms * 1.2, _LAG_DEFAULT_MS), _LAG_MAX_MS)
-
-    def note_caught_up(self, pool: ServerPool, age_ms: float) -> None:
-        """Note that a replica had a position that is `age_ms` old."""
-        if age_ms < pool.lag_ms * 2.0:
-            pool.lag_ms *= 0.8
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_line_sessions.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_line_sessions.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 
 from cardamomshunt.fleet import Route, RouteKind
+from cardamomshunt.freshness import DatedPosition
 from cardamomshunt.position import LogPosition
 
 from cardamomshunt_node._backend_pool import (
@@ -72,8 +73,7 @@
     database: str
     values: dict[str, str] = field(default_factory=dict)
     prepared: dict[str, Shape] = field(default_factory=dict)
-    positions: dict[str, LogPosition] = field(default_factory=dict)
-    written_ms: float = float("-inf")
+    positions: dict[str, DatedPosition] = field(default_factory=dict)
     transaction: Transaction | None = None
 
     @property
@@ -276,22 +276,24 @@
 
     def _requirement(
         self, session: LineSession, route: Route, arrived_ms: float
-    ) -> tuple[LogPosition | None, float]:
-        """Return what a replica's log must hold, and how long that is known.
+    ) -> DatedPosition | None:
+        """Return what a replica's log must hold, and since when that is known.
 
         None means that nothing proves a replica fresh enough.
         """
         if route.kind is RouteKind.PRIMARY:
-            return None, 0.0
+            return None
         since_ms = arrived_ms - route.max_age_ms + _AGE_MARGIN_MS
-        position = self._view.bound_since(route.group, since_ms)
-        if position is None:
-            return None, 0.0
-        age_ms = max(route.max_age_ms - _AGE_MARGIN_MS, 0.0)
+        bound = self._view.bound_since(route.group, since_ms)
         own = session.positions.get(route.group)
-        if route.kind is RouteKind.READ_YOUR_WRITES and own and own > position:
-            return own, arrived_ms - session.written_ms
-        return position, age_ms
+        if (
+            bound is not None
+            and route.kind is RouteKind.READ_YOUR_WRITES
+            and own is not None
+            and own.position > bound.position
+        ):
+            return own
+        return bound
 
     async def _read(
         self,
@@ -301,7 +303,7 @@
         arrived_ms: float,
     ) -> bytes:
         deadline_ms = arrived_ms + route.statement_timeout_ms - _ANSWER_MARGIN_MS
-        at_least, age_ms = self._requirement(session, route, arrived_ms)
+        at_least = self._requirement(session, route, arrived_ms)
         self._hedge_budget = min(
             self._hedge_budget + _HEDGE_BUDGET_SHARE, _HEDGE_BUDGET_MAX
         )
@@ -313,9 +315,7 @@
         while (now := boot_ms()) < deadline_ms:
             may_start = not running or (self._hedge_budget >= 1.0 and len(running) < 2)
             if may_start:
-                pools = self._view.readers(
-                    route.group, at_least, age_ms + now - arrived_ms, tried
-                )
+                pools = self._view.readers(route.group, at_least, tried)
                 if running and pools:
                     self._hedge_budget -= 1.0
                     self._metrics.count_hedge()
@@ -375,7 +375,7 @@
         session: LineSession,
         query: CallerQuery,
         route: Route,
-        at_least: LogPosition | None,
+        at_least: DatedPosition | None,
         deadline_ms: float,
     ) -> asyncio.Task[Reply]:
         """Start an attempt, which gives its connection back even if abandoned."""
@@ -398,7 +398,7 @@
         session: LineSession,
         query: CallerQuery,
         route: Route,
-        at_least: LogPosition | None,
+        at_least: DatedPosition | None,
         deadline_ms: float,
     ) -> Reply:
         connection = await pool.acquire(route.priority, deadline_ms, session.values)
@@ -408,7 +408,7 @@
             if not is_primary and at_least is None:
                 raise ServerBusyError("the primary may not be used any more")
             sent_ms = boot_ms()
-            required = None if is_primary else at_least
+            required = None if is_primary or at_least is None else at_least.position
             future = self._send_statement(connection, session, query, required)
             async with asyncio.timeout(max(deadline_ms - sent_ms, 1.0) / 1_000.0):
                 reply = await future
@@ -416,7 +416,7 @@
             raise ServerLostError(f"{pool.server}: no answer in time") from error
         finally:
             pool.release(connection)
-        self._learn(pool, route, reply, is_primary, sent_ms)
+        self._learn(pool, route, reply, None if is_primary else at_least, sent_ms)
         self._metrics.count_read(is_primary)
         self._log.write_request(
             "read",
@@ -437,17 +437,16 @@
         pool: ServerPool,
         route: Route,
         reply: Reply,
-        is_primary: bool,
+        required: DatedPosition | None,
         sent_ms: float,
     ) -> None:
-        if is_primary:
+        """Learn a bound from the primary, or how far a replica is behind."""
+        if required is None:
             if reply.position is not None and reply.code is not ErrorCode.READ_ONLY:
                 self._view.add_bound(route.group, reply.position, sent_ms)
             return
         if reply.code is ErrorCode.LAGGING:
-            self._view.note_behind(pool, route.max_age_ms)
-        elif reply.is_success:
-            self._view.note_caught_up(pool, route.max_age_ms)
+            pool.note_behind(sent_ms - required.since_ms)
 
     # Single writes
 
@@ -524,8 +523,7 @@
             )
         if reply.position is not None:
             self._view.add_bound(route.group, reply.position, sent_ms)
-            session.positions[route.group] = reply.position
-            session.written_ms = boot_ms()
+            session.positions[route.group] = DatedPosition(reply.position, boot_ms())
         return b"".join(reply.lines) + self._end(session, reply.position)
 
     # Transactions
@@ -598,12 +596,12 @@
     ) -> None:
         """Begin on a server that holds what the transaction has to see."""
         route = transaction.route
-        at_least, age_ms = self._requirement(session, route, transaction.arrived_ms)
+        at_least = self._requirement(session, route, transaction.arrived_ms)
         if not transaction.is_read_only:
             at_least = None
         tried: set[str] = set()
         while boot_ms() < deadline_ms:
-            pools = self._view.readers(route.group, at_least, age_ms, tried)
+            pools = self._view.readers(route.group, at_least, tried)
             if not pools:
                 tried.clear()
                 await self._view.wait_change(_RETRY_PAUSE_MS)
@@ -623,7 +621,7 @@
         pool: ServerPool,
         session: LineSession,
         transaction: Transaction,
-        at_least: LogPosition | None,
+        at_least: DatedPosition | None,
         deadline_ms: float,
     ) -> bool:
         route = transaction.route
@@ -638,17 +636,17 @@
             return False
         sent_ms = boot_ms()
         self._send_values(connection, session)
+        required = None if is_primary else at_least
+        begin = self._protocol.begin(
+            transaction.is_read_only, required.position if required else None
+        )
         try:
             async with asyncio.timeout(max(deadline_ms - sent_ms, 1.0) / 1_000.0):
-                reply = await connection.send(
-                    self._protocol.begin(
-                        transaction.is_read_only, None if is_primary else at_least
-                    )
-                )
+                reply = await connection.send(begin)
         except (TimeoutError, ServerLostError):
             pool.release(connection)
             return False
-        self._learn(pool, route, reply, is_primary, sent_ms)
+        self._learn(pool, route, reply, required, sent_ms)
         if not reply.is_success or reply.state is not TransactionState.OPEN:
             pool.release(connection)
             return False
--- a/packages/cardamomshunt/src/cardamomshunt/_freshness.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_freshness.py
@@ -8,6 +8,14 @@
 N_BOUNDS_MAX = 256  # 12 s at ten bounds a second; older ones are kept at wider steps
 
 
+@dataclass(slots=True, frozen=True)
+class DatedPosition:
+    """Hold a position that has been known since a time."""
+
+    position: LogPosition
+    since_ms: float
+
+
 class BoundHistory:
     """Keep confirmed bounds in the order of both time and position.
 
@@ -52,6 +60,13 @@
         index = bisect_left(self._times_ms, since_ms)
         return self._positions[index] if index < len(self._positions) else None
 
+    def first_bound_since(self, since_ms: float) -> "DatedPosition | None":
+        """Return the lowest position confirmed at or after a time, with its time."""
+        index = bisect_left(self._times_ms, since_ms)
+        if index == len(self._times_ms):
+            return None
+        return DatedPosition(self._positions[index], self._times_ms[index])
+
     def lacks_old_writes(self, applied: LogPosition, until_ms: float) -> bool:
         """Tell whether `applied` provably misses a write confirmed by a time."""
         index = bisect_right(self._times_ms, until_ms)
--- a/packages/cardamomshunt/src/cardamomshunt/freshness.py
+++ b/packages/cardamomshunt/src/cardamomshunt/freshness.py
@@ -1,5 +1,5 @@
 """What an entry VM can prove about the age of replicas."""
 
-from cardamomshunt._freshness import BoundHistory, ReadRequirement
+from cardamomshunt._freshness import BoundHistory, DatedPosition, ReadRequirement
 
-__all__ = ["BoundHistory", "ReadRequirement"]
+__all__ = ["BoundHistory", "DatedPosition", "ReadRequirement"]
