--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_consensus_host.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_consensus_host.py
@@ -35,6 +35,7 @@
     heartbeat_ms=100.0,
     join_interval_ms=150.0,
     n_entries_per_message=16,
+    admits_unknown=True,
 )
 _N_ENTRIES_BETWEEN_SNAPSHOTS = 200
 _PEER_RESET_MS = 500.0
@@ -58,10 +59,18 @@
         apply: Callable[[int, bytes], bool],
         install: Callable[[bytes], None],
         encode_state: Callable[[], bytes],
-        options: ConsensusOptions = OPTIONS,
+        operator_address: str,
+        may_form: bool,
     ) -> None:
         self.node = ConsensusNode(
-            node, members, opened.restored, random.Random(), boot_ms(), options
+            node,
+            members,
+            opened.restored,
+            random.Random(),
+            boot_ms(),
+            OPTIONS,
+            operator_address=operator_address,
+            may_form=may_form,
         )
         self._transport = transport
         self._log = log
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_control_node.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_control_node.py
@@ -132,6 +132,8 @@
             self._apply,
             self._install,
             lambda: self._state.encode(),
+            settings.control_address,
+            settings.is_first_start,
         )
         host.on_leadership = self._on_leadership
         host.on_applied = self._on_applied
--- a/packages/cardamomshunt/src/cardamomshunt/_consensus.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_consensus.py
@@ -67,6 +67,11 @@
     chunk_size_bytes: int = 65_536
     n_entries_kept: int = 500
     n_entries_behind_max: int = 10
+    # A node that is no member may join by itself, and a voter that is silent for
+    # `retire_after_ms` leaves while more than `n_voters_min` vote.
+    admits_unknown: bool = False
+    n_voters_min: int = 3
+    retire_after_ms: float = 2_500.0
 
 
 @dataclass(slots=True)
@@ -106,8 +111,13 @@
         random: Random,
         now_ms: float,
         options: ConsensusOptions | None = None,
+        *,
+        operator_address: str = "",
+        may_form: bool = True,
     ) -> None:
         self.node = node
+        self._operator_address = operator_address
+        self._may_form = may_form
         self.incarnation = restored.incarnation
         self.options = options or ConsensusOptions()
         self.role = ConsensusRole.FOLLOWER
@@ -133,6 +143,9 @@
         self._reset_election(now_ms)
         self._join_due_ms = now_ms
         self._blank_peers: dict[str, int] = {}
+        self._join_addresses = {
+            member.peer_address for member in initial_members if member.node != node
+        }
         self._votes: set[str] = set()
         self._progress: dict[str, _Progress] = {}
         self._incarnations: dict[str, str] = {}
@@ -207,7 +220,9 @@
         if not self.is_formed:
             return self._join_due_ms
         if not self.is_leader:
-            return self._election_deadline_ms if self._is_voter else None
+            if not self._is_voter:
+                return self._join_due_ms if self.options.admits_unknown else None
+            return self._election_deadline_ms
         due = [item.heartbeat_due_ms for item in self._progress.values()]
         return min(due, default=self._leader_since_ms + self.options.heartbeat_ms)
 
@@ -223,6 +238,8 @@
             self._tick_leader(now_ms)
         elif self._is_voter and now_ms >= self._election_deadline_ms:
             self._start_pre_vote(now_ms)
+        if self.is_formed and not self.is_leader and self.options.admits_unknown:
+            self._ask_to_rejoin(now_ms)
         return self._take_effects()
 
     def on_message(
@@ -389,12 +406,33 @@
         if self._may_form_alone():
             self._form(self._initial_members)
             return
-        hello = JoinHello(term=self.term, incarnation=self.incarnation, node=self.node)
-        for member in self._initial_members:
-            if member.node != self.node:
-                self._send(member.peer_address, hello)
+        self._send_hello()
+
+    def _send_hello(self) -> None:
+        hello = JoinHello(
+            term=self.term,
+            incarnation=self.incarnation,
+            node=self.node,
+            operator_address=self._operator_address,
+        )
+        for address in sorted(self._join_addresses):
+            self._send(address, hello)
+
+    def _ask_to_rejoin(self, now_ms: float) -> None:
+        """Announce this node if no leader sends to it: it may have been retired."""
+        if now_ms < self._join_due_ms:
+            return
+        self._join_due_ms = now_ms + self.options.retire_after_ms / 2.0
+        if now_ms < self._leader_contact_ms + self.options.retire_after_ms:
+            return
+        self._join_addresses |= {
+            member.peer_address for member in self.members if member.node != self.node
+        }
+        self._send_hello()
 
     def _may_form_alone(self) -> bool:
+        if not self._may_form:
+            return False
         return [member.node for member in self._initial_members] == [self.node]
 
     def _on_join_hello(self, now_ms: float, sender: Peer, message: JoinHello) -> None:
@@ -409,10 +447,49 @@
             ),
         )
         member = self.member(message.node)
-        if member is None or member.incarnation == message.incarnation:
+        if member is not None and member.incarnation == message.incarnation:
+            return
+        if not self.is_leader or not self.can_change_members():
             return
-        if self.is_leader and self.can_change_members():
+        if member is not None:
             self._readmit(now_ms, member, message.incarnation)
+        elif self.options.admits_unknown:
+            self._admit(now_ms, sender, message)
+
+    def _admit(self, now_ms: float, sender: Peer, message: JoinHello) -> None:
+        """Take a node that is no member as a learner."""
+        learner = Member(
+            node=message.node,
+            zone="",
+            peer_address=sender.address,
+            operator_address=message.operator_address,
+            incarnation=message.incarnation,
+            is_voter=False,
+        )
+        if self.propose_members(now_ms, [*self.members, learner]):
+            self._emit(
+                EventNumber.MEMBER_CATCHING_UP, message.node, str(message.incarnation)
+            )
+
+    def _retire_silent_voter(self, now_ms: float) -> None:
+        """Remove a voter that was replaced, or is down while others took its place."""
+        voters = self.voters
+        if len(voters) <= self.options.n_voters_min or not self.can_change_members():
+            return
+        limit_ms = now_ms - self.options.retire_after_ms
+        if self._leader_since_ms > limit_ms:
+            return
+        silent = [
+            member
+            for member in voters
+            if member.node != self.node
+            and self._progress[member.node].acked_sent_ms < limit_ms
+        ]
+        if not silent or len(voters) - len(silent) < self.options.n_voters_min:
+            return
+        members = [item for item in self.members if item.node != silent[0].node]
+        if self.propose_members(now_ms, members):
+            self._emit(EventNumber.MEMBER_REMOVED, silent[0].node)
 
     def _readmit(self, now_ms: float, member: Member, incarnation: int) -> None:
         """Take a member with a fresh disk back as a learner."""
@@ -438,6 +515,11 @@
         if listed and self.log.last_index == 0:
             self._form(message.members)
             return
+        self._join_addresses |= {
+            member.peer_address
+            for member in message.members
+            if member.node != self.node
+        }
         if message.is_formed:
             self._blank_peers.clear()
             return
@@ -450,6 +532,8 @@
         Only the node with the smallest name does this, so there is one first list.
         """
         names = sorted(member.node for member in self._initial_members)
+        if not self._may_form:
+            return
         if not names or names[0] != self.node or self.log.last_index > 0:
             return
         seen = {**self._blank_peers, self.node: self.incarnation}
@@ -704,6 +788,7 @@
             if not self.is_leader:
                 return
         self._promote_learner(now_ms)
+        self._retire_silent_voter(now_ms)
         for member in self._followers():
             progress = self._progress[member.node]
             if now_ms >= progress.heartbeat_due_ms:
--- a/packages/cardamomshunt/src/cardamomshunt/_consensus_messages.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_consensus_messages.py
@@ -159,9 +159,13 @@
 
 
 class JoinHello(ConsensusMessage, kw_only=True):
-    """Announce a node whose disk holds no membership yet."""
+    """Announce a node that no leader counts as a member, as far as it knows.
+
+    `operator_address` is empty where unknown nodes are not admitted.
+    """
 
     node: str
+    operator_address: str = ""
 
 
 class JoinReply(ConsensusMessage, kw_only=True):
--- a/packages/cardamomshunt/tests/test_consensus.py
+++ b/packages/cardamomshunt/tests/test_consensus.py
@@ -220,3 +220,101 @@
     assert leader.propose_members(1_010.0, members) == is_allowed
     if is_allowed:
         assert not leader.propose_members(1_010.0, leader.members)
+
+
+class _OpenCluster(_Cluster):
+    """Run nodes on a clock; nodes that are no member may join."""
+
+    def __init__(self, names: list[str], options: ConsensusOptions) -> None:
+        super().__init__(ConsensusNode, {name: [] for name in names}, 0, options)
+        self._options = options
+
+    def add(self, name: str, seeds: list[str], may_form: bool) -> ConsensusNode:
+        node = ConsensusNode(
+            name,
+            _members(seeds),
+            RestoredState(incarnation=77),
+            Random(77),
+            self.now_ms,
+            self._options,
+            operator_address=f"{name}-operator",
+            may_form=may_form,
+        )
+        self.nodes[name] = node
+        self.up.add(name)
+        return node
+
+    def pass_time(self, duration_ms: float) -> None:
+        end_ms = self.now_ms + duration_ms
+        while self.now_ms < end_ms:
+            self.now_ms += 20.0
+            for name in sorted(self.up):
+                self.run(name, self.nodes[name].tick(self.now_ms))
+            while self.queue:
+                self.deliver_one()
+
+    @property
+    def leader(self) -> ConsensusNode:
+        leaders = [n for n in self.nodes.values() if n.is_leader and n.node in self.up]
+        return max(leaders, key=lambda node: node.term)
+
+    def voters(self) -> set[str]:
+        return {member.node for member in self.leader.voters}
+
+
+_OPEN = ConsensusOptions(admits_unknown=True, retire_after_ms=1_000.0)
+
+
+def test_an_empty_node_at_another_address_takes_the_place_of_a_lost_one() -> None:
+    # Without this a group that lost a node for good stayed at two, and the next
+    # loss ended it.
+    cluster = _OpenCluster(["s1", "s2", "s3"], _OPEN)
+    cluster.pass_time(2_000.0)
+    cluster.leader.propose(cluster.now_ms, b"acknowledged")
+    lost = next(name for name in cluster.up if name != cluster.leader.node)
+    cluster.up.discard(lost)
+    cluster.add("s9", ["s1", "s2", "s3"], may_form=False)
+    cluster.pass_time(4_000.0)
+    assert cluster.voters() == cluster.up
+    joined = cluster.leader.member("s9")
+    assert joined is not None and joined.operator_address == "s9-operator"
+    assert cluster.nodes["s9"].commit_index == cluster.leader.commit_index
+
+
+def test_a_voter_is_kept_while_no_other_took_its_place() -> None:
+    cluster = _OpenCluster(["s1", "s2", "s3"], _OPEN)
+    cluster.pass_time(2_000.0)
+    lost = next(name for name in cluster.up if name != cluster.leader.node)
+    cluster.up.discard(lost)
+    cluster.pass_time(5_000.0)
+    assert lost in cluster.voters()
+
+
+def test_a_node_that_was_retired_while_cut_off_joins_again() -> None:
+    cluster = _OpenCluster(["s1", "s2", "s3"], _OPEN)
+    cluster.pass_time(2_000.0)
+    cut = next(name for name in cluster.up if name != cluster.leader.node)
+    cluster.up.discard(cut)
+    cluster.add("s9", ["s1", "s2", "s3"], may_form=False)
+    cluster.pass_time(4_000.0)
+    assert cut not in cluster.voters()
+    cluster.up.add(cut)
+    cluster.pass_time(6_000.0)
+    assert cut in cluster.voters()
+
+
+def test_unknown_nodes_stay_out_where_an_operator_decides() -> None:
+    cluster = _OpenCluster(["s1", "s2", "s3"], ConsensusOptions())
+    cluster.pass_time(2_000.0)
+    cluster.add("s9", ["s1", "s2", "s3"], may_form=False)
+    cluster.pass_time(2_000.0)
+    assert cluster.leader.member("s9") is None
+
+
+def test_blank_nodes_form_no_group_after_the_first_start() -> None:
+    # Nodes that lost their disks must not begin a second history.
+    cluster = _OpenCluster([], _OPEN)
+    for name in ("s1", "s2", "s3"):
+        cluster.add(name, ["s1", "s2", "s3"], may_form=False)
+    cluster.pass_time(3_000.0)
+    assert not any(node.is_formed for node in cluster.nodes.values())
