--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_control_node.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_control_node.py
@@ -77,10 +77,15 @@
 class ControlNodeDaemon(ReplacementPort):
     """Own the sockets, the disk and the replicated state of a control VM."""
 
-    def __init__(self, platform: Platform, settings: DeploymentSettings) -> None:
+    def __init__(
+        self,
+        platform: Platform,
+        settings: DeploymentSettings,
+        log: DecisionLog | None = None,
+    ) -> None:
         self._platform = platform
         self._settings = settings
-        self._log = DecisionLog(settings.node)
+        self._log = log or DecisionLog(settings.node)
         self._metrics = ControlMetrics()
         self._state = FleetState()
         self._table = RouteTable()
@@ -172,6 +177,10 @@
         await self._control.stop()
         await self._transport.stop()
 
+    def stop(self) -> None:
+        """Begin to stop, as at SIGTERM."""
+        self._stop.set()
+
     def _reload(self) -> None:
         self._log.write("reloaded")
 
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_entry_daemon.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_entry_daemon.py
@@ -50,10 +50,15 @@
 class EntryDaemon:
     """Own the sockets of an entry VM, its lease and its view of the deployment."""
 
-    def __init__(self, platform: Platform, settings: DeploymentSettings) -> None:
+    def __init__(
+        self,
+        platform: Platform,
+        settings: DeploymentSettings,
+        log: DecisionLog | None = None,
+    ) -> None:
         self._platform = platform
         self._settings = settings
-        self._log = DecisionLog(settings.node)
+        self._log = log or DecisionLog(settings.node)
         self._metrics = EntryMetrics()
         protocol = platform.session_protocol
         self._view = FleetView(settings.zone, protocol, self._log)
@@ -108,6 +113,10 @@
         await self._transport.stop()
         self._log.write("stopped", role="entry")
 
+    def stop(self) -> None:
+        """Begin to stop, as at SIGTERM."""
+        self._stop.set()
+
     def _reload(self) -> None:
         try:
             settings = self._platform.load_settings()
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_http.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_http.py
@@ -75,6 +75,9 @@
         except (OSError, TimeoutError, h11.ProtocolError):
             # The peer went away or does not speak HTTP; there is nobody to answer.
             pass
+        except asyncio.CancelledError:
+            # The server stops; asyncio would report a cancelled handler as an error.
+            pass
         finally:
             self._tasks.discard(task)
             writer.close()
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_stream_transport.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_stream_transport.py
@@ -139,8 +139,12 @@
     """Own one incoming connection."""
 
     def __init__(
-        self, counters: StreamCounters, deliver: Callable[[StreamMessage], None]
+        self,
+        counters: StreamCounters,
+        deliver: Callable[[StreamMessage], None],
+        open_receivers: "set[_Receiver]",
     ) -> None:
+        self._open_receivers = open_receivers
         self._counters = counters
         self._deliver = deliver
         self._buffer = bytearray()
@@ -150,6 +154,16 @@
         """Take over the connection."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
+        self._open_receivers.add(self)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Forget the connection."""
+        self._open_receivers.discard(self)
+
+    def close(self) -> None:
+        """Close at once."""
+        if self._transport is not None:
+            self._transport.abort()
 
     def data_received(self, data: bytes) -> None:
         """Deliver each whole frame."""
@@ -202,6 +216,7 @@
         self.address = listen_address
         self._on_message = on_message
         self._dialers: dict[str, _Dialer] = {}
+        self._receivers: set[_Receiver] = set()
         self._server: asyncio.Server | None = None
         self.counters = StreamCounters()
 
@@ -209,7 +224,10 @@
         """Listen; raise OSError if the address is taken."""
         host, port = host_and_port(self.address)
         self._server = await asyncio.get_running_loop().create_server(
-            lambda: _Receiver(self.counters, self._on_message), host, port, backlog=256
+            lambda: _Receiver(self.counters, self._on_message, self._receivers),
+            host,
+            port,
+            backlog=256,
         )
 
     def send(self, address: str, message: Message) -> None:
@@ -235,5 +253,7 @@
         """Close all sockets."""
         if self._server is not None:
             self._server.close()
+        for receiver in list(self._receivers):
+            receiver.close()
         for address in list(self._dialers):
             self.reset(address)
--- /dev/null
+++ b/tests/users_platform/conftest.py
@@ -0,0 +1,222 @@
+"""A whole deployment on loopback: three control nodes, two entry VMs, one group."""
+
+import asyncio
+import itertools
+import json
+import os
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import pytest
+import pytest_asyncio
+from cardamomshunt_node._decision_log import DecisionLog
+from cardamomshunt_node._http import HttpRequest, call_http
+from cardamomshunt_node.deployment import (
+    ControlNodeDaemon,
+    DeploymentSettings,
+    EntryDaemon,
+)
+from cardamomshunt_platform._platform import UsersPlatform
+from standin import REPORT_INTERVAL_S, Caller, Group, LineServer, Provider, report
+
+_NETWORKS = itertools.count(1)
+_PEER_PORT = 17_440
+
+
+def document(version=1, kinds=None, timeout_ms=1_000, **changes):
+    """Return a configuration with one route for each kind."""
+    kinds = kinds or {
+        "orders": "primary",
+        "stock": "bounded_staleness",
+        "dispatch": "read_your_writes",
+    }
+    routes = [
+        {
+            "name": f"r-{database}",
+            "host": database,
+            "path_prefix": "/",
+            "kind": kind,
+            "timeout_ms": timeout_ms,
+            "target_latency_ms": 200,
+            "priority": 1,
+            "service": "db",
+            "max_attempts": 2,
+            "max_staleness_ms": 2_000,
+        }
+        for database, kind in kinds.items()
+    ]
+    services = [{"name": "db", "connection_limit": 34, "sync_replicas": 0}]
+    fields = {
+        "version": version,
+        "routes": routes,
+        "services": services,
+        "limits": {"transaction_idle_ms": 3_000},
+    }
+    return json.dumps(fields | changes).encode()
+
+
+@dataclass
+class Deployment:
+    """Hold the daemons and the stand-ins of one test."""
+
+    folder: Path
+    group: Group
+    provider: Provider
+    controls: dict[str, ControlNodeDaemon] = field(default_factory=dict)
+    entries: dict[str, EntryDaemon] = field(default_factory=dict)
+    settings: dict[str, DeploymentSettings] = field(default_factory=dict)
+    tasks: dict[str, asyncio.Task] = field(default_factory=dict)
+
+    def log(self, node: str) -> DecisionLog:
+        path = self.folder / f"{node}.log"
+        return DecisionLog(node, os.open(path, os.O_CREAT | os.O_APPEND | os.O_WRONLY))
+
+    def events(self, node: str) -> list[dict]:
+        lines = (self.folder / f"{node}.log").read_text().splitlines()
+        return [json.loads(line) for line in lines]
+
+    def start(self, node: str) -> None:
+        settings = self.settings[node]
+        kind = ControlNodeDaemon if settings.control_address else EntryDaemon
+        daemon = kind(UsersPlatform(), settings, self.log(node))
+        table = self.controls if settings.control_address else self.entries
+        table[node] = daemon
+        self.tasks[node] = asyncio.create_task(daemon.run())
+
+    async def stop(self, node: str) -> None:
+        (self.controls | self.entries)[node].stop()
+        async with asyncio.timeout(10.0):
+            await self.tasks[node]
+
+    @property
+    def control_addresses(self) -> list[str]:
+        return [self.settings[name].control_address for name in self.controls]
+
+    def caller_address(self, node: str) -> str:
+        return self.settings[node].caller_address
+
+    async def call(self, address: str, method: str, path: str, body: bytes = b""):
+        for _ in range(3):
+            request = HttpRequest(method, path, body)
+            response = await call_http(address, request, 2_000.0)
+            if response.status != 307:
+                return response
+            location = response.headers["location"].removeprefix("http://")
+            address = location.partition("/")[0]
+        raise AssertionError("redirected too often")
+
+    async def put(self, body: bytes):
+        for _ in range(60):
+            for address in self.control_addresses:
+                try:
+                    response = await self.call(
+                        address, "POST", "/Configuration.Replace", body
+                    )
+                except (OSError, TimeoutError):
+                    continue
+                if response.status < 500:
+                    return response
+            await asyncio.sleep(0.05)
+        raise AssertionError("no control node took the configuration")
+
+    async def keep_reporting(self, server: LineServer) -> None:
+        addresses = itertools.cycle(self.control_addresses)
+        while True:
+            if not server.is_dark:
+                try:
+                    await report(server, next(addresses))
+                except (OSError, TimeoutError):
+                    continue
+            await asyncio.sleep(REPORT_INTERVAL_S)
+
+    async def until(self, condition, timeout_s=8.0) -> None:
+        async with asyncio.timeout(timeout_s):
+            while not condition():
+                await asyncio.sleep(0.02)
+
+    async def serve_until(self, node, database, text) -> Caller:
+        """Ask until a statement succeeds; return the caller."""
+        async with asyncio.timeout(10.0):
+            while True:
+                try:
+                    caller = await Caller.open(self.caller_address(node), database)
+                    lines = await caller.ask(text)
+                    if lines[-1].startswith("COMPLETE"):
+                        return caller
+                except ConnectionError:
+                    pass
+                await asyncio.sleep(0.05)
+
+
+def make_settings(network: int, folder: Path) -> dict[str, DeploymentSettings]:
+    """Return the settings of three control nodes and two entry VMs."""
+    hosts = {f"control-{n}": f"127.{network}.1.{n}" for n in (1, 2, 3)}
+    seeds = [f"{host}:18080" for host in hosts.values()]
+    common = {
+        "peer_port": _PEER_PORT,
+        "metrics_port": 19_464,
+        "control_addresses": seeds,
+        "is_first_start": True,
+        "promotion_address": f"127.{network}.9.9:18083",
+        "stop_timeout_ms": 4_000.0,
+    }
+    found = {
+        name: DeploymentSettings(
+            node=name,
+            zone=f"z{number}",
+            host=host,
+            data_folder=str(folder / name),
+            control_address=f"{host}:18080",
+            **common,
+        )
+        for number, (name, host) in enumerate(hosts.items(), start=1)
+    }
+    for number in (1, 2):
+        host = f"127.{network}.2.{number}"
+        found[f"entry-{number}"] = DeploymentSettings(
+            node=f"entry-{number}",
+            zone=f"z{number}",
+            host=host,
+            caller_address=f"{host}:18784",
+            health_address=f"{host}:18785",
+            **common,
+        )
+    return found
+
+
+@pytest_asyncio.fixture
+async def deployment(tmp_path):
+    """Run a deployment that serves."""
+    network = next(_NETWORKS)
+    group = Group("db", 18_143)
+    for number in (1, 2, 3):
+        host = f"127.{network}.3.{number}"
+        group.servers.append(LineServer(group, f"i-{number}", host, f"z{number}"))
+    group.servers[2].is_primary = True
+    provider = Provider(f"127.{network}.9.9:18083", [group])
+    running = Deployment(tmp_path, group, provider)
+    running.settings = make_settings(network, tmp_path)
+    await provider.server.start()
+    for server in group.servers:
+        await server.start()
+    for node in running.settings:
+        running.start(node)
+    reporters = [
+        asyncio.create_task(running.keep_reporting(server)) for server in group.servers
+    ]
+    assert (await running.put(document())).status == 200
+    for node in running.entries:
+        (await running.serve_until(node, "orders", "READ none")).close()
+    yield running
+    for task in reporters + list(running.tasks.values()):
+        task.cancel()
+    await asyncio.gather(*reporters, *running.tasks.values(), return_exceptions=True)
+    for server in group.servers:
+        await server.stop()
+    await provider.server.stop()
+
+
+@pytest.fixture
+def make_document():
+    """Return the builder of configurations."""
+    return document
--- /dev/null
+++ b/tests/users_platform/standin.py
@@ -0,0 +1,346 @@
+"""A stand-in of the users' platform on loopback: servers, provider and callers."""
+
+import asyncio
+import json
+import os
+from dataclasses import dataclass, field
+
+from cardamomshunt_node._http import (
+    HttpRequest,
+    HttpResponse,
+    HttpServer,
+    call_http,
+)
+
+PROMOTION_DELAY_S = 0.25
+REPORT_INTERVAL_S = 0.2
+
+
+@dataclass
+class Commit:
+    """Hold one write of the log."""
+
+    term: int
+    number: int
+    item: str
+    data: str
+    request: str
+
+
+@dataclass
+class Run:
+    """Hold one statement that a server ran."""
+
+    server: str
+    request: str
+    text: str
+    connection: int
+    position: tuple[int, int]
+    values: dict[str, str]
+    is_primary: bool
+
+
+class LineServer:
+    """Stand in for one backend server of a group."""
+
+    def __init__(self, group: "Group", name: str, host: str, zone: str) -> None:
+        self.group = group
+        self.name = name
+        self.address = f"{host}:{group.port}"
+        self.zone = zone
+        self.is_primary = False
+        self.term = 1
+        self.log: list[Commit] = []
+        self.state = "ready"
+        self.is_dark = False
+        self.lost_answers: set[str] = set()
+        self.work_s = 0.002
+        self.lag_s = 0.0
+        self.sequence = 0
+        self.born = 1_000 + len(group.servers)
+        self.n_connections = 0
+        self._numbers = 0
+        self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
+
+    @property
+    def end(self) -> tuple[int, int]:
+        """Return the position of the last commit."""
+        return (self.log[-1].term, self.log[-1].number) if self.log else (1, 0)
+
+    async def start(self) -> None:
+        """Listen."""
+        host, port = self.address.split(":")
+        self._server = await asyncio.start_server(self._serve, host, int(port))
+
+    async def stop(self) -> None:
+        """Close all sockets, as a crash does."""
+        if self._server is not None:
+            self._server.close()
+        for writer in list(self._writers):
+            writer.transport.abort()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self._writers.add(writer)
+        self._numbers += 1
+        session = _ServerSession(self, self._numbers)
+        self.n_connections += 1
+        try:
+            while line := await reader.readline():
+                if self.is_dark:
+                    continue
+                answer = await session.handle(line.decode().rstrip("\r\n"))
+                if answer and not self.is_dark:
+                    writer.write(answer.encode())
+        except (ConnectionError, asyncio.CancelledError):
+            pass
+        finally:
+            self._writers.discard(writer)
+            writer.close()
+
+
+class _ServerSession:
+    def __init__(self, server: LineServer, number: int) -> None:
+        self._server = server
+        self._number = number
+        self._values: dict[str, str] = {}
+        self._prepared: dict[str, str] = {}
+        self._pending: list[tuple[str, str, str]] | None = None
+        self._is_read_only = False
+
+    def _ready(self) -> str:
+        state = "I" if self._pending is None else "T"
+        term, number = self._server.end
+        return f"READY {state} {term}.{number}\r\n"
+
+    def _error(self, code: str) -> str:
+        return f"ERROR {code} {self._server.name}\r\n" + self._ready()
+
+    async def handle(self, line: str) -> str:
+        word, _, rest = line.partition(" ")
+        if word == "START":
+            group, _, expected = rest.split(" ")
+            if (group, expected) != (self._server.group.name, self._server.name):
+                return "ERROR MISROUTED -\r\n"
+            return self._ready()
+        request, _, text = rest.partition(" ")
+        answer = await self._run(request, text)
+        if request in self._server.lost_answers:
+            self._server.lost_answers.discard(request)
+            return ""
+        return answer
+
+    async def _run(self, request: str, text: str) -> str:
+        server = self._server
+        if text.startswith("WAITFOR "):
+            _, position, text = text.split(" ", 2)
+            term, number = position.split(".")
+            if server.end < (int(term), int(number)):
+                return self._error("LAGGING")
+        word, _, rest = text.partition(" ")
+        match word:
+            case "SET":
+                name, _, value = rest.partition(" ")
+                self._values[name] = value
+            case "RESET":
+                self._values.clear()
+                self._prepared.clear()
+            case "PREPARE":
+                name, mode, shape = rest.split(" ", 2)
+                self._prepared[name] = f"{mode} {shape}"
+            case "STATUS" | "DEMOTE":
+                return self._status(word, rest)
+            case "BEGIN":
+                if not rest and not server.is_primary:
+                    return self._error("READONLY")
+                self._pending, self._is_read_only = [], bool(rest)
+            case "ROLLBACK":
+                self._pending = None
+            case _:
+                return await self._run_work(request, word, rest, text)
+        return "COMPLETE -\r\n" + self._ready()
+
+    def _status(self, word: str, rest: str) -> str:
+        server = self._server
+        if word == "DEMOTE" and server.is_primary and int(rest) > server.term:
+            server.is_primary = False
+        role = "primary" if server.is_primary else "replica"
+        term, number = server.end
+        row = f"ROW {role} {server.term} {term}.{number} {term} 0 0 1\r\n"
+        return row + "COMPLETE -\r\n" + self._ready()
+
+    async def _run_work(self, request: str, word: str, rest: str, text: str) -> str:
+        server = self._server
+        is_write = word == "WRITE"
+        if word == "EXECUTE":
+            name, _, rest = rest.partition(" ")
+            if name not in self._prepared:
+                return self._error("UNKNOWN")
+            is_write = self._prepared[name].startswith("WRITE")
+        await asyncio.sleep(server.work_s)
+        if is_write and not server.is_primary:
+            return self._error("READONLY")
+        server.group.runs.append(
+            Run(
+                server.name,
+                request,
+                text,
+                self._number,
+                server.end,
+                dict(self._values),
+                server.is_primary,
+            )
+        )
+        rows = ""
+        if word == "COMMIT":
+            for item, data, first in self._pending or []:
+                server.group.commit(server, item, data, first)
+            self._pending = None
+        elif is_write:
+            item, _, data = rest.partition(" ")
+            if self._pending is None:
+                server.group.commit(server, item, data, request)
+            else:
+                self._pending.append((item, data, request))
+        else:
+            found = [c.data for c in server.log if c.item == rest.split(" ")[0]]
+            rows = f"ROW {found[-1]}\r\n" if found else ""
+        return f"{rows}COMPLETE proof-{server.name}-{request}\r\n" + self._ready()
+
+
+class Group:
+    """Stand in for a group of servers and its replication."""
+
+    def __init__(self, name: str, port: int) -> None:
+        self.name = name
+        self.port = port
+        self.servers: list[LineServer] = []
+        self.runs: list[Run] = []
+
+    def commit(self, server: LineServer, item: str, data: str, request: str) -> None:
+        """Append to the primary's log, and to the replicas' later."""
+        number = server.end[1] + 1
+        commit = Commit(server.term, number, item, data, request)
+        server.log.append(commit)
+        for other in self.servers:
+            if other is not server and not other.is_primary:
+                asyncio.get_running_loop().call_later(
+                    other.lag_s, self._receive, other, server.term, commit
+                )
+
+    def _receive(self, other: LineServer, term: int, commit: Commit) -> None:
+        if other.term == term and not other.is_primary and not other.is_dark:
+            other.log.append(commit)
+
+    def promote(self, name: str) -> None:
+        """Let a server lead the next term; the others follow its log."""
+        leading = next(item for item in self.servers if item.name == name)
+        if leading.is_primary:
+            return
+        leading.term = max(item.term for item in self.servers) + 1
+        leading.is_primary = True
+        for other in self.servers:
+            if other is not leading and not other.is_primary:
+                other.term = leading.term
+                other.log = list(leading.log)
+
+    def requests_committed(self) -> list[str]:
+        """Return the requests in the log of the newest primary, in order."""
+        leading = max(
+            (item for item in self.servers if item.is_primary), key=lambda s: s.term
+        )
+        return [commit.request for commit in leading.log]
+
+
+@dataclass
+class Provider:
+    """Stand in for the provider's promotion call."""
+
+    address: str
+    groups: list[Group]
+    calls: list[tuple[str, int, str]] = field(default_factory=list)
+
+    def __post_init__(self) -> None:
+        self.server = HttpServer(self.address, self._answer)
+
+    async def _answer(self, request: HttpRequest) -> HttpResponse:
+        body = json.loads(request.body)
+        token = int(request.headers["x-fencing-token"])
+        self.calls.append((body["id"], token, request.headers["x-duty-holder"]))
+        group = next(item for item in self.groups if item.name == body["service"])
+        asyncio.get_running_loop().call_later(
+            PROMOTION_DELAY_S, group.promote, body["id"]
+        )
+        return HttpResponse(200)
+
+
+async def report(server: LineServer, control: str) -> int:
+    """Send one report of a server; return the status."""
+    server.sequence += 1
+    body = {
+        "service": server.group.name,
+        "address": server.address,
+        "zone": server.zone,
+        "version": "v1",
+        "slots": 5,
+        "state": server.state,
+        "warmup_remaining_ms": 0,
+        "database_role": "primary" if server.is_primary else "replica",
+        "sequence": server.sequence,
+        "born": server.born,
+    }
+    response = await call_http(
+        control,
+        HttpRequest(
+            "POST", f"/Instances.Heartbeat/{server.name}", json.dumps(body).encode()
+        ),
+        1_000.0,
+    )
+    return response.status if response else 0
+
+
+class Caller:
+    """Speak the line protocol as a caller does."""
+
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter):
+        self._reader = reader
+        self._writer = writer
+        self._ids = 0
+
+    @classmethod
+    async def open(cls, address: str, database: str) -> "Caller":
+        """Open a session; raise ConnectionError if it is refused."""
+        host, port = address.split(":")
+        caller = cls(*await asyncio.open_connection(host, int(port)))
+        caller._writer.write(f"START {database} u1\r\n".encode())
+        line = (await caller._reader.readline()).decode()
+        if not line.startswith("READY"):
+            raise ConnectionError(line.strip())
+        return caller
+
+    async def ask(self, text: str, request: str = "") -> list[str]:
+        """Run a statement; return the lines of the answer without READY."""
+        self._ids += 1
+        request = request or f"{os.urandom(4).hex()}"
+        self._writer.write(f"QUERY {request} {text}\r\n".encode())
+        lines = []
+        async with asyncio.timeout(8.0):
+            while True:
+                line = (await self._reader.readline()).decode()
+                if not line:
+                    raise ConnectionError("closed")
+                if line.startswith("READY"):
+                    self.state = line.split()[1]
+                    return lines
+                lines.append(line.strip())
+
+    async def is_closed(self) -> bool:
+        """Wait until the other side closes."""
+        async with asyncio.timeout(8.0):
+            return await self._reader.readline() == b""
+
+    def close(self) -> None:
+        """Leave without a word."""
+        self._writer.transport.abort()
--- /dev/null
+++ b/tests/users_platform/test_deployment.py
@@ -0,0 +1,314 @@
+"""Tests of both daemons against the stand-in of the platform."""
+
+import asyncio
+
+import pytest
+from cardamomshunt_node._http import HttpRequest, call_http
+from standin import Caller, report
+
+
+def server_named(deployment, name):
+    return next(s for s in deployment.group.servers if s.name == name)
+
+
+async def open_session(deployment, database="orders", node="entry-1"):
+    return await Caller.open(deployment.caller_address(node), database)
+
+
+async def test_a_write_is_seen_by_the_next_read_of_its_session(deployment):
+    for server in deployment.group.servers:
+        server.lag_s = 0.5
+    caller = await open_session(deployment, "dispatch")
+    written = await caller.ask("WRITE k1 tea", "w1")
+    assert written == ["COMPLETE proof-i-3-w1"]
+    # A replica that lacks the write must not serve the read.
+    assert (await caller.ask("READ k1"))[0] == "ROW tea"
+    assert deployment.group.requests_committed() == ["w1"]
+
+
+async def test_reads_that_accept_an_age_run_on_the_replica_of_the_zone(deployment):
+    caller = await open_session(deployment, "stock")
+    await caller.ask("READ k1")
+    await caller.ask("READ k1", "r1")
+    run = next(run for run in deployment.group.runs if run.request == "r1")
+    assert run.server == "i-1"
+
+
+async def test_a_replica_that_caught_up_is_used_again(deployment):
+    # Once a replica was found behind it was never asked again.
+    replica = server_named(deployment, "i-1")
+    replica.lag_s = 60.0
+    writer = await open_session(deployment, "orders")
+    reader = await open_session(deployment, "stock")
+    await writer.ask("WRITE k1 a")
+    await asyncio.sleep(2.2)
+    await reader.ask("READ k1")
+    replica.lag_s = 0.0
+    replica.log = list(server_named(deployment, "i-3").log)
+    await asyncio.sleep(2.5)
+    await reader.ask("READ k1")
+    await reader.ask("READ k1", "r9")
+    run = next(run for run in deployment.group.runs if run.request == "r9")
+    assert run.server == "i-1"
+
+
+@pytest.mark.parametrize(
+    ("texts", "last", "state"),
+    [
+        (["COMMIT"], "ERROR MALFORMED", "I"),
+        (["BEGIN", "BEGIN"], "ERROR MALFORMED", "T"),
+        (["HELLO"], "ERROR MALFORMED", "I"),
+        (["EXECUTE s1 k"], "ERROR UNKNOWN", "I"),
+        (["DEALLOCATE s1"], "ERROR UNKNOWN", "I"),
+        (["BEGIN", "ROLLBACK"], "COMPLETE -", "I"),
+        (["BEGIN READ", "WRITE k1 a"], "ERROR READONLY", "T"),
+        (["SET lang sw"], "COMPLETE -", "I"),
+    ],
+)
+async def test_statements_that_need_no_server(deployment, texts, last, state):
+    caller = await open_session(deployment)
+    for text in texts:
+        lines = await caller.ask(text)
+    assert lines[-1].startswith(last)
+    assert caller.state == state
+
+
+async def test_an_unknown_database_is_refused(deployment):
+    with pytest.raises(ConnectionError, match="NODATABASE"):
+        await open_session(deployment, "nowhere")
+
+
+async def test_values_and_prepared_statements_stay_with_their_session(deployment):
+    first = await open_session(deployment)
+    second = await open_session(deployment)
+    await first.ask("SET lang sw")
+    await first.ask("PREPARE s1 WRITE q1")
+    await second.ask("PREPARE s1 READ q2")
+    assert (await first.ask("EXECUTE s1 k1 data", "e1"))[-1].startswith("COMPLETE")
+    assert (await second.ask("EXECUTE s1 k1", "e2"))[-1].startswith("COMPLETE")
+    runs = {run.request: run for run in deployment.group.runs}
+    assert runs["e1"].values == {"lang": "sw"}
+    assert runs["e2"].values == {}
+    assert deployment.group.requests_committed() == ["e1"]
+
+
+async def test_a_transaction_runs_on_one_connection_and_commits_once(deployment):
+    caller = await open_session(deployment)
+    other = await open_session(deployment)
+    await caller.ask("BEGIN")
+    await caller.ask("READ k1", "t1")
+    await other.ask("READ k1", "o1")
+    await caller.ask("WRITE k1 a", "t2")
+    committed = await caller.ask("COMMIT", "t3")
+    assert committed[-1].startswith("COMPLETE proof")
+    runs = {run.request: run for run in deployment.group.runs}
+    assert runs["t1"].connection == runs["t2"].connection == runs["t3"].connection
+    assert runs["o1"].connection != runs["t1"].connection
+    assert deployment.group.requests_committed() == ["t2"]
+
+
+async def test_a_caller_that_leaves_in_a_transaction_commits_nothing(deployment):
+    caller = await open_session(deployment)
+    await caller.ask("BEGIN")
+    await caller.ask("WRITE k1 a", "t2")
+    caller.close()
+    await asyncio.sleep(0.2)
+    again = await open_session(deployment)
+    await again.ask("READ k1")
+    assert deployment.group.requests_committed() == []
+
+
+async def test_a_read_whose_answer_is_lost_runs_again(deployment):
+    caller = await open_session(deployment)
+    server_named(deployment, "i-3").lost_answers.add("r1")
+    lines = await caller.ask("READ k1", "r1")
+    # On a primary route no other server may serve it: that is said, and untrue never.
+    assert lines[-1].startswith(("COMPLETE", "ERROR FAILED"))
+    reader = await open_session(deployment, "stock")
+    await reader.ask("READ k1")
+    server_named(deployment, "i-1").lost_answers.add("r2")
+    assert (await reader.ask("READ k1", "r2"))[-1].startswith("COMPLETE")
+
+
+async def test_a_write_whose_answer_is_lost_is_in_doubt_and_runs_once(deployment):
+    caller = await open_session(deployment)
+    server_named(deployment, "i-3").lost_answers.add("w1")
+    lines = await caller.ask("WRITE k1 a", "w1")
+    assert lines[-1].startswith("ERROR INDOUBT")
+    runs = [run for run in deployment.group.runs if run.request == "w1"]
+    assert len(runs) == 1
+
+
+async def test_a_transaction_that_loses_its_server_kept_nothing(deployment):
+    caller = await open_session(deployment)
+    await caller.ask("BEGIN")
+    await caller.ask("WRITE k1 a", "t1")
+    server_named(deployment, "i-3").lost_answers.add("t2")
+    assert (await caller.ask("WRITE k2 b", "t2"))[-1].startswith("ERROR ABORTED")
+    assert caller.state == "E"
+    await caller.ask("ROLLBACK")
+    assert caller.state == "I"
+    assert deployment.group.requests_committed() == []
+
+
+async def test_a_silent_primary_is_replaced(deployment):
+    former = server_named(deployment, "i-3")
+    caller = await open_session(deployment)
+    other = await open_session(deployment, node="entry-2")
+    await caller.ask("WRITE k1 a", "w1")
+    former.is_dark = True
+    await asyncio.gather(caller.ask("READ k1"), other.ask("READ k1"))
+    again = await deployment.serve_until("entry-1", "orders", "WRITE k2 b")
+    assert (await again.ask("READ k1"))[0] == "ROW a"
+    assert len(deployment.provider.calls) == 1
+    # The successor's log holds the former writes only once it leads, so that
+    # nothing may run there as on a primary before.
+    started = next(i for i, r in enumerate(deployment.group.runs) if r.request == "w1")
+    for run in deployment.group.runs[started + 1 :]:
+        assert run.is_primary
+
+
+async def test_nothing_is_acknowledged_by_a_former_primary(deployment):
+    former = server_named(deployment, "i-3")
+    caller = await open_session(deployment)
+    former.work_s = 0.9
+    writing = asyncio.create_task(caller.ask("WRITE k1 a", "w1"))
+    await asyncio.sleep(0.1)
+    former.state = "draining"
+    await report(former, deployment.control_addresses[0])
+    lines = await writing
+    promoted = [s for s in deployment.group.servers if s.is_primary and s is not former]
+    if lines[-1].startswith("COMPLETE"):
+        assert not promoted
+    else:
+        assert lines[-1].startswith("ERROR INDOUBT")
+
+
+async def test_a_leaving_primary_hands_over_without_losing_a_write(deployment):
+    former = server_named(deployment, "i-3")
+    caller = await open_session(deployment)
+    for number in range(5):
+        await caller.ask(f"WRITE k{number} a", f"w{number}")
+    former.state = "draining"
+    assert await report(former, deployment.control_addresses[0]) == 200
+    await deployment.until(lambda: deployment.provider.calls)
+    await deployment.serve_until("entry-1", "orders", "WRITE k9 b")
+    committed = deployment.group.requests_committed()
+    assert committed[:5] == [f"w{number}" for number in range(5)]
+    assert not former.is_primary
+
+
+async def test_tokens_of_promotions_never_fall(deployment):
+    for _ in range(2):
+        leading = next(s for s in deployment.group.servers if s.is_primary)
+        leading.state = "draining"
+        await report(leading, deployment.control_addresses[1])
+        n_before = len(deployment.provider.calls)
+        await deployment.until(lambda n=n_before: len(deployment.provider.calls) > n)
+        await deployment.serve_until("entry-1", "orders", "WRITE k9 b")
+    tokens = [token for _, token, _ in deployment.provider.calls]
+    assert tokens == sorted(set(tokens))
+
+
+async def test_the_highest_version_is_in_force_and_read_back(deployment, make_document):
+    newest = make_document(9, {"orders": "primary"})
+    assert (await deployment.put(newest)).status == 200
+    assert (await deployment.put(make_document(4))).status == 200
+    assert (await deployment.put(newest)).status == 200
+    for address in deployment.control_addresses:
+        response = await deployment.call(address, "GET", "/Configuration.Read")
+        assert (response.status, response.body) == (200, newest)
+    await asyncio.sleep(0.3)
+    with pytest.raises(ConnectionError, match="NODATABASE"):
+        await open_session(deployment, "stock")
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [{"services": []}, {"version": "x"}, {"routes": 7}],
+)
+async def test_invalid_configurations_change_nothing(
+    deployment, make_document, changes
+):
+    response = await deployment.put(make_document(**({"version": 9} | changes)))
+    assert response.status == 400
+    caller = await open_session(deployment, "stock")
+    assert (await caller.ask("READ k1"))[-1].startswith("COMPLETE")
+
+
+async def test_a_configuration_survives_the_loss_of_the_leader(
+    deployment, make_document
+):
+    newest = make_document(12)
+    await deployment.put(newest)
+    leader = next(
+        name
+        for name in deployment.controls
+        if any(e["event"] == "leading" for e in deployment.events(name))
+    )
+    await deployment.stop(leader)
+    del deployment.controls[leader]
+    async with asyncio.timeout(6.0):
+        while True:
+            address = deployment.control_addresses[0]
+            try:
+                response = await deployment.call(address, "GET", "/Configuration.Read")
+            except (OSError, TimeoutError):
+                continue
+            if response.status == 200:
+                break
+            await asyncio.sleep(0.05)
+    assert response.body == newest
+    caller = await deployment.serve_until("entry-1", "orders", "WRITE k1 a")
+    caller.close()
+
+
+async def test_a_stopping_entry_ends_open_work_and_leaves_rotation(deployment):
+    caller = await open_session(deployment)
+    idle = await open_session(deployment)
+    await caller.ask("BEGIN")
+    await caller.ask("WRITE k1 a", "t1")
+    stopping = asyncio.create_task(deployment.stop("entry-1"))
+    await asyncio.sleep(0.1)
+    health = deployment.settings["entry-1"].health_address
+    response = await call_http(health, HttpRequest("GET", "/readiness"), 1_000.0)
+    assert response.status == 503
+    assert (await caller.ask("COMMIT", "t2"))[-1].startswith("COMPLETE")
+    assert await idle.is_closed()
+    await stopping
+    assert deployment.group.requests_committed() == ["t1"]
+
+
+async def test_an_entry_that_is_cut_off_leaves_rotation(deployment):
+    for name in list(deployment.controls):
+        deployment.tasks[name].cancel()
+        await asyncio.gather(deployment.tasks[name], return_exceptions=True)
+        await deployment.controls[name]._transport.stop()
+        await deployment.controls[name]._host.stop()
+    health = deployment.settings["entry-1"].health_address
+
+    async def status():
+        response = await call_http(health, HttpRequest("GET", "/readiness"), 1_000.0)
+        return response.status
+
+    async with asyncio.timeout(5.0):
+        while await status() != 503:
+            await asyncio.sleep(0.05)
+
+
+async def test_refusals_are_logged_with_what_decided_them(deployment):
+    caller = await open_session(deployment)
+    server_named(deployment, "i-3").lost_answers.add("w1")
+    await caller.ask("WRITE k1 a", "w1")
+    line = next(e for e in deployment.events("entry-1") if e.get("request") == "w1")
+    assert line["event"] == "refused"
+    assert line["code"] == "in_doubt"
+    assert {"database", "reason", "elapsed_ms", "configuration_version"} <= set(line)
+
+
+async def test_metrics_are_served(deployment):
+    for node in ("entry-1", "control-1"):
+        address = f"{deployment.settings[node].host}:19464"
+        response = await call_http(address, HttpRequest("GET", "/metrics"), 1_000.0)
+        assert response.status == 200
+        assert b"cardamomshunt_configuration_version" in response.body
