--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_control_node.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_control_node.py
@@ -67,6 +67,7 @@
 _WATCH_INTERVAL_S = 0.05
 _ENTRY_FORGOTTEN_MS = 6_000.0
 _PUSH_PAUSE_MS = 400.0
+_COMPARE_INTERVAL_S = 1.0
 _RECEIPT_TIMEOUT_S = 0.4
 _LEADER_WAIT_MS = 600.0
 _PROMOTION_TIMEOUT_MS = 800.0
@@ -154,14 +155,16 @@
         await self._control.start()
         await self._metrics_server.start()
         self._host.start()
-        watch = asyncio.create_task(self._watch())
+        tasks = [
+            asyncio.create_task(self._watch()),
+            asyncio.create_task(self._compare_reports()),
+        ]
         self._log.write("started", role="control", zone=self._settings.zone)
-        for peer in self._peers():
-            self._transport.send(peer, ReportsRequest())
         await self._stop.wait()
         self._log.write("stopping", is_leader=self._host.node.is_leader)
         await self._leave()
-        watch.cancel()
+        for task in tasks:
+            task.cancel()
         await self._host.stop()
         self._log.write("stopped", role="control")
 
@@ -272,7 +275,8 @@
                 if event is not None:
                     event.set()
             case ReportsRequest():
-                self._send_reports(address)
+                if received.message.digest != self._registry.digest():
+                    self._send_reports(address)
 
     def _on_lease_request(self, address: str, request: LeaseRequest) -> None:
         now = boot_ms()
@@ -347,6 +351,15 @@
         for address in self._live_entries():
             self._transport.send(address, ReportsChanged(reports=changed))
 
+    async def _compare_reports(self) -> None:
+        """Ask the other control nodes for what they know; news may have been lost."""
+        while True:
+            for peer in self._peers():
+                self._transport.send(
+                    peer, ReportsRequest(digest=self._registry.digest())
+                )
+            await asyncio.sleep(_COMPARE_INTERVAL_S)
+
     # Calls
 
     async def _answer(self, request: HttpRequest) -> HttpResponse:
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_entry_daemon.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_entry_daemon.py
@@ -32,12 +32,12 @@
 _SEARCH_INTERVAL_MS = 150.0
 _LEADER_SILENCE_MS = 500.0
 # All control nodes are asked once the leader is late.
-_LEADER_LATE_MS = 350.0
+_LEADER_LATE_MS = 300.0
 _CONTACT_INTERVAL_MS = 1_000.0
 _CONTROL_SILENCE_MS = 2_500.0
 _SUSPICION_INTERVAL_S = 0.05
 # Without a leader all control nodes are asked many times in this time.
-_CUT_OFF_AFTER_MS = 650.0
+_CUT_OFF_AFTER_MS = 450.0
 _SWEEP_INTERVAL_S = 0.25
 # Statements in flight at a primary that still answers may end in this time.
 _STOP_GRACE_MS = 400.0
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_fleet_view.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_fleet_view.py
@@ -23,6 +23,7 @@
 # Connections that control and a reconnecting entry VM need besides the shares.
 _N_RESERVED_CONNECTIONS = 3
 _N_CONNECTIONS_MIN = 2
+_ENTRY_COUNT_SETTLED_MS = 2_500.0
 _ENTRY_COUNT_KEPT_MS = 10_000.0
 _N_LOCAL_LOAD_MAX = 5
 
@@ -37,6 +38,7 @@
         self.table = RouteTable()
         self.lease = PrimaryLease()
         self.registry = ServerRegistry()
+        self._settled_ms = float("inf")
         self._entry_counts: deque[tuple[float, int]] = deque()
         self._pools: dict[str, ServerPool] = {}
         self._bounds: dict[str, BoundHistory] = {}
@@ -95,9 +97,12 @@
     def note_n_entries(self, n_entries: int) -> None:
         """Note how many entry VMs a leader knows of.
 
-        A new leader knows few at first, so that the most of the last seconds counts.
+        A new leader knows few at first, so that the most of the last seconds counts,
+        and none is believed right after the start.
         """
         now = boot_ms()
+        if not self._entry_counts:
+            self._settled_ms = now + _ENTRY_COUNT_SETTLED_MS
         self._entry_counts.append((now, n_entries))
         while self._entry_counts[0][0] < now - _ENTRY_COUNT_KEPT_MS:
             self._entry_counts.popleft()
@@ -106,9 +111,9 @@
         """Return how many connections to one server are this entry VM's."""
         limits = self.table.groups.get(group)
         n_max = limits.n_connections_max if limits else _N_CONNECTIONS_MIN
-        n_entries = max((count for _, count in self._entry_counts), default=0)
-        if not n_entries:
+        if boot_ms() < self._settled_ms:
             return _N_CONNECTIONS_MIN
+        n_entries = max(count for _, count in self._entry_counts)
         share = (n_max - _N_RESERVED_CONNECTIONS) // n_entries
         return max(share, _N_CONNECTIONS_MIN)
 
--- a/packages/cardamomshunt/src/cardamomshunt/_fleet_messages.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_fleet_messages.py
@@ -78,4 +78,9 @@
 
 
 class ReportsRequest(Message, kw_only=True, array_like=True):
-    """Ask a control node for all reports."""
+    """Ask a control node for all reports unless it knows the same ones.
+
+    `digest` is of the reports that the sender knows.
+    """
+
+    digest: int = 0
--- a/tests/users_platform/test_deployment.py
+++ b/tests/users_platform/test_deployment.py
@@ -3,7 +3,11 @@
 import asyncio
 
 import pytest
+from cardamomshunt.fleet import GroupLimits, RouteTable
+from cardamomshunt_node._fleet_view import FleetView
 from cardamomshunt_node._http import HttpRequest, call_http
+from cardamomshunt_platform._lines import LineProtocol
+from msgspec import structs
 from standin import Caller, report
 
 
@@ -312,3 +316,38 @@
         response = await call_http(address, HttpRequest("GET", "/metrics"), 1_000.0)
         assert response.status == 200
         assert b"cardamomshunt_configuration_version" in response.body
+
+
+async def test_a_report_that_was_lost_between_control_nodes_is_repaired(deployment):
+    # A primary that one control node alone knew of was never assigned.
+    known = deployment.controls["control-1"]._registry
+    report_of = known.get("i-1")
+    news = structs.replace(report_of, server="i-9", sequence=1)
+    assert known.merge(news)
+    others = [deployment.controls[name] for name in ("control-2", "control-3")]
+    await deployment.until(
+        lambda: all(item._registry.get("i-9") == news for item in others)
+    )
+
+
+async def test_a_new_entry_takes_few_connections_until_others_are_known():
+    # Right after a restart the leader knows one entry VM, and each took all.
+    view = FleetView("z1", LineProtocol(), None)
+    view.set_table(
+        RouteTable(version=1, groups={"db": GroupLimits("db", n_connections_max=34)})
+    )
+    assert view._share("db") == 2
+    view.note_n_entries(1)
+    assert view._share("db") == 2
+
+
+@pytest.mark.parametrize(("n_entries", "share"), [(1, 31), (9, 3), (15, 2), (40, 2)])
+async def test_connections_are_shared_by_the_most_entries_seen(n_entries, share):
+    view = FleetView("z1", LineProtocol(), None)
+    view.set_table(
+        RouteTable(version=1, groups={"db": GroupLimits("db", n_connections_max=34)})
+    )
+    view.note_n_entries(n_entries)
+    view.note_n_entries(1)
+    view._settled_ms = 0.0
+    assert view._share("db") == share
