--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_backend_pool.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_backend_pool.py
@@ -3,6 +3,7 @@
 import asyncio
 import heapq
 import itertools
+import random
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -24,6 +25,7 @@
 _OPEN_TIMEOUT_S = 1.0
 _SILENCE_TIMEOUT_MS = 700
 _REDIAL_PAUSE_MS = 120.0
+_FULL_PAUSE_MS = (60.0, 200.0)
 _LAG_MIN_MS = 50.0
 _LAG_MAX_MS = 5_000.0
 _LAG_MARGIN = 1.5
@@ -209,6 +211,7 @@
         self.replied_ms = boot_ms()
         self.down_since_ms: float | None = None
         self.dial_after_ms = 0.0
+        self.full_until_ms = 0.0
         self._lag_ms = 0.0
         self._lag_noted_ms = 0.0
         self.n_opened = 0
@@ -335,14 +338,16 @@
         now = boot_ms()
         self.dial_after_ms = now + _REDIAL_PAUSE_MS
         if refusal is ErrorCode.TOO_MANY_CONNECTIONS:
-            # Others hold the connections; whoever waits goes on waiting for ours.
-            if not self._open:
-                self._fail_waiters(reason)
+            # Other entry VMs hold all connections and give idle ones back soon.
+            self.dial_after_ms = now + random.uniform(*_FULL_PAUSE_MS)
+            self.full_until_ms = self.dial_after_ms
+            self._dial_more()
+            return
+        if self._open:
             return
         if self.down_since_ms is None:
             self.down_since_ms = now
-        if not self._open:
-            self._fail_waiters(reason)
+        self._fail_waiters(reason)
 
     def _fail_waiters(self, reason: str) -> None:
         waiters, self._waiters = self._waiters, []
@@ -383,6 +388,13 @@
         if self._waiters:
             self._dial_more()
 
+    def close_idle(self, idle_ms: float) -> None:
+        """Close connections that nobody used for a time, for others to open."""
+        now = boot_ms()
+        for connection in list(self._idle):
+            if now > connection.used_ms + idle_ms:
+                connection.close("idle while connections are scarce")
+
     def probe(self) -> None:
         """Dial once if the server is down and nobody waits for it."""
         if self.down_since_ms is not None and not self._n_opening and not self._open:
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_entry_daemon.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_entry_daemon.py
@@ -341,8 +341,7 @@
                 self._had_lease = False
                 self._log.write("lease_lost", leader=self._leader)
             self._edge.end_idle_transactions()
-            for pool in self._view.pools:
-                pool.probe()
+            self._view.tend_pools()
             self._watch_cut_off(now)
             self._metrics.set_state(
                 len(self._edge.connections), has_lease, self._view.table.version
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_fleet_view.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_fleet_view.py
@@ -23,6 +23,7 @@
 # Connections that control and a reconnecting entry VM need besides the shares.
 _N_RESERVED_CONNECTIONS = 3
 _N_CONNECTIONS_MIN = 2
+_SCARCE_IDLE_MS = 300.0
 _ENTRY_COUNT_SETTLED_MS = 2_500.0
 _ENTRY_COUNT_KEPT_MS = 10_000.0
 _N_LOCAL_LOAD_MAX = 5
@@ -117,6 +118,22 @@
         share = (n_max - _N_RESERVED_CONNECTIONS) // n_entries
         return max(share, _N_CONNECTIONS_MIN)
 
+    def _is_scarce(self, group: str) -> bool:
+        """Tell whether the servers take fewer connections than all shares."""
+        limits = self.table.groups.get(group)
+        n_entries = max((count for _, count in self._entry_counts), default=0)
+        return limits is not None and (
+            n_entries * _N_CONNECTIONS_MIN
+            > limits.n_connections_max - _N_RESERVED_CONNECTIONS
+        )
+
+    def tend_pools(self) -> None:
+        """Look after servers that are down, and give scarce connections back."""
+        for pool in self._pools.values():
+            pool.probe()
+            if self._is_scarce(pool.group):
+                pool.close_idle(_SCARCE_IDLE_MS)
+
     def _drop_pool(self, server: str, reason: str) -> None:
         pool = self._pools.pop(server, None)
         if pool is not None:
@@ -200,7 +217,7 @@
             ):
                 continue
             is_far = report.zone != self._zone
-            key = (pool.load >= _N_LOCAL_LOAD_MAX, is_far, pool.load, is_primary)
-            found.append((key, pool))
+            is_full = pool.load >= _N_LOCAL_LOAD_MAX or now < pool.full_until_ms
+            found.append(((is_full, is_far, pool.load, is_primary), pool))
         found.sort(key=lambda item: item[0])
         return [pool for _, pool in found]
--- a/tests/users_platform/standin.py
+++ b/tests/users_platform/standin.py
@@ -59,6 +59,7 @@
         self.sequence = 0
         self.born = 1_000 + len(group.servers)
         self.n_connections = 0
+        self.n_connections_max = 100
         self._numbers = 0
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
@@ -94,9 +95,12 @@
                 answer = await session.handle(line.decode().rstrip("\r\n"))
                 if answer and not self.is_dark:
                     writer.write(answer.encode())
+                if answer.startswith("ERROR OVERLOAD"):
+                    return
         except (ConnectionError, asyncio.CancelledError):
             pass
         finally:
+            self.n_connections -= 1
             self._writers.discard(writer)
             writer.close()
 
@@ -124,6 +128,8 @@
             group, _, expected = rest.split(" ")
             if (group, expected) != (self._server.group.name, self._server.name):
                 return "ERROR MISROUTED -\r\n"
+            if self._server.n_connections_max < self._server.n_connections:
+                return "ERROR OVERLOAD -\r\n"
             return self._ready()
         request, _, text = rest.partition(" ")
         answer = await self._run(request, text)
--- a/tests/users_platform/test_deployment.py
+++ b/tests/users_platform/test_deployment.py
@@ -351,3 +351,29 @@
     view.note_n_entries(1)
     view._settled_ms = 0.0
     assert view._share("db") == share
+
+
+async def test_idle_connections_are_given_back_while_they_are_scarce(deployment):
+    # 67 entry VMs before servers of 60 connections: those who came first kept them.
+    caller = await open_session(deployment)
+    await caller.ask("READ k1")
+    view = deployment.entries["entry-1"]._view
+    primary, _ = view.primary("db")
+    assert primary._idle
+    view.note_n_entries(40)
+    await deployment.until(lambda: not primary._idle, timeout_s=2.0)
+    assert (await caller.ask("READ k1"))[-1].startswith("COMPLETE")
+
+
+async def test_a_server_that_is_full_is_not_taken_for_dead(deployment):
+    primary = server_named(deployment, "i-3")
+    primary.n_connections_max = 0
+    view = deployment.entries["entry-1"]._view
+    pool, _ = view.primary("db")
+    pool.close_idle(-1.0)
+    caller = await open_session(deployment)
+    asking = asyncio.create_task(caller.ask("WRITE k1 a", "w1"))
+    await asyncio.sleep(0.5)
+    assert view.suspicions() == []
+    primary.n_connections_max = 100
+    assert (await asking)[-1].startswith("COMPLETE")
