--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_caller_edge_lines.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_caller_edge_lines.py
@@ -7,7 +7,8 @@
 from cardamomshunt_node._boot_clock import boot_ms
 from cardamomshunt_node._decision_log import DecisionLog
 from cardamomshunt_node._fleet_view import FleetView
-from cardamomshunt_node._line_sessions import LineSession, StatementRunner
+from cardamomshunt_node._line_session_state import LineSession
+from cardamomshunt_node._line_sessions import StatementRunner
 from cardamomshunt_node._session_protocol import (
     MESSAGE_SIZE_MAX_BYTES,
     CallerEnd,
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_control_node.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_control_node.py
@@ -1,39 +1,28 @@
 """The daemon of a control VM for deployments whose servers announce themselves."""
 
 import asyncio
-import itertools
 import signal
-from collections.abc import Coroutine
 from pathlib import Path
 
 from cardamomshunt.consensus import ConsensusMessage, Member
 from cardamomshunt.fleet import (
     LEASE_MS,
     Assignment,
-    AssignmentCommand,
-    AssignmentPhase,
     AssignmentsChanged,
-    AssignPrimary,
     ConfigurationInvalidError,
     DocumentChanged,
-    FleetCommand,
     FleetState,
     LeaderHint,
     LeaseGrant,
     LeaseRequest,
-    LeaseTable,
     PutDocument,
     ReportsChanged,
     ReportsReceived,
     ReportsRequest,
     RouteTable,
-    ServerRegistry,
-    ServerReport,
-    ServerState,
-    Suspicion,
     encode_command,
 )
-from cardamomshunt.messages import InstanceRole, Message
+from cardamomshunt.messages import Message
 
 from cardamomshunt_node._boot_clock import boot_ms, wall_ms
 from cardamomshunt_node._consensus_host import ConsensusHost, NotLeaderError
@@ -45,7 +34,6 @@
     ControlReply,
     DeploymentSettings,
     Platform,
-    Promotion,
     ServerLeft,
     ServerReported,
 )
@@ -53,29 +41,22 @@
     HttpRequest,
     HttpResponse,
     HttpServer,
-    call_http,
 )
 from cardamomshunt_node._log_storage import LogStorage
-from cardamomshunt_node._replacement import (
-    COMMIT_TIMEOUT_MS,
-    Replacement,
-    ReplacementPort,
-)
-from cardamomshunt_node._server_admin import ServerAdmin
+from cardamomshunt_node._primary_watch import PrimaryWatch
+from cardamomshunt_node._replacement import COMMIT_TIMEOUT_MS
+from cardamomshunt_node._report_exchange import ReportExchange
 from cardamomshunt_node._stream_transport import StreamMessage, StreamTransport
 
-_WATCH_INTERVAL_S = 0.05
+_FLUSH_INTERVAL_S = 0.25
 _ENTRY_FORGOTTEN_MS = 6_000.0
 _PUSH_PAUSE_MS = 400.0
-_COMPARE_INTERVAL_S = 1.0
-_RECEIPT_TIMEOUT_S = 0.4
 _LEADER_WAIT_MS = 600.0
-_PROMOTION_TIMEOUT_MS = 800.0
 _STOP_TIMEOUT_MS = 1_500.0
 _LINGER_S = 0.15
 
 
-class ControlNodeDaemon(ReplacementPort):
+class ControlNodeDaemon:
     """Own the sockets, the disk and the replicated state of a control VM."""
 
     def __init__(
@@ -90,23 +71,29 @@
         self._metrics = ControlMetrics()
         self._state = FleetState()
         self._table = RouteTable()
-        self._registry = ServerRegistry()
-        self._admin = ServerAdmin(platform.session_protocol)
         self._transport = StreamTransport(
             settings.host, settings.peer_address, self._on_message
         )
         self._entries: dict[str, float] = {}
         self._pushed_ms: dict[str, float] = {}
-        self._leases: LeaseTable | None = None
         self._told_assignments: dict[str, Assignment] = {}
         self._is_announced = False
-        self._own_tokens: set[int] = set()
-        self._replacements: dict[str, asyncio.Task[None]] = {}
-        self._receipts: dict[int, asyncio.Event] = {}
-        self._receipt_numbers = itertools.count(1)
+        self._reports = ReportExchange(
+            self._transport, self._log, self._peers, self._live_entries
+        )
         self._stop = asyncio.Event()
         self._storage = LogStorage(Path(settings.data_folder) / "log")
         self._host = self._open_host()
+        self._primaries = PrimaryWatch(
+            platform,
+            settings,
+            self._host,
+            self._reports.registry,
+            self._log,
+            self._metrics,
+            lambda: self._state.assignments,
+            lambda: self._table.groups,
+        )
         self._control = HttpServer(settings.control_address, self._answer)
         self._metrics_server = HttpServer(
             f"{settings.host}:{settings.metrics_port}", self._answer_metrics
@@ -156,8 +143,9 @@
         await self._metrics_server.start()
         self._host.start()
         tasks = [
-            asyncio.create_task(self._watch()),
-            asyncio.create_task(self._compare_reports()),
+            asyncio.create_task(self._primaries.run()),
+            asyncio.create_task(self._reports.run()),
+            asyncio.create_task(self._flush_log()),
         ]
         self._log.write("started", role="control", zone=self._settings.zone)
         await self._stop.wait()
@@ -184,6 +172,11 @@
         """Begin to stop, as at SIGTERM."""
         self._stop.set()
 
+    async def _flush_log(self) -> None:
+        while True:
+            await asyncio.sleep(_FLUSH_INTERVAL_S)
+            self._log.flush()
+
     def _reload(self) -> None:
         self._log.write("reloaded")
 
@@ -248,16 +241,11 @@
         return sorted(member.peer_address for member in self._host.node.members)
 
     def _on_leadership(self, is_leader: bool) -> None:
-        self._own_tokens.clear()
         self._is_announced = False
-        self._leases = LeaseTable(boot_ms()) if is_leader else None
+        self._primaries.on_leadership(is_leader)
         self._log.write(
             "leading" if is_leader else "following", term=self._host.node.term
         )
-        if not is_leader:
-            for task in self._replacements.values():
-                task.cancel()
-            self._replacements.clear()
 
     # Messages
 
@@ -269,20 +257,18 @@
             case LeaseRequest():
                 self._on_lease_request(address, received.message)
             case ReportsChanged():
-                self._on_reports(address, received.message)
+                self._reports.on_reports(address, received.message)
             case ReportsReceived():
-                event = self._receipts.get(received.message.receipt)
-                if event is not None:
-                    event.set()
+                self._reports.on_receipt(received.message)
             case ReportsRequest():
-                if received.message.digest != self._registry.digest():
-                    self._send_reports(address)
+                self._reports.on_request(address, received.message)
 
     def _on_lease_request(self, address: str, request: LeaseRequest) -> None:
         now = boot_ms()
         self._entries[address] = now
-        if self._host.may_act and self._leases is not None:
-            self._leases.on_request(address, request, now)
+        leases = self._primaries.leases
+        if self._host.may_act and leases is not None:
+            leases.on_request(address, request, now)
             grant = LeaseGrant(
                 sequence=request.sequence,
                 lease_ms=LEASE_MS,
@@ -312,7 +298,7 @@
     def _repair(self, address: str, request: LeaseRequest, now: float) -> None:
         """Send what an entry VM lacks; news may have been lost on the way."""
         is_behind = request.version < self._state.version
-        has_other_servers = request.registry_digest != self._registry.digest()
+        has_other_servers = request.registry_digest != self._reports.registry.digest()
         if not is_behind and not has_other_servers:
             return
         if now < self._pushed_ms.get(address, 0.0) + _PUSH_PAUSE_MS:
@@ -324,41 +310,7 @@
             )
             self._transport.send(address, message)
         if has_other_servers:
-            self._send_reports(address)
-
-    def _send_reports(self, address: str) -> None:
-        reports = self._registry.all()
-        if reports:
-            self._transport.send(address, ReportsChanged(reports=reports))
-
-    def _on_reports(self, address: str, message: ReportsChanged) -> None:
-        changed = [item for item in message.reports if self._registry.merge(item)]
-        if changed:
-            self._pass_on(changed)
-        if message.receipt:
-            self._transport.send(address, ReportsReceived(receipt=message.receipt))
-
-    def _pass_on(self, changed: list[ServerReport]) -> None:
-        for report in changed:
-            self._log.write(
-                "server",
-                server=report.server,
-                group=report.group,
-                state=report.state.value,
-                role=report.role.value,
-                sequence=report.sequence,
-            )
-        for address in self._live_entries():
-            self._transport.send(address, ReportsChanged(reports=changed))
-
-    async def _compare_reports(self) -> None:
-        """Ask the other control nodes for what they know; news may have been lost."""
-        while True:
-            for peer in self._peers():
-                self._transport.send(
-                    peer, ReportsRequest(digest=self._registry.digest())
-                )
-            await asyncio.sleep(_COMPARE_INTERVAL_S)
+            self._reports.send_all(address)
 
     # Calls
 
@@ -366,9 +318,10 @@
         call = self._platform.parse_control_call(request)
         match call:
             case ServerReported():
-                reply = await self._take_report(call.report)
+                reply = await self._take_report(call)
             case ServerLeft():
-                reply = await self._take_leave(call.server)
+                await self._reports.take_leave(call.server)
+                reply = ControlReply(200)
             case ConfigurationPut():
                 reply = await self._put_configuration(call.document)
             case ConfigurationAsked():
@@ -378,56 +331,13 @@
         self._metrics.count_call(type(call).__name__, reply.status)
         return self._platform.control_response(reply, request)
 
-    async def _take_report(self, report: ServerReport | None) -> ControlReply:
-        if report is None:
+    async def _take_report(self, call: ServerReported) -> ControlReply:
+        if call.report is None:
             self._log.write("report_unusable")
             return ControlReply(400)
-        if self._registry.merge(report):
-            self._pass_on([report])
-            await self._share_reports(
-                [report], is_awaited=report.state is not ServerState.READY
-            )
-        return ControlReply(200)
-
-    async def _take_leave(self, server: str) -> ControlReply:
-        report = self._registry.get(server)
-        if report is not None and report.state is not ServerState.GONE:
-            gone = ServerReport(
-                server=report.server,
-                group=report.group,
-                address=report.address,
-                zone=report.zone,
-                state=ServerState.GONE,
-                role=InstanceRole.REPLICA,
-                started_ms=report.started_ms,
-                sequence=report.sequence + 1,
-            )
-            self._registry.merge(gone)
-            self._pass_on([gone])
-            await self._share_reports([gone], is_awaited=True)
+        await self._reports.take(call.report)
         return ControlReply(200)
 
-    async def _share_reports(
-        self, reports: list[ServerReport], *, is_awaited: bool
-    ) -> None:
-        """Send reports to the other control nodes; wait until one holds them.
-
-        A server that leaves is confirmed only when the news survives this node, but
-        not later than a moment if no other node can be reached.
-        """
-        receipt = next(self._receipt_numbers) if is_awaited else 0
-        message = ReportsChanged(reports=reports, receipt=receipt)
-        event = self._receipts[receipt] = asyncio.Event()
-        for peer in self._peers():
-            self._transport.send(peer, message)
-        if is_awaited:
-            try:
-                async with asyncio.timeout(_RECEIPT_TIMEOUT_S):
-                    await event.wait()
-            except TimeoutError:
-                self._log.write("report_not_shared", server=reports[0].server)
-        self._receipts.pop(receipt, None)
-
     async def _await_leader(self) -> ControlReply | None:
         """Return where to go, or None if this node leads and may answer."""
         end_ms = boot_ms() + _LEADER_WAIT_MS
@@ -457,7 +367,8 @@
             )
             return ControlReply(200, b"{}")
         try:
-            await self._commit(PutDocument(version=table.version, document=document))
+            command = PutDocument(version=table.version, document=document)
+            await self._host.propose(encode_command(command), COMMIT_TIMEOUT_MS)
         except (NotLeaderError, TimeoutError) as error:
             self._log.write(
                 "configuration_unsure",
@@ -483,118 +394,3 @@
             len(self._live_entries()),
         )
         return HttpResponse(200, self._metrics.render(), content_type="text/plain")
-
-    # Primaries
-
-    async def _commit(self, command: FleetCommand) -> bool:
-        return await self._host.propose(encode_command(command), COMMIT_TIMEOUT_MS)
-
-    async def _watch(self) -> None:
-        while True:
-            await asyncio.sleep(_WATCH_INTERVAL_S)
-            self._log.flush()
-            if not self._host.may_act or self._leases is None:
-                continue
-            for group in {item.group for item in self._registry.all()}:
-                self._watch_group(group, self._leases)
-
-    def _watch_group(self, group: str, leases: LeaseTable) -> None:
-        running = self._replacements.get(group)
-        if running is not None and not running.done():
-            return
-        assignment = self._state.assignments.get(group)
-        if assignment is None:
-            self._start(group, self._assign_first(group))
-        elif assignment.phase is not AssignmentPhase.ACTIVE:
-            self._start(group, self._replacement(group).run())
-        elif reason := self._replacement_reason(group, assignment, leases):
-            self._log.write(
-                "replacing", group=group, server=assignment.server, reason=reason
-            )
-            self._metrics.count_replacement(reason)
-            self._start(group, self._replacement(group).run())
-
-    def _start(self, group: str, work: Coroutine[None, None, None]) -> None:
-        self._replacements[group] = asyncio.create_task(work)
-
-    def _replacement(self, group: str) -> Replacement:
-        return Replacement(group, self._settings.host, self, self._admin, self._log)
-
-    def _replacement_reason(
-        self, group: str, assignment: Assignment, leases: LeaseTable
-    ) -> str:
-        report = self._registry.get(assignment.server)
-        has_successor = any(
-            item.server != assignment.server and item.state is ServerState.READY
-            for item in self._registry.of_group(group)
-        )
-        if not has_successor:
-            return ""
-        if report is not None and report.state is not ServerState.READY:
-            state: str = report.state.value
-            return state
-        suspicion = Suspicion(group, assignment.server, assignment.epoch)
-        if leases.is_suspected(suspicion, boot_ms()):
-            return "silent"
-        return ""
-
-    async def _assign_first(self, group: str) -> None:
-        """Take the server that calls itself primary, if there is one."""
-        leading = [
-            item
-            for item in self._registry.of_group(group)
-            if item.role is InstanceRole.PRIMARY
-        ]
-        if len(leading) != 1:
-            return
-        try:
-            await self._commit(AssignPrimary(group=group, server=leading[0].server))
-        except (NotLeaderError, TimeoutError):
-            self._log.write("assignment_unsure", group=group)
-
-    # What a replacement needs
-
-    def assignment(self, group: str) -> Assignment | None:
-        """Return the assignment that is committed."""
-        return self._state.assignments.get(group)
-
-    def servers(self, group: str) -> list[ServerReport]:
-        """Return the servers of a group that are not gone."""
-        return self._registry.of_group(group)
-
-    def n_sync_replicas(self, group: str) -> int:
-        """Return how many replicas hold an acknowledged write."""
-        limits = self._table.groups.get(group)
-        return limits.n_sync_replicas if limits else 0
-
-    async def commit(self, command: AssignmentCommand) -> bool:
-        """Commit a command and tell the entry VMs; raise NotLeaderError."""
-        took_effect = await self._commit(command)
-        assignment = self._state.assignments.get(command.group)
-        if took_effect and assignment is not None:
-            self._own_tokens.add(assignment.epoch)
-        return took_effect
-
-    def is_free(self, group: str, epoch: int) -> bool:
-        """Tell whether no entry VM uses the stopped primary any more."""
-        if self._leases is None or not self._host.may_act:
-            return False
-        return self._leases.is_free(group, epoch, boot_ms())
-
-    def is_own_token(self, token: int) -> bool:
-        """Tell whether a token was committed by this node since it leads."""
-        return token in self._own_tokens
-
-    async def promote(self, promotion: Promotion) -> int:
-        """Order a promotion; return the status, or 0 without an answer."""
-        try:
-            response = await call_http(
-                self._settings.promotion_address,
-                self._platform.promotion_request(promotion),
-                _PROMOTION_TIMEOUT_MS,
-                lambda: self._host.may_act,
-            )
-        except (OSError, TimeoutError) as error:
-            self._log.write("platform_lost", reason=str(error) or "no answer")
-            return 0
-        return response.status if response is not None else 0
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_deployment.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_deployment.py
@@ -26,7 +26,6 @@
     control_address: str = ""
     promotion_address: str = ""
     stop_timeout_ms: float = 6_000.0
-    report_interval_ms: float = 1_200.0
 
     @property
     def peer_address(self) -> str:
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_fleet_view.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_fleet_view.py
@@ -139,11 +139,6 @@
         if pool is not None:
             pool.close(reason)
 
-    @property
-    def pools(self) -> list[ServerPool]:
-        """Return all pools."""
-        return list(self._pools.values())
-
     # Primaries
 
     def primary(self, group: str) -> tuple[ServerPool, int] | None:
--- /dev/null
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_line_reads.py
@@ -0,0 +1,238 @@
+"""Reads outside of transactions, with a second attempt where the first is late."""
+
+import asyncio
+from dataclasses import dataclass, field
+
+from cardamomshunt.fleet import Route
+from cardamomshunt.freshness import DatedPosition
+
+from cardamomshunt_node._backend_pool import (
+    Reply,
+    ServerBusyError,
+    ServerLostError,
+    ServerPool,
+)
+from cardamomshunt_node._boot_clock import boot_ms
+from cardamomshunt_node._decision_log import DecisionLog
+from cardamomshunt_node._entry_metrics import EntryMetrics
+from cardamomshunt_node._fleet_view import FleetView
+from cardamomshunt_node._line_session_state import (
+    RETRY_PAUSE_MS,
+    LineSession,
+    RefusedError,
+    not_run,
+    seconds_until,
+    statement_deadline_ms,
+)
+from cardamomshunt_node._read_freshness import ReadFreshness
+from cardamomshunt_node._session_protocol import (
+    NOT_RUN_CODES,
+    CallerQuery,
+    ErrorCode,
+)
+from cardamomshunt_node._statement_sender import StatementSender
+
+_HEDGE_MIN_MS = 120.0
+_HEDGE_FACTOR = 2.5
+_HEDGE_BUDGET_SHARE = 0.1
+_HEDGE_BUDGET_MAX = 10.0
+_N_ATTEMPTS_AT_ONCE = 2
+
+
+@dataclass(slots=True)
+class _Read:
+    """Hold one read while its attempts run."""
+
+    session: LineSession
+    query: CallerQuery
+    route: Route
+    at_least: DatedPosition | None
+    arrived_ms: float
+    deadline_ms: float
+    tried: set[str] = field(default_factory=set)
+    running: set[asyncio.Task[Reply]] = field(default_factory=set)
+    reason: str = "no server may serve the read"
+    code: ErrorCode = ErrorCode.BUSY
+    may_have_run: bool = False
+
+    def note_end(self, task: asyncio.Task[Reply]) -> Reply | None:
+        """Take over the end of an attempt; return the answer if it is a success."""
+        error = task.exception()
+        if error is not None:
+            self.may_have_run |= not isinstance(error, ServerBusyError)
+            self.reason = str(error)
+            return None
+        reply = task.result()
+        if reply.is_success:
+            return reply
+        self.reason = f"server answered {reply.code}"
+        if reply.code is ErrorCode.LAGGING:
+            self.code = ErrorCode.LAGGING
+        elif reply.code not in NOT_RUN_CODES:
+            self.may_have_run = True
+        return None
+
+    def refusal(self) -> RefusedError:
+        """Return why the read has no answer."""
+        if self.may_have_run or self.running:
+            return RefusedError(ErrorCode.FAILED, f"no answer in time: {self.reason}")
+        return not_run(self.code, self.reason)
+
+
+class ReadRunner:
+    """Run single reads."""
+
+    def __init__(
+        self,
+        view: FleetView,
+        sender: StatementSender,
+        freshness: ReadFreshness,
+        log: DecisionLog,
+        metrics: EntryMetrics,
+    ) -> None:
+        self._view = view
+        self._sender = sender
+        self._freshness = freshness
+        self._log = log
+        self._metrics = metrics
+        self._hedge_budget = _HEDGE_BUDGET_MAX
+        self._latency_ms: dict[str, float] = {}
+        self._background: set[asyncio.Task[Reply]] = set()
+
+    async def run(
+        self, session: LineSession, query: CallerQuery, route: Route, arrived_ms: float
+    ) -> Reply:
+        """Return the answer of a read; raise RefusedError."""
+        at_least = self._freshness.requirement(session, route, arrived_ms)
+        deadline_ms = statement_deadline_ms(route, arrived_ms)
+        read = _Read(session, query, route, at_least, arrived_ms, deadline_ms)
+        self._hedge_budget = min(
+            self._hedge_budget + _HEDGE_BUDGET_SHARE, _HEDGE_BUDGET_MAX
+        )
+        while boot_ms() < deadline_ms:
+            may_hedge = self._start_attempt(read)
+            if not read.running:
+                read.tried.clear()
+                wait_ms = min(RETRY_PAUSE_MS, seconds_until(deadline_ms) * 1_000.0)
+                await self._view.wait_change(wait_ms)
+                continue
+            reply = await self._await_attempts(read, may_hedge)
+            if reply is not None:
+                self._note_latency(route, boot_ms() - arrived_ms)
+                return reply
+        raise read.refusal()
+
+    def _start_attempt(self, read: _Read) -> bool:
+        """Start an attempt if one may start; return whether another may follow."""
+        n_running = len(read.running)
+        if n_running and (self._hedge_budget < 1.0 or n_running >= _N_ATTEMPTS_AT_ONCE):
+            return False
+        pools = self._view.readers(read.route.group, read.at_least, read.tried)
+        if not pools and n_running:
+            # An answer that was lost is found on another connection of its server.
+            pools = self._view.readers(read.route.group, read.at_least, set())
+        if not pools:
+            return bool(n_running)
+        if n_running:
+            self._hedge_budget -= 1.0
+            self._metrics.count_hedge()
+        read.tried.add(pools[0].server)
+        read.running.add(
+            self._start_read(
+                pools[0],
+                read.session,
+                read.query,
+                read.route,
+                read.at_least,
+                read.deadline_ms,
+            )
+        )
+        return len(read.running) < _N_ATTEMPTS_AT_ONCE
+
+    async def _await_attempts(self, read: _Read, may_hedge: bool) -> Reply | None:
+        wait_s = seconds_until(read.deadline_ms)
+        if may_hedge:
+            wait_s = min(wait_s, self._hedge_after_ms(read.route) / 1_000.0)
+        done, read.running = await asyncio.wait(
+            read.running, timeout=wait_s, return_when=asyncio.FIRST_COMPLETED
+        )
+        replies = [read.note_end(task) for task in done]
+        for reply in replies:
+            if reply is not None:
+                return reply
+        if done and read.code is not ErrorCode.LAGGING:
+            await self._view.wait_change(RETRY_PAUSE_MS)
+        return None
+
+    def _hedge_after_ms(self, route: Route) -> float:
+        typical_ms = self._latency_ms.get(route.database, 0.0)
+        return max(_HEDGE_MIN_MS, typical_ms * _HEDGE_FACTOR)
+
+    def _note_latency(self, route: Route, elapsed_ms: float) -> None:
+        known_ms = self._latency_ms.get(route.database, elapsed_ms)
+        self._latency_ms[route.database] = known_ms + 0.1 * (elapsed_ms - known_ms)
+
+    def _start_read(
+        self,
+        pool: ServerPool,
+        session: LineSession,
+        query: CallerQuery,
+        route: Route,
+        at_least: DatedPosition | None,
+        deadline_ms: float,
+    ) -> asyncio.Task[Reply]:
+        """Start an attempt, which gives its connection back even if abandoned."""
+        task = asyncio.get_running_loop().create_task(
+            self._attempt_read(pool, session, query, route, at_least, deadline_ms)
+        )
+        self._background.add(task)
+        task.add_done_callback(self._forget_attempt)
+        return task
+
+    def _forget_attempt(self, task: asyncio.Task[Reply]) -> None:
+        self._background.discard(task)
+        if not task.cancelled():
+            # An abandoned attempt's failure was already answered for by another.
+            task.exception()
+
+    async def _attempt_read(
+        self,
+        pool: ServerPool,
+        session: LineSession,
+        query: CallerQuery,
+        route: Route,
+        at_least: DatedPosition | None,
+        deadline_ms: float,
+    ) -> Reply:
+        connection = await pool.acquire(route.priority, deadline_ms, session.values)
+        try:
+            primary = self._view.primary(route.group)
+            is_primary = primary is not None and primary[0] is pool
+            if not is_primary and at_least is None:
+                raise ServerBusyError("the primary may not be used any more")
+            sent_ms = boot_ms()
+            required = None if is_primary or at_least is None else at_least.position
+            future = self._sender.send(connection, session, query, required)
+            async with asyncio.timeout(seconds_until(deadline_ms)):
+                reply = await future
+        except TimeoutError as error:
+            raise ServerLostError(f"{pool.server}: no answer in time") from error
+        finally:
+            pool.release(connection)
+        self._freshness.learn(
+            pool, route, reply, None if is_primary else at_least, sent_ms
+        )
+        self._metrics.count_read(is_primary)
+        self._log.write_request(
+            "read",
+            request=query.request_id,
+            session=session.session_id,
+            server=pool.server,
+            role="primary" if is_primary else "replica",
+            required=required,
+            position=reply.position,
+            code=reply.code,
+            elapsed_ms=round(boot_ms() - sent_ms, 1),
+            configuration_version=self._view.table.version,
+        )
+        return reply
--- /dev/null
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_line_transactions.py
@@ -0,0 +1,255 @@
+"""Transactions: one connection from the first statement to the end."""
+
+import asyncio
+
+from cardamomshunt.fleet import Route
+from cardamomshunt.freshness import DatedPosition
+
+from cardamomshunt_node._backend_pool import (
+    Reply,
+    ServerBusyError,
+    ServerLostError,
+    ServerPool,
+)
+from cardamomshunt_node._boot_clock import boot_ms
+from cardamomshunt_node._decision_log import DecisionLog
+from cardamomshunt_node._fleet_view import FleetView
+from cardamomshunt_node._line_session_state import (
+    RETRY_PAUSE_MS,
+    LineSession,
+    RefusedError,
+    Transaction,
+    not_run,
+    seconds_until,
+    statement_deadline_ms,
+)
+from cardamomshunt_node._line_writes import WriteRunner
+from cardamomshunt_node._read_freshness import ReadFreshness
+from cardamomshunt_node._session_protocol import (
+    NOT_RUN_CODES,
+    CallerQuery,
+    ErrorCode,
+    StatementKind,
+    TransactionState,
+)
+from cardamomshunt_node._statement_sender import StatementSender
+
+
+class TransactionRunner:
+    """Run transactions."""
+
+    def __init__(
+        self,
+        view: FleetView,
+        sender: StatementSender,
+        freshness: ReadFreshness,
+        writes: WriteRunner,
+        log: DecisionLog,
+    ) -> None:
+        self._log = log
+        self._view = view
+        self._sender = sender
+        self._freshness = freshness
+        self._writes = writes
+
+    def begin(self, session: LineSession, route: Route, is_read_only: bool) -> None:
+        """Open a transaction, which gets its server with its first statement."""
+        now = boot_ms()
+        session.transaction = Transaction(route, is_read_only, now, used_ms=now)
+
+    async def run(
+        self, session: LineSession, query: CallerQuery, is_write: bool
+    ) -> Reply:
+        """Run a statement or a commit in the transaction; raise RefusedError."""
+        transaction = session.transaction
+        assert transaction is not None
+        transaction.used_ms = boot_ms()
+        is_commit = query.statement.kind is StatementKind.COMMIT
+        if is_write and transaction.is_read_only:
+            raise RefusedError(ErrorCode.READ_ONLY, "the transaction only reads")
+        deadline_ms = statement_deadline_ms(transaction.route, transaction.used_ms)
+        try:
+            if transaction.connection is None:
+                await self._open_transaction(session, transaction, deadline_ms)
+            reply, sent_ms = await self._run_on_server(
+                session, transaction, query, deadline_ms
+            )
+        except RefusedError:
+            self.fail(session, is_commit)
+            raise
+        if is_write and reply.code not in NOT_RUN_CODES:
+            transaction.has_written = True
+        if is_commit:
+            return self._finish_commit(session, transaction, query, reply, sent_ms)
+        if reply.state is not TransactionState.OPEN:
+            self.fail(session, False)
+        return reply
+
+    def fail(self, session: LineSession, is_over: bool) -> None:
+        """End a transaction on its server; the caller's goes on until it ends it."""
+        transaction = session.transaction
+        assert transaction is not None
+        if transaction.connection is not None:
+            transaction.connection.close("the transaction failed")
+            transaction.connection = None
+        transaction.is_failed = True
+        if is_over:
+            session.transaction = None
+
+    def roll_back(self, session: LineSession) -> None:
+        """End the transaction without a trace."""
+        transaction = session.transaction
+        assert transaction is not None
+        session.transaction = None
+        connection = transaction.connection
+        if connection is None or connection.is_closed:
+            return
+        future = connection.send(self._sender.protocol.rollback())
+
+        def give_back(done: asyncio.Future[Reply]) -> None:
+            if not done.cancelled():
+                done.exception()
+            connection.pool.release(connection)
+
+        future.add_done_callback(give_back)
+        asyncio.get_running_loop().call_later(
+            transaction.route.statement_timeout_ms / 1_000.0, future.cancel
+        )
+
+    async def _open_transaction(
+        self, session: LineSession, transaction: Transaction, deadline_ms: float
+    ) -> None:
+        """Begin on a server that holds what the transaction has to see."""
+        route = transaction.route
+        at_least = self._freshness.requirement(session, route, transaction.arrived_ms)
+        if not transaction.is_read_only:
+            at_least = None
+        tried: set[str] = set()
+        while boot_ms() < deadline_ms:
+            pools = self._view.readers(route.group, at_least, tried)
+            if not pools:
+                tried.clear()
+                await self._view.wait_change(RETRY_PAUSE_MS)
+                continue
+            if await self._begin_on(
+                pools[0], session, transaction, at_least, deadline_ms
+            ):
+                return
+            tried.add(pools[0].server)
+        raise not_run(ErrorCode.BUSY, "no server for the transaction")
+
+    async def _begin_on(
+        self,
+        pool: ServerPool,
+        session: LineSession,
+        transaction: Transaction,
+        at_least: DatedPosition | None,
+        deadline_ms: float,
+    ) -> bool:
+        route = transaction.route
+        try:
+            connection = await pool.acquire(route.priority, deadline_ms, session.values)
+        except (ServerBusyError, ServerLostError):
+            return False
+        primary = self._view.primary(route.group)
+        is_primary = primary is not None and primary[0] is pool
+        if not is_primary and at_least is None:
+            pool.release(connection)
+            return False
+        sent_ms = boot_ms()
+        self._sender.send_values(connection, session)
+        required = None if is_primary else at_least
+        begin = self._sender.protocol.begin(
+            transaction.is_read_only, required.position if required else None
+        )
+        try:
+            async with asyncio.timeout(seconds_until(deadline_ms)):
+                reply = await connection.send(begin)
+        except (TimeoutError, ServerLostError):
+            pool.release(connection)
+            return False
+        self._freshness.learn(pool, route, reply, required, sent_ms)
+        if not reply.is_success or reply.state is not TransactionState.OPEN:
+            pool.release(connection)
+            return False
+        self._log.write_request(
+            "transaction",
+            session=session.session_id,
+            server=pool.server,
+            role="primary" if is_primary else "replica",
+            required=required.position if required else None,
+            position=reply.position,
+            configuration_version=self._view.table.version,
+        )
+        transaction.connection = connection
+        transaction.epoch = primary[1] if primary is not None and is_primary else -1
+        return True
+
+    async def _run_on_server(
+        self,
+        session: LineSession,
+        transaction: Transaction,
+        query: CallerQuery,
+        deadline_ms: float,
+    ) -> tuple[Reply, float]:
+        connection = transaction.connection
+        assert connection is not None
+        group = transaction.route.group
+        while True:
+            if transaction.epoch >= 0 and not self._view.may_acknowledge(
+                group, transaction.epoch
+            ):
+                raise RefusedError(
+                    ErrorCode.ABORTED, "the primary of the transaction was replaced"
+                )
+            sent_ms = boot_ms()
+            try:
+                future = self._sender.send(connection, session, query, None)
+                async with asyncio.timeout(seconds_until(deadline_ms)):
+                    reply = await future
+            except (TimeoutError, ServerLostError) as error:
+                raise self._lost_in_transaction(transaction, query) from error
+            is_retried = (
+                reply.code is ErrorCode.BUSY
+                and reply.state is TransactionState.OPEN
+                and boot_ms() + RETRY_PAUSE_MS < deadline_ms
+            )
+            if not is_retried:
+                return reply, sent_ms
+            await asyncio.sleep(RETRY_PAUSE_MS / 1_000.0)
+
+    def _lost_in_transaction(
+        self, transaction: Transaction, query: CallerQuery
+    ) -> RefusedError:
+        """Tell what a lost answer means; without a commit nothing can be kept."""
+        is_commit = query.statement.kind is StatementKind.COMMIT
+        if is_commit and transaction.has_written:
+            return RefusedError(ErrorCode.IN_DOUBT, "no answer to the commit")
+        return RefusedError(ErrorCode.ABORTED, "the server did not answer")
+
+    def _finish_commit(
+        self,
+        session: LineSession,
+        transaction: Transaction,
+        query: CallerQuery,
+        reply: Reply,
+        sent_ms: float,
+    ) -> Reply:
+        connection = transaction.connection
+        assert connection is not None
+        if reply.state is not TransactionState.IDLE:
+            # The commit did not run and the transaction can't be used any more.
+            self.fail(session, True)
+            raise RefusedError(ErrorCode.ABORTED, f"commit answered {reply.code}")
+        session.transaction = None
+        connection.pool.release(connection)
+        if not transaction.has_written:
+            return reply
+        return self._writes.acknowledge(
+            query.request_id,
+            session,
+            transaction.route,
+            reply,
+            transaction.epoch,
+            sent_ms,
+        )
--- /dev/null
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_line_writes.py
@@ -0,0 +1,128 @@
+"""Single writes, and what may be acknowledged of a primary's answers."""
+
+import asyncio
+
+from cardamomshunt.fleet import Route
+from cardamomshunt.freshness import DatedPosition
+
+from cardamomshunt_node._backend_pool import (
+    BackendConnection,
+    Reply,
+    ServerBusyError,
+    ServerLostError,
+)
+from cardamomshunt_node._boot_clock import boot_ms
+from cardamomshunt_node._decision_log import DecisionLog
+from cardamomshunt_node._fleet_view import FleetView
+from cardamomshunt_node._line_session_state import (
+    RETRY_PAUSE_MS,
+    LineSession,
+    RefusedError,
+    not_run,
+    seconds_until,
+    statement_deadline_ms,
+)
+from cardamomshunt_node._session_protocol import (
+    NOT_RUN_CODES,
+    CallerQuery,
+    ErrorCode,
+)
+from cardamomshunt_node._statement_sender import StatementSender
+
+
+class WriteRunner:
+    """Run single writes on the primary that may be used."""
+
+    def __init__(
+        self, view: FleetView, sender: StatementSender, log: DecisionLog
+    ) -> None:
+        self._view = view
+        self._sender = sender
+        self._log = log
+
+    async def write(
+        self,
+        session: LineSession,
+        query: CallerQuery,
+        route: Route,
+        arrived_ms: float,
+    ) -> Reply:
+        """Return the answer of a single write; raise RefusedError."""
+        deadline_ms = statement_deadline_ms(route, arrived_ms)
+        while True:
+            connection, epoch = await self._acquire(session, route, deadline_ms)
+            sent_ms = boot_ms()
+            try:
+                future = self._sender.send(connection, session, query, None)
+                async with asyncio.timeout(seconds_until(deadline_ms)):
+                    reply = await future
+            except (TimeoutError, ServerLostError) as error:
+                raise RefusedError(
+                    ErrorCode.IN_DOUBT, f"no answer of {connection.pool.server}"
+                ) from error
+            finally:
+                connection.pool.release(connection)
+            if reply.code in NOT_RUN_CODES and boot_ms() < deadline_ms:
+                await self._view.wait_change(RETRY_PAUSE_MS)
+                continue
+            return self.acknowledge(
+                query.request_id, session, route, reply, epoch, sent_ms
+            )
+
+    async def _acquire(
+        self, session: LineSession, route: Route, deadline_ms: float
+    ) -> tuple[BackendConnection, int]:
+        """Return a connection to the primary that may be used now."""
+        reason = "no primary may be used"
+        while (now := boot_ms()) < deadline_ms:
+            primary = self._view.primary(route.group)
+            if primary is None:
+                await self._view.wait_change(deadline_ms - now)
+                continue
+            pool, epoch = primary
+            try:
+                connection = await pool.acquire(
+                    route.priority, deadline_ms, session.values
+                )
+            except ServerBusyError as error:
+                reason = str(error)
+                break
+            except ServerLostError as error:
+                reason = str(error)
+                await self._view.wait_change(RETRY_PAUSE_MS)
+                continue
+            current = self._view.primary(route.group)
+            if current is not None and current[1] == epoch:
+                return connection, epoch
+            pool.release(connection)
+        raise not_run(ErrorCode.BUSY, reason)
+
+    def acknowledge(
+        self,
+        request_id: str,
+        session: LineSession,
+        route: Route,
+        reply: Reply,
+        epoch: int,
+        sent_ms: float,
+    ) -> Reply:
+        """Return the answer of a write or commit if it may still be passed on."""
+        if not reply.is_success:
+            return reply
+        if not self._view.may_acknowledge(route.group, epoch):
+            raise RefusedError(
+                ErrorCode.IN_DOUBT, f"the primary of epoch {epoch} was replaced"
+            )
+        self._log.write_request(
+            "acknowledged",
+            request=request_id,
+            session=session.session_id,
+            epoch=epoch,
+            position=reply.position,
+            elapsed_ms=round(boot_ms() - sent_ms, 1),
+            configuration_version=self._view.table.version,
+        )
+        if reply.position is not None:
+            self._view.add_bound(route.group, reply.position, sent_ms)
+            session.positions[route.group] = DatedPosition(reply.position, boot_ms())
+        return reply
--- /dev/null
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_report_exchange.py
@@ -0,0 +1,132 @@
+"""Reports of backend servers, kept alike on all control nodes and entry VMs."""
+
+import asyncio
+import itertools
+from collections.abc import Callable
+
+from cardamomshunt.fleet import (
+    ReportsChanged,
+    ReportsReceived,
+    ReportsRequest,
+    ServerRegistry,
+    ServerReport,
+    ServerState,
+)
+from cardamomshunt.messages import InstanceRole
+
+from cardamomshunt_node._decision_log import DecisionLog
+from cardamomshunt_node._stream_transport import StreamTransport
+
+_COMPARE_INTERVAL_S = 1.0
+_RECEIPT_TIMEOUT_S = 0.4
+
+
+class ReportExchange:
+    """Own the registry of a control node."""
+
+    def __init__(
+        self,
+        transport: StreamTransport,
+        log: DecisionLog,
+        peers: Callable[[], list[str]],
+        entries: Callable[[], list[str]],
+    ) -> None:
+        self.registry = ServerRegistry()
+        self._transport = transport
+        self._log = log
+        self._peers = peers
+        self._entries = entries
+        self._receipts: dict[int, asyncio.Event] = {}
+        self._receipt_numbers = itertools.count(1)
+
+    def on_receipt(self, message: ReportsReceived) -> None:
+        """Note that another control node holds what was sent."""
+        event = self._receipts.get(message.receipt)
+        if event is not None:
+            event.set()
+
+    def on_request(self, address: str, message: ReportsRequest) -> None:
+        """Send all reports to a process that knows others."""
+        if message.digest != self.registry.digest():
+            self.send_all(address)
+
+    def send_all(self, address: str) -> None:
+        """Send all reports to one process."""
+        reports = self.registry.all()
+        if reports:
+            self._transport.send(address, ReportsChanged(reports=reports))
+
+    def on_reports(self, address: str, message: ReportsChanged) -> None:
+        """Take over reports of another control node."""
+        changed = [item for item in message.reports if self.registry.merge(item)]
+        if changed:
+            self._pass_on(changed)
+        if message.receipt:
+            self._transport.send(address, ReportsReceived(receipt=message.receipt))
+
+    def _pass_on(self, changed: list[ServerReport]) -> None:
+        for report in changed:
+            self._log.write(
+                "server",
+                server=report.server,
+                group=report.group,
+                state=report.state.value,
+                role=report.role.value,
+                sequence=report.sequence,
+            )
+        for address in self._entries():
+            self._transport.send(address, ReportsChanged(reports=changed))
+
+    async def run(self) -> None:
+        """Ask the other control nodes for what they know; news may have been lost."""
+        while True:
+            for peer in self._peers():
+                self._transport.send(
+                    peer, ReportsRequest(digest=self.registry.digest())
+                )
+            await asyncio.sleep(_COMPARE_INTERVAL_S)
+
+    async def _share(self, reports: list[ServerReport], *, is_awaited: bool) -> None:
+        """Send reports to the other control nodes; wait until one holds them.
+
+        A server that leaves is confirmed only when the news survives this node, but
+        not later than a moment if no other node can be reached.
+        """
+        receipt = next(self._receipt_numbers) if is_awaited else 0
+        message = ReportsChanged(reports=reports, receipt=receipt)
+        event = self._receipts[receipt] = asyncio.Event()
+        for peer in self._peers():
+            self._transport.send(peer, message)
+        if is_awaited:
+            try:
+                async with asyncio.timeout(_RECEIPT_TIMEOUT_S):
+                    await event.wait()
+            except TimeoutError:
+                self._log.write("report_not_shared", server=reports[0].server)
+        self._receipts.pop(receipt, None)
+
+    async def take(self, report: ServerReport) -> None:
+        """Take over a server's report; return when it may be confirmed."""
+        if self.registry.merge(report):
+            self._pass_on([report])
+            await self._share(
+                [report], is_awaited=report.state is not ServerState.READY
+            )
+
+    async def take_leave(self, server: str) -> None:
+        """Note that a server ends; return when that may be confirmed."""
+        report = self.registry.get(server)
+        if report is not None and report.state is not ServerState.GONE:
+            gone = ServerReport(
+                server=report.server,
+                group=report.group,
+                address=report.address,
+                zone=report.zone,
+                state=ServerState.GONE,
+                role=InstanceRole.REPLICA,
+                started_ms=report.started_ms,
+                sequence=report.sequence + 1,
+            )
+            self.registry.merge(gone)
+            self._pass_on([gone])
+            await self._share([gone], is_awaited=True)
--- /dev/null
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_statement_sender.py
@@ -0,0 +1,73 @@
+"""Sends statements on connections that hold what their session set."""
+
+import asyncio
+import itertools
+
+from cardamomshunt.position import LogPosition
+
+from cardamomshunt_node._backend_pool import BackendConnection, Reply
+from cardamomshunt_node._line_session_state import LineSession
+from cardamomshunt_node._session_protocol import (
+    CallerQuery,
+    SessionProtocol,
+    Shape,
+    StatementKind,
+)
+
+
+class StatementSender:
+    """Give each shape of prepared statement one name on all connections."""
+
+    def __init__(self, protocol: SessionProtocol) -> None:
+        self.protocol = protocol
+        self._names: dict[Shape, str] = {}
+        self._name_numbers = itertools.count(1)
+
+    def send(
+        self,
+        connection: BackendConnection,
+        session: LineSession,
+        query: CallerQuery,
+        at_least: LogPosition | None,
+    ) -> asyncio.Future[Reply]:
+        """Send what the session needs on the connection, then the statement."""
+        self.send_values(connection, session)
+        statement = query.statement
+        text = statement.text
+        if statement.kind is StatementKind.EXECUTE:
+            name = self._prepare(connection, session.prepared[statement.name])
+            text = self.protocol.execute_text(name, statement.arguments)
+        return connection.send(
+            self.protocol.statement(query.request_id, text, at_least)
+        )
+
+    def send_values(self, connection: BackendConnection, session: LineSession) -> None:
+        """Make the values of a connection those of a session."""
+        if not connection.values.keys() <= session.values.keys():
+            connection.values.clear()
+            connection.prepared.clear()
+            self._send_own(connection, self.protocol.reset())
+        for name, value in session.values.items():
+            if connection.values.get(name) != value:
+                connection.values[name] = value
+                self._send_own(connection, self.protocol.set_value(name, value))
+
+    def _prepare(self, connection: BackendConnection, shape: Shape) -> str:
+        name = self._names.get(shape)
+        if name is None:
+            name = self._names[shape] = f"p{next(self._name_numbers)}"
+        if name not in connection.prepared:
+            connection.prepared[name] = shape
+            self._send_own(connection, self.protocol.prepare(name, shape))
+        return name
+
+    def _send_own(self, connection: BackendConnection, data: bytes) -> None:
+        """Send a statement of the proxy; close the connection unless it succeeds."""
+
+        def check(future: asyncio.Future[Reply]) -> None:
+            if future.cancelled() or future.exception() is not None:
+                return
+            if not future.result().is_success:
+                connection.close("a statement of the proxy failed")
+
+        connection.send(data).add_done_callback(check)
--- a/packages/cardamomshunt/src/cardamomshunt/_primary_lease.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_primary_lease.py
@@ -105,11 +105,6 @@
         ]:
             del self._holders[entry]
 
-    @property
-    def entries(self) -> list[str]:
-        """Return the addresses of the entry VMs that asked lately."""
-        return list(self._holders)
-
     def is_free(self, group: str, stop_epoch: int, now_ms: float) -> bool:
         """Tell whether no entry VM may use the primary that was stopped any more."""
         if now_ms < self._earlier_until_ms:
@@ -133,12 +128,3 @@
             for holder in live
         )
         return n_suspecting > 0 and 2 * n_suspecting >= len(live)
-
-    def reach(self, suspicion: Suspicion, now_ms: float) -> int:
-        """Return how many live entry VMs do not suspect a server."""
-        return sum(
-            now_ms <= holder.heard_ms + ENTRY_LIVE_MS
-            and now_ms
-            > holder.suspicions.get(suspicion, float("-inf")) + SUSPICION_KEPT_MS
-            for holder in self._holders.values()
-        )
--- a/packages/cardamomshunt/src/cardamomshunt/_successor.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_successor.py
@@ -12,7 +12,6 @@
     is_primary: bool
     term: int
     received: LogPosition
-    lag_ms: float = 0.0
 
 
 def choose_successor(
--- a/tests/users_platform/test_deployment.py
+++ b/tests/users_platform/test_deployment.py
@@ -320,13 +320,13 @@
 
 async def test_a_report_that_was_lost_between_control_nodes_is_repaired(deployment):
     # A primary that one control node alone knew of was never assigned.
-    known = deployment.controls["control-1"]._registry
+    known = deployment.controls["control-1"]._reports.registry
     report_of = known.get("i-1")
     news = structs.replace(report_of, server="i-9", sequence=1)
     assert known.merge(news)
     others = [deployment.controls[name] for name in ("control-2", "control-3")]
     await deployment.until(
-        lambda: all(item._registry.get("i-9") == news for item in others)
+        lambda: all(item._reports.registry.get("i-9") == news for item in others)
     )
 
 
