--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_backend_pool.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_backend_pool.py
@@ -30,6 +30,7 @@
 _LAG_MAX_MS = 5_000.0
 _LAG_MARGIN = 1.5
 _LAG_HALF_LIFE_MS = 400.0
+_LATE_AFTER_MS = 200.0
 # A server that took statements and answered none for this long counts as silent.
 SILENT_AFTER_MS = 450.0
 
@@ -298,10 +299,7 @@
             self._limit() - len(self._open) - self._n_opening,
         )
         for _ in range(n_wanted):
-            self._n_opening += 1
-            task = asyncio.get_running_loop().create_task(self._dial())
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
+            self._start_dial()
 
     async def _dial(self) -> None:
         connection = BackendConnection(self._protocol, self)
@@ -337,6 +335,8 @@
     def _on_dial_failed(self, reason: str, refusal: ErrorCode | None) -> None:
         now = boot_ms()
         self.dial_after_ms = now + _REDIAL_PAUSE_MS
+        if refusal is not None:
+            self.replied_ms = now
         if refusal is ErrorCode.TOO_MANY_CONNECTIONS:
             # Other entry VMs hold all connections and give idle ones back soon.
             self.dial_after_ms = now + random.uniform(*_FULL_PAUSE_MS)
@@ -398,10 +398,24 @@
     def probe(self) -> None:
         """Dial once if the server is down and nobody waits for it."""
         if self.down_since_ms is not None and not self._n_opening and not self._open:
-            self._n_opening += 1
-            task = asyncio.get_running_loop().create_task(self._dial())
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
+            self._start_dial()
+
+    def probe_if_late(self) -> None:
+        """Dial once if statements are late, which tells a slow server from a dead one."""
+        now = boot_ms()
+        oldest_ms = min(
+            (item.oldest_sent_ms for item in self._open if item.oldest_sent_ms),
+            default=now,
+        )
+        is_late = now > max(oldest_ms, self.replied_ms) + _LATE_AFTER_MS
+        if is_late and not self._n_opening:
+            self._start_dial()
+
+    def _start_dial(self) -> None:
+        self._n_opening += 1
+        task = asyncio.get_running_loop().create_task(self._dial())
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
 
     def close(self, reason: str) -> None:
         """Close all connections."""
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_fleet_view.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_fleet_view.py
@@ -168,13 +168,14 @@
             self._drop_pool(assignment.server, "the primary is being replaced")
 
     def suspicions(self) -> list[Suspicion]:
-        """Return the primaries that do not answer."""
+        """Return the primaries that do not answer, and dial those that are late."""
         now = boot_ms()
         found = []
         for pool in self._pools.values():
             assignment = self.lease.known(pool.group)
             if assignment is None or assignment.server != pool.server:
                 continue
+            pool.probe_if_late()
             if pool.is_down(now):
                 found.append(Suspicion(pool.group, pool.server, assignment.epoch))
         return found
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_line_reads.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_line_reads.py
@@ -54,6 +54,7 @@
     reason: str = "no server may serve the read"
     code: ErrorCode = ErrorCode.BUSY
     may_have_run: bool = False
+    is_over: bool = False
 
     def note_end(self, task: asyncio.Task[Reply]) -> Reply | None:
         """Take over the end of an attempt; return the answer if it is a success."""
@@ -109,16 +110,22 @@
         self._hedge_budget = min(
             self._hedge_budget + _HEDGE_BUDGET_SHARE, _HEDGE_BUDGET_MAX
         )
-        while boot_ms() < deadline_ms:
+        try:
+            return await self._race(read)
+        finally:
+            read.is_over = True
+
+    async def _race(self, read: _Read) -> Reply:
+        while boot_ms() < read.deadline_ms:
             may_hedge = self._start_attempt(read)
             if not read.running:
                 read.tried.clear()
-                wait_ms = min(RETRY_PAUSE_MS, seconds_until(deadline_ms) * 1_000.0)
+                wait_ms = min(RETRY_PAUSE_MS, seconds_until(read.deadline_ms) * 1_000.0)
                 await self._view.wait_change(wait_ms)
                 continue
             reply = await self._await_attempts(read, may_hedge)
             if reply is not None:
-                self._note_latency(route, boot_ms() - arrived_ms)
+                self._note_latency(read.route, boot_ms() - read.arrived_ms)
                 return reply
         raise read.refusal()
 
@@ -137,16 +144,7 @@
             self._hedge_budget -= 1.0
             self._metrics.count_hedge()
         read.tried.add(pools[0].server)
-        read.running.add(
-            self._start_read(
-                pools[0],
-                read.session,
-                read.query,
-                read.route,
-                read.at_least,
-                read.deadline_ms,
-            )
-        )
+        read.running.add(self._start_read(pools[0], read))
         return len(read.running) < _N_ATTEMPTS_AT_ONCE
 
     async def _await_attempts(self, read: _Read, may_hedge: bool) -> Reply | None:
@@ -172,19 +170,9 @@
         known_ms = self._latency_ms.get(route.database, elapsed_ms)
         self._latency_ms[route.database] = known_ms + 0.1 * (elapsed_ms - known_ms)
 
-    def _start_read(
-        self,
-        pool: ServerPool,
-        session: LineSession,
-        query: CallerQuery,
-        route: Route,
-        at_least: DatedPosition | None,
-        deadline_ms: float,
-    ) -> asyncio.Task[Reply]:
+    def _start_read(self, pool: ServerPool, read: _Read) -> asyncio.Task[Reply]:
         """Start an attempt, which gives its connection back even if abandoned."""
-        task = asyncio.get_running_loop().create_task(
-            self._attempt_read(pool, session, query, route, at_least, deadline_ms)
-        )
+        task = asyncio.get_running_loop().create_task(self._attempt_read(pool, read))
         self._background.add(task)
         task.add_done_callback(self._forget_attempt)
         return task
@@ -195,44 +183,58 @@
             # An abandoned attempt's failure was already answered for by another.
             task.exception()
 
-    async def _attempt_read(
-        self,
-        pool: ServerPool,
-        session: LineSession,
-        query: CallerQuery,
-        route: Route,
-        at_least: DatedPosition | None,
-        deadline_ms: float,
-    ) -> Reply:
-        connection = await pool.acquire(route.priority, deadline_ms, session.values)
+    async def _attempt_read(self, pool: ServerPool, read: _Read) -> Reply:
+        route = read.route
+        connection = await pool.acquire(
+            route.priority, read.deadline_ms, read.session.values
+        )
         try:
+            if read.is_over:
+                # The session may have changed what the statement's names stand for.
+                raise ServerBusyError("the read has its answer")
             primary = self._view.primary(route.group)
             is_primary = primary is not None and primary[0] is pool
-            if not is_primary and at_least is None:
+            required = None if is_primary else read.at_least
+            if not is_primary and required is None:
                 raise ServerBusyError("the primary may not be used any more")
             sent_ms = boot_ms()
-            required = None if is_primary or at_least is None else at_least.position
-            future = self._sender.send(connection, session, query, required)
-            async with asyncio.timeout(seconds_until(deadline_ms)):
+            future = self._sender.send(
+                connection,
+                read.session,
+                read.query,
+                required.position if required else None,
+            )
+            async with asyncio.timeout(seconds_until(read.deadline_ms)):
                 reply = await future
+            # Set before the connection goes to an attempt that waits for it.
+            read.is_over |= reply.is_success
         except TimeoutError as error:
             raise ServerLostError(f"{pool.server}: no answer in time") from error
         finally:
             pool.release(connection)
-        self._freshness.learn(
-            pool, route, reply, None if is_primary else at_least, sent_ms
-        )
+        self._freshness.learn(pool, route, reply, required, sent_ms)
         self._metrics.count_read(is_primary)
+        self._log_attempt(pool, read, required, reply, sent_ms)
+        return reply
+
+    def _log_attempt(
+        self,
+        pool: ServerPool,
+        read: _Read,
+        required: DatedPosition | None,
+        reply: Reply,
+        sent_ms: float,
+    ) -> None:
         self._log.write_request(
             "read",
-            request=query.request_id,
-            session=session.session_id,
+            request=read.query.request_id,
+            session=read.session.session_id,
             server=pool.server,
-            role="primary" if is_primary else "replica",
-            required=required,
+            role="primary" if required is None else "replica",
+            required=required.position if required else None,
+            required_age_ms=round(sent_ms - required.since_ms) if required else None,
             position=reply.position,
             code=reply.code,
             elapsed_ms=round(boot_ms() - sent_ms, 1),
             configuration_version=self._view.table.version,
         )
-        return reply
--- a/tests/users_platform/test_deployment.py
+++ b/tests/users_platform/test_deployment.py
@@ -377,3 +377,22 @@
     assert view.suspicions() == []
     primary.n_connections_max = 100
     assert (await asking)[-1].startswith("COMPLETE")
+
+
+async def test_an_attempt_that_waits_is_not_sent_after_the_answer(deployment):
+    # A second attempt ran after the caller had prepared another shape by that name.
+    caller = await open_session(deployment)
+    await caller.ask("PREPARE s1 READ q1")
+    view = deployment.entries["entry-1"]._view
+    pool, _ = view.primary("db")
+    pool._limit = lambda: 1
+    pool.close_idle(-1.0)
+    server_named(deployment, "i-3").work_s = 0.5
+    assert (await caller.ask("EXECUTE s1 k1", "e1"))[-1].startswith("COMPLETE")
+    await caller.ask("DEALLOCATE s1")
+    await caller.ask("PREPARE s1 READ q2")
+    await asyncio.sleep(0.7)
+    runs = [run for run in deployment.group.runs if run.request == "e1"]
+    assert len(runs) == 1
+    # A slow statement is no reason to replace the primary.
+    assert deployment.provider.calls == []
