--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_entry_daemon.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_entry_daemon.py
@@ -61,7 +61,7 @@
         self._log = log or DecisionLog(settings.node)
         self._metrics = EntryMetrics()
         protocol = platform.session_protocol
-        self._view = FleetView(settings.zone, protocol, self._log)
+        self._view = FleetView(settings.zone, protocol)
         runner = StatementRunner(self._view, protocol, self._log, self._metrics)
         self._edge = LineEdge(
             settings.caller_address, protocol, self._view, runner, self._log
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_fleet_view.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_fleet_view.py
@@ -17,7 +17,6 @@
 
 from cardamomshunt_node._backend_pool import ServerPool
 from cardamomshunt_node._boot_clock import boot_ms
-from cardamomshunt_node._decision_log import DecisionLog
 from cardamomshunt_node._session_protocol import SessionProtocol
 
 # Connections that control and a reconnecting entry VM need besides the shares.
@@ -32,10 +31,9 @@
 class FleetView:
     """Own the pools of one entry VM and choose among them."""
 
-    def __init__(self, zone: str, protocol: SessionProtocol, log: DecisionLog) -> None:
+    def __init__(self, zone: str, protocol: SessionProtocol) -> None:
         self._zone = zone
         self._protocol = protocol
-        self._log = log
         self.table = RouteTable()
         self.lease = PrimaryLease()
         self.registry = ServerRegistry()
--- a/packages/cardamomshunt/src/cardamomshunt/_events.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_events.py
@@ -389,7 +389,7 @@
         severity=Severity.ERROR,
         what="A control node can't write or sync its data folder.",
         consequence="It stops voting; the others go on while they are a majority.",
-        action="Replace the VM or its disk: docs/operations.md, 'Replace a control node, or lose a disk'.",
+        action="Replace the VM or its disk: docs/OPERATIONS.md, 'Replace a control node, or lose a disk'.",
     ),
     CatalogueEntry(
         number=EventNumber.DISK_FULL,
@@ -403,7 +403,7 @@
         severity=Severity.CRITICAL,
         what="A record of a control log does not match its checksum; the detail names file and offset.",
         consequence="The node does not start.",
-        action="Replace it as a new member: docs/operations.md, 'Replace a control node, or lose a disk'.",
+        action="Replace it as a new member: docs/OPERATIONS.md, 'Replace a control node, or lose a disk'.",
     ),
     CatalogueEntry(
         number=EventNumber.NODE_SILENT,
--- a/tests/users_platform/test_deployment.py
+++ b/tests/users_platform/test_deployment.py
@@ -332,7 +332,7 @@
 
 async def test_a_new_entry_takes_few_connections_until_others_are_known():
     # Right after a restart the leader knows one entry VM, and each took all.
-    view = FleetView("z1", LineProtocol(), None)
+    view = FleetView("z1", LineProtocol())
     view.set_table(
         RouteTable(version=1, groups={"db": GroupLimits("db", n_connections_max=34)})
     )
@@ -343,7 +343,7 @@
 
 @pytest.mark.parametrize(("n_entries", "share"), [(1, 31), (9, 3), (15, 2), (40, 2)])
 async def test_connections_are_shared_by_the_most_entries_seen(n_entries, share):
-    view = FleetView("z1", LineProtocol(), None)
+    view = FleetView("z1", LineProtocol())
     view.set_table(
         RouteTable(version=1, groups={"db": GroupLimits("db", n_connections_max=34)})
     )
--- /dev/null
+++ b/tests/users_platform/test_operations_page.py
@@ -0,0 +1,40 @@
+"""Tests that docs/OPERATIONS.md names the events and fields that the code writes."""
+
+import re
+from pathlib import Path
+
+_ROOT = Path(__file__).parents[2]
+_SOURCES = _ROOT / "packages/cardamomshunt-node/src/cardamomshunt_node"
+_CALL = re.compile(r'log\.write(?:_request)?\(\s*"([a-z_]+)"')
+_PAGE = (_ROOT / "docs/OPERATIONS.md").read_text(encoding="utf-8")
+_SECTION = _PAGE.partition("## On the users' platform")[2].partition("### From")[0]
+
+
+def written_events() -> set[str]:
+    found = {"leading", "following"}
+    for path in _SOURCES.glob("*.py"):
+        found |= set(_CALL.findall(path.read_text(encoding="utf-8")))
+    return found
+
+
+def documented_events() -> set[str]:
+    rows = [line for line in _SECTION.splitlines() if line.startswith("| `")]
+    return {name for row in rows for name in re.findall(r"`(\w+)`", row.split("|")[1])}
+
+
+def test_each_event_is_documented_and_written():
+    assert written_events() == documented_events()
+
+
+def test_the_fields_of_requests_are_those_that_the_code_writes():
+    sources = "".join(
+        path.read_text(encoding="utf-8") for path in sorted(_SOURCES.glob("_line_*.py"))
+    )
+    for event in ("read", "acknowledged", "transaction", "refused"):
+        row = next(r for r in _SECTION.splitlines() if r.startswith(f"| `{event}`"))
+        call = re.search(
+            rf'write_request\(\s*"{event}",(.*?)\n        \)', sources, re.DOTALL
+        )
+        assert call is not None
+        written = set(re.findall(r"^\s+(\w+)=", call.group(1), re.MULTILINE))
+        assert written == set(re.findall(r"`(\w+)`", row.split("|")[2]))
