--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_entry_daemon.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_entry_daemon.py
@@ -78,6 +78,7 @@
         self._control = set(settings.seed_peer_addresses)
         self._heard_ms: dict[str, float] = {}
         self._contacted_ms: dict[str, float] = {}
+        self._dialled_ms: dict[str, float] = {}
         self._released: dict[str, int] = {}
         self._stopping: dict[str, asyncio.Task[None]] = {}
         self._had_lease = False
@@ -196,12 +197,18 @@
             is_due = now >= contacted_ms + _CONTACT_INTERVAL_MS
             if address != self._leader and has_leader and not is_due:
                 continue
-            if now > self._heard_ms.setdefault(address, now) + _CONTROL_SILENCE_MS:
-                self._heard_ms[address] = now
-                self._transport.reset(address)
+            self._reset_if_silent(address, now)
             self._contacted_ms[address] = now
             self._send_request(address, now)
 
+    def _reset_if_silent(self, address: str, now: float) -> None:
+        """Dial a control node anew that answered nothing since the last dial."""
+        dialled_ms = self._dialled_ms.setdefault(address, now)
+        last_ms = max(dialled_ms, self._heard_ms.get(address, dialled_ms))
+        if now > last_ms + _CONTROL_SILENCE_MS:
+            self._dialled_ms[address] = now
+            self._transport.reset(address)
+
     def _send_request(self, address: str, now: float) -> None:
         self._sequence += 1
         self._view.lease.on_request_sent(self._sequence, now)
--- a/tests/users_platform/test_deployment.py
+++ b/tests/users_platform/test_deployment.py
@@ -298,6 +298,10 @@
     async with asyncio.timeout(5.0):
         while await status() != 503:
             await asyncio.sleep(0.05)
+    # It came back into rotation for a moment each time it dialled control anew.
+    for _ in range(40):
+        assert await status() == 503
+        await asyncio.sleep(0.1)
 
 
 async def test_refusals_are_logged_with_what_decided_them(deployment):
