--- a/packages/cardamomshunt-testing/src/cardamomshunt_testing/_standin_member.py
+++ b/packages/cardamomshunt-testing/src/cardamomshunt_testing/_standin_member.py
@@ -311,7 +311,10 @@
         peer = self.peers.get(reply.instance)
         if peer is None or not self.is_primary or reply.term != self.term:
             return
-        if reply.incarnation != peer.incarnation:
+        if reply.incarnation < peer.incarnation:
+            # A late answer of a former life says nothing of what the present one holds.
+            return
+        if reply.incarnation > peer.incarnation:
             peer.incarnation = reply.incarnation
             peer.match_position = 0
         self.known_incarnations[reply.instance] = reply.incarnation
--- a/packages/cardamomshunt-testing/tests/test_standin.py
+++ b/packages/cardamomshunt-testing/tests/test_standin.py
@@ -13,6 +13,7 @@
 from cardamomshunt.messages import Announcement
 from cardamomshunt.position import LogPosition
 from cardamomshunt_testing._standin_group import StandinGroup, group_settings
+from cardamomshunt_testing._standin_messages import AppendReply
 from cardamomshunt_testing.standin import AnnouncementTarget, StandinInstance
 
 SCHEMA = [
@@ -512,3 +513,24 @@
     await wait_until(
         lambda: any(item.is_leaving for _, item in entry_vm.received), 0.06
     )
+
+
+async def test_a_late_answer_of_a_former_life_does_not_count(group):
+    # The primary went on counting what a replica held before it restarted.
+    primary = group.primary().member
+    name = next(iter(primary.peers))
+    peer = primary.peers[name]
+    await wait_until(lambda: peer.incarnation > 0)
+    position, incarnation = peer.match_position, peer.incarnation
+    late = AppendReply(
+        instance=name,
+        incarnation=incarnation - 1,
+        term=primary.term,
+        round=primary.round,
+        is_accepted=True,
+        is_counted=True,
+        match_position=position + 100,
+    )
+    primary.on_reply(late)
+    assert peer.incarnation == incarnation
+    assert peer.match_position < position + 100
