--- a/packages/cardamomshunt-testing/src/cardamomshunt_testing/_fake_group.py
+++ b/packages/cardamomshunt-testing/src/cardamomshunt_testing/_fake_group.py
@@ -60,6 +60,7 @@
         self.violations: list[str] = []
         self.n_promotions = 0
         self.has_zone_addresses = False
+        self._lost_logs: set[str] = set()
 
     @property
     def n_majority(self) -> int:
@@ -170,12 +171,33 @@
                 f"acknowledged {min(missing)}"
             )
 
+    def may_lose_log(self, name: str) -> bool:
+        """Tell whether a majority keeps its logs if this server loses its own.
+
+        A server that lost its log counts again once it holds all that was
+        acknowledged.
+        """
+        self._lost_logs = {
+            item
+            for item in self._lost_logs
+            if not self.acknowledged <= set(self.instances[item].log)
+        }
+        n_lost = len(self._lost_logs | {name})
+        return len(self.instances) - n_lost >= self.n_majority
+
     def stop(self, name: str) -> None:
         """Kill a server."""
         self.instances[name].is_up = False
 
     def start(self, name: str, keeps_log: bool) -> None:
-        """Restart a server as a replica; the fence of this life is forgotten."""
+        """Restart a server as a replica; the fence of this life is forgotten.
+
+        Raise ValueError if a majority would have lost its logs.
+        """
+        if not keeps_log:
+            if not self.may_lose_log(name):
+                raise ValueError(f"{name} may not lose its log now")
+            self._lost_logs.add(name)
         instance = self.instances[name]
         instance.is_up, instance.is_frozen = True, False
         instance.role, instance.held = InstanceRole.REPLICA, {}
--- a/packages/cardamomshunt-testing/src/cardamomshunt_testing/control_schedules.py
+++ b/packages/cardamomshunt-testing/src/cardamomshunt_testing/control_schedules.py
@@ -747,7 +747,9 @@
             if item.is_up:
                 item.is_frozen = False
             else:
-                self.group.start(item.name, keeps_log=self.random.random() < 0.7)
+                keeps_log = self.random.random() < 0.7
+                may_lose_log = self.group.may_lose_log(item.name)
+                self.group.start(item.name, keeps_log or not may_lose_log)
             return
         item = self.random.choice(instances)
         if self.random.random() < 0.5:
--- a/packages/cardamomshunt-testing/tests/test_soak.py
+++ b/packages/cardamomshunt-testing/tests/test_soak.py
@@ -1,6 +1,7 @@
 """Seeds that a soak found to violate an invariant."""
 
 import pytest
+from cardamomshunt_testing._fake_group import FakeGroup
 from cardamomshunt_testing.control_schedules import Schedule
 from cardamomshunt_testing.soak import options_for
 
@@ -10,3 +11,27 @@
     """Guards against promoting a server that lacks an acknowledged write."""
     schedule = Schedule(seed, options_for(seed)).run_all()
     assert schedule.violations == []
+
+
+def test_blank_restarts_leave_a_majority_of_logs() -> None:
+    """Guards against a schedule that destroys every copy of an acknowledged write."""
+    group = FakeGroup("orders", ["zone-a", "zone-b", "zone-c"])
+    group.write()
+    group.replicate(0.0, lambda sender, receiver: receiver != "orders-2")
+    group.stop("orders-1")
+    group.start("orders-1", keeps_log=False)
+    assert not group.may_lose_log("orders-3")
+    with pytest.raises(ValueError, match="may not lose its log"):
+        group.start("orders-3", keeps_log=False)
+    assert group.may_lose_log("orders-1")
+
+
+def test_server_that_caught_up_may_lose_its_log_again() -> None:
+    """Guards against schedules that stop losing logs after the first loss."""
+    group = FakeGroup("orders", ["zone-a", "zone-b", "zone-c"])
+    group.write()
+    group.replicate(0.0, lambda sender, receiver: True)
+    group.start("orders-2", keeps_log=False)
+    assert not group.may_lose_log("orders-3")
+    group.replicate(1.0, lambda sender, receiver: True)
+    assert group.may_lose_log("orders-3")
