--- /dev/null
+++ b/packages/cardamomshunt/src/cardamomshunt/_configuration/__init__.py
@@ -0,0 +1,1 @@
+"""The configuration document and its changes."""
--- a/packages/cardamomshunt/src/cardamomshunt/_configuration_document.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_configuration/document.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from cardamomshunt._effects import RequestClass
+from cardamomshunt._data_path.effects import RequestClass
 
 
 class ClassSettings(msgspec.Struct, kw_only=True):
--- a/packages/cardamomshunt/src/cardamomshunt/_configuration_patches.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_configuration/patches.py
@@ -7,14 +7,14 @@
 
 import msgspec
 
-from cardamomshunt._configuration_document import (
+from cardamomshunt._configuration.document import (
     ClassSettings,
     ClusterConfiguration,
     DatabaseSettings,
     PolicySettings,
 )
-from cardamomshunt._messages import Change
-from cardamomshunt._operator_messages import FieldError
+from cardamomshunt._control.operator_messages import FieldError
+from cardamomshunt._shared.messages import Change
 
 Value: TypeAlias = str | int | float | bool | None
 _CLASSES = ("order", "lookup", "dispatch")
--- /dev/null
+++ b/packages/cardamomshunt/src/cardamomshunt/_consensus/__init__.py
@@ -0,0 +1,1 @@
+"""The replicated log of the control nodes."""
--- /dev/null
+++ b/packages/cardamomshunt/src/cardamomshunt/_consensus/followers.py
@@ -0,0 +1,101 @@
+"""What a leader knows of its followers."""
+
+from dataclasses import dataclass
+
+from cardamomshunt._consensus.messages import Member
+
+NEVER_MS = float("-inf")
+
+
+def majority(n: int) -> int:
+    """Return how many of n make a majority.
+
+    >>> [majority(n) for n in (1, 2, 3, 4, 5)]
+    [1, 2, 2, 3, 3]
+    """
+    return n // 2 + 1
+
+
+@dataclass(slots=True)
+class Progress:
+    """Hold what a leader knows of one follower."""
+
+    next_index: int
+    match_index: int = 0
+    in_flight_until_ms: float = NEVER_MS
+    heartbeat_due_ms: float = NEVER_MS
+    acked_sent_ms: float = NEVER_MS
+    snapshot_offset: int = 0
+
+    def is_free(self, now_ms: float) -> bool:
+        """Tell whether no entries are on their way."""
+        return now_ms >= self.in_flight_until_ms
+
+
+class Followers:
+    """Keep the progress of each follower, by the incarnation of its disk."""
+
+    def __init__(self, node: str) -> None:
+        self._node = node
+        self._progress: dict[str, Progress] = {}
+        self._incarnations: dict[str, int] = {}
+
+    def clear(self) -> None:
+        """Forget all, as at a change of role."""
+        self._progress = {}
+
+    def update(self, members: list[Member], last_index: int) -> None:
+        """Match the table to the members; a fresh disk starts from nothing."""
+        known = self._progress
+        others = [member for member in members if member.node != self._node]
+        self._progress = {}
+        for member in others:
+            old = known.get(member.node)
+            is_same = self._incarnations.get(member.node) == member.incarnation
+            self._progress[member.node] = (
+                old if old and is_same else Progress(next_index=last_index)
+            )
+        self._incarnations = {member.node: member.incarnation for member in others}
+
+    def of(self, node: str) -> Progress:
+        """Return the progress of a follower that is a member."""
+        return self._progress[node]
+
+    def get(self, node: str) -> Progress | None:
+        """Return the progress of a follower, if it is a member."""
+        return self._progress.get(node)
+
+    def match_index(self, node: str) -> int:
+        """Return up to where a follower's log is known to equal the leader's."""
+        progress = self._progress.get(node)
+        return progress.match_index if progress else 0
+
+    def heartbeats_due_ms(self) -> list[float]:
+        """Return when each follower's next heartbeat is due."""
+        return [item.heartbeat_due_ms for item in self._progress.values()]
+
+    def quorum_contact_ms(self, now_ms: float, voters: list[Member]) -> float:
+        """Return when the latest heartbeat was sent that a majority answered."""
+        times = sorted(
+            (
+                now_ms
+                if member.node == self._node
+                else self._progress[member.node].acked_sent_ms
+                for member in voters
+            ),
+            reverse=True,
+        )
+        return times[majority(len(times)) - 1] if times else NEVER_MS
+
+    def agreed_index(self, voters: list[Member], own_durable_index: int) -> int:
+        """Return up to where a majority of the voters holds the leader's log."""
+        matches = sorted(
+            (
+                own_durable_index
+                if member.node == self._node
+                else self.match_index(member.node)
+                for member in voters
+            ),
+            reverse=True,
+        )
+        return matches[majority(len(matches)) - 1] if matches else 0
--- a/packages/cardamomshunt/src/cardamomshunt/_consensus_log.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_consensus/log.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from cardamomshunt._consensus_messages import Entry, EntryKind, Member, Snapshot
+from cardamomshunt._consensus.messages import Entry, EntryKind, Member, Snapshot
 
 _MEMBERS_DECODER = msgspec.msgpack.Decoder(list[Member])
 
--- /dev/null
+++ b/packages/cardamomshunt/src/cardamomshunt/_consensus/member_changes.py
@@ -0,0 +1,59 @@
+"""Changes of the members of a replicated log, one at a time."""
+
+import msgspec
+
+from cardamomshunt._consensus.messages import JoinHello, Member, Peer
+
+
+def is_single_change(old: list[Member], new: list[Member]) -> bool:
+    """Tell whether at most one voter differs."""
+    old_voters = {(m.node, m.incarnation) for m in old if m.is_voter}
+    new_voters = {(m.node, m.incarnation) for m in new if m.is_voter}
+    return len(old_voters ^ new_voters) <= 1
+
+
+def with_learner(members: list[Member], sender: Peer, hello: JoinHello) -> list[Member]:
+    """Return the members with the announced node as a learner.
+
+    A member that comes back with a fresh disk becomes a learner again.
+    """
+    known = next((item for item in members if item.node == hello.node), None)
+    if known is None:
+        learner = Member(
+            node=hello.node,
+            zone="",
+            peer_address=sender.address,
+            operator_address=hello.operator_address,
+            incarnation=hello.incarnation,
+            is_voter=False,
+        )
+        return [*members, learner]
+    learner = msgspec.structs.replace(
+        known, incarnation=hello.incarnation, is_voter=False
+    )
+    return [learner if item is known else item for item in members]
+
+
+def with_voter(members: list[Member], node: str) -> list[Member]:
+    """Return the members with a learner made a voter."""
+    return [
+        msgspec.structs.replace(item, is_voter=True) if item.node == node else item
+        for item in members
+    ]
+
+
+def without(members: list[Member], node: str) -> list[Member]:
+    """Return the members without one."""
+    return [item for item in members if item.node != node]
+
+
+def with_incarnation(
+    members: list[Member], incarnations: dict[str, int]
+) -> list[Member]:
+    """Return the members with the incarnations that are given."""
+    return [
+        msgspec.structs.replace(item, incarnation=incarnations[item.node])
+        if item.node in incarnations
+        else item
+        for item in members
+    ]
--- a/packages/cardamomshunt/src/cardamomshunt/_consensus_messages.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_consensus/messages.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from cardamomshunt._messages import Message
+from cardamomshunt._shared.messages import Message
 
 
 class Member(msgspec.Struct, frozen=True, kw_only=True):
--- a/packages/cardamomshunt/src/cardamomshunt/_consensus.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_consensus/node.py
@@ -1,14 +1,24 @@
 """The replicated log: elections, replication and membership of one control node."""
 
-import enum
-from collections import deque
-from dataclasses import dataclass, field
 from random import Random
 
 import msgspec
 
-from cardamomshunt._consensus_log import ReplicatedLog
-from cardamomshunt._consensus_messages import (
+from cardamomshunt._consensus.followers import (
+    NEVER_MS,
+    Followers,
+    Progress,
+    majority,
+)
+from cardamomshunt._consensus.joining import Joining
+from cardamomshunt._consensus.log import ReplicatedLog
+from cardamomshunt._consensus.member_changes import (
+    is_single_change,
+    with_learner,
+    with_voter,
+    without,
+)
+from cardamomshunt._consensus.messages import (
     AppendEntries,
     AppendReply,
     ConsensusMessage,
@@ -28,72 +38,15 @@
     VoteReply,
     VoteRequest,
 )
-from cardamomshunt._control_effects import (
-    ControlEffect,
-    EmitEvent,
-    PersistEntries,
-    PersistSnapshot,
-    PersistVote,
-    SendMessage,
+from cardamomshunt._consensus.options import (
+    ConsensusOptions,
+    ConsensusRole,
+    RestoredState,
 )
-from cardamomshunt._events import EventNumber
-
-_NEVER_MS = float("-inf")
-
-
-class ConsensusRole(enum.Enum):
-    """Name what a node does in its term."""
-
-    FOLLOWER = "follower"
-    PRE_CANDIDATE = "pre_candidate"
-    CANDIDATE = "candidate"
-    LEADER = "leader"
-
-
-@dataclass(slots=True, frozen=True)
-class ConsensusOptions:
-    """Set the times and sizes of the replicated log.
-
-    `clock_drift_max` bounds by how much faster one node's clock runs than another's.
-    """
-
-    election_min_ms: float = 300.0
-    election_max_ms: float = 600.0
-    heartbeat_ms: float = 100.0
-    join_interval_ms: float = 200.0
-    transfer_timeout_ms: float = 500.0
-    clock_drift_max: float = 0.05
-    n_entries_per_message: int = 64
-    chunk_size_bytes: int = 65_536
-    n_entries_kept: int = 500
-    n_entries_behind_max: int = 10
-    # A node that is no member may join by itself, and a voter that is silent for
-    # `retire_after_ms` leaves while more than `n_voters_min` vote.
-    admits_unknown: bool = False
-    n_voters_min: int = 3
-    retire_after_ms: float = 2_500.0
-
-
-@dataclass(slots=True)
-class RestoredState:
-    """Hold what was read from disk at start."""
-
-    incarnation: int
-    vote: Vote = field(default_factory=Vote)
-    snapshot: Snapshot = field(default_factory=Snapshot)
-    entries: list[Entry] = field(default_factory=list)
-
-
-@dataclass(slots=True)
-class _Progress:
-    """Hold what a leader knows of one follower."""
-
-    next_index: int
-    match_index: int = 0
-    in_flight_until_ms: float = _NEVER_MS
-    heartbeat_due_ms: float = _NEVER_MS
-    acked_sent_ms: float = _NEVER_MS
-    snapshot_offset: int = 0
+from cardamomshunt._consensus.outbox import Outbox
+from cardamomshunt._consensus.snapshot_transfer import SnapshotSink, SnapshotSource
+from cardamomshunt._control.effects import ControlEffect
+from cardamomshunt._shared.events import EventNumber
 
 
 class ConsensusNode:
@@ -117,7 +70,6 @@
     ) -> None:
         self.node = node
         self._operator_address = operator_address
-        self._may_form = may_form
         self.incarnation = restored.incarnation
         self.options = options or ConsensusOptions()
         self.role = ConsensusRole.FOLLOWER
@@ -127,34 +79,25 @@
         self.commit_index = restored.snapshot.index
         self.failure = ""
         self.full_disk = ""
-        self._initial_members = initial_members
         self._random = random
-        self._effects: list[ControlEffect] = []
+        self._outbox = Outbox(self.log.last_index)
         self._ready: list[Entry | Snapshot] = []
         self._ready_index = restored.snapshot.index
-        self._sequence = 0
-        self._durable_sequence = 0
-        self._durable_index = self.log.last_index
-        self._persisting: deque[list[int]] = deque()
-        self._held: deque[tuple[int, SendMessage]] = deque()
         # A node forgets at a restart when it last heard a leader, whose lease may run.
         self._leader_contact_ms = now_ms
         self._election_deadline_ms = 0.0
         self._reset_election(now_ms)
-        self._join_due_ms = now_ms
-        self._blank_peers: dict[str, int] = {}
-        self._join_addresses = {
-            member.peer_address for member in initial_members if member.node != node
-        }
+        self._joining = Joining(
+            node, self.incarnation, initial_members, now_ms, may_form=may_form
+        )
         self._votes: set[str] = set()
-        self._progress: dict[str, _Progress] = {}
-        self._incarnations: dict[str, str] = {}
+        self._followers = Followers(node)
         self._leader_since_ms = 0.0
         self.first_own_index = 0
         self._transfer_to: str | None = None
         self._transfer_until_ms = 0.0
-        self._incoming: tuple[int, int, bytearray] | None = None
-        self._encoded_snapshot: tuple[int, bytes] | None = None
+        self._snapshot_sink = SnapshotSink()
+        self._snapshot_source = SnapshotSource()
 
     # Views
 
@@ -206,24 +149,24 @@
         if self.commit_index < self.first_own_index:
             return False
         lease_ms = self.options.election_min_ms / (1.0 + self.options.clock_drift_max)
-        return now_ms < self._quorum_contact_ms(now_ms) + lease_ms
+        contact_ms = self._followers.quorum_contact_ms(now_ms, self.voters)
+        return now_ms < contact_ms + lease_ms
 
     def match_index(self, node: str) -> int:
         """Return up to where a follower's log is known to equal this leader's."""
-        progress = self._progress.get(node)
-        return progress.match_index if progress else 0
+        return self._followers.match_index(node)
 
     def next_deadline_ms(self) -> float | None:
         """Return when `tick` is due."""
         if self.failure:
             return None
         if not self.is_formed:
-            return self._join_due_ms
+            return self._joining.due_ms
         if not self.is_leader:
             if not self._is_voter:
-                return self._join_due_ms if self.options.admits_unknown else None
+                return self._joining.due_ms if self.options.admits_unknown else None
             return self._election_deadline_ms
-        due = [item.heartbeat_due_ms for item in self._progress.values()]
+        due = self._followers.heartbeats_due_ms()
         return min(due, default=self._leader_since_ms + self.options.heartbeat_ms)
 
     # Inputs
@@ -231,7 +174,7 @@
     def tick(self, now_ms: float) -> list[ControlEffect]:
         """Do what is due."""
         if self.failure:
-            return self._take_effects()
+            return self._outbox.take()
         if not self.is_formed:
             self._tick_joining(now_ms)
         elif self.is_leader:
@@ -240,7 +183,7 @@
             self._start_pre_vote(now_ms)
         if self.is_formed and not self.is_leader and self.options.admits_unknown:
             self._ask_to_rejoin(now_ms)
-        return self._take_effects()
+        return self._outbox.take()
 
     def on_message(
         self, now_ms: float, sender: Peer, message: ConsensusMessage
@@ -248,22 +191,18 @@
         """Handle a message of another control node."""
         if not self.failure:
             self._dispatch(now_ms, sender, message)
-        return self._take_effects()
+        return self._outbox.take()
 
     def on_storage_done(self, now_ms: float, sequence: int) -> list[ControlEffect]:
         """Note that all writes up to `sequence` are durable."""
-        self._durable_sequence = max(self._durable_sequence, sequence)
-        if self._durable_sequence >= self._sequence:
+        self._outbox.on_durable(sequence)
+        if self._outbox.is_durable:
             self.full_disk = ""
-        while self._persisting and self._persisting[0][0] <= sequence:
-            self._durable_index = self._persisting.popleft()[1]
-        while self._held and self._held[0][0] <= sequence:
-            self._effects.append(self._held.popleft()[1])
         if self.role is ConsensusRole.CANDIDATE:
             self._count_votes(now_ms)
         if self.is_leader:
             self._advance_commit(now_ms)
-        return self._take_effects()
+        return self._outbox.take()
 
     def on_storage_failed(self, now_ms: float, reason: str) -> list[ControlEffect]:
         """Stop voting, leading and acknowledging until a restart.
@@ -272,10 +211,10 @@
         """
         if not self.failure:
             self.failure = reason
-            self._held.clear()
+            self._outbox.drop_held()
             self._become_follower(now_ms, self.term, None)
             self._emit(EventNumber.DISK_FAILED, self.node, reason)
-        return self._take_effects()
+        return self._outbox.take()
 
     def on_storage_full(self, now_ms: float, reason: str) -> list[ControlEffect]:
         """Stop campaigning and leading until the writes are durable after all."""
@@ -283,7 +222,7 @@
             self.full_disk = reason
             self._become_follower(now_ms, self.term, None)
             self._emit(EventNumber.DISK_FULL, self.node, reason)
-        return self._take_effects()
+        return self._outbox.take()
 
     def propose(self, now_ms: float, payload: bytes) -> int | None:
         """Append a command; return its index, or None if this node can't lead."""
@@ -293,9 +232,7 @@
 
     def propose_members(self, now_ms: float, members: list[Member]) -> bool:
         """Propose a change of one member; refuse while another one is pending."""
-        if not self.can_change_members() or not _is_single_change(
-            self.members, members
-        ):
+        if not self.can_change_members() or not is_single_change(self.members, members):
             return False
         payload = msgspec.msgpack.encode(members)
         self._append_own(now_ms, EntryKind.MEMBERS, payload)
@@ -343,68 +280,43 @@
 
     def take_effects(self) -> list[ControlEffect]:
         """Return effects of proposals, which return none themselves."""
-        return self._take_effects()
+        return self._outbox.take()
 
     # Effects
 
-    def _take_effects(self) -> list[ControlEffect]:
-        effects, self._effects = self._effects, []
-        return effects
-
     def _emit(self, number: EventNumber, subject: str, detail: str = "") -> None:
-        self._effects.append(
-            EmitEvent(number=number.value, subject=subject, detail=detail)
-        )
+        self._outbox.emit(number, subject, detail)
 
     def _send(self, address: str, message: ConsensusMessage) -> None:
-        self._effects.append(SendMessage(address=address, message=message))
+        self._outbox.send(address, message)
 
     def _send_durable(self, address: str, message: ConsensusMessage) -> None:
         """Send once all writes issued so far are durable."""
-        effect = SendMessage(address=address, message=message)
-        if self._durable_sequence >= self._sequence:
-            self._effects.append(effect)
-        else:
-            self._held.append((self._sequence, effect))
-
-    def _next_sequence(self) -> int:
-        self._sequence += 1
-        return self._sequence
+        self._outbox.send_durable(address, message)
 
     def _set_vote(self, term: int, voted_for: str) -> None:
         self.vote = Vote(term, voted_for)
-        self._effects.append(
-            PersistVote(sequence=self._next_sequence(), vote=self.vote)
-        )
+        self._outbox.persist_vote(self.vote)
 
     def _persist_entries(self, entries: list[Entry]) -> None:
-        sequence = self._next_sequence()
-        self._persisting.append([sequence, self.log.last_index])
-        self._effects.append(PersistEntries(sequence=sequence, entries=entries))
+        self._outbox.persist_entries(entries, self.log.last_index)
 
     def _persist_snapshot(self, snapshot: Snapshot, is_reset: bool) -> None:
-        sequence = self._next_sequence()
-        self._persisting.append([sequence, self.log.last_index])
-        data = snapshot.encode()
-        self._encoded_snapshot = (snapshot.index, data)
-        self._effects.append(
-            PersistSnapshot(
-                sequence=sequence,
-                index=snapshot.index,
-                data=data,
-                first_kept=self.log.base_index + 1,
-                is_reset=is_reset,
-            )
+        self._outbox.persist_snapshot(
+            snapshot,
+            self._snapshot_source.replace(snapshot),
+            last_index=self.log.last_index,
+            first_kept=self.log.base_index + 1,
+            is_reset=is_reset,
         )
 
     # Joining
 
     def _tick_joining(self, now_ms: float) -> None:
-        if now_ms < self._join_due_ms:
+        if not self._joining.is_due(now_ms, self.options.join_interval_ms):
             return
-        self._join_due_ms = now_ms + self.options.join_interval_ms
-        if self._may_form_alone():
-            self._form(self._initial_members)
+        if self._joining.may_form_alone:
+            self._form(self._joining.first_members())
             return
         self._send_hello()
 
@@ -415,26 +327,18 @@
             node=self.node,
             operator_address=self._operator_address,
         )
-        for address in sorted(self._join_addresses):
+        for address in self._joining.addresses:
             self._send(address, hello)
 
     def _ask_to_rejoin(self, now_ms: float) -> None:
         """Announce this node if no leader sends to it: it may have been retired."""
-        if now_ms < self._join_due_ms:
+        if not self._joining.is_due(now_ms, self.options.retire_after_ms / 2.0):
             return
-        self._join_due_ms = now_ms + self.options.retire_after_ms / 2.0
         if now_ms < self._leader_contact_ms + self.options.retire_after_ms:
             return
-        self._join_addresses |= {
-            member.peer_address for member in self.members if member.node != self.node
-        }
+        self._joining.add_addresses(self.members)
         self._send_hello()
 
-    def _may_form_alone(self) -> bool:
-        if not self._may_form:
-            return False
-        return [member.node for member in self._initial_members] == [self.node]
-
     def _on_join_hello(self, now_ms: float, sender: Peer, message: JoinHello) -> None:
         has_log = self.log.last_index > 0
         self._send_durable(
@@ -449,28 +353,30 @@
         member = self.member(message.node)
         if member is not None and member.incarnation == message.incarnation:
             return
-        if not self.is_leader or not self.can_change_members():
+        if member is None and not self.options.admits_unknown:
             return
-        if member is not None:
-            self._readmit(now_ms, member, message.incarnation)
-        elif self.options.admits_unknown:
-            self._admit(now_ms, sender, message)
-
-    def _admit(self, now_ms: float, sender: Peer, message: JoinHello) -> None:
-        """Take a node that is no member as a learner."""
-        learner = Member(
-            node=message.node,
-            zone="",
-            peer_address=sender.address,
-            operator_address=message.operator_address,
-            incarnation=message.incarnation,
-            is_voter=False,
-        )
-        if self.propose_members(now_ms, [*self.members, learner]):
+        members = with_learner(self.members, sender, message)
+        if self.propose_members(now_ms, members):
             self._emit(
                 EventNumber.MEMBER_CATCHING_UP, message.node, str(message.incarnation)
             )
 
+    def _on_join_reply(self, sender: Peer, message: JoinReply) -> None:
+        if self.is_formed:
+            return
+        has_log = self.log.last_index > 0
+        members = self._joining.on_reply(sender, message, has_log=has_log)
+        if members is not None:
+            self._form(members)
+
+    def _form(self, members: list[Member]) -> None:
+        snapshot = Snapshot(members=members)
+        self.log.install(snapshot)
+        self._persist_snapshot(snapshot, is_reset=True)
+        self._emit(EventNumber.QUORUM_REGAINED, self.node, str(len(members)))
+
+    # Changes of the members
+
     def _retire_silent_voter(self, now_ms: float) -> None:
         """Remove a voter that was replaced, or is down while others took its place."""
         voters = self.voters
@@ -480,83 +386,26 @@
         if self._leader_since_ms > limit_ms:
             return
         silent = [
-            member
-            for member in voters
-            if member.node != self.node
-            and self._progress[member.node].acked_sent_ms < limit_ms
+            member.node
+            for member in self._other_voters()
+            if self._followers.of(member.node).acked_sent_ms < limit_ms
         ]
         if not silent or len(voters) - len(silent) < self.options.n_voters_min:
             return
-        members = [item for item in self.members if item.node != silent[0].node]
-        if self.propose_members(now_ms, members):
-            self._emit(EventNumber.MEMBER_REMOVED, silent[0].node)
-
-    def _readmit(self, now_ms: float, member: Member, incarnation: int) -> None:
-        """Take a member with a fresh disk back as a learner."""
-        learner = msgspec.structs.replace(
-            member, incarnation=incarnation, is_voter=False
-        )
-        members = [
-            learner if item.node == member.node else item for item in self.members
-        ]
-        if self.propose_members(now_ms, members):
-            self._emit(EventNumber.MEMBER_CATCHING_UP, member.node, str(incarnation))
-
-    def _on_join_reply(self, now_ms: float, sender: Peer, message: JoinReply) -> None:
-        if self.is_formed:
-            return
-        # A listed node with an empty log never voted, so it may vote by any list that
-        # names its disk; with an empty log it can't win against nodes that have entries.
-        listed = [
-            member
-            for member in message.members
-            if member.node == self.node and member.incarnation == self.incarnation
-        ]
-        if listed and self.log.last_index == 0:
-            self._form(message.members)
-            return
-        self._join_addresses |= {
-            member.peer_address
-            for member in message.members
-            if member.node != self.node
-        }
-        if message.is_formed:
-            self._blank_peers.clear()
-            return
-        self._blank_peers[sender.node] = message.incarnation
-        self._form_first()
+        if self.propose_members(now_ms, without(self.members, silent[0])):
+            self._emit(EventNumber.MEMBER_REMOVED, silent[0])
 
-    def _form_first(self) -> None:
-        """Set the first members, once all listed nodes are seen with blank disks.
-
-        Only the node with the smallest name does this, so there is one first list.
-        """
-        names = sorted(member.node for member in self._initial_members)
-        if not self._may_form:
-            return
-        if not names or names[0] != self.node or self.log.last_index > 0:
+    def _promote_learner(self, now_ms: float) -> None:
+        if not self.can_change_members():
             return
-        seen = {**self._blank_peers, self.node: self.incarnation}
-        if any(name not in seen for name in names):
+        for member in self._other_members():
+            behind = self.log.last_index - self.match_index(member.node)
+            is_caught_up = behind <= self.options.n_entries_behind_max
+            if member.is_voter or not member.incarnation or not is_caught_up:
+                continue
+            if self.propose_members(now_ms, with_voter(self.members, member.node)):
+                self._emit(EventNumber.MEMBER_ADDED, member.node)
             return
-        self._form(
-            [
-                msgspec.structs.replace(member, incarnation=seen[member.node])
-                for member in self._initial_members
-            ]
-        )
-
-    def _form(self, members: list[Member]) -> None:
-        own = [
-            msgspec.structs.replace(member, incarnation=self.incarnation)
-            if member.node == self.node
-            else member
-            for member in members
-        ]
-        snapshot = Snapshot(members=own)
-        self.log.install(snapshot)
-        self._persist_snapshot(snapshot, is_reset=True)
-        self._emit(EventNumber.QUORUM_REGAINED, self.node, str(len(own)))
 
     # Elections
 
@@ -575,7 +424,7 @@
         self.leader = leader
         self._transfer_to = None
         self._votes = set()
-        self._progress = {}
+        self._followers.clear()
         if was_leader:
             self._emit(EventNumber.LEADER_STEPPED_DOWN, self.node, str(self.term))
 
@@ -621,7 +470,7 @@
     def _has_quorum(self, nodes: set[str]) -> bool:
         voters = self.voters
         n_present = sum(member.node in nodes for member in voters)
-        return bool(voters) and n_present >= _majority(len(voters))
+        return bool(voters) and n_present >= majority(len(voters))
 
     def _hears_leader(self, now_ms: float) -> bool:
         if self.is_leader:
@@ -716,7 +565,7 @@
 
     def _count_votes(self, now_ms: float) -> None:
         """Lead with a majority; the own vote counts once it is durable."""
-        own = {self.node} if self._durable_sequence >= self._sequence else set()
+        own = {self.node} if self._outbox.is_durable else set()
         if self._has_quorum(self._votes | own):
             self._become_leader(now_ms)
 
@@ -724,7 +573,7 @@
         self.role = ConsensusRole.LEADER
         self.leader = self.node
         self._leader_since_ms = now_ms
-        self._progress = {}
+        self._followers.clear()
         self._emit(EventNumber.LEADER_ELECTED, self.node, str(self.term))
         # The first entry carries the members, because followers that joined later have
         # no other source, and commits the entries of older terms.
@@ -739,47 +588,21 @@
         self.log.append([entry])
         self._persist_entries([entry])
         if kind is EntryKind.MEMBERS:
-            self._update_progress()
-        for member in self._followers():
-            progress = self._progress[member.node]
-            if now_ms >= progress.in_flight_until_ms:
+            self._followers.update(self.members, self.log.last_index)
+        for member in self._other_members():
+            progress = self._followers.of(member.node)
+            if progress.is_free(now_ms):
                 self._send_append(now_ms, member, progress)
         return entry.index
 
-    def _followers(self) -> list[Member]:
+    def _other_members(self) -> list[Member]:
         return [member for member in self.members if member.node != self.node]
 
-    def _update_progress(self) -> None:
-        """Match the progress table to the members; a fresh disk starts from nothing."""
-        known = self._progress
-        self._progress = {}
-        for member in self._followers():
-            key = f"{member.node}/{member.incarnation}"
-            old = known.get(member.node)
-            is_same = old is not None and self._incarnations.get(member.node) == key
-            self._progress[member.node] = (
-                old if old and is_same else _Progress(next_index=self.log.last_index)
-            )
-        self._incarnations = {
-            member.node: f"{member.node}/{member.incarnation}"
-            for member in self._followers()
-        }
-
-    def _quorum_contact_ms(self, now_ms: float) -> float:
-        """Return when the latest heartbeat was sent that a majority answered."""
-        times = sorted(
-            (
-                now_ms
-                if member.node == self.node
-                else self._progress[member.node].acked_sent_ms
-                for member in self.voters
-            ),
-            reverse=True,
-        )
-        return times[_majority(len(times)) - 1] if times else _NEVER_MS
-
     def _tick_leader(self, now_ms: float) -> None:
-        contact_ms = max(self._quorum_contact_ms(now_ms), self._leader_since_ms)
+        contact_ms = max(
+            self._followers.quorum_contact_ms(now_ms, self.voters),
+            self._leader_since_ms,
+        )
         if now_ms > contact_ms + self.options.election_max_ms:
             self._become_follower(now_ms, self.term, None)
             return
@@ -789,8 +612,8 @@
                 return
         self._promote_learner(now_ms)
         self._retire_silent_voter(now_ms)
-        for member in self._followers():
-            progress = self._progress[member.node]
+        for member in self._other_members():
+            progress = self._followers.of(member.node)
             if now_ms >= progress.heartbeat_due_ms:
                 self._send_append(now_ms, member, progress)
 
@@ -808,25 +631,7 @@
         )
         self._become_follower(now_ms, self.term, None)
 
-    def _promote_learner(self, now_ms: float) -> None:
-        if not self.can_change_members():
-            return
-        for member in self._followers():
-            behind = self.log.last_index - self.match_index(member.node)
-            is_caught_up = behind <= self.options.n_entries_behind_max
-            if member.is_voter or not member.incarnation or not is_caught_up:
-                continue
-            members = [
-                msgspec.structs.replace(item, is_voter=True)
-                if item.node == member.node
-                else item
-                for item in self.members
-            ]
-            if self.propose_members(now_ms, members):
-                self._emit(EventNumber.MEMBER_ADDED, member.node)
-            return
-
-    def _send_append(self, now_ms: float, member: Member, progress: _Progress) -> None:
+    def _send_append(self, now_ms: float, member: Member, progress: Progress) -> None:
         progress.heartbeat_due_ms = now_ms + self.options.heartbeat_ms
         prev_index = progress.next_index - 1
         prev_term = self.log.term_at(prev_index)
@@ -849,13 +654,9 @@
         )
         self._send(member.peer_address, message)
 
-    def _send_chunk(self, now_ms: float, member: Member, progress: _Progress) -> None:
+    def _send_chunk(self, now_ms: float, member: Member, progress: Progress) -> None:
         snapshot = self.log.snapshot
-        if self._encoded_snapshot is None or (
-            self._encoded_snapshot[0] != snapshot.index
-        ):
-            self._encoded_snapshot = (snapshot.index, snapshot.encode())
-        data = self._encoded_snapshot[1]
+        data = self._snapshot_source.encode(snapshot)
         offset = min(progress.snapshot_offset, len(data))
         chunk = SnapshotChunk(
             term=self.term,
@@ -872,12 +673,12 @@
 
     def _progress_of(
         self, sender: Peer, message: ConsensusMessage
-    ) -> tuple[Member, _Progress] | None:
+    ) -> tuple[Member, Progress] | None:
         """Return the follower's progress if its answer counts in this term."""
         if not self.is_leader or message.term != self.term:
             return None
         member = self.member(sender.node, message.incarnation)
-        progress = self._progress.get(sender.node)
+        progress = self._followers.get(sender.node)
         return (member, progress) if member and progress else None
 
     def _on_append_reply(
@@ -896,18 +697,18 @@
             progress.match_index = max(progress.match_index, message.match_index)
             progress.next_index = max(progress.next_index, progress.match_index + 1)
             if is_news:
-                progress.in_flight_until_ms = _NEVER_MS
+                progress.in_flight_until_ms = NEVER_MS
                 self._advance_commit(now_ms)
         elif message.prev_index == progress.next_index - 1:
             progress.next_index = max(
                 progress.match_index + 1,
                 min(message.match_index + 1, message.prev_index),
             )
-            progress.in_flight_until_ms = _NEVER_MS
+            progress.in_flight_until_ms = NEVER_MS
         if not self.is_leader:
             return
         has_more = progress.next_index <= self.log.last_index
-        if has_more and now_ms >= progress.in_flight_until_ms:
+        if has_more and progress.is_free(now_ms):
             self._send_append(now_ms, member, progress)
         if self._transfer_to is not None:
             self._continue_transfer(now_ms)
@@ -929,18 +730,8 @@
             self._send_chunk(now_ms, member, progress)
 
     def _advance_commit(self, now_ms: float) -> None:
-        matches = sorted(
-            (
-                self._durable_index
-                if member.node == self.node
-                else self.match_index(member.node)
-                for member in self.voters
-            ),
-            reverse=True,
-        )
-        if not matches:
-            return
-        agreed = min(matches[_majority(len(matches)) - 1], self.log.last_index)
+        held = self._followers.agreed_index(self.voters, self._outbox.durable_index)
+        agreed = min(held, self.log.last_index)
         if agreed <= self.commit_index or not self._may_commit(agreed):
             return
         self.commit_index = agreed
@@ -952,9 +743,9 @@
 
     def _after_commit(self, now_ms: float) -> None:
         """Tell followers at once, and step down after the own removal."""
-        for member in self._followers():
-            progress = self._progress[member.node]
-            if now_ms >= progress.in_flight_until_ms:
+        for member in self._other_members():
+            progress = self._followers.of(member.node)
+            if progress.is_free(now_ms):
                 self._send_append(now_ms, member, progress)
         is_settled = self.commit_index >= self.log.members_index
         if is_settled and self.member(self.node) is None:
@@ -1022,9 +813,7 @@
     def _truncate_from(self, index: int) -> None:
         assert index > self.commit_index, "a committed entry can't change"
         self.log.truncate_from(index)
-        self._durable_index = min(self._durable_index, index - 1)
-        for pending in self._persisting:
-            pending[1] = min(pending[1], index - 1)
+        self._outbox.truncate(index - 1)
 
     def _reply_append(
         self,
@@ -1054,35 +843,23 @@
         if message.snapshot_index <= self.commit_index:
             self._reply_append(sender, message, True, message.snapshot_index)
             return
-        data = self._collect_chunk(message)
-        if len(data) < message.size_bytes:
+        n_held = self._snapshot_sink.add(message)
+        if n_held < message.size_bytes:
             reply = SnapshotReply(
                 term=self.term,
                 incarnation=self.incarnation,
                 snapshot_index=message.snapshot_index,
-                next_offset=len(data),
+                next_offset=n_held,
                 sent_ms=message.sent_ms,
             )
             self._send_durable(sender.address, reply)
             return
-        self._incoming = None
-        self._install(Snapshot.decode(bytes(data)))
+        self._install(self._snapshot_sink.take())
         self._reply_append(sender, message, True, message.snapshot_index)
 
-    def _collect_chunk(self, message: SnapshotChunk) -> bytearray:
-        key = (message.snapshot_index, message.snapshot_term)
-        if self._incoming is None or self._incoming[:2] != key:
-            self._incoming = (*key, bytearray())
-        data = self._incoming[2]
-        if message.offset == len(data):
-            data.extend(message.data)
-        return data
-
     def _install(self, snapshot: Snapshot) -> None:
         is_reset = self.log.install(snapshot)
-        for pending in self._persisting:
-            pending[1] = min(pending[1], self.log.last_index)
-        self._durable_index = min(self._durable_index, self.log.last_index)
+        self._outbox.truncate(self.log.last_index)
         self.commit_index = self._ready_index = snapshot.index
         self._ready.append(snapshot)
         self._persist_snapshot(snapshot, is_reset)
@@ -1115,20 +892,4 @@
             case JoinHello():
                 self._on_join_hello(now_ms, sender, message)
             case JoinReply():
-                self._on_join_reply(now_ms, sender, message)
-
-
-def _majority(n: int) -> int:
-    """Return how many of n make a majority.
-
-    >>> [_majority(n) for n in (1, 2, 3, 4, 5)]
-    [1, 2, 2, 3, 3]
-    """
-    return n // 2 + 1
-
-
-def _is_single_change(old: list[Member], new: list[Member]) -> bool:
-    """Tell whether at most one voter differs."""
-    old_voters = {(m.node, m.incarnation) for m in old if m.is_voter}
-    new_voters = {(m.node, m.incarnation) for m in new if m.is_voter}
-    return len(old_voters ^ new_voters) <= 1
+                self._on_join_reply(sender, message)
--- /dev/null
+++ b/packages/cardamomshunt/src/cardamomshunt/_consensus/options.py
@@ -0,0 +1,49 @@
+"""Settings and the restored state of one control node's replicated log."""
+
+import enum
+from dataclasses import dataclass, field
+
+from cardamomshunt._consensus.messages import Entry, Snapshot, Vote
+
+
+class ConsensusRole(enum.Enum):
+    """Name what a node does in its term."""
+
+    FOLLOWER = "follower"
+    PRE_CANDIDATE = "pre_candidate"
+    CANDIDATE = "candidate"
+    LEADER = "leader"
+
+
+@dataclass(slots=True, frozen=True)
+class ConsensusOptions:
+    """Set the times and sizes of the replicated log.
+
+    `clock_drift_max` bounds by how much faster one node's clock runs than another's.
+    """
+
+    election_min_ms: float = 300.0
+    election_max_ms: float = 600.0
+    heartbeat_ms: float = 100.0
+    join_interval_ms: float = 200.0
+    transfer_timeout_ms: float = 500.0
+    clock_drift_max: float = 0.05
+    n_entries_per_message: int = 64
+    chunk_size_bytes: int = 65_536
+    n_entries_kept: int = 500
+    n_entries_behind_max: int = 10
+    # A node that is no member may join by itself, and a voter that is silent for
+    # `retire_after_ms` leaves while more than `n_voters_min` vote.
+    admits_unknown: bool = False
+    n_voters_min: int = 3
+    retire_after_ms: float = 2_500.0
+
+
+@dataclass(slots=True)
+class RestoredState:
+    """Hold what was read from disk at start."""
+
+    incarnation: int
+    vote: Vote = field(default_factory=Vote)
+    snapshot: Snapshot = field(default_factory=Snapshot)
+    entries: list[Entry] = field(default_factory=list)
--- /dev/null
+++ b/packages/cardamomshunt/src/cardamomshunt/_consensus/outbox.py
@@ -0,0 +1,116 @@
+"""Effects of a consensus node, and messages that wait for its disk."""
+
+from collections import deque
+
+from cardamomshunt._consensus.messages import (
+    ConsensusMessage,
+    Entry,
+    Snapshot,
+    Vote,
+)
+from cardamomshunt._control.effects import (
+    ControlEffect,
+    EmitEvent,
+    PersistEntries,
+    PersistSnapshot,
+    PersistVote,
+    SendMessage,
+)
+from cardamomshunt._shared.events import EventNumber
+
+
+class Outbox:
+    """Collect effects, and know what is durable.
+
+    Writes become durable in the order in which they were issued.
+    """
+
+    def __init__(self, last_index: int) -> None:
+        self.durable_index = last_index
+        self._effects: list[ControlEffect] = []
+        self._sequence = 0
+        self._durable_sequence = 0
+        self._persisting: deque[list[int]] = deque()
+        self._held: deque[tuple[int, SendMessage]] = deque()
+
+    @property
+    def is_durable(self) -> bool:
+        """Tell whether all writes issued so far are durable."""
+        return self._durable_sequence >= self._sequence
+
+    def take(self) -> list[ControlEffect]:
+        """Return the effects since the last call."""
+        effects, self._effects = self._effects, []
+        return effects
+
+    def emit(self, number: EventNumber, subject: str, detail: str = "") -> None:
+        """Report an event."""
+        self._effects.append(
+            EmitEvent(number=number.value, subject=subject, detail=detail)
+        )
+
+    def send(self, address: str, message: ConsensusMessage) -> None:
+        """Send at once."""
+        self._effects.append(SendMessage(address=address, message=message))
+
+    def send_durable(self, address: str, message: ConsensusMessage) -> None:
+        """Send once all writes issued so far are durable."""
+        effect = SendMessage(address=address, message=message)
+        if self.is_durable:
+            self._effects.append(effect)
+        else:
+            self._held.append((self._sequence, effect))
+
+    def drop_held(self) -> None:
+        """Forget messages that wait for a disk that failed."""
+        self._held.clear()
+
+    def persist_vote(self, vote: Vote) -> None:
+        """Write term and vote."""
+        self._effects.append(PersistVote(sequence=self._next_sequence(), vote=vote))
+
+    def persist_entries(self, entries: list[Entry], last_index: int) -> None:
+        """Write entries of a log that now ends at `last_index`."""
+        sequence = self._next_sequence()
+        self._persisting.append([sequence, last_index])
+        self._effects.append(PersistEntries(sequence=sequence, entries=entries))
+
+    def persist_snapshot(
+        self,
+        snapshot: Snapshot,
+        data: bytes,
+        *,
+        last_index: int,
+        first_kept: int,
+        is_reset: bool,
+    ) -> None:
+        """Write an encoded snapshot of a log that now ends at `last_index`."""
+        sequence = self._next_sequence()
+        self._persisting.append([sequence, last_index])
+        self._effects.append(
+            PersistSnapshot(
+                sequence=sequence,
+                index=snapshot.index,
+                data=data,
+                first_kept=first_kept,
+                is_reset=is_reset,
+            )
+        )
+
+    def on_durable(self, sequence: int) -> None:
+        """Note that all writes up to `sequence` are durable; send what waited."""
+        self._durable_sequence = max(self._durable_sequence, sequence)
+        while self._persisting and self._persisting[0][0] <= sequence:
+            self.durable_index = self._persisting.popleft()[1]
+        while self._held and self._held[0][0] <= sequence:
+            self._effects.append(self._held.popleft()[1])
+
+    def truncate(self, last_index: int) -> None:
+        """Note that the log was cut off, so that nothing after it is durable."""
+        self.durable_index = min(self.durable_index, last_index)
+        for pending in self._persisting:
+            pending[1] = min(pending[1], last_index)
+
+    def _next_sequence(self) -> int:
+        self._sequence += 1
+        return self._sequence
--- /dev/null
+++ b/packages/cardamomshunt/src/cardamomshunt/_consensus/snapshot_transfer.py
@@ -0,0 +1,44 @@
+"""Snapshots on their way to a follower, in chunks."""
+
+from cardamomshunt._consensus.messages import Snapshot, SnapshotChunk
+
+
+class SnapshotSource:
+    """Keep the newest snapshot in encoded form."""
+
+    def __init__(self) -> None:
+        self._index = -1
+        self._data = b""
+
+    def encode(self, snapshot: Snapshot) -> bytes:
+        """Return the encoded snapshot, encoding it once."""
+        if self._index != snapshot.index:
+            self.replace(snapshot)
+        return self._data
+
+    def replace(self, snapshot: Snapshot) -> bytes:
+        """Encode a new snapshot, even one of the same index."""
+        self._index, self._data = snapshot.index, snapshot.encode()
+        return self._data
+
+
+class SnapshotSink:
+    """Collect the chunks of one snapshot."""
+
+    def __init__(self) -> None:
+        self._key: tuple[int, int] | None = None
+        self._data = bytearray()
+
+    def add(self, chunk: SnapshotChunk) -> int:
+        """Add a chunk if it is the next one; return how many bytes are held."""
+        key = (chunk.snapshot_index, chunk.snapshot_term)
+        if self._key != key:
+            self._key, self._data = key, bytearray()
+        if chunk.offset == len(self._data):
+            self._data.extend(chunk.data)
+        return len(self._data)
+
+    def take(self) -> Snapshot:
+        """Return the whole snapshot, and forget it."""
+        data, self._key, self._data = bytes(self._data), None, bytearray()
+        return Snapshot.decode(data)
--- /dev/null
+++ b/packages/cardamomshunt/src/cardamomshunt/_control/__init__.py
@@ -0,0 +1,1 @@
+"""The control node: replicated state, failover and operators."""
--- a/packages/cardamomshunt/src/cardamomshunt/_command_relay.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_control/command_relay.py
@@ -3,13 +3,13 @@
 from dataclasses import dataclass, field
 from typing import TypeAlias
 
-from cardamomshunt._control_effects import (
+from cardamomshunt._control.effects import (
     CommandInstance,
     InstanceCommandKind,
     InstanceReply,
 )
-from cardamomshunt._messages import InstanceAddress, Message
-from cardamomshunt._position import LogPosition
+from cardamomshunt._shared.messages import InstanceAddress, Message
+from cardamomshunt._shared.position import LogPosition
 
 _N_WAITING_MAX = 1_000
 
--- a/packages/cardamomshunt/src/cardamomshunt/_control_effects.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_control/effects.py
@@ -4,9 +4,9 @@
 
 import msgspec
 
-from cardamomshunt._consensus_messages import Entry, Vote
-from cardamomshunt._messages import InstanceAddress, Message
-from cardamomshunt._position import ZERO, LogPosition
+from cardamomshunt._consensus.messages import Entry, Vote
+from cardamomshunt._shared.messages import InstanceAddress, Message
+from cardamomshunt._shared.position import ZERO, LogPosition
 
 
 class ControlEffect(msgspec.Struct, kw_only=True):
--- a/packages/cardamomshunt/src/cardamomshunt/_failover.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_control/failover.py
@@ -5,19 +5,19 @@
 
 import msgspec
 
-from cardamomshunt._control_effects import (
+from cardamomshunt._control.effects import (
     CommandInstance,
     ControlEffect,
     EmitEvent,
     InstanceCommandKind,
     InstanceReply,
 )
-from cardamomshunt._control_state import DatabaseRecord, InstanceRecord
-from cardamomshunt._events import EventNumber
-from cardamomshunt._health_view import Health, HealthView
-from cardamomshunt._messages import FailoverStep, InstanceRole
-from cardamomshunt._position import LogPosition
-from cardamomshunt._state_chart import StateChart
+from cardamomshunt._control.health_view import Health, HealthView
+from cardamomshunt._control.state import DatabaseRecord, InstanceRecord
+from cardamomshunt._shared.events import EventNumber
+from cardamomshunt._shared.messages import FailoverStep, InstanceRole
+from cardamomshunt._shared.position import LogPosition
+from cardamomshunt._shared.state_chart import StateChart
 
 CHART = StateChart.load("failover")
 
--- a/packages/cardamomshunt/src/cardamomshunt/_health_view.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_control/health_view.py
@@ -3,13 +3,13 @@
 from collections import defaultdict
 from dataclasses import dataclass, field
 
-from cardamomshunt._messages import (
+from cardamomshunt._shared.messages import (
     HealthReport,
     InstanceAddress,
     InstanceObservation,
     InstanceRole,
 )
-from cardamomshunt._position import ZERO, LogPosition
+from cardamomshunt._shared.position import ZERO, LogPosition
 
 # Reports of an entry VM that is cut off or frozen must not outvote newer ones.
 REPORT_AGE_MAX_MS = 1_000.0
--- a/packages/cardamomshunt/src/cardamomshunt/_control.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_control/node.py
@@ -5,14 +5,7 @@
 
 import msgspec
 
-from cardamomshunt._command_relay import (
-    CommandRelay,
-    RelayedCommand,
-    RelayedReply,
-)
-from cardamomshunt._connection_shares import GRANT_INTERVAL_MS, ConnectionAllocator
-from cardamomshunt._consensus import ConsensusNode, ConsensusOptions, RestoredState
-from cardamomshunt._consensus_messages import (
+from cardamomshunt._consensus.messages import (
     ConsensusMessage,
     Entry,
     EntryKind,
@@ -20,7 +13,14 @@
     Peer,
     Snapshot,
 )
-from cardamomshunt._control_effects import (
+from cardamomshunt._consensus.node import ConsensusNode
+from cardamomshunt._consensus.options import ConsensusOptions, RestoredState
+from cardamomshunt._control.command_relay import (
+    CommandRelay,
+    RelayedCommand,
+    RelayedReply,
+)
+from cardamomshunt._control.effects import (
     CommandInstance,
     ControlEffect,
     EmitEvent,
@@ -28,7 +28,27 @@
     ReplyOperator,
     SendMessage,
 )
-from cardamomshunt._control_state import (
+from cardamomshunt._control.failover import FailoverController, FailoverOptions
+from cardamomshunt._control.health_view import HealthView
+from cardamomshunt._control.node_registry import NodeRegistry, NodeView
+from cardamomshunt._control.operator_messages import (
+    ConfigurationReply,
+    ConfigurationRequest,
+    DrainReply,
+    DrainRequest,
+    HandoverReply,
+    HandoverRequest,
+    MemberChangeReply,
+    MemberChangeRequest,
+    OperatorError,
+    OperatorErrorCode,
+    PatchOutcome,
+    PatchReply,
+    PatchRequest,
+    StatusReply,
+    StatusRequest,
+)
+from cardamomshunt._control.state import (
     ApplyPatch,
     Command,
     ControlState,
@@ -36,15 +56,17 @@
     SetDrain,
     encode_command,
 )
-from cardamomshunt._control_status import (
+from cardamomshunt._control.status import (
     database_statuses,
     find_problems,
     node_statuses,
 )
-from cardamomshunt._events import EventNumber
-from cardamomshunt._failover import FailoverController, FailoverOptions
-from cardamomshunt._health_view import HealthView
-from cardamomshunt._messages import (
+from cardamomshunt._data_path.connection_shares import (
+    GRANT_INTERVAL_MS,
+    ConnectionAllocator,
+)
+from cardamomshunt._shared.events import EventNumber
+from cardamomshunt._shared.messages import (
     ConfigurationUpdate,
     DemandReport,
     DrainInstance,
@@ -53,24 +75,6 @@
     Message,
     NodeRole,
 )
-from cardamomshunt._node_registry import NodeRegistry, NodeView
-from cardamomshunt._operator_messages import (
-    ConfigurationReply,
-    ConfigurationRequest,
-    DrainReply,
-    DrainRequest,
-    HandoverReply,
-    HandoverRequest,
-    MemberChangeReply,
-    MemberChangeRequest,
-    OperatorError,
-    OperatorErrorCode,
-    PatchOutcome,
-    PatchReply,
-    PatchRequest,
-    StatusReply,
-    StatusRequest,
-)
 
 
 @dataclass(slots=True, frozen=True)
--- a/packages/cardamomshunt/src/cardamomshunt/_node_registry.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_control/node_registry.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass, field
 
-from cardamomshunt._messages import HealthReport, Heartbeat, NodeRole
+from cardamomshunt._shared.messages import HealthReport, Heartbeat, NodeRole
 
 LIVE_MS = 3_000.0
 # A node that is gone this long is taken as removed and no longer named as cut off.
--- a/packages/cardamomshunt/src/cardamomshunt/_operator_messages.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_control/operator_messages.py
@@ -4,8 +4,8 @@
 
 import msgspec
 
-from cardamomshunt._messages import Change, FailoverStep, Message, NodeRole
-from cardamomshunt._position import LogPosition
+from cardamomshunt._shared.messages import Change, FailoverStep, Message, NodeRole
+from cardamomshunt._shared.position import LogPosition
 
 
 class OperatorErrorCode(enum.Enum):
--- a/packages/cardamomshunt/src/cardamomshunt/_control_state.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_control/state.py
@@ -4,25 +4,25 @@
 
 import msgspec
 
-from cardamomshunt._configuration_document import ClusterConfiguration
-from cardamomshunt._configuration_patches import (
+from cardamomshunt._configuration.document import ClusterConfiguration
+from cardamomshunt._configuration.patches import (
     PatchInvalidError,
     apply_changes,
     difference,
 )
-from cardamomshunt._messages import (
+from cardamomshunt._control.operator_messages import (
+    PatchOutcome,
+    PatchReply,
+    PatchRequest,
+    VersionEntry,
+)
+from cardamomshunt._shared.messages import (
     Change,
     DatabaseTopology,
     FailoverStep,
     InstanceAddress,
     TopologyUpdate,
 )
-from cardamomshunt._operator_messages import (
-    PatchOutcome,
-    PatchReply,
-    PatchRequest,
-    VersionEntry,
-)
 
 N_PATCH_IDS_KEPT = 10_000
 N_VERSIONS_KEPT = 2_000
--- a/packages/cardamomshunt/src/cardamomshunt/_control_status.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_control/status.py
@@ -1,16 +1,16 @@
 """Answers to operators that only read state."""
 
-from cardamomshunt._control_state import ControlState, DatabaseRecord
-from cardamomshunt._health_view import HealthView
-from cardamomshunt._messages import FailoverStep
-from cardamomshunt._node_registry import NodeRegistry
-from cardamomshunt._operator_messages import (
+from cardamomshunt._control.health_view import HealthView
+from cardamomshunt._control.node_registry import NodeRegistry
+from cardamomshunt._control.operator_messages import (
     DatabaseStatus,
     InstanceStatus,
     NodeStatus,
     Problem,
 )
-from cardamomshunt._position import ZERO
+from cardamomshunt._control.state import ControlState, DatabaseRecord
+from cardamomshunt._shared.messages import FailoverStep
+from cardamomshunt._shared.position import ZERO
 
 
 def database_statuses(
--- /dev/null
+++ b/packages/cardamomshunt/src/cardamomshunt/_data_path/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions on requests, connections and retries, without I/O."""
--- a/packages/cardamomshunt/src/cardamomshunt/_admission.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_data_path/admission.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 from typing import Generic, TypeVar
 
-from cardamomshunt._effects import RequestClass
+from cardamomshunt._data_path.effects import RequestClass
 
 T = TypeVar("T")
 
--- a/packages/cardamomshunt/src/cardamomshunt/_attempts.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_data_path/attempts.py
@@ -1,22 +1,22 @@
 """Ends of attempts, and what follows."""
 
-from cardamomshunt._effects import (
+from cardamomshunt._data_path.effects import (
     AttemptOutcome,
     AttemptResult,
     RequestKind,
 )
-from cardamomshunt._group import FENCED_PAUSE_MS
-from cardamomshunt._path_state import BEGINS, READS
-from cardamomshunt._request_state import (
+from cardamomshunt._data_path.group import FENCED_PAUSE_MS
+from cardamomshunt._data_path.path_state import BEGINS, READS
+from cardamomshunt._data_path.request_state import (
     PendingRequest,
     RunningAttempt,
     Transaction,
 )
-from cardamomshunt._retries import (
+from cardamomshunt._data_path.retries import (
     Action,
 )
-from cardamomshunt._transactions import Transactions
-from cardamomshunt._verdict import Refusal, RefusalReason, Verdict
+from cardamomshunt._data_path.transactions import Transactions
+from cardamomshunt._shared.verdict import Refusal, RefusalReason, Verdict
 
 LATE_SHARE = 0.4  # of a deadline, after which an attempt counts as late
 
--- a/packages/cardamomshunt/src/cardamomshunt/_classification.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_data_path/classification.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from cardamomshunt._effects import RequestKind
+from cardamomshunt._data_path.effects import RequestKind
 
 N_SHAPES_MAX = 2_048
 N_SHAPE_CHARACTERS_MAX = 4_096  # longer shapes are classified each time, not kept
--- a/packages/cardamomshunt/src/cardamomshunt/_connection_shares.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_data_path/connection_shares.py
@@ -6,7 +6,11 @@
 
 from dataclasses import dataclass, field
 
-from cardamomshunt._messages import ConnectionGrant, ConnectionGrants, DemandReport
+from cardamomshunt._shared.messages import (
+    ConnectionGrant,
+    ConnectionGrants,
+    DemandReport,
+)
 
 GRANT_INTERVAL_MS = 500.0
 GRANT_LEASE_MS = 3_000.0
--- a/packages/cardamomshunt/src/cardamomshunt/_dispatch.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_data_path/dispatch.py
@@ -2,30 +2,30 @@
 
 import heapq
 
-from cardamomshunt._admission import SHED_AT_DEADLINE_SHARE, Lane
-from cardamomshunt._effects import (
+from cardamomshunt._data_path.admission import SHED_AT_DEADLINE_SHARE, Lane
+from cardamomshunt._data_path.effects import (
     AskPosition,
     AttemptKind,
     RequestClass,
     RequestKind,
     StartAttempt,
 )
-from cardamomshunt._endings import Endings
-from cardamomshunt._freshness import ReadRequirement
-from cardamomshunt._group import DatabaseGroup
-from cardamomshunt._idempotency import attempt_kind
-from cardamomshunt._path_state import READS, not_run
-from cardamomshunt._pool import Connection, InstanceState
-from cardamomshunt._request_state import (
+from cardamomshunt._data_path.endings import Endings
+from cardamomshunt._data_path.freshness import ReadRequirement
+from cardamomshunt._data_path.group import DatabaseGroup
+from cardamomshunt._data_path.idempotency import attempt_kind
+from cardamomshunt._data_path.path_state import READS, not_run
+from cardamomshunt._data_path.pool import Connection, InstanceState
+from cardamomshunt._data_path.request_state import (
     PendingRequest,
     RunningAttempt,
 )
-from cardamomshunt._retries import (
+from cardamomshunt._data_path.retries import (
     RepeatRule,
 )
-from cardamomshunt._routing import without_outliers
-from cardamomshunt._sessions import required_of_read
-from cardamomshunt._verdict import RefusalReason
+from cardamomshunt._data_path.routing import without_outliers
+from cardamomshunt._data_path.sessions import required_of_read
+from cardamomshunt._shared.verdict import RefusalReason
 
 POSITION_QUERY_TIMEOUT_MS = 500.0
 REPEATABLE_SHARE = 0.5  # of the time left, for an attempt that can be repeated
--- a/packages/cardamomshunt/src/cardamomshunt/_effects.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_data_path/effects.py
@@ -5,9 +5,9 @@
 
 import msgspec
 
-from cardamomshunt._messages import InstanceAddress, InstanceRole
-from cardamomshunt._position import LogPosition
-from cardamomshunt._verdict import Refusal
+from cardamomshunt._shared.messages import InstanceAddress, InstanceRole
+from cardamomshunt._shared.position import LogPosition
+from cardamomshunt._shared.verdict import Refusal
 
 CallerId: TypeAlias = int
 RequestId: TypeAlias = int
--- a/packages/cardamomshunt/src/cardamomshunt/_endings.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_data_path/endings.py
@@ -1,6 +1,6 @@
 """Ends of requests, with true verdicts."""
 
-from cardamomshunt._effects import (
+from cardamomshunt._data_path.effects import (
     AttemptResult,
     CompleteRequest,
     FirstAnswer,
@@ -8,14 +8,14 @@
     RefuseRequest,
     RequestKind,
 )
-from cardamomshunt._group import POSITION_MAX
-from cardamomshunt._path_state import BEGINS, ENDS, READS, PathState, not_run
-from cardamomshunt._position import LogPosition
-from cardamomshunt._request_state import (
+from cardamomshunt._data_path.group import POSITION_MAX
+from cardamomshunt._data_path.path_state import BEGINS, ENDS, READS, PathState, not_run
+from cardamomshunt._data_path.request_state import (
     PendingRequest,
     RunningAttempt,
 )
-from cardamomshunt._verdict import Refusal, RefusalReason, Verdict
+from cardamomshunt._shared.position import LogPosition
+from cardamomshunt._shared.verdict import Refusal, RefusalReason, Verdict
 
 _EMPTY_ANSWER = FirstAnswer(0, 0)
 
--- a/packages/cardamomshunt/src/cardamomshunt/_data_path.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_data_path/facade.py
@@ -2,13 +2,12 @@
 
 import heapq
 
-from cardamomshunt._admission import ConcurrencyLimit
-from cardamomshunt._attempts import Attempts
-from cardamomshunt._breaker import CircuitBreaker
-from cardamomshunt._configuration_document import ClusterConfiguration
-from cardamomshunt._data_path_interface import AbstractDataPath
-from cardamomshunt._dispatch import POSITION_QUERY_TIMEOUT_MS
-from cardamomshunt._effects import (
+from cardamomshunt._configuration.document import ClusterConfiguration
+from cardamomshunt._data_path.admission import ConcurrencyLimit
+from cardamomshunt._data_path.attempts import Attempts
+from cardamomshunt._data_path.breaker import CircuitBreaker
+from cardamomshunt._data_path.dispatch import POSITION_QUERY_TIMEOUT_MS
+from cardamomshunt._data_path.effects import (
     AttemptOutcome,
     AttemptResult,
     CallerId,
@@ -22,9 +21,21 @@
     RequestId,
     RequestKind,
 )
-from cardamomshunt._group import DatabaseGroup
-from cardamomshunt._idempotency import refusal_of_key, repeat_rule
-from cardamomshunt._messages import (
+from cardamomshunt._data_path.group import DatabaseGroup
+from cardamomshunt._data_path.idempotency import refusal_of_key, repeat_rule
+from cardamomshunt._data_path.interface import AbstractDataPath
+from cardamomshunt._data_path.path_state import ENDS, not_run
+from cardamomshunt._data_path.pool import InstanceState
+from cardamomshunt._data_path.request_state import (
+    CallerState,
+    PendingRequest,
+    RunningAttempt,
+)
+from cardamomshunt._data_path.retries import (
+    RepeatRule,
+)
+from cardamomshunt._data_path.sessions import Session
+from cardamomshunt._shared.messages import (
     Announcement,
     ConnectionDemand,
     ConnectionGrant,
@@ -32,19 +43,8 @@
     InstanceRole,
     TopologyUpdate,
 )
-from cardamomshunt._path_state import ENDS, not_run
-from cardamomshunt._pool import InstanceState
-from cardamomshunt._position import LogPosition
-from cardamomshunt._request_state import (
-    CallerState,
-    PendingRequest,
-    RunningAttempt,
-)
-from cardamomshunt._retries import (
-    RepeatRule,
-)
-from cardamomshunt._sessions import Session
-from cardamomshunt._verdict import Refusal, RefusalReason
+from cardamomshunt._shared.position import LogPosition
+from cardamomshunt._shared.verdict import Refusal, RefusalReason
 
 MAINTENANCE_MS = 250.0
 N_MAINTENANCES_TO_DECAY = 8  # the peak of connections in use falls by one in 2 s
--- a/packages/cardamomshunt/src/cardamomshunt/_freshness.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_data_path/freshness.py
@@ -3,7 +3,7 @@
 from bisect import bisect_left, bisect_right
 from dataclasses import dataclass
 
-from cardamomshunt._position import ZERO, LogPosition
+from cardamomshunt._shared.position import ZERO, LogPosition
 
 N_BOUNDS_MAX = 256  # 12 s at ten bounds a second; older ones are kept at wider steps
 
--- a/packages/cardamomshunt/src/cardamomshunt/_group.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_data_path/group.py
@@ -1,14 +1,14 @@
 """State of one database group as an entry VM sees it."""
 
-from cardamomshunt._admission import Lane, ReservedSharePolicy
-from cardamomshunt._configuration_document import ClassSettings, DatabaseSettings
-from cardamomshunt._effects import RequestClass
-from cardamomshunt._freshness import BoundHistory, ReadRequirement
-from cardamomshunt._messages import DatabaseTopology, FailoverStep, InstanceRole
-from cardamomshunt._pool import Connection, InstanceState
-from cardamomshunt._position import LogPosition
-from cardamomshunt._request_state import PendingRequest
-from cardamomshunt._retries import RetryBudget
+from cardamomshunt._configuration.document import ClassSettings, DatabaseSettings
+from cardamomshunt._data_path.admission import Lane, ReservedSharePolicy
+from cardamomshunt._data_path.effects import RequestClass
+from cardamomshunt._data_path.freshness import BoundHistory, ReadRequirement
+from cardamomshunt._data_path.pool import Connection, InstanceState
+from cardamomshunt._data_path.request_state import PendingRequest
+from cardamomshunt._data_path.retries import RetryBudget
+from cardamomshunt._shared.messages import DatabaseTopology, FailoverStep, InstanceRole
+from cardamomshunt._shared.position import LogPosition
 
 POSITION_MAX = 2**63 - 1
 WRITE_HOLD_SILENCE_MS = 300.0  # three announcements missed; half the detection time
--- a/packages/cardamomshunt/src/cardamomshunt/_hints.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_data_path/hints.py
@@ -7,9 +7,9 @@
 
 import msgspec
 
-from cardamomshunt._effects import RequestClass, SessionHints
-from cardamomshunt._position import LogPosition
-from cardamomshunt._verdict import Refusal, RefusalReason, Verdict
+from cardamomshunt._data_path.effects import RequestClass, SessionHints
+from cardamomshunt._shared.position import LogPosition
+from cardamomshunt._shared.verdict import Refusal, RefusalReason, Verdict
 
 NO_HINTS = SessionHints()
 N_NAME_CHARACTERS_MAX = 128  # the idempotency table declares VARCHAR(128)
--- a/packages/cardamomshunt/src/cardamomshunt/_idempotency.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_data_path/idempotency.py
@@ -1,8 +1,8 @@
 """How requests with and without an idempotency key are run and repeated."""
 
-from cardamomshunt._effects import AttemptKind, Request, RequestKind
-from cardamomshunt._retries import RepeatRule
-from cardamomshunt._verdict import Refusal, RefusalReason, Verdict
+from cardamomshunt._data_path.effects import AttemptKind, Request, RequestKind
+from cardamomshunt._data_path.retries import RepeatRule
+from cardamomshunt._shared.verdict import Refusal, RefusalReason, Verdict
 
 # Of these a repeat changes nothing: a BEGIN whose connection is lost leaves no
 # transaction behind, and an outcome query revokes the same key again.
--- a/packages/cardamomshunt/src/cardamomshunt/_data_path_interface.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_data_path/interface.py
@@ -2,7 +2,7 @@
 
 from abc import ABC, abstractmethod
 
-from cardamomshunt._effects import (
+from cardamomshunt._data_path.effects import (
     AttemptResult,
     CallerId,
     ConfirmedBound,
@@ -12,14 +12,14 @@
     Request,
     RequestId,
 )
-from cardamomshunt._messages import (
+from cardamomshunt._shared.messages import (
     Announcement,
     ConnectionDemand,
     ConnectionGrant,
     InstanceObservation,
     TopologyUpdate,
 )
-from cardamomshunt._position import LogPosition
+from cardamomshunt._shared.position import LogPosition
 
 
 class AbstractDataPath(ABC):
--- a/packages/cardamomshunt/src/cardamomshunt/_path_state.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_data_path/path_state.py
@@ -2,27 +2,27 @@
 
 import random
 
-from cardamomshunt._configuration_document import ClusterConfiguration
-from cardamomshunt._connection_shares import ConnectionLeases
-from cardamomshunt._effects import (
+from cardamomshunt._configuration.document import ClusterConfiguration
+from cardamomshunt._data_path.connection_shares import ConnectionLeases
+from cardamomshunt._data_path.effects import (
     CallerId,
     RequestId,
     RequestKind,
 )
-from cardamomshunt._group import DatabaseGroup
-from cardamomshunt._pool import ConnectionPool, InstanceState, Outbox
-from cardamomshunt._request_state import (
+from cardamomshunt._data_path.group import DatabaseGroup
+from cardamomshunt._data_path.pool import ConnectionPool, InstanceState, Outbox
+from cardamomshunt._data_path.request_state import (
     CallerState,
     PendingRequest,
     Transaction,
 )
-from cardamomshunt._retries import (
+from cardamomshunt._data_path.retries import (
     AtMostOnceRetryPolicy,
     RetryPolicy,
 )
-from cardamomshunt._routing import LeastDelayPolicy, RoutingPolicy
-from cardamomshunt._sessions import SessionStore
-from cardamomshunt._verdict import Refusal, RefusalReason, Verdict
+from cardamomshunt._data_path.routing import LeastDelayPolicy, RoutingPolicy
+from cardamomshunt._data_path.sessions import SessionStore
+from cardamomshunt._shared.verdict import Refusal, RefusalReason, Verdict
 
 ENDS = (RequestKind.COMMIT, RequestKind.ROLLBACK)
 BEGINS = (RequestKind.BEGIN, RequestKind.BEGIN_READ_ONLY)
--- a/packages/cardamomshunt/src/cardamomshunt/_pool.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_data_path/pool.py
@@ -4,10 +4,10 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from cardamomshunt._admission import ConcurrencyLimit
-from cardamomshunt._breaker import CircuitBreaker
-from cardamomshunt._connection_shares import ConnectionLeases
-from cardamomshunt._effects import (
+from cardamomshunt._data_path.admission import ConcurrencyLimit
+from cardamomshunt._data_path.breaker import CircuitBreaker
+from cardamomshunt._data_path.connection_shares import ConnectionLeases
+from cardamomshunt._data_path.effects import (
     CloseConnection,
     ConnectionId,
     ConnectionOpened,
@@ -15,9 +15,9 @@
     OpenConnection,
     ResetConnection,
 )
-from cardamomshunt._messages import Announcement, InstanceAddress, InstanceRole
-from cardamomshunt._position import ZERO, LogPosition
-from cardamomshunt._state_chart import StateChart
+from cardamomshunt._shared.messages import Announcement, InstanceAddress, InstanceRole
+from cardamomshunt._shared.position import ZERO, LogPosition
+from cardamomshunt._shared.state_chart import StateChart
 
 DIAL_TIMEOUT_MS = 1_000.0  # ten times the slowest set-up at tenfold delay is 300 ms
 DIAL_PAUSE_MS = 20.0
--- a/packages/cardamomshunt/src/cardamomshunt/_request_state.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_data_path/request_state.py
@@ -3,18 +3,23 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from cardamomshunt._configuration_document import ClassSettings
-from cardamomshunt._effects import CallerId, Request, RequestClass, RequestKind
-from cardamomshunt._freshness import ReadRequirement
-from cardamomshunt._pool import Connection, InstanceState
-from cardamomshunt._position import LogPosition
-from cardamomshunt._retries import RepeatRule
-from cardamomshunt._sessions import Session
-from cardamomshunt._state_chart import StateChart
+from cardamomshunt._configuration.document import ClassSettings
+from cardamomshunt._data_path.effects import (
+    CallerId,
+    Request,
+    RequestClass,
+    RequestKind,
+)
+from cardamomshunt._data_path.freshness import ReadRequirement
+from cardamomshunt._data_path.pool import Connection, InstanceState
+from cardamomshunt._data_path.retries import RepeatRule
+from cardamomshunt._data_path.sessions import Session
+from cardamomshunt._shared.position import LogPosition
+from cardamomshunt._shared.state_chart import StateChart
 
 if TYPE_CHECKING:
-    from cardamomshunt._admission import Lane
-    from cardamomshunt._group import DatabaseGroup
+    from cardamomshunt._data_path.admission import Lane
+    from cardamomshunt._data_path.group import DatabaseGroup
 
 _CHART = StateChart.load("request")
 
--- a/packages/cardamomshunt/src/cardamomshunt/_retries.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_data_path/retries.py
@@ -4,8 +4,8 @@
 from abc import ABC, abstractmethod
 from dataclasses import dataclass
 
-from cardamomshunt._effects import AttemptOutcome
-from cardamomshunt._verdict import Refusal, RefusalReason, Verdict
+from cardamomshunt._data_path.effects import AttemptOutcome
+from cardamomshunt._shared.verdict import Refusal, RefusalReason, Verdict
 
 N_ATTEMPTS_MAX = 8
 N_TOKENS_MAX = 20.0  # a burst of retries while the ratio's share builds up again
--- a/packages/cardamomshunt/src/cardamomshunt/_routing.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_data_path/routing.py
@@ -3,7 +3,7 @@
 import random
 from abc import ABC, abstractmethod
 
-from cardamomshunt._pool import InstanceState
+from cardamomshunt._data_path.pool import InstanceState
 
 OTHER_ZONE_FACTOR = 1.5  # links between zones cost more than their delay shows
 EXPLORED_SHARE = 0.02  # keeps the delay estimates of unused instances current
--- a/packages/cardamomshunt/src/cardamomshunt/_sessions.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_data_path/sessions.py
@@ -3,9 +3,9 @@
 from collections import OrderedDict
 from dataclasses import dataclass
 
-from cardamomshunt._effects import SessionHints
-from cardamomshunt._freshness import BoundHistory, ReadRequirement
-from cardamomshunt._position import ZERO, LogPosition
+from cardamomshunt._data_path.effects import SessionHints
+from cardamomshunt._data_path.freshness import BoundHistory, ReadRequirement
+from cardamomshunt._shared.position import ZERO, LogPosition
 
 N_NAMED_SESSIONS_MAX = 20_000  # about 5 MB; forgetting one is safe, see SessionStore
 
--- a/packages/cardamomshunt/src/cardamomshunt/_transactions.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_data_path/transactions.py
@@ -1,20 +1,20 @@
 """Transactions, which are pinned to one connection."""
 
-from cardamomshunt._dispatch import Dispatch
-from cardamomshunt._effects import (
+from cardamomshunt._data_path.dispatch import Dispatch
+from cardamomshunt._data_path.effects import (
     AttemptKind,
     AttemptOutcome,
     AttemptResult,
     RequestKind,
 )
-from cardamomshunt._path_state import BEGINS, ENDS, READS, not_run
-from cardamomshunt._position import LogPosition
-from cardamomshunt._request_state import (
+from cardamomshunt._data_path.path_state import BEGINS, ENDS, READS, not_run
+from cardamomshunt._data_path.request_state import (
     PendingRequest,
     RunningAttempt,
     Transaction,
 )
-from cardamomshunt._verdict import Refusal, RefusalReason, Verdict
+from cardamomshunt._shared.position import LogPosition
+from cardamomshunt._shared.verdict import Refusal, RefusalReason, Verdict
 
 # 1205 lock wait timeout may and 1213 deadlock does roll the transaction back; 1180 is
 # an error at commit and 3101 a rollback by the replication layer.
--- /dev/null
+++ b/packages/cardamomshunt/src/cardamomshunt/_fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions for deployments whose servers announce themselves."""
--- a/packages/cardamomshunt/src/cardamomshunt/_fleet_messages.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_fleet/messages.py
@@ -2,9 +2,9 @@
 
 import msgspec
 
-from cardamomshunt._messages import Message
-from cardamomshunt._primary_assignments import Assignment
-from cardamomshunt._server_registry import ServerReport
+from cardamomshunt._fleet.primary_assignments import Assignment
+from cardamomshunt._fleet.server_registry import ServerReport
+from cardamomshunt._shared.messages import Message
 
 
 class Suspicion(msgspec.Struct, frozen=True, array_like=True):
--- a/packages/cardamomshunt/src/cardamomshunt/_primary_lease.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_fleet/primary_lease.py
@@ -2,8 +2,8 @@
 
 from dataclasses import dataclass, field
 
-from cardamomshunt._fleet_messages import LeaseGrant, LeaseRequest, Suspicion
-from cardamomshunt._primary_assignments import Assignment, AssignmentPhase
+from cardamomshunt._fleet.messages import LeaseGrant, LeaseRequest, Suspicion
+from cardamomshunt._fleet.primary_assignments import Assignment, AssignmentPhase
 
 LEASE_MS = 1_300.0
 # Covers the drift of two clocks over a lease and the time between check and send.
--- a/packages/cardamomshunt/src/cardamomshunt/_server_registry.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_fleet/server_registry.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from cardamomshunt._messages import InstanceRole
+from cardamomshunt._shared.messages import InstanceRole
 
 
 class ServerState(enum.Enum):
--- a/packages/cardamomshunt/src/cardamomshunt/_successor.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_fleet/successor.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from cardamomshunt._position import LogPosition
+from cardamomshunt._shared.position import LogPosition
 
 
 class ServerStatus(msgspec.Struct, frozen=True, kw_only=True):
--- /dev/null
+++ b/packages/cardamomshunt/src/cardamomshunt/_shared/__init__.py
@@ -0,0 +1,1 @@
+"""Values, messages and charts that several parts use."""
--- a/packages/cardamomshunt/src/cardamomshunt/_messages.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_shared/messages.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from cardamomshunt._position import ZERO, LogPosition
+from cardamomshunt._shared.position import ZERO, LogPosition
 
 PROTOCOL_VERSION = 1
 
--- /dev/null
+++ b/packages/cardamomshunt/src/cardamomshunt/_spread/__init__.py
@@ -0,0 +1,1 @@
+"""Ways to spread control state, and membership."""
--- a/packages/cardamomshunt/src/cardamomshunt/_spread_fan_out.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_spread/fan_out.py
@@ -1,7 +1,7 @@
 """Spread by plain fan-out: the leader talks to every member."""
 
-from cardamomshunt._messages import Message
-from cardamomshunt._spread_interface import (
+from cardamomshunt._shared.messages import Message
+from cardamomshunt._spread.interface import (
     AbstractSpread,
     NodeBeat,
     SendTo,
@@ -10,7 +10,7 @@
     SpreadSettings,
     StateUpdate,
 )
-from cardamomshunt._spread_state import BeatTable, SpreadState
+from cardamomshunt._spread.state import BeatTable, SpreadState
 
 
 class FanOutSpread(AbstractSpread):
--- a/packages/cardamomshunt/src/cardamomshunt/_spread_gossip.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_spread/gossip.py
@@ -2,8 +2,8 @@
 
 import random
 
-from cardamomshunt._messages import Message
-from cardamomshunt._spread_interface import (
+from cardamomshunt._shared.messages import Message
+from cardamomshunt._spread.interface import (
     AbstractSpread,
     GroupReport,
     SendTo,
@@ -13,7 +13,7 @@
     StateRequest,
     StateUpdate,
 )
-from cardamomshunt._spread_state import BeatTable, SpreadState
+from cardamomshunt._spread.state import BeatTable, SpreadState
 
 _N_PUSHES = 3
 # Every fifth table goes to any member, silent or not. Two sides that each take the
--- a/packages/cardamomshunt/src/cardamomshunt/_spread_interface.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_spread/interface.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from cardamomshunt._messages import Message
+from cardamomshunt._shared.messages import Message
 
 
 class StateUpdate(Message, kw_only=True):
--- a/packages/cardamomshunt/src/cardamomshunt/_membership.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_spread/membership.py
@@ -4,8 +4,9 @@
 import random
 from dataclasses import dataclass, field
 
-from cardamomshunt._flap_damping import FlapDamping
-from cardamomshunt._membership_messages import (
+from cardamomshunt._shared.messages import Message
+from cardamomshunt._spread.flap_damping import FlapDamping
+from cardamomshunt._spread.membership_messages import (
     MemberChanged,
     MemberRecord,
     MembershipEffect,
@@ -16,7 +17,6 @@
     SendToMember,
     ZoneChanged,
 )
-from cardamomshunt._messages import Message
 
 _N_RECORDS_PER_MESSAGE = 6
 # Times that a record is passed on, per factor of two of members; less leaves members
--- a/packages/cardamomshunt/src/cardamomshunt/_spread_relay.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_spread/relay.py
@@ -2,8 +2,8 @@
 
 from dataclasses import dataclass, field
 
-from cardamomshunt._messages import Message
-from cardamomshunt._spread_interface import (
+from cardamomshunt._shared.messages import Message
+from cardamomshunt._spread.interface import (
     AbstractSpread,
     GroupReport,
     NodeBeat,
@@ -13,7 +13,7 @@
     SpreadSettings,
     StateUpdate,
 )
-from cardamomshunt._spread_state import BeatTable, SpreadState
+from cardamomshunt._spread.state import BeatTable, SpreadState
 
 # A member that missed a beat is greeted again, as it may have missed the greeting and
 # send its beats to the last relay. More than one beat, so that no healthy one is.
--- a/packages/cardamomshunt/src/cardamomshunt/_spread_state.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_spread/state.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass, field
 
-from cardamomshunt._spread_interface import (
+from cardamomshunt._spread.interface import (
     GroupReport,
     SendTo,
     SpreadEffect,
--- a/packages/cardamomshunt/src/cardamomshunt/admission.py
+++ b/packages/cardamomshunt/src/cardamomshunt/admission.py
@@ -1,6 +1,6 @@
 """Queues, fairness, shedding and concurrency limits."""
 
-from cardamomshunt._admission import (
+from cardamomshunt._data_path.admission import (
     AdmissionPolicy,
     ConcurrencyLimit,
     FairQueue,
--- a/packages/cardamomshunt/src/cardamomshunt/breaker.py
+++ b/packages/cardamomshunt/src/cardamomshunt/breaker.py
@@ -1,5 +1,5 @@
 """Circuit breaking for backend servers."""
 
-from cardamomshunt._breaker import CircuitBreaker
+from cardamomshunt._data_path.breaker import CircuitBreaker
 
 __all__ = ["CircuitBreaker"]
--- a/packages/cardamomshunt/src/cardamomshunt/classification.py
+++ b/packages/cardamomshunt/src/cardamomshunt/classification.py
@@ -1,6 +1,6 @@
 """Conservative classification of statements."""
 
-from cardamomshunt._classification import (
+from cardamomshunt._data_path.classification import (
     Classification,
     StatementClassifier,
     fingerprint_statement,
--- a/packages/cardamomshunt/src/cardamomshunt/configuration.py
+++ b/packages/cardamomshunt/src/cardamomshunt/configuration.py
@@ -1,12 +1,12 @@
 """The cluster configuration."""
 
-from cardamomshunt._configuration_document import (
+from cardamomshunt._configuration.document import (
     ClassSettings,
     ClusterConfiguration,
     DatabaseSettings,
     PolicySettings,
 )
-from cardamomshunt._configuration_patches import (
+from cardamomshunt._configuration.patches import (
     PatchInvalidError,
     apply_changes,
     difference,
--- a/packages/cardamomshunt/src/cardamomshunt/consensus.py
+++ b/packages/cardamomshunt/src/cardamomshunt/consensus.py
@@ -1,12 +1,6 @@
 """The replicated log of the control nodes."""
 
-from cardamomshunt._consensus import (
-    ConsensusNode,
-    ConsensusOptions,
-    ConsensusRole,
-    RestoredState,
-)
-from cardamomshunt._consensus_messages import (
+from cardamomshunt._consensus.messages import (
     AppendEntries,
     AppendReply,
     ConsensusMessage,
@@ -26,6 +20,12 @@
     VoteReply,
     VoteRequest,
 )
+from cardamomshunt._consensus.node import ConsensusNode
+from cardamomshunt._consensus.options import (
+    ConsensusOptions,
+    ConsensusRole,
+    RestoredState,
+)
 
 __all__ = [
     "AppendEntries",
--- a/packages/cardamomshunt/src/cardamomshunt/control.py
+++ b/packages/cardamomshunt/src/cardamomshunt/control.py
@@ -1,7 +1,6 @@
 """The control node."""
 
-from cardamomshunt._control import ControlNode, ControlOptions
-from cardamomshunt._control_effects import (
+from cardamomshunt._control.effects import (
     CommandInstance,
     ControlEffect,
     EmitEvent,
@@ -14,7 +13,8 @@
     ReplyOperator,
     SendMessage,
 )
-from cardamomshunt._control_state import (
+from cardamomshunt._control.node import ControlNode, ControlOptions
+from cardamomshunt._control.state import (
     ApplyPatch,
     ControlState,
     DatabaseRecord,
@@ -22,7 +22,7 @@
     SetDatabase,
     encode_command,
 )
-from cardamomshunt._control_status import node_statuses
+from cardamomshunt._control.status import node_statuses
 
 __all__ = [
     "ApplyPatch",
--- a/packages/cardamomshunt/src/cardamomshunt/effects.py
+++ b/packages/cardamomshunt/src/cardamomshunt/effects.py
@@ -1,6 +1,6 @@
 """Inputs and effects of the data path."""
 
-from cardamomshunt._effects import (
+from cardamomshunt._data_path.effects import (
     AskPosition,
     AttemptKind,
     AttemptOutcome,
--- a/packages/cardamomshunt/src/cardamomshunt/events.py
+++ b/packages/cardamomshunt/src/cardamomshunt/events.py
@@ -1,6 +1,6 @@
 """Numbered events and their catalogue."""
 
-from cardamomshunt._events import (
+from cardamomshunt._shared.events import (
     CATALOGUE,
     CatalogueEntry,
     EventNumber,
--- a/packages/cardamomshunt/src/cardamomshunt/fleet.py
+++ b/packages/cardamomshunt/src/cardamomshunt/fleet.py
@@ -1,6 +1,6 @@
 """Routes, servers, leases and assignments of a deployment found by reports."""
 
-from cardamomshunt._fleet_messages import (
+from cardamomshunt._fleet.messages import (
     AssignmentsChanged,
     DocumentChanged,
     LeaderHint,
@@ -11,7 +11,7 @@
     ReportsRequest,
     Suspicion,
 )
-from cardamomshunt._primary_assignments import (
+from cardamomshunt._fleet.primary_assignments import (
     Assignment,
     AssignmentCommand,
     AssignmentPhase,
@@ -24,13 +24,13 @@
     StopPrimary,
     encode_command,
 )
-from cardamomshunt._primary_lease import (
+from cardamomshunt._fleet.primary_lease import (
     LEASE_MARGIN_MS,
     LEASE_MS,
     LeaseTable,
     PrimaryLease,
 )
-from cardamomshunt._route_table import (
+from cardamomshunt._fleet.route_table import (
     ConfigurationInvalidError,
     GroupLimits,
     Route,
@@ -38,8 +38,12 @@
     RouteTable,
     build_route_table,
 )
-from cardamomshunt._server_registry import ServerRegistry, ServerReport, ServerState
-from cardamomshunt._successor import ServerStatus, choose_successor
+from cardamomshunt._fleet.server_registry import (
+    ServerRegistry,
+    ServerReport,
+    ServerState,
+)
+from cardamomshunt._fleet.successor import ServerStatus, choose_successor
 
 __all__ = [
     "LEASE_MARGIN_MS",
--- a/packages/cardamomshunt/src/cardamomshunt/hybrid_clock.py
+++ b/packages/cardamomshunt/src/cardamomshunt/hybrid_clock.py
@@ -1,6 +1,6 @@
 """Hybrid logical time."""
 
-from cardamomshunt._hybrid_clock import (
+from cardamomshunt._shared.hybrid_clock import (
     SKEW_MAX_MS,
     HybridClock,
     compose,
--- a/packages/cardamomshunt/src/cardamomshunt/idempotency.py
+++ b/packages/cardamomshunt/src/cardamomshunt/idempotency.py
@@ -1,5 +1,9 @@
 """Rules for idempotency keys."""
 
-from cardamomshunt._idempotency import attempt_kind, refusal_of_key, repeat_rule
+from cardamomshunt._data_path.idempotency import (
+    attempt_kind,
+    refusal_of_key,
+    repeat_rule,
+)
 
 __all__ = ["attempt_kind", "refusal_of_key", "repeat_rule"]
--- a/packages/cardamomshunt/src/cardamomshunt/membership.py
+++ b/packages/cardamomshunt/src/cardamomshunt/membership.py
@@ -1,7 +1,7 @@
 """Membership of daemons by probes."""
 
-from cardamomshunt._membership import Membership, MembershipSettings, is_newer
-from cardamomshunt._membership_messages import (
+from cardamomshunt._spread.membership import Membership, MembershipSettings, is_newer
+from cardamomshunt._spread.membership_messages import (
     MemberChanged,
     MemberRecord,
     MembershipEffect,
--- a/packages/cardamomshunt/src/cardamomshunt/messages.py
+++ b/packages/cardamomshunt/src/cardamomshunt/messages.py
@@ -1,6 +1,6 @@
 """Typed messages between processes, and their codec."""
 
-from cardamomshunt._messages import (
+from cardamomshunt._shared.messages import (
     PROTOCOL_VERSION,
     Announcement,
     Change,
--- a/packages/cardamomshunt/src/cardamomshunt/operator_messages.py
+++ b/packages/cardamomshunt/src/cardamomshunt/operator_messages.py
@@ -1,6 +1,6 @@
 """Requests of operators to a daemon, and the replies."""
 
-from cardamomshunt._operator_messages import (
+from cardamomshunt._control.operator_messages import (
     ConfigurationReply,
     ConfigurationRequest,
     DatabaseStatus,
--- a/packages/cardamomshunt/src/cardamomshunt/pool.py
+++ b/packages/cardamomshunt/src/cardamomshunt/pool.py
@@ -1,5 +1,10 @@
 """Connections to backend servers."""
 
-from cardamomshunt._pool import Connection, ConnectionPool, InstanceState, Outbox
+from cardamomshunt._data_path.pool import (
+    Connection,
+    ConnectionPool,
+    InstanceState,
+    Outbox,
+)
 
 __all__ = ["Connection", "ConnectionPool", "InstanceState", "Outbox"]
--- a/packages/cardamomshunt/src/cardamomshunt/position.py
+++ b/packages/cardamomshunt/src/cardamomshunt/position.py
@@ -1,5 +1,5 @@
 """Log positions of a database group."""
 
-from cardamomshunt._position import ZERO, LogPosition
+from cardamomshunt._shared.position import ZERO, LogPosition
 
 __all__ = ["ZERO", "LogPosition"]
--- a/packages/cardamomshunt/src/cardamomshunt/retries.py
+++ b/packages/cardamomshunt/src/cardamomshunt/retries.py
@@ -1,6 +1,6 @@
 """Retry decisions, their budget, and the verdicts of lost attempts."""
 
-from cardamomshunt._retries import (
+from cardamomshunt._data_path.retries import (
     Action,
     AtMostOnceRetryPolicy,
     Decision,
--- a/packages/cardamomshunt/src/cardamomshunt/spread.py
+++ b/packages/cardamomshunt/src/cardamomshunt/spread.py
@@ -1,8 +1,8 @@
 """Ways to spread control state to all members."""
 
-from cardamomshunt._spread_fan_out import FanOutSpread
-from cardamomshunt._spread_gossip import GossipSpread, GossipTable
-from cardamomshunt._spread_interface import (
+from cardamomshunt._spread.fan_out import FanOutSpread
+from cardamomshunt._spread.gossip import GossipSpread, GossipTable
+from cardamomshunt._spread.interface import (
     AbstractSpread,
     GroupReport,
     NodeBeat,
@@ -14,7 +14,7 @@
     StateRequest,
     StateUpdate,
 )
-from cardamomshunt._spread_relay import RelayDuty, RelayGreeting, RelaySpread
+from cardamomshunt._spread.relay import RelayDuty, RelayGreeting, RelaySpread
 
 __all__ = [
     "AbstractSpread",
--- a/packages/cardamomshunt/src/cardamomshunt/verdict.py
+++ b/packages/cardamomshunt/src/cardamomshunt/verdict.py
@@ -1,6 +1,6 @@
 """Verdicts and refusals."""
 
-from cardamomshunt._verdict import (
+from cardamomshunt._shared.verdict import (
     RETRYABLE_REASONS,
     Refusal,
     RefusalReason,
--- a/packages/cardamomshunt/tests/test_control_scenarios.py
+++ b/packages/cardamomshunt/tests/test_control_scenarios.py
@@ -4,7 +4,7 @@
 
 import msgspec
 import pytest
-from cardamomshunt._health_view import HealthView
+from cardamomshunt._control.health_view import HealthView
 from cardamomshunt.consensus import ConsensusNode, Member, Peer
 from cardamomshunt.control import ControlNode, DatabaseRecord
 from cardamomshunt.failover import FailoverController
--- a/packages/cardamomshunt/tests/test_health_view.py
+++ b/packages/cardamomshunt/tests/test_health_view.py
@@ -1,7 +1,7 @@
 """Heartbeats confirm the last health report, and nothing else."""
 
 import pytest
-from cardamomshunt._health_view import HealthView
+from cardamomshunt._control.health_view import HealthView
 from cardamomshunt.messages import (
     HealthReport,
     InstanceAddress,
