Add a fault soak of the real daemons as processes

Starts control and entry daemons from settings files on a loopback network of its own, puts proxies before the database servers and the provider, and sends signals, fills and removes disks, darkens, delays, silences and resets, in series and overlapping, from one seed. Checks from what callers, servers and the provider saw: TWICE, LOST, REFUSED, ONE, MIXED, PINNED, STALE, CONFIG, tokens, planned stops and recovery in 12 s. The stand-in now takes former primaries back by their log, catches up replicas that were dark, and records what a promotion took back.

--- /dev/null
+++ b/tests/fault_soak/soak.py
@@ -0,0 +1,511 @@
+"""Random faults on the real daemons as processes, with promises checked.
+
+`python tests/fault_soak/soak.py --seeds 50 --first-seed 1` prints a line for each
+seed; a failing one keeps its logs and its faults.
+"""
+
+import asyncio
+import itertools
+import random
+import signal
+import sys
+import tempfile
+import time
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import click
+
+_FOLDER = Path(__file__).parent
+sys.path[:0] = [str(_FOLDER), str(_FOLDER.parent / "users_platform")]
+
+from cardamomshunt_node._http import HttpRequest, call_http  # noqa: E402
+from fault_links import FaultLink, LinkMode  # noqa: E402
+from soak_callers import KINDS, History, SoakCaller, SoakOperator  # noqa: E402
+from soak_checks import check_all, check_planned_stop  # noqa: E402
+from soak_processes import (  # noqa: E402
+    HEALTH_PORT,
+    STOP_TIMEOUT_S,
+    DaemonProcess,
+)
+from standin import (  # noqa: E402
+    REPORT_INTERVAL_S,
+    Caller,
+    Group,
+    LineServer,
+    Provider,
+    report,
+)
+
+N_CONTROLS = 3
+N_ENTRIES = 3
+_N_CALLERS_PER_DATABASE = 3
+_START_TIMEOUT_S = 25.0
+_RECOVERY_S = 12.0
+_FAULT_INTERVAL_S = (0.15, 1.1)
+_FAULT_LASTS_S = (0.2, 2.5)
+# A control node that lost its disk has this long to catch up before another may.
+_CATCH_UP_S = 6.0
+_SERVER_PORT, _LINK_PORT = 18_143, 18_144
+_N_ENTRIES_MIN = 1
+
+
+@dataclass
+class SoakResult:
+    """Hold what one seed found."""
+
+    seed: int
+    folder: Path
+    violations: list[str] = field(default_factory=list)
+    faults: list[str] = field(default_factory=list)
+    n_statements: int = 0
+    n_acknowledged: int = 0
+    n_promotions: int = 0
+
+
+class Soak:
+    """Run one seed: a deployment, its callers, and faults from outside."""
+
+    def __init__(self, seed: int, folder: Path, network: int) -> None:
+        self._random = random.Random(seed)
+        self._folder = folder
+        self._network = network
+        self.result = SoakResult(seed, folder)
+        self._history = History()
+        self._databases: dict[int, str] = {}
+        self._group = Group("db", _SERVER_PORT)
+        self._links: dict[str, FaultLink] = {}
+        self._provider = Provider(f"127.{network}.9.8:18083", [self._group])
+        self._provider_link = FaultLink(
+            f"127.{network}.9.9:18083", self._provider.address
+        )
+        self._daemons: dict[str, DaemonProcess] = {}
+        self._callers: list[SoakCaller] = []
+        self._pending: set[asyncio.Task[None]] = set()
+        self._wiped_s = float("-inf")
+        self._stops: list[tuple[str, float]] = []
+        self._began_s = time.monotonic()
+        self._make()
+        controls = [item.control_address for item in self._controls]
+        self._operator = SoakOperator(self._history, self._random, controls)
+
+    def _make(self) -> None:
+        network = self._network
+        for number in (1, 2, 3):
+            host = f"127.{network}.3.{number}"
+            server = LineServer(self._group, f"i-{number}", host, f"z{number}")
+            server.lag_s = self._random.uniform(0.0, 0.05)
+            self._links[server.name] = FaultLink(
+                f"127.{network}.4.{number}:{_LINK_PORT}", server.address
+            )
+            self._group.servers.append(server)
+        self._group.servers[0].is_primary = True
+        seeds = [f"127.{network}.1.{n}:18080" for n in range(1, N_CONTROLS + 1)]
+        for role, block, n_nodes in (
+            ("control", 1, N_CONTROLS),
+            ("entry", 2, N_ENTRIES),
+        ):
+            for number in range(1, n_nodes + 1):
+                name = f"{role}-{number}"
+                self._daemons[name] = DaemonProcess(
+                    name=name,
+                    role=role,
+                    host=f"127.{network}.{block}.{number}",
+                    zone=f"z{number}",
+                    folder=self._folder,
+                    seeds=seeds,
+                    promotion_address=self._provider_link.listen_address,
+                )
+
+    @property
+    def _controls(self) -> list[DaemonProcess]:
+        return [item for item in self._daemons.values() if item.role == "control"]
+
+    @property
+    def _entries(self) -> list[DaemonProcess]:
+        return [item for item in self._daemons.values() if item.role == "entry"]
+
+    # Running
+
+    async def run(self, seconds: float) -> SoakResult:
+        """Serve, harm, heal, and check."""
+        tasks: list[asyncio.Task[None]] = []
+        try:
+            await self._start(tasks)
+            await self._harm(seconds)
+            await self._heal()
+            await self._check_recovery()
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+            self._check()
+        except TimeoutError as error:
+            self.result.violations.append(f"RECOVER: {error or 'no service in time'}")
+        finally:
+            for task in [*tasks, *self._pending]:
+                task.cancel()
+            await asyncio.gather(*tasks, *self._pending, return_exceptions=True)
+            await self._stop()
+        return self.result
+
+    async def _start(self, tasks: list[asyncio.Task[None]]) -> None:
+        await self._provider.server.start()
+        await self._provider_link.start()
+        for server in self._group.servers:
+            await server.start()
+            await self._links[server.name].start()
+        for daemon in self._daemons.values():
+            daemon.start()
+        tasks += [
+            asyncio.create_task(self._keep_reporting(server))
+            for server in self._group.servers
+        ]
+        async with asyncio.timeout(_START_TIMEOUT_S):
+            await self._operator.put(1)
+            for entry in self._entries:
+                await self._await_service(entry, "orders")
+        tasks.append(asyncio.create_task(self._operator.run()))
+        for database in KINDS:
+            for _ in range(_N_CALLERS_PER_DATABASE):
+                caller = SoakCaller(
+                    self._history,
+                    database,
+                    random.Random(self._random.getrandbits(64)),
+                    self._choose_entry,
+                )
+                self._callers.append(caller)
+                tasks.append(asyncio.create_task(caller.run()))
+        self._began_s = time.monotonic()
+
+    async def _stop(self) -> None:
+        for daemon in self._daemons.values():
+            daemon.kill()
+        for server in self._group.servers:
+            await server.stop()
+            await self._links[server.name].stop()
+        await self._provider_link.stop()
+        await self._provider.server.stop()
+
+    def _choose_entry(self) -> tuple[str, str]:
+        up = [item for item in self._entries if item.runs and not item.stopping_since_s]
+        entry = self._random.choice(up or self._entries)
+        return entry.name, entry.caller_address
+
+    async def _keep_reporting(self, server: LineServer) -> None:
+        controls = itertools.cycle(item.control_address for item in self._controls)
+        while True:
+            if not server.is_dark:
+                try:
+                    link = self._links[server.name].listen_address
+                    await report(server, next(controls), link)
+                except (OSError, TimeoutError):
+                    continue
+                finally:
+                    await asyncio.sleep(REPORT_INTERVAL_S / 2.0)
+            await asyncio.sleep(REPORT_INTERVAL_S / 2.0)
+
+    async def _await_service(self, entry: DaemonProcess, database: str) -> None:
+        while True:
+            caller = None
+            try:
+                caller = await Caller.open(entry.caller_address, database)
+                lines = await caller.ask("READ k0")
+                if lines[-1].startswith("COMPLETE"):
+                    return
+            except OSError:
+                pass
+            finally:
+                if caller is not None:
+                    caller.close()
+            await asyncio.sleep(0.05)
+
+    # Faults
+
+    async def _harm(self, seconds: float) -> None:
+        end_s = time.monotonic() + seconds
+        faults: list[Callable[[], Awaitable[None]]] = [
+            self._fault_kill,
+            self._fault_kill,
+            self._fault_pause,
+            self._fault_pause,
+            self._fault_planned_stop,
+            self._fault_planned_stop,
+            self._fault_reload,
+            self._fault_kill_control_at_once,
+            self._fault_lost_disk,
+            self._fault_full_disk,
+            self._fault_link,
+            self._fault_link,
+            self._fault_reset,
+            self._fault_dark_server,
+            self._fault_dark_server,
+            self._fault_lag,
+            self._fault_lost_answers,
+            self._fault_provider,
+        ]
+        while time.monotonic() < end_s:
+            await asyncio.sleep(self._random.uniform(*_FAULT_INTERVAL_S))
+            fault = self._random.choice(faults)
+            task = asyncio.create_task(self._run_fault(fault))
+            self._pending.add(task)
+            task.add_done_callback(self._pending.discard)
+
+    async def _run_fault(self, fault: Callable[[], Awaitable[None]]) -> None:
+        await fault()
+
+    def _note(self, text: str) -> None:
+        elapsed_s = time.monotonic() - self._began_s
+        self.result.faults.append(f"{elapsed_s:7.3f} {text}")
+
+    async def _last(self) -> None:
+        await asyncio.sleep(self._random.uniform(*_FAULT_LASTS_S))
+
+    def _pick(self) -> DaemonProcess | None:
+        """Choose a running daemon; at least one entry VM is left alone."""
+        found = [item for item in self._daemons.values() if item.runs]
+        calm = [item for item in self._entries if item.runs and not item.is_paused]
+        if len(calm) <= _N_ENTRIES_MIN:
+            found = [item for item in found if item.role == "control"]
+        return self._random.choice(found) if found else None
+
+    async def _fault_kill(self) -> None:
+        daemon = self._pick()
+        if daemon is None:
+            return
+        self._note(f"kill {daemon.name}")
+        daemon.hurt_until_s = float("inf")
+        daemon.kill()
+        await self._last()
+        daemon.start()
+        daemon.hurt_until_s = time.monotonic()
+
+    async def _fault_pause(self) -> None:
+        daemon = self._pick()
+        if daemon is None or daemon.is_paused:
+            return
+        self._note(f"pause {daemon.name}")
+        daemon.hurt_until_s = float("inf")
+        daemon.send(signal.SIGSTOP)
+        await self._last()
+        daemon.send(signal.SIGCONT)
+        daemon.hurt_until_s = time.monotonic()
+
+    async def _fault_planned_stop(self) -> None:
+        daemon = self._pick()
+        if daemon is None or daemon.is_paused or daemon.stopping_since_s:
+            return
+        self._note(f"stop {daemon.name}")
+        began_s = daemon.stopping_since_s = time.monotonic()
+        is_calm = daemon.hurt_until_s < began_s
+        daemon.send(signal.SIGTERM)
+        while daemon.runs and time.monotonic() < began_s + STOP_TIMEOUT_S:
+            await asyncio.sleep(0.05)
+        if daemon.runs:
+            daemon.kill()
+        ended_s = time.monotonic()
+        is_calm = is_calm and daemon.hurt_until_s < began_s
+        if is_calm and daemon.role == "entry":
+            self.result.violations += check_planned_stop(
+                self._history, daemon.name, began_s, ended_s
+            )
+        daemon.start()
+
+    async def _fault_reload(self) -> None:
+        daemon = self._pick()
+        if daemon is not None:
+            self._note(f"reload {daemon.name}")
+            daemon.write_settings()
+            daemon.send(signal.SIGHUP)
+
+    async def _fault_kill_control_at_once(self) -> None:
+        self._note("kill all control nodes")
+        for daemon in self._controls:
+            daemon.kill()
+        await asyncio.sleep(self._random.uniform(0.1, 1.0))
+        for daemon in self._controls:
+            daemon.start()
+
+    async def _fault_lost_disk(self) -> None:
+        """Lose one disk, and no other before its successor has caught up."""
+        if time.monotonic() < self._wiped_s + _CATCH_UP_S:
+            return
+        if not all(item.runs and not item.is_paused for item in self._controls):
+            return
+        self._wiped_s = float("inf")
+        daemon = self._random.choice(self._controls)
+        self._note(f"lose the disk of {daemon.name}")
+        daemon.kill()
+        daemon.lose_disk()
+        await asyncio.sleep(self._random.uniform(0.1, 1.0))
+        daemon.start()
+        self._wiped_s = time.monotonic()
+
+    async def _fault_full_disk(self) -> None:
+        daemon = self._random.choice(self._controls)
+        self._note(f"fill the disk of {daemon.name}")
+        daemon.limit_file_size(0)
+        await self._last()
+        daemon.limit_file_size(-1)
+
+    async def _fault_link(self) -> None:
+        server = self._random.choice(self._group.servers)
+        mode = self._random.choice(
+            [LinkMode.DELAY, LinkMode.SILENT, LinkMode.ONE_WAY, LinkMode.REFUSE]
+        )
+        self._note(f"link to {server.name}: {mode.value}")
+        link = self._links[server.name]
+        link.set_mode(mode, self._random.uniform(0.02, 0.3))
+        await self._last()
+        link.set_mode(LinkMode.PASS)
+
+    async def _fault_reset(self) -> None:
+        server = self._random.choice(self._group.servers)
+        self._note(f"reset connections of {server.name}")
+        self._links[server.name].reset()
+
+    async def _fault_dark_server(self) -> None:
+        """Let one server stop to answer; it comes back with its log."""
+        if any(server.is_dark for server in self._group.servers):
+            return
+        leading = self._group.leading
+        others = [item for item in self._group.servers if item is not leading]
+        is_primary = self._random.random() < 0.6
+        server = leading if is_primary else self._random.choice(others)
+        self._note(f"dark {server.name}")
+        server.is_dark = True
+        await self._last()
+        server.is_dark = False
+        await asyncio.sleep(1.0)
+        self._group.rejoin(server)
+
+    async def _fault_lag(self) -> None:
+        server = self._random.choice(self._group.servers)
+        self._note(f"lag of {server.name}")
+        server.lag_s = self._random.uniform(0.3, 3.0)
+        await self._last()
+        server.lag_s = self._random.uniform(0.0, 0.05)
+
+    async def _fault_lost_answers(self) -> None:
+        server = self._random.choice(self._group.servers)
+        self._note(f"lose answers of {server.name}")
+        server.lost_share = 0.2
+        await self._last()
+        server.lost_share = 0.0
+
+    async def _fault_provider(self) -> None:
+        mode = self._random.choice([LinkMode.SILENT, LinkMode.ONE_WAY, LinkMode.REFUSE])
+        self._note(f"link to the provider: {mode.value}")
+        self._provider_link.set_mode(mode)
+        await self._last()
+        self._provider_link.set_mode(LinkMode.PASS)
+
+    # Afterwards
+
+    async def _heal(self) -> None:
+        if self._pending:
+            await asyncio.gather(*self._pending, return_exceptions=False)
+        for daemon in self._daemons.values():
+            daemon.limit_file_size(-1)
+            daemon.send(signal.SIGCONT)
+            daemon.start()
+        self._note("healed")
+
+    async def _check_recovery(self) -> None:
+        """Wait until each entry VM serves each database, and settings can change."""
+        async with asyncio.timeout(_RECOVERY_S):
+            for entry in self._entries:
+                for database in KINDS:
+                    await self._await_service(entry, database)
+            while True:
+                response = await self._health(self._entries[0])
+                if response == 200:
+                    break
+                await asyncio.sleep(0.05)
+            version = self._operator.version
+            while not any(
+                item >= version for item, _ in self._history.acknowledged[-3:]
+            ):
+                await asyncio.sleep(0.05)
+
+    async def _health(self, entry: DaemonProcess) -> int:
+        try:
+            response = await call_http(
+                f"{entry.host}:{HEALTH_PORT}", HttpRequest("GET", "/readiness"), 500.0
+            )
+        except (OSError, TimeoutError):
+            return 0
+        return response.status if response else 0
+
+    def _check(self) -> None:
+        result = self.result
+        for caller in self._callers:
+            for session in caller.sessions:
+                self._databases[session] = caller.database
+        result.violations += check_all(
+            self._history, self._group, self._provider, self._databases
+        )
+        result.n_statements = len(self._history.statements)
+        result.n_acknowledged = len(self._history.acknowledged)
+        result.n_promotions = len({token for _, token, _ in self._provider.calls})
+
+
+async def run_seed(
+    seed: int, seconds: float, network: int, folder: Path | None = None
+) -> SoakResult:
+    """Run one seed on a loopback network of its own."""
+    folder = folder or Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
+    result = await Soak(seed, folder, network).run(seconds)
+    if result.violations:
+        (folder / "faults.txt").write_text("\n".join(result.faults), encoding="utf-8")
+    return result
+
+
+async def _run_seeds(
+    seeds: list[int], seconds: float, n_at_once: int, first_network: int
+) -> list[SoakResult]:
+    networks = asyncio.Queue[int]()
+    for number in range(n_at_once):
+        networks.put_nowait(first_network + number)
+
+    async def run(seed: int) -> SoakResult:
+        network = await networks.get()
+        try:
+            result = await run_seed(seed, seconds, network)
+        finally:
+            networks.put_nowait(network)
+        click.echo(
+            f"seed {seed}: {result.n_statements} statements, "
+            f"{len(result.faults)} faults, {result.n_promotions} promotions, "
+            f"{result.n_acknowledged} configurations, "
+            f"{len(result.violations)} violations"
+        )
+        for violation in result.violations[:5]:
+            click.echo(f"  {violation}")
+        if result.violations:
+            click.echo(f"  logs in {result.folder}")
+        return result
+
+    return await asyncio.gather(*(run(seed) for seed in seeds))
+
+
+@click.command()
+@click.option("--first-seed", default=1, show_default=True)
+@click.option("--seeds", "n_seeds", default=10, show_default=True)
+@click.option("--seconds", default=15.0, show_default=True, help="Faults in each seed.")
+@click.option("--at-once", default=2, show_default=True, help="Seeds side by side.")
+@click.option("--network", default=100, show_default=True, help="First 127.N network.")
+def main(
+    first_seed: int, n_seeds: int, seconds: float, at_once: int, network: int
+) -> None:
+    """Run seeds; fail if a promise was broken."""
+    seeds = list(range(first_seed, first_seed + n_seeds))
+    results = asyncio.run(_run_seeds(seeds, seconds, at_once, network))
+    failed = [result.seed for result in results if result.violations]
+    click.echo(f"{len(results)} seeds, failed: {failed or 'none'}")
+    if failed:
+        raise SystemExit(1)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/fault_soak/soak_callers.py
@@ -0,0 +1,259 @@
+"""Callers and an operator that record what they asked and what they were told."""
+
+import asyncio
+import json
+import random
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from cardamomshunt_node._http import HttpRequest, call_http
+from standin import Caller
+
+KINDS = {
+    "orders": "primary",
+    "stock": "bounded_staleness",
+    "dispatch": "read_your_writes",
+}
+MAX_STALENESS_S = 2.0
+PROMISES = ("BUSY", "ABORTED", "LAGGING", "READONLY", "MISROUTED", "OVERLOAD")
+_PAUSE_S = (0.005, 0.06)
+_N_ITEMS = 40
+_OPERATOR_PAUSE_S = 0.9
+
+
+@dataclass
+class Statement:
+    """Hold one statement of a caller, and its outcome."""
+
+    request: str
+    session: int
+    kind: str
+    text: str
+    entry: str
+    sent_s: float
+    ended_s: float = 0.0
+    lines: list[str] = field(default_factory=list)
+    is_broken: bool = False
+    values: dict[str, str] = field(default_factory=dict)
+    # The writes that a commit stands for.
+    writes: list[str] = field(default_factory=list)
+
+    @property
+    def is_success(self) -> bool:
+        """Tell whether the caller was told that the statement ran."""
+        return bool(self.lines) and self.lines[-1].startswith("COMPLETE")
+
+    @property
+    def promises_nothing_kept(self) -> bool:
+        """Tell whether the caller was told that nothing is kept."""
+        words = self.lines[-1].split() if self.lines else []
+        return words[:1] == ["ERROR"] and words[1] in PROMISES
+
+
+@dataclass
+class History:
+    """Hold all that callers and the operator saw."""
+
+    statements: list[Statement] = field(default_factory=list)
+    # Version and time of each acknowledged configuration.
+    acknowledged: list[tuple[int, float]] = field(default_factory=list)
+    # Version and time sent of each configuration that was read back.
+    read_back: list[tuple[int, float]] = field(default_factory=list)
+
+
+class SoakCaller:
+    """Own one caller, which opens a new session whenever one breaks."""
+
+    def __init__(
+        self,
+        history: History,
+        database: str,
+        random_source: random.Random,
+        choose_entry: Callable[[], tuple[str, str]],
+    ) -> None:
+        self._history = history
+        self._database = database
+        self._random = random_source
+        self._choose_entry = choose_entry
+        self._session = 0
+        self._entry = ""
+        self._values: dict[str, str] = {}
+        self._caller: Caller | None = None
+        self.sessions: list[int] = []
+
+    async def run(self) -> None:
+        """Ask until cancelled."""
+        while True:
+            await asyncio.sleep(self._random.uniform(*_PAUSE_S))
+            try:
+                if self._caller is None:
+                    await self._open()
+                await self._operate()
+            except (OSError, TimeoutError):
+                self._leave()
+                await asyncio.sleep(0.1)
+
+    def _leave(self) -> None:
+        if self._caller is not None:
+            self._caller.close()
+        self._caller = None
+
+    async def _open(self) -> None:
+        self._entry, address = self._choose_entry()
+        async with asyncio.timeout(2.0):
+            self._caller = await Caller.open(address, self._database)
+        self._session = self._random.getrandbits(48)
+        self.sessions.append(self._session)
+        self._values = {"tag": f"{self._session}"}
+        await self._caller.ask(f"SET tag {self._session}")
+
+    async def _operate(self) -> None:
+        choice = self._random.random()
+        item = f"k{self._random.randrange(_N_ITEMS)}"
+        if choice < 0.5:
+            await self._ask(f"READ {item}")
+        elif choice < 0.8:
+            request = self._new_request()
+            await self._ask(f"WRITE {item} {request}", request)
+        else:
+            await self._transaction(item)
+        if self._random.random() < 0.05:
+            self._leave()
+
+    async def _transaction(self, item: str) -> None:
+        assert self._caller is not None
+        await self._caller.ask("BEGIN")
+        writes = []
+        for _ in range(self._random.randrange(1, 4)):
+            await asyncio.sleep(self._random.uniform(0.0, 0.05))
+            request = self._new_request()
+            if self._random.random() < 0.5:
+                done = await self._ask(f"WRITE {item} {request}", request, in_open=True)
+                if done.is_success:
+                    writes.append(request)
+            else:
+                done = await self._ask(f"READ {item}", in_open=True)
+            if not done.is_success:
+                await self._caller.ask("ROLLBACK")
+                return
+        await self._ask("COMMIT", writes=writes)
+
+    def _new_request(self) -> str:
+        return f"{self._random.getrandbits(64):016x}"
+
+    async def _ask(
+        self,
+        text: str,
+        request: str = "",
+        *,
+        in_open: bool = False,
+        writes: list[str] | None = None,
+    ) -> Statement:
+        assert self._caller is not None
+        kind = "in_transaction" if in_open else text.split()[0].lower()
+        statement = Statement(
+            request=request or self._new_request(),
+            session=self._session,
+            kind=kind,
+            text=text,
+            entry=self._entry,
+            sent_s=time.monotonic(),
+            values=dict(self._values),
+            writes=writes or [],
+        )
+        self._history.statements.append(statement)
+        try:
+            statement.lines = await self._caller.ask(text, statement.request)
+        except (OSError, TimeoutError):
+            statement.is_broken = True
+            raise
+        finally:
+            statement.ended_s = time.monotonic()
+        return statement
+
+    @property
+    def database(self) -> str:
+        """Return the database that this caller uses."""
+        return self._database
+
+
+def document(version: int) -> bytes:
+    """Return a configuration whose time limit tells its version."""
+    routes = [
+        {
+            "name": f"r-{database}",
+            "host": database,
+            "path_prefix": "/",
+            "kind": kind,
+            "timeout_ms": 1_000 + version,
+            "target_latency_ms": 300,
+            "priority": 1,
+            "service": "db",
+            "max_attempts": 2,
+            "max_staleness_ms": MAX_STALENESS_S * 1_000.0,
+        }
+        for database, kind in KINDS.items()
+    ]
+    fields = {
+        "version": version,
+        "routes": routes,
+        "services": [{"name": "db", "connection_limit": 60, "sync_replicas": 0}],
+        "limits": {"transaction_idle_ms": 3_000},
+    }
+    return json.dumps(fields).encode()
+
+
+class SoakOperator:
+    """Send configurations of rising versions, and read them back."""
+
+    def __init__(
+        self, history: History, random_source: random.Random, controls: list[str]
+    ) -> None:
+        self._history = history
+        self._random = random_source
+        self._controls = controls
+        self.version = 0
+
+    async def run(self) -> None:
+        """Send and read until cancelled."""
+        while True:
+            await self.put(self.version + self._random.randrange(1, 4))
+            await asyncio.sleep(_OPERATOR_PAUSE_S)
+            await self.read()
+
+    async def put(self, version: int) -> None:
+        """Send one configuration until it is acknowledged."""
+        self.version = version
+        while not await self._call("POST", "/Configuration.Replace", document(version)):
+            await asyncio.sleep(0.15)
+        self._history.acknowledged.append((version, time.monotonic()))
+
+    async def read(self) -> int | None:
+        """Read the newest configuration; return its version, or None."""
+        sent_s = time.monotonic()
+        body = await self._call("GET", "/Configuration.Read", b"")
+        if not body:
+            return None
+        version = int(json.loads(body)["version"])
+        self._history.read_back.append((version, sent_s))
+        return version
+
+    async def _call(self, method: str, path: str, body: bytes) -> bytes | None:
+        """Return the body of a 200, or None."""
+        address = self._random.choice(self._controls)
+        for _ in range(3):
+            try:
+                response = await call_http(
+                    address, HttpRequest(method, path, body), 1_000.0
+                )
+            except (OSError, TimeoutError):
+                return None
+            assert response is not None
+            if response.status == 200:
+                return response.body or b"{}"
+            if response.status != 307:
+                return None
+            location = response.headers["location"].removeprefix("http://")
+            address = location.partition("/")[0]
+        return None
--- /dev/null
+++ b/tests/fault_soak/soak_processes.py
@@ -0,0 +1,133 @@
+"""The real daemons as child processes, and the signals that harm them."""
+
+import os
+import resource
+import shutil
+import signal
+import subprocess
+import sys
+from dataclasses import dataclass, field
+from pathlib import Path
+
+PEER_PORT = 17_440
+CONTROL_PORT = 18_080
+CALLER_PORT = 18_784
+HEALTH_PORT = 18_785
+STOP_TIMEOUT_S = 4.0
+_SETTINGS_VARIABLE = "CARDAMOMSHUNT_NODE_FILE"
+
+
+@dataclass
+class DaemonProcess:
+    """Own one daemon: its settings file, its data folder and its process."""
+
+    name: str
+    role: str
+    host: str
+    zone: str
+    folder: Path
+    seeds: list[str]
+    promotion_address: str
+    process: subprocess.Popen[bytes] | None = None
+    is_paused: bool = False
+    # Since when and until when a planned stop may go on, on the monotonic clock.
+    stopping_since_s: float | None = None
+    hurt_until_s: float = 0.0
+    starts: int = field(default=0)
+
+    @property
+    def data_folder(self) -> Path:
+        """Return the folder that stands for the disk."""
+        return self.folder / self.name
+
+    @property
+    def log_path(self) -> Path:
+        """Return the file that takes the output."""
+        return self.folder / f"{self.name}.log"
+
+    @property
+    def caller_address(self) -> str:
+        """Return where callers connect."""
+        return f"{self.host}:{CALLER_PORT}"
+
+    @property
+    def control_address(self) -> str:
+        """Return where operators and servers connect."""
+        return f"{self.host}:{CONTROL_PORT}"
+
+    @property
+    def runs(self) -> bool:
+        """Tell whether the process exists."""
+        return self.process is not None and self.process.poll() is None
+
+    def write_settings(self) -> None:
+        """Write the settings file for the next start."""
+        listen = f'control = "{self.control_address}"'
+        if self.role == "entry":
+            listen = (
+                f'frontend_address = "{self.caller_address}"\n'
+                f'ready = "{self.host}:{HEALTH_PORT}"'
+            )
+        seeds = ", ".join(f'"{seed}"' for seed in self.seeds)
+        text = f"""
+node_name = "{self.name}"
+ip_address = "{self.host}"
+zone = "{self.zone}"
+internal_port_range = [{PEER_PORT}, {PEER_PORT + 15}]
+seeds = [{seeds}]
+bootstrap = {"true" if self.starts == 0 else "false"}
+data_directory = "{self.data_folder}"
+[listen_addresses]
+{listen}
+[bounds]
+grace_period_s = {STOP_TIMEOUT_S}
+[cloud_api]
+address = "{self.promotion_address}"
+"""
+        path = self.folder / f"{self.name}.toml"
+        path.write_text(text, encoding="utf-8")
+
+    def start(self) -> None:
+        """Start the process unless it runs."""
+        if self.runs:
+            return
+        self.data_folder.mkdir(exist_ok=True)
+        self.write_settings()
+        self.starts += 1
+        self.is_paused, self.stopping_since_s = False, None
+        settings = self.folder / f"{self.name}.toml"
+        with self.log_path.open("ab") as log:
+            self.process = subprocess.Popen(
+                [sys.executable, "-m", "cardamomshunt_platform", self.role],
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
+                env={**os.environ, _SETTINGS_VARIABLE: str(settings)},
+            )
+
+    def send(self, number: signal.Signals) -> None:
+        """Send a signal if the process runs."""
+        if self.runs:
+            assert self.process is not None
+            self.process.send_signal(number)
+            self.is_paused = number is signal.SIGSTOP
+
+    def kill(self) -> None:
+        """End the process at once."""
+        if self.process is not None:
+            self.process.kill()
+            self.process.wait()
+
+    def lose_disk(self) -> None:
+        """Remove the data folder of a process that does not run."""
+        assert not self.runs
+        shutil.rmtree(self.data_folder, ignore_errors=True)
+
+    def limit_file_size(self, size_bytes: int) -> None:
+        """Let writes beyond a size fail; a negative size lifts the limit."""
+        if not self.runs:
+            return
+        assert self.process is not None
+        _, hard = resource.prlimit(self.process.pid, resource.RLIMIT_FSIZE)
+        soft = size_bytes if size_bytes >= 0 else hard
+        resource.prlimit(self.process.pid, resource.RLIMIT_FSIZE, (soft, hard))
--- a/tests/users_platform/standin.py
+++ b/tests/users_platform/standin.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import os
+import random
 from dataclasses import dataclass, field
 
 from cardamomshunt_node._http import (
@@ -13,6 +14,8 @@
 )
 
 PROMOTION_DELAY_S = 0.25
+# A former primary finds out by itself this long after it can reach the new one.
+FORMER_PRIMARY_S = 1.0
 REPORT_INTERVAL_S = 0.2
 
 
@@ -54,6 +57,8 @@
         self.state = "ready"
         self.is_dark = False
         self.lost_answers: set[str] = set()
+        # The share of answers to callers' statements that is lost.
+        self.lost_share = 0.0
         self.work_s = 0.002
         self.lag_s = 0.0
         self.sequence = 0
@@ -136,6 +141,8 @@
         if request in self._server.lost_answers:
             self._server.lost_answers.discard(request)
             return ""
+        if request != "-" and random.random() < self._server.lost_share:
+            return ""
         return answer
 
     async def _run(self, request: str, text: str) -> str:
@@ -171,7 +178,7 @@
     def _status(self, word: str, rest: str) -> str:
         server = self._server
         if word == "DEMOTE" and server.is_primary and int(rest) > server.term:
-            server.is_primary = False
+            server.group.rejoin(server)
         role = "primary" if server.is_primary else "replica"
         term, number = server.end
         row = f"ROW {role} {server.term} {term}.{number} {term} 0 0 1\r\n"
@@ -224,40 +231,71 @@
         self.port = port
         self.servers: list[LineServer] = []
         self.runs: list[Run] = []
+        self.all_commits: list[Commit] = []
+        # Requests of commits that a promotion took back.
+        self.rolled_back: set[str] = set()
+        # Requests committed at a primary after another one had been promoted.
+        self.late_commits: set[str] = set()
+
+    @property
+    def leading(self) -> LineServer:
+        """Return the primary of the newest term."""
+        return max((s for s in self.servers if s.is_primary), key=lambda s: s.term)
 
     def commit(self, server: LineServer, item: str, data: str, request: str) -> None:
         """Append to the primary's log, and to the replicas' later."""
         number = server.end[1] + 1
         commit = Commit(server.term, number, item, data, request)
         server.log.append(commit)
+        self.all_commits.append(commit)
+        if server is not self.leading:
+            self.late_commits.add(request)
+            self.rolled_back.add(request)
         for other in self.servers:
             if other is not server and not other.is_primary:
                 asyncio.get_running_loop().call_later(
-                    other.lag_s, self._receive, other, server.term, commit
+                    other.lag_s, self._receive, other, server, commit
                 )
 
-    def _receive(self, other: LineServer, term: int, commit: Commit) -> None:
-        if other.term == term and not other.is_primary and not other.is_dark:
-            other.log.append(commit)
+    def _receive(self, other: LineServer, server: LineServer, commit: Commit) -> None:
+        """Copy the log up to a commit, with all that a dark replica has missed."""
+        if other.term != server.term or other.is_primary or other.is_dark:
+            return
+        if server.is_dark or commit not in server.log[commit.number - 1 :]:
+            return
+        if len(other.log) < commit.number:
+            other.log = server.log[: commit.number]
 
     def promote(self, name: str) -> None:
         """Let a server lead the next term; the others follow its log."""
         leading = next(item for item in self.servers if item.name == name)
-        if leading.is_primary:
+        if leading.is_primary or leading.is_dark:
             return
         leading.term = max(item.term for item in self.servers) + 1
         leading.is_primary = True
+        kept = {commit.request for commit in leading.log}
+        self.rolled_back |= {c.request for c in self.all_commits} - kept
         for other in self.servers:
             if other is not leading and not other.is_primary:
                 other.term = leading.term
                 other.log = list(leading.log)
+            elif other is not leading:
+                asyncio.get_running_loop().call_later(
+                    FORMER_PRIMARY_S, self.rejoin, other
+                )
+
+    def rejoin(self, server: LineServer) -> None:
+        """Let a former primary that reaches the new one follow its log."""
+        leading = self.leading
+        if server is leading or server.is_dark:
+            return
+        server.is_primary = False
+        server.term = leading.term
+        server.log = list(leading.log)
 
     def requests_committed(self) -> list[str]:
         """Return the requests in the log of the newest primary, in order."""
-        leading = max(
-            (item for item in self.servers if item.is_primary), key=lambda s: s.term
-        )
-        return [commit.request for commit in leading.log]
+        return [commit.request for commit in self.leading.log]
 
 
 @dataclass
@@ -282,12 +320,12 @@
         return HttpResponse(200)
 
 
-async def report(server: LineServer, control: str) -> int:
-    """Send one report of a server; return the status."""
+async def report(server: LineServer, control: str, address: str = "") -> int:
+    """Send one report of a server, reached at an address; return the status."""
     server.sequence += 1
     body = {
         "service": server.group.name,
-        "address": server.address,
+        "address": address or server.address,
         "zone": server.zone,
         "version": "v1",
         "slots": 5,
