Let an odd number of control nodes vote, and answer all statements before a stop

And voters could shrink to three, although two disks may be lost at once. Change: 2 x (disks that may be lost) + 1 nodes vote, the others stand by as learners and take the place of a voter that is silent for 2.5 s; silent learners are removed. A role loads only its own modules at start.

--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_consensus_host.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_consensus_host.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 from collections.abc import Callable
+from dataclasses import replace
 
 from cardamomshunt.consensus import (
     ConsensusMessage,
@@ -14,7 +15,7 @@
     Peer,
     Snapshot,
 )
-from cardamomshunt.control import (
+from cardamomshunt.control_effects import (
     ControlEffect,
     EmitEvent,
     PersistEffect,
@@ -61,6 +62,7 @@
         encode_state: Callable[[], bytes],
         operator_address: str,
         may_form: bool,
+        n_disks_lost_max: int,
     ) -> None:
         self.node = ConsensusNode(
             node,
@@ -68,7 +70,7 @@
             opened.restored,
             random.Random(),
             boot_ms(),
-            OPTIONS,
+            replace(OPTIONS, n_voters=2 * n_disks_lost_max + 1),
             operator_address=operator_address,
             may_form=may_form,
         )
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_control_node.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_control_node.py
@@ -127,6 +127,7 @@
             lambda: self._state.encode(),
             settings.control_address,
             settings.is_first_start,
+            settings.n_disks_lost_max,
         )
         host.on_leadership = self._on_leadership
         host.on_applied = self._on_applied
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_deployment.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_deployment.py
@@ -26,6 +26,8 @@
     control_address: str = ""
     promotion_address: str = ""
     stop_timeout_ms: float = 6_000.0
+    # How many disks may be lost at once while nothing acknowledged is.
+    n_disks_lost_max: int = 1
 
     @property
     def peer_address(self) -> str:
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_entry_daemon.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_entry_daemon.py
@@ -44,6 +44,8 @@
 # A reader of the health check takes a process out after two misses a second apart.
 _ROTATION_MS = 2_200.0
 _EXIT_MARGIN_MS = 700.0
+# The last answers are given this long before the exit.
+_LAST_ANSWER_MARGIN_MS = 150.0
 _CUT_OFF_IDLE_MS = 100.0
 
 
@@ -134,6 +136,7 @@
         self._is_stopping = True
         began_ms = boot_ms()
         end_ms = began_ms + self._settings.stop_timeout_ms - _EXIT_MARGIN_MS
+        self._view.stop_by_ms = end_ms - _LAST_ANSWER_MARGIN_MS
         self._log.write("stopping", n_busy=self._edge.n_busy)
         await asyncio.sleep(_ROTATION_MS / 1_000.0)
         while boot_ms() < end_ms:
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_fleet_view.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_fleet_view.py
@@ -43,6 +43,8 @@
         self._bounds: dict[str, BoundHistory] = {}
         self._ended: dict[str, int] = {}
         self._change = asyncio.Event()
+        # Every statement has its answer by then, as this process ends soon after.
+        self.stop_by_ms = float("inf")
 
     # Changes
 
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_line_reads.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_line_reads.py
@@ -105,7 +105,7 @@
     ) -> Reply:
         """Return the answer of a read; raise RefusedError."""
         at_least = self._freshness.requirement(session, route, arrived_ms)
-        deadline_ms = statement_deadline_ms(route, arrived_ms)
+        deadline_ms = statement_deadline_ms(route, arrived_ms, self._view.stop_by_ms)
         read = _Read(session, query, route, at_least, arrived_ms, deadline_ms)
         self._hedge_budget = min(
             self._hedge_budget + _HEDGE_BUDGET_SHARE, _HEDGE_BUDGET_MAX
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_line_session_state.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_line_session_state.py
@@ -28,9 +28,13 @@
     return RefusedError(code, f"{reason}; retry_after_ms={RETRY_AFTER_MS}")
 
 
-def statement_deadline_ms(route: Route, arrived_ms: float) -> float:
-    """Return until when a statement has to be answered."""
-    return arrived_ms + route.statement_timeout_ms - _ANSWER_MARGIN_MS
+def statement_deadline_ms(route: Route, arrived_ms: float, stop_by_ms: float) -> float:
+    """Return until when a statement has to be answered.
+
+    `stop_by_ms` is when this process has to have answered all statements.
+    """
+    deadline_ms = arrived_ms + route.statement_timeout_ms - _ANSWER_MARGIN_MS
+    return min(deadline_ms, stop_by_ms)
 
 
 def seconds_until(deadline_ms: float) -> float:
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_line_transactions.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_line_transactions.py
@@ -67,7 +67,9 @@
         is_commit = query.statement.kind is StatementKind.COMMIT
         if is_write and transaction.is_read_only:
             raise RefusedError(ErrorCode.READ_ONLY, "the transaction only reads")
-        deadline_ms = statement_deadline_ms(transaction.route, transaction.used_ms)
+        deadline_ms = statement_deadline_ms(
+            transaction.route, transaction.used_ms, self._view.stop_by_ms
+        )
         try:
             if transaction.connection is None:
                 await self._open_transaction(session, transaction, deadline_ms)
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_line_writes.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_line_writes.py
@@ -48,7 +48,7 @@
         arrived_ms: float,
     ) -> Reply:
         """Return the answer of a single write; raise RefusedError."""
-        deadline_ms = statement_deadline_ms(route, arrived_ms)
+        deadline_ms = statement_deadline_ms(route, arrived_ms, self._view.stop_by_ms)
         while True:
             connection, epoch = await self._acquire(session, route, deadline_ms)
             sent_ms = boot_ms()
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_log_storage.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_log_storage.py
@@ -10,7 +10,7 @@
 
 import msgspec
 from cardamomshunt.consensus import Entry, RestoredState, Snapshot, Vote
-from cardamomshunt.control import (
+from cardamomshunt.control_effects import (
     PersistEffect,
     PersistEntries,
     PersistSnapshot,
@@ -22,7 +22,7 @@
 _MAGIC = b"CSR1"
 _HEADER = struct.Struct("<4sII")
 _SEGMENT_SIZE_MAX_BYTES = 1_048_576
-_FULL_ERRORS = (errno.ENOSPC, errno.EDQUOT)
+_FULL_ERRORS = (errno.ENOSPC, errno.EDQUOT, errno.EFBIG)
 
 
 class StorageCorruptError(Exception):
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_storage_task.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_storage_task.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from cardamomshunt.control import PersistEffect
+from cardamomshunt.control_effects import PersistEffect
 
 from cardamomshunt_node._log_storage import LogStorage, StorageFullError
 
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/deployment.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/deployment.py
@@ -1,6 +1,5 @@
-"""Daemons for deployments whose servers announce themselves, and their platform."""
+"""What daemons need to know of a platform: settings, formats and calls."""
 
-from cardamomshunt_node._control_node import ControlNodeDaemon
 from cardamomshunt_node._deployment import (
     ConfigurationAsked,
     ConfigurationPut,
@@ -13,7 +12,6 @@
     ServerReported,
     UnknownCall,
 )
-from cardamomshunt_node._entry_daemon import EntryDaemon
 from cardamomshunt_node._http import HttpRequest, HttpResponse
 from cardamomshunt_node._session_protocol import (
     CallerEnd,
@@ -38,10 +36,8 @@
     "ConfigurationAsked",
     "ConfigurationPut",
     "ControlCall",
-    "ControlNodeDaemon",
     "ControlReply",
     "DeploymentSettings",
-    "EntryDaemon",
     "ErrorCode",
     "HttpRequest",
     "HttpResponse",
--- a/packages/cardamomshunt/src/cardamomshunt/_consensus/member_changes.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_consensus/member_changes.py
@@ -34,10 +34,10 @@
     return [learner if item is known else item for item in members]
 
 
-def with_voter(members: list[Member], node: str) -> list[Member]:
-    """Return the members with a learner made a voter."""
+def with_vote(members: list[Member], node: str, *, is_voter: bool) -> list[Member]:
+    """Return the members with one made a voter or a learner."""
     return [
-        msgspec.structs.replace(item, is_voter=True) if item.node == node else item
+        msgspec.structs.replace(item, is_voter=is_voter) if item.node == node else item
         for item in members
     ]
 
--- a/packages/cardamomshunt/src/cardamomshunt/_consensus/node.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_consensus/node.py
@@ -15,7 +15,7 @@
 from cardamomshunt._consensus.member_changes import (
     is_single_change,
     with_learner,
-    with_voter,
+    with_vote,
     without,
 )
 from cardamomshunt._consensus.messages import (
@@ -377,25 +377,48 @@
 
     # Changes of the members
 
-    def _retire_silent_voter(self, now_ms: float) -> None:
-        """Remove a voter that was replaced, or is down while others took its place."""
-        voters = self.voters
-        if len(voters) <= self.options.n_voters_min or not self.can_change_members():
-            return
+    def _keep_members(self, now_ms: float) -> None:
+        """Keep the wanted number of voters, one change at a time."""
+        if not self.options.admits_unknown:
+            self._promote_learner(now_ms, set())
+            return
+        silent = self._silent_members(now_ms)
+        n_extra = len(self.voters) - self.options.n_voters
+        if n_extra > 0:
+            self._remove_voter(now_ms, silent)
+        elif n_extra < 0 or any(member.node in silent for member in self.voters):
+            self._promote_learner(now_ms, silent)
+        for member in self.members:
+            if member.node in silent and not member.is_voter:
+                self._remove(now_ms, member.node)
+                return
+
+    def _silent_members(self, now_ms: float) -> set[str]:
         limit_ms = now_ms - self.options.retire_after_ms
         if self._leader_since_ms > limit_ms:
-            return
-        silent = [
+            return set()
+        return {
             member.node
-            for member in self._other_voters()
+            for member in self._other_members()
             if self._followers.of(member.node).acked_sent_ms < limit_ms
-        ]
-        if not silent or len(voters) - len(silent) < self.options.n_voters_min:
+        }
+
+    def _remove_voter(self, now_ms: float, silent: set[str]) -> None:
+        """Remove a silent voter, or let one stand by that is not needed."""
+        others = [member.node for member in self._other_voters()]
+        gone = next((node for node in others if node in silent), None)
+        if gone is not None:
+            self._remove(now_ms, gone)
             return
-        if self.propose_members(now_ms, without(self.members, silent[0])):
-            self._emit(EventNumber.MEMBER_REMOVED, silent[0])
+        members = with_vote(self.members, others[-1], is_voter=False)
+        if self.propose_members(now_ms, members):
+            self._emit(EventNumber.MEMBER_CATCHING_UP, others[-1], "stands by")
 
-    def _promote_learner(self, now_ms: float) -> None:
+    def _remove(self, now_ms: float, node: str) -> None:
+        if self.propose_members(now_ms, without(self.members, node)):
+            self._emit(EventNumber.MEMBER_REMOVED, node)
+
+    def _promote_learner(self, now_ms: float, silent: set[str]) -> None:
         if not self.can_change_members():
             return
         for member in self._other_members():
@@ -403,7 +426,10 @@
             is_caught_up = behind <= self.options.n_entries_behind_max
             if member.is_voter or not member.incarnation or not is_caught_up:
                 continue
-            if self.propose_members(now_ms, with_voter(self.members, member.node)):
+            if member.node in silent:
+                continue
+            members = with_vote(self.members, member.node, is_voter=True)
+            if self.propose_members(now_ms, members):
                 self._emit(EventNumber.MEMBER_ADDED, member.node)
             return
 
@@ -610,8 +636,7 @@
             self._continue_transfer(now_ms)
             if not self.is_leader:
                 return
-        self._promote_learner(now_ms)
-        self._retire_silent_voter(now_ms)
+        self._keep_members(now_ms)
         for member in self._other_members():
             progress = self._followers.of(member.node)
             if now_ms >= progress.heartbeat_due_ms:
--- a/packages/cardamomshunt/src/cardamomshunt/_consensus/options.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_consensus/options.py
@@ -32,10 +32,11 @@
     chunk_size_bytes: int = 65_536
     n_entries_kept: int = 500
     n_entries_behind_max: int = 10
-    # A node that is no member may join by itself, and a voter that is silent for
-    # `retire_after_ms` leaves while more than `n_voters_min` vote.
+    # A node that is no member may join by itself. `n_voters` of them vote, an odd
+    # number, so that one half of a split group goes on; the others stand by and
+    # take the place of a voter that is silent for `retire_after_ms`.
     admits_unknown: bool = False
-    n_voters_min: int = 3
+    n_voters: int = 3
     retire_after_ms: float = 2_500.0
 
 
--- a/tests/users_platform/test_deployment.py
+++ b/tests/users_platform/test_deployment.py
@@ -400,3 +400,16 @@
     assert len(runs) == 1
     # A slow statement is no reason to replace the primary.
     assert deployment.provider.calls == []
+
+
+async def test_a_stop_answers_statements_that_no_server_can_run(deployment):
+    # Fault soak seed 113: a statement in a transaction was cut by the exit.
+    caller = await open_session(deployment)
+    await caller.ask("BEGIN")
+    for server in deployment.group.servers:
+        server.is_dark = True
+    stopping = asyncio.create_task(deployment.stop("entry-1"))
+    await asyncio.sleep(2.6)
+    assert (await caller.ask("WRITE k1 a", "t1"))[-1].startswith("ERROR")
+    assert not stopping.done()
+    await stopping
