Serve entry VMs through a control node of their zone, and share bounds there

Change: an entry VM has a home, a control node of its zone. It passes lease requests on to the leader in one message for many, sends configurations, assignments and reports, and exchanges bounds, whose ages count from when they were asked for. Sequences start at random, so that no late answer to a former life extends a lease. Repeated attempts wait 30 to 200 ms, doubling, with jitter. While connections are scarce, an idle one is kept for a time that halves with each refusal for want of connections and else grows.

--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_backend_pool.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_backend_pool.py
@@ -26,6 +26,12 @@
 _SILENCE_TIMEOUT_MS = 700
 _REDIAL_PAUSE_MS = 120.0
 _FULL_PAUSE_MS = (60.0, 200.0)
+# How long an idle connection is kept while connections are scarce: shorter after each
+# refusal for want of connections, slowly longer while there is none.
+_KEEP_START_MS = 300.0
+_KEEP_MIN_MS = 60.0
+_KEEP_MAX_MS = 20_000.0
+_KEEP_GROWTH = 1.05
 _LAG_MIN_MS = 50.0
 _LAG_MAX_MS = 5_000.0
 _LAG_MARGIN = 1.5
@@ -213,6 +219,7 @@
         self.down_since_ms: float | None = None
         self.dial_after_ms = 0.0
         self.full_until_ms = 0.0
+        self._keep_ms = _KEEP_START_MS
         self._lag_ms = 0.0
         self._lag_noted_ms = 0.0
         self.n_opened = 0
@@ -341,6 +348,7 @@
             # Other entry VMs hold all connections and give idle ones back soon.
             self.dial_after_ms = now + random.uniform(*_FULL_PAUSE_MS)
             self.full_until_ms = self.dial_after_ms
+            self._keep_ms = max(self._keep_ms / 2.0, _KEEP_MIN_MS)
             self._dial_more()
             return
         if self._open:
@@ -388,11 +396,12 @@
         if self._waiters:
             self._dial_more()
 
-    def close_idle(self, idle_ms: float) -> None:
+    def close_idle(self) -> None:
         """Close connections that nobody used for a time, for others to open."""
         now = boot_ms()
+        self._keep_ms = min(self._keep_ms * _KEEP_GROWTH, _KEEP_MAX_MS)
         for connection in list(self._idle):
-            if now > connection.used_ms + idle_ms:
+            if now > connection.used_ms + self._keep_ms:
                 connection.close("idle while connections are scarce")
 
     def probe(self) -> None:
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_control_node.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_control_node.py
@@ -6,23 +6,19 @@
 
 from cardamomshunt.consensus import ConsensusMessage, Member
 from cardamomshunt.fleet import (
-    LEASE_MS,
     Assignment,
-    AssignmentsChanged,
     ConfigurationInvalidError,
-    DocumentChanged,
     FleetState,
-    LeaderHint,
-    LeaseGrant,
     LeaseRequest,
     PutDocument,
+    RelayedGrants,
+    RelayedRequests,
     ReportsChanged,
     ReportsReceived,
     ReportsRequest,
     RouteTable,
     encode_command,
 )
-from cardamomshunt.messages import Message
 
 from cardamomshunt_node._boot_clock import boot_ms, wall_ms
 from cardamomshunt_node._consensus_host import ConsensusHost, NotLeaderError
@@ -37,6 +33,7 @@
     ServerLeft,
     ServerReported,
 )
+from cardamomshunt_node._entry_service import EntryService
 from cardamomshunt_node._http import (
     HttpRequest,
     HttpResponse,
@@ -49,8 +46,6 @@
 from cardamomshunt_node._stream_transport import StreamMessage, StreamTransport
 
 _FLUSH_INTERVAL_S = 0.25
-_ENTRY_FORGOTTEN_MS = 6_000.0
-_PUSH_PAUSE_MS = 400.0
 _LEADER_WAIT_MS = 600.0
 _STOP_TIMEOUT_MS = 1_500.0
 _LINGER_S = 0.15
@@ -74,12 +69,10 @@
         self._transport = StreamTransport(
             settings.host, settings.peer_address, self._on_message
         )
-        self._entries: dict[str, float] = {}
-        self._pushed_ms: dict[str, float] = {}
         self._told_assignments: dict[str, Assignment] = {}
         self._is_announced = False
         self._reports = ReportExchange(
-            self._transport, self._log, self._peers, self._live_entries
+            self._transport, self._log, self._peers, lambda: self._entries.at_home()
         )
         self._stop = asyncio.Event()
         self._storage = LogStorage(Path(settings.data_folder) / "log")
@@ -94,6 +87,15 @@
             lambda: self._state.assignments,
             lambda: self._table.groups,
         )
+        self._entries = EntryService(
+            settings,
+            self._host,
+            self._transport,
+            self._reports,
+            self._metrics,
+            lambda: self._state,
+            lambda: self._primaries.leases,
+        )
         self._control = HttpServer(settings.control_address, self._answer)
         self._metrics_server = HttpServer(
             f"{settings.host}:{settings.metrics_port}", self._answer_metrics
@@ -190,23 +192,13 @@
         """Put what was applied in force, and tell the entry VMs of it."""
         if self._state.version != self._table.version:
             self._load_table()
-            self._tell_entries(
-                DocumentChanged(
-                    version=self._state.version, document=self._state.document
-                )
-            )
+            self._entries.tell_document()
         if self._host.may_act and not self._is_announced:
             self._is_announced = True
-            hint = LeaderHint(
-                leader_address=self._settings.peer_address,
-                control_addresses=self._control_addresses(),
-            )
-            self._tell_entries(hint)
+            self._entries.announce_leadership()
         if self._state.assignments != self._told_assignments:
             self._told_assignments = dict(self._state.assignments)
-            self._tell_entries(
-                AssignmentsChanged(assignments=dict(self._state.assignments))
-            )
+            self._entries.tell_assignments(dict(self._state.assignments))
 
     def _install(self, data: bytes) -> None:
         self._state = FleetState.decode(data)
@@ -218,29 +210,11 @@
         self._table = self._platform.parse_configuration(self._state.document)
         self._log.write("configuration", version=self._state.version)
 
-    def _tell_entries(self, message: Message) -> None:
-        """Send news at once; only the leader does, and requests repair the rest."""
-        if not self._host.may_act:
-            return
-        for address in self._live_entries():
-            self._transport.send(address, message)
-
-    def _live_entries(self) -> list[str]:
-        now = boot_ms()
-        return [
-            address
-            for address, heard_ms in self._entries.items()
-            if now <= heard_ms + _ENTRY_FORGOTTEN_MS
-        ]
-
     def _peers(self) -> list[str]:
         addresses = {member.peer_address for member in self._host.node.members}
         addresses |= set(self._settings.seed_peer_addresses)
         return sorted(addresses - {self._settings.peer_address})
 
-    def _control_addresses(self) -> list[str]:
-        return sorted(member.peer_address for member in self._host.node.members)
-
     def _on_leadership(self, is_leader: bool) -> None:
         self._is_announced = False
         self._primaries.on_leadership(is_leader)
@@ -256,7 +230,11 @@
             case ConsensusMessage():
                 self._host.on_message(received, received.message)
             case LeaseRequest():
-                self._on_lease_request(address, received.message)
+                self._entries.on_request(address, received.message)
+            case RelayedRequests():
+                self._entries.on_relayed_requests(address, received.message)
+            case RelayedGrants():
+                self._entries.on_relayed_grants(received.message)
             case ReportsChanged():
                 self._reports.on_reports(address, received.message)
             case ReportsReceived():
@@ -264,55 +242,6 @@
             case ReportsRequest():
                 self._reports.on_request(address, received.message)
 
-    def _on_lease_request(self, address: str, request: LeaseRequest) -> None:
-        now = boot_ms()
-        self._entries[address] = now
-        leases = self._primaries.leases
-        if self._host.may_act and leases is not None:
-            leases.on_request(address, request, now)
-            grant = LeaseGrant(
-                sequence=request.sequence,
-                lease_ms=LEASE_MS,
-                n_entries=len(self._live_entries()),
-                assignments=self._newer_assignments(request.newest_epoch),
-                control_addresses=self._control_addresses(),
-            )
-            self._transport.send(address, grant)
-            self._metrics.count_grant()
-        else:
-            self._transport.send(
-                address,
-                LeaderHint(
-                    leader_address=self._host.leader_address() or "",
-                    control_addresses=self._control_addresses(),
-                ),
-            )
-        self._repair(address, request, now)
-
-    def _newer_assignments(self, known_epoch: int) -> dict[str, Assignment] | None:
-        """Return the assignments unless an entry VM knows the newest of them."""
-        newest = max(
-            (item.epoch for item in self._state.assignments.values()), default=-1
-        )
-        return dict(self._state.assignments) if known_epoch != newest else None
-
-    def _repair(self, address: str, request: LeaseRequest, now: float) -> None:
-        """Send what an entry VM lacks; news may have been lost on the way."""
-        is_behind = request.version < self._state.version
-        has_other_servers = request.registry_digest != self._reports.registry.digest()
-        if not is_behind and not has_other_servers:
-            return
-        if now < self._pushed_ms.get(address, 0.0) + _PUSH_PAUSE_MS:
-            return
-        self._pushed_ms[address] = now
-        if is_behind:
-            message = DocumentChanged(
-                version=self._state.version, document=self._state.document
-            )
-            self._transport.send(address, message)
-        if has_other_servers:
-            self._reports.send_all(address)
-
     # Calls
 
     async def _answer(self, request: HttpRequest) -> HttpResponse:
@@ -392,6 +321,6 @@
         self._metrics.set_state(
             self._host.node.is_leader,
             self._state.version,
-            len(self._live_entries()),
+            len(self._entries.live()),
         )
         return HttpResponse(200, self._metrics.render(), content_type="text/plain")
--- /dev/null
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_entry_control_link.py
@@ -0,0 +1,312 @@
+"""An entry VM's side of its lease, and of what control nodes tell it."""
+
+import asyncio
+import random
+from collections.abc import Callable
+
+from cardamomshunt.fleet import (
+    Assignment,
+    AssignmentsChanged,
+    BoundExchange,
+    ConfigurationInvalidError,
+    ControlHome,
+    DocumentChanged,
+    LeaderHint,
+    LeaseGrant,
+    LeaseRequest,
+    ReportsChanged,
+    ReportsRequest,
+    RouteTable,
+    Suspicion,
+    digest_of,
+)
+
+from cardamomshunt_node._boot_clock import boot_ms
+from cardamomshunt_node._decision_log import DecisionLog
+from cardamomshunt_node._deployment import DeploymentSettings
+from cardamomshunt_node._fleet_view import FleetView
+from cardamomshunt_node._stream_transport import StreamMessage, StreamTransport
+
+_RENEW_INTERVAL_MS = 250.0
+_SEARCH_INTERVAL_MS = 150.0
+# Without a grant for this long all control nodes are asked.
+_GRANT_LATE_MS = 300.0
+# A home through which no grant came for this long is left for another one.
+_HOME_SILENCE_MS = 600.0
+_LEADER_SILENCE_MS = 500.0
+# Other control nodes are asked that often, those of other zones less.
+_NEAR_CONTACT_INTERVAL_MS = 1_000.0
+_FAR_CONTACT_INTERVAL_MS = 3_000.0
+_CONTROL_SILENCE_MS = 3_500.0
+_SUSPICION_INTERVAL_S = 0.05
+# Without a leader all control nodes are asked many times in this time.
+_CUT_OFF_AFTER_MS = 450.0
+_SEQUENCE_START_BITS = 48
+
+
+class EntryControlLink:
+    """Own the exchange of an entry VM with the control nodes."""
+
+    def __init__(
+        self,
+        settings: DeploymentSettings,
+        view: FleetView,
+        log: DecisionLog,
+        parse_configuration: Callable[[bytes], RouteTable],
+        on_assignments: Callable[[list[str], dict[str, Assignment]], None],
+    ) -> None:
+        self._settings = settings
+        self._view = view
+        self._log = log
+        self._parse_configuration = parse_configuration
+        self._on_assignments = on_assignments
+        self._transport = StreamTransport(
+            settings.node, settings.peer_address, self._on_message
+        )
+        self._home_choice = ControlHome(settings.node, settings.zone)
+        self._bounds = BoundExchange()
+        self._home = ""
+        self._home_granted_ms = boot_ms()
+        self._answers = 0
+        # A late answer to a former life of this process must match no request.
+        self._sequence = random.getrandbits(_SEQUENCE_START_BITS)
+        self._leader = ""
+        self._granted_ms = boot_ms()
+        self._control: set[str] = set(settings.seed_peer_addresses)
+        self._control_digest = 0
+        self._heard_ms: dict[str, float] = {}
+        self._contacted_ms: dict[str, float] = {}
+        self._dialled_ms: dict[str, float] = {}
+        self._released: dict[str, int] = {}
+        self._had_lease = False
+        self._renew = asyncio.Event()
+
+    async def start(self) -> None:
+        """Listen; raise OSError if the address is taken."""
+        await self._transport.start()
+
+    async def stop(self) -> None:
+        """Close all sockets."""
+        await self._transport.stop()
+
+    def add_seeds(self, addresses: list[str]) -> None:
+        """Ask these control nodes too."""
+        self._control |= set(addresses)
+
+    def release(self, group: str, epoch: int) -> None:
+        """Tell the leader that a primary is not used any more."""
+        self._released[group] = epoch
+        self._renew.set()
+
+    # Asking
+
+    async def keep_lease(self) -> None:
+        """Ask for the lease again and again."""
+        while True:
+            self._send_requests()
+            is_calm = (
+                boot_ms() <= self._granted_ms + _RENEW_INTERVAL_MS
+                and not self._view.suspicions()
+            )
+            interval_ms = _RENEW_INTERVAL_MS if is_calm else _SEARCH_INTERVAL_MS
+            self._renew.clear()
+            try:
+                async with asyncio.timeout(interval_ms / 1_000.0):
+                    await self._renew.wait()
+            except TimeoutError:
+                continue
+
+    async def report_suspicions(self) -> None:
+        """Tell the leader at once when a primary stops to answer."""
+        reported: list[Suspicion] = []
+        while True:
+            await asyncio.sleep(_SUSPICION_INTERVAL_S)
+            suspicions = self._view.suspicions()
+            if suspicions != reported:
+                reported = suspicions
+                for item in suspicions:
+                    self._log.write(
+                        "primary_silent",
+                        group=item.group,
+                        server=item.server,
+                        epoch=item.epoch,
+                    )
+                self._renew.set()
+
+    def _send_requests(self) -> None:
+        now = boot_ms()
+        silent_ms = now - self._granted_ms
+        if self._leader and silent_ms > _LEADER_SILENCE_MS:
+            self._log.write(
+                "leader_lost", leader=self._leader, silent_ms=round(silent_ms)
+            )
+            self._transport.reset(self._leader)
+            self._leader = ""
+        is_late = silent_ms > _GRANT_LATE_MS
+        if self._home and now > self._home_granted_ms + _HOME_SILENCE_MS:
+            self._home_choice.distrust(self._home, now)
+        self._choose_home(now)
+        for address in sorted(self._control | {self._home} - {""}):
+            if is_late or address == self._home or self._is_contact_due(address, now):
+                self._reset_if_silent(address, now)
+                self._send_request(address, now)
+
+    def _choose_home(self, now: float) -> None:
+        home = self._home_choice.choose(self._control, self._leader, now)
+        if home != self._home:
+            self._log.write("home", control=home, former=self._home)
+            self._home, self._answers = home, 0
+            self._home_granted_ms = now
+            self._bounds.forget(home)
+
+    def _is_contact_due(self, address: str, now: float) -> bool:
+        interval_ms = _FAR_CONTACT_INTERVAL_MS
+        if self._home_choice.is_near(address):
+            interval_ms = _NEAR_CONTACT_INTERVAL_MS
+        return now >= self._contacted_ms.get(address, float("-inf")) + interval_ms
+
+    def _reset_if_silent(self, address: str, now: float) -> None:
+        """Dial a control node anew that answered nothing since the last dial."""
+        dialled_ms = self._dialled_ms.setdefault(address, now)
+        last_ms = max(dialled_ms, self._heard_ms.get(address, dialled_ms))
+        if now > last_ms + _CONTROL_SILENCE_MS:
+            self._dialled_ms[address] = now
+            self._transport.reset(address)
+
+    def _send_request(self, address: str, now: float) -> None:
+        self._contacted_ms[address] = now
+        self._sequence += 1
+        self._view.lease.on_request_sent(self._sequence, now)
+        is_home = address == self._home
+        bounds = []
+        if is_home and self._home_choice.is_near(address):
+            self._bounds.note_asked(self._sequence, now)
+            for group, bound in self._view.newest_bounds().items():
+                self._bounds.add(group, bound)
+            bounds = self._bounds.bounds_for(address, now)
+        self._transport.send(
+            address,
+            LeaseRequest(
+                sequence=self._sequence,
+                version=self._view.table.version,
+                registry_digest=self._view.registry.digest(),
+                newest_epoch=self._view.lease.newest_epoch,
+                suspicions=self._view.suspicions(),
+                released=self._released,
+                is_home=is_home,
+                control_digest=self._control_digest,
+                answers=self._answers,
+                bounds=bounds,
+            ),
+        )
+
+    # Answers and news
+
+    def _on_message(self, received: StreamMessage) -> None:
+        address = received.envelope.reply_address
+        now = boot_ms()
+        was_silent = now > self._heard_ms.get(address, 0.0) + _CONTROL_SILENCE_MS
+        self._heard_ms[address] = now
+        if was_silent:
+            self._transport.send(address, ReportsRequest())
+        match received.message:
+            case LeaseGrant():
+                self._on_grant(address, received.message)
+            case LeaderHint():
+                self._on_hint(address, received.message)
+            case AssignmentsChanged():
+                self._take_assignments(received.message.assignments)
+            case DocumentChanged():
+                self._on_document(received.message)
+            case ReportsChanged():
+                self._on_reports(received.message)
+
+    def _on_grant(self, address: str, grant: LeaseGrant) -> None:
+        self._granted_ms = boot_ms()
+        self._view.note_n_entries(grant.n_entries)
+        self._learn_control(address, grant.zone, grant.control_addresses)
+        if grant.leader_address and grant.leader_address != self._leader:
+            self._log.write("leader", leader=grant.leader_address)
+            self._leader = grant.leader_address
+        if address == self._home:
+            self._home_granted_ms = self._granted_ms
+        if address == self._home and grant.number:
+            self._answers = grant.number
+            news = self._bounds.take(address, grant.sequence, grant.bounds)
+            for group, bound in news.items():
+                self._view.add_bound(group, bound.position, bound.since_ms)
+        known = grant.assignments or {}
+        changed = self._view.lease.on_grant(grant)
+        if not self._had_lease:
+            self._had_lease = True
+            self._log.write("lease_gained", leader=self._leader)
+            self._view.notify()
+        self._on_assignments(changed, known)
+
+    def _on_hint(self, address: str, hint: LeaderHint) -> None:
+        self._learn_control(address, hint.zone, hint.control_addresses)
+        if hint.leader_address and hint.leader_address != self._leader:
+            self._control.add(hint.leader_address)
+            is_late = boot_ms() > self._granted_ms + _RENEW_INTERVAL_MS
+            if not self._leader or is_late:
+                self._leader = hint.leader_address
+                self._send_request(hint.leader_address, boot_ms())
+
+    def _learn_control(
+        self, address: str, zone: str, addresses: list[str] | None
+    ) -> None:
+        if zone:
+            self._home_choice.learn_zone(address, zone)
+        if addresses:
+            self._control = set(addresses) | set(self._settings.seed_peer_addresses)
+            self._control_digest = digest_of(addresses)
+
+    def _take_assignments(self, assignments: dict[str, Assignment]) -> None:
+        changed = self._view.lease.on_assignments(assignments)
+        self._on_assignments(changed, assignments)
+
+    def _on_reports(self, message: ReportsChanged) -> None:
+        for report in message.reports:
+            if self._view.merge_report(report):
+                self._log.write(
+                    "server",
+                    server=report.server,
+                    state=report.state.value,
+                    role=report.role.value,
+                    sequence=report.sequence,
+                )
+
+    def _on_document(self, message: DocumentChanged) -> None:
+        if message.version <= self._view.table.version:
+            return
+        try:
+            table = self._parse_configuration(message.document)
+        except ConfigurationInvalidError as error:
+            self._log.write(
+                "configuration_unreadable", version=message.version, reason=str(error)
+            )
+            return
+        self._log.write(
+            "configuration", version=table.version, former=self._view.table.version
+        )
+        self._view.set_table(table)
+
+    # State
+
+    def watch_lease(self, now: float) -> bool:
+        """Return whether primaries may be used; note when that ends."""
+        has_lease = self._view.lease.is_valid(now)
+        if self._had_lease and not has_lease:
+            self._had_lease = False
+            self._log.write("lease_lost", leader=self._leader)
+        return has_lease
+
+    def is_cut_off(self, now: float) -> bool:
+        """Tell whether this VM reaches too few control nodes to get a lease again."""
+        if now < self._granted_ms + _CUT_OFF_AFTER_MS:
+            return False
+        n_heard = sum(
+            now <= self._heard_ms.get(address, 0.0) + _CUT_OFF_AFTER_MS
+            for address in self._control
+        )
+        return 2 * n_heard <= len(self._control)
--- /dev/null
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_entry_service.py
@@ -0,0 +1,260 @@
+"""A control node's side of the leases of entry VMs, and of what they are told."""
+
+import asyncio
+import random
+from collections.abc import Callable
+
+from cardamomshunt.fleet import (
+    LEASE_MS,
+    Assignment,
+    AssignmentsChanged,
+    BoundExchange,
+    DocumentChanged,
+    FleetState,
+    LeaderHint,
+    LeaseGrant,
+    LeaseRequest,
+    LeaseTable,
+    RelayedGrant,
+    RelayedGrants,
+    RelayedRequest,
+    RelayedRequests,
+    digest_of,
+)
+from cardamomshunt.messages import Message
+from msgspec import structs
+
+from cardamomshunt_node._boot_clock import boot_ms
+from cardamomshunt_node._consensus_host import ConsensusHost
+from cardamomshunt_node._control_metrics import ControlMetrics
+from cardamomshunt_node._deployment import DeploymentSettings
+from cardamomshunt_node._report_exchange import ReportExchange
+from cardamomshunt_node._stream_transport import StreamTransport
+
+_ENTRY_FORGOTTEN_MS = 6_000.0
+_HOME_FORGOTTEN_MS = 2_000.0
+_PUSH_PAUSE_MS = 400.0
+# Requests of a zone wait this long for each other on their way to the leader.
+_RELAY_INTERVAL_S = 0.015
+_NUMBER_START_BITS = 48
+
+
+class EntryService:
+    """Own what a control node knows of entry VMs.
+
+    The home of an entry VM is a control node of its zone: it passes requests on to
+    the leader, in one message for many, and sends configurations and reports, so that
+    these cross between zones once for each control node.
+    """
+
+    def __init__(
+        self,
+        settings: DeploymentSettings,
+        host: ConsensusHost,
+        transport: StreamTransport,
+        reports: ReportExchange,
+        metrics: ControlMetrics,
+        state: Callable[[], FleetState],
+        leases: Callable[[], LeaseTable | None],
+    ) -> None:
+        self._settings = settings
+        self._host = host
+        self._transport = transport
+        self._reports = reports
+        self._metrics = metrics
+        self._state = state
+        self._leases = leases
+        self._heard_ms: dict[str, float] = {}
+        self._home_heard_ms: dict[str, float] = {}
+        self._pushed_ms: dict[str, float] = {}
+        self._bounds = BoundExchange()
+        self._number = random.getrandbits(_NUMBER_START_BITS)
+        self._pending: dict[str, LeaseRequest] = {}
+        self._relayed: dict[str, LeaseRequest] = {}
+        self._flush: asyncio.TimerHandle | None = None
+
+    # Entry VMs
+
+    def live(self) -> list[str]:
+        """Return the entry VMs that asked lately, through any control node."""
+        return _heard_within(self._heard_ms, _ENTRY_FORGOTTEN_MS)
+
+    def at_home(self) -> list[str]:
+        """Return the entry VMs that this node serves as their home."""
+        return _heard_within(self._home_heard_ms, _HOME_FORGOTTEN_MS)
+
+    def control_addresses(self) -> list[str]:
+        """Return where the control nodes take messages."""
+        return sorted(member.peer_address for member in self._host.node.members)
+
+    # News
+
+    def tell_document(self) -> None:
+        """Send the configuration to the entry VMs at home."""
+        state = self._state()
+        self._tell_home(DocumentChanged(version=state.version, document=state.document))
+
+    def tell_assignments(self, assignments: dict[str, Assignment]) -> None:
+        """Send changed assignments to the entry VMs at home."""
+        self._tell_home(AssignmentsChanged(assignments=assignments))
+
+    def announce_leadership(self) -> None:
+        """Tell all entry VMs that this node leads now."""
+        hint = LeaderHint(
+            leader_address=self._settings.peer_address,
+            control_addresses=self.control_addresses(),
+            zone=self._settings.zone,
+        )
+        for address in self.live():
+            self._transport.send(address, hint)
+
+    def _tell_home(self, message: Message) -> None:
+        for address in self.at_home():
+            self._transport.send(address, message)
+
+    # Requests
+
+    def on_request(self, address: str, request: LeaseRequest) -> None:
+        """Grant, pass on, or name the leader."""
+        now = boot_ms()
+        self._heard_ms[address] = now
+        if request.is_home:
+            self._home_heard_ms[address] = now
+            self._bounds.take(address, request.answers, request.bounds)
+            self._repair(address, request, now)
+        if self._grants:
+            grant = self._grant(address, request, now)
+            self._send_grant(address, request, grant, now)
+        elif request.is_home and self._host.leader_address():
+            self._pass_on(address, request)
+        else:
+            self._hint(address, request)
+
+    @property
+    def _grants(self) -> bool:
+        return self._host.may_act and self._leases() is not None
+
+    def _grant(self, entry: str, request: LeaseRequest, now: float) -> LeaseGrant:
+        leases = self._leases()
+        assert leases is not None
+        leases.on_request(entry, request, now)
+        self._metrics.count_grant()
+        return LeaseGrant(
+            sequence=request.sequence,
+            lease_ms=LEASE_MS,
+            n_entries=len(self.live()),
+            assignments=self._newer_assignments(request.newest_epoch),
+            leader_address=self._settings.peer_address,
+        )
+
+    def _newer_assignments(self, known_epoch: int) -> dict[str, Assignment] | None:
+        """Return the assignments unless an entry VM knows the newest of them."""
+        assignments = self._state().assignments
+        newest = max((item.epoch for item in assignments.values()), default=-1)
+        return dict(assignments) if known_epoch != newest else None
+
+    def _send_grant(
+        self, address: str, request: LeaseRequest, grant: LeaseGrant, now: float
+    ) -> None:
+        """Send a grant with what this node, and not the leader, has to add."""
+        number, bounds = 0, []
+        if request.is_home:
+            self._number += 1
+            number = self._number
+            self._bounds.note_asked(number, now)
+            bounds = self._bounds.bounds_for(address, now)
+        self._transport.send(
+            address,
+            structs.replace(
+                grant,
+                control_addresses=self._missing_addresses(request),
+                zone=self._settings.zone,
+                number=number,
+                bounds=bounds,
+            ),
+        )
+
+    def _missing_addresses(self, request: LeaseRequest) -> list[str] | None:
+        addresses = self.control_addresses()
+        return addresses if digest_of(addresses) != request.control_digest else None
+
+    def _hint(self, address: str, request: LeaseRequest) -> None:
+        self._transport.send(
+            address,
+            LeaderHint(
+                leader_address=self._host.leader_address() or "",
+                control_addresses=self._missing_addresses(request),
+                zone=self._settings.zone,
+            ),
+        )
+
+    def _repair(self, address: str, request: LeaseRequest, now: float) -> None:
+        """Send what an entry VM lacks; news may have been lost on the way."""
+        state = self._state()
+        is_behind = request.version < state.version
+        has_other_servers = request.registry_digest != self._reports.registry.digest()
+        if not is_behind and not has_other_servers:
+            return
+        if now < self._pushed_ms.get(address, 0.0) + _PUSH_PAUSE_MS:
+            return
+        self._pushed_ms[address] = now
+        if is_behind:
+            message = DocumentChanged(version=state.version, document=state.document)
+            self._transport.send(address, message)
+        if has_other_servers:
+            self._reports.send_all(address)
+
+    # Relay
+
+    def _pass_on(self, address: str, request: LeaseRequest) -> None:
+        """Collect a request for the next message to the leader."""
+        self._pending[address] = request
+        if request.suspicions or request.released:
+            self._flush_pending()
+        elif self._flush is None:
+            loop = asyncio.get_running_loop()
+            self._flush = loop.call_later(_RELAY_INTERVAL_S, self._flush_pending)
+
+    def _flush_pending(self) -> None:
+        if self._flush is not None:
+            self._flush.cancel()
+            self._flush = None
+        leader = self._host.leader_address()
+        pending, self._pending = self._pending, {}
+        if not leader or not pending:
+            return
+        self._relayed.update(pending)
+        requests = [
+            RelayedRequest(entry, structs.replace(request, is_home=False, bounds=[]))
+            for entry, request in pending.items()
+        ]
+        self._transport.send(leader, RelayedRequests(requests=requests))
+
+    def on_relayed_requests(self, relay: str, message: RelayedRequests) -> None:
+        """Grant the requests that another control node passed on."""
+        if not self._grants:
+            return
+        now = boot_ms()
+        grants = []
+        for item in message.requests:
+            self._heard_ms[item.entry] = now
+            grant = self._grant(item.entry, item.request, now)
+            grants.append(RelayedGrant(item.entry, grant))
+        self._transport.send(relay, RelayedGrants(grants=grants))
+
+    def on_relayed_grants(self, message: RelayedGrants) -> None:
+        """Pass grants of the leader on to the entry VMs at home."""
+        now = boot_ms()
+        for item in message.grants:
+            request = self._relayed.get(item.entry)
+            if request is not None and request.sequence == item.grant.sequence:
+                del self._relayed[item.entry]
+                self._send_grant(item.entry, request, item.grant, now)
+
+
+def _heard_within(heard_ms: dict[str, float], kept_ms: float) -> list[str]:
+    """Return the keys heard lately, and drop the others."""
+    now = boot_ms()
+    for address in [key for key, at in heard_ms.items() if now > at + kept_ms]:
+        del heard_ms[address]
+    return list(heard_ms)
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_fleet_view.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_fleet_view.py
@@ -22,7 +22,6 @@
 # Connections that control and a reconnecting entry VM need besides the shares.
 _N_RESERVED_CONNECTIONS = 3
 _N_CONNECTIONS_MIN = 2
-_SCARCE_IDLE_MS = 300.0
 _ENTRY_COUNT_SETTLED_MS = 2_500.0
 _ENTRY_COUNT_KEPT_MS = 10_000.0
 _N_LOCAL_LOAD_MAX = 5
@@ -132,7 +131,7 @@
         for pool in self._pools.values():
             pool.probe()
             if self._is_scarce(pool.group):
-                pool.close_idle(_SCARCE_IDLE_MS)
+                pool.close_idle()
 
     def _drop_pool(self, server: str, reason: str) -> None:
         pool = self._pools.pop(server, None)
@@ -186,6 +185,11 @@
         """Note a primary's position in an answer to what was sent at a time."""
         self._bounds.setdefault(group, BoundHistory()).add(position, sent_ms)
 
+    def newest_bounds(self) -> dict[str, DatedPosition]:
+        """Return the newest bound of each group."""
+        found = {group: bounds.newest() for group, bounds in self._bounds.items()}
+        return {group: bound for group, bound in found.items() if bound is not None}
+
     def bound_since(self, group: str, since_ms: float) -> DatedPosition | None:
         """Return a position that holds all that was acknowledged before a time."""
         bounds = self._bounds.get(group)
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_line_reads.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_line_reads.py
@@ -17,10 +17,10 @@
 from cardamomshunt_node._entry_metrics import EntryMetrics
 from cardamomshunt_node._fleet_view import FleetView
 from cardamomshunt_node._line_session_state import (
-    RETRY_PAUSE_MS,
     LineSession,
     RefusedError,
     not_run,
+    retry_pause_ms,
     seconds_until,
     statement_deadline_ms,
 )
@@ -54,6 +54,7 @@
     reason: str = "no server may serve the read"
     code: ErrorCode = ErrorCode.BUSY
     may_have_run: bool = False
+    n_refused: int = 0
     is_over: bool = False
 
     def note_end(self, task: asyncio.Task[Reply]) -> Reply | None:
@@ -120,8 +121,7 @@
             may_hedge = self._start_attempt(read)
             if not read.running:
                 read.tried.clear()
-                wait_ms = min(RETRY_PAUSE_MS, seconds_until(read.deadline_ms) * 1_000.0)
-                await self._view.wait_change(wait_ms)
+                await self._pause(read)
                 continue
             reply = await self._await_attempts(read, may_hedge)
             if reply is not None:
@@ -159,9 +159,15 @@
             if reply is not None:
                 return reply
         if done and read.code is not ErrorCode.LAGGING:
-            await self._view.wait_change(RETRY_PAUSE_MS)
+            await self._pause(read)
         return None
 
+    async def _pause(self, read: _Read) -> None:
+        """Wait before the next attempt, longer after each refusal."""
+        left_ms = seconds_until(read.deadline_ms) * 1_000.0
+        await self._view.wait_change(min(retry_pause_ms(read.n_refused), left_ms))
+        read.n_refused += 1
+
     def _hedge_after_ms(self, route: Route) -> float:
         typical_ms = self._latency_ms.get(route.database, 0.0)
         return max(_HEDGE_MIN_MS, typical_ms * _HEDGE_FACTOR)
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_line_session_state.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_line_session_state.py
@@ -1,5 +1,6 @@
 """State of callers' sessions, and the refusal of a statement."""
 
+import random
 from dataclasses import dataclass, field
 
 from cardamomshunt.fleet import Route
@@ -9,7 +10,8 @@
 from cardamomshunt_node._boot_clock import boot_ms
 from cardamomshunt_node._session_protocol import ErrorCode, Shape, TransactionState
 
-RETRY_PAUSE_MS = 30.0
+_RETRY_PAUSE_MIN_MS = 30.0
+_RETRY_PAUSE_MAX_MS = 200.0
 RETRY_AFTER_MS = 250
 # The answer has to reach the caller before its own limit for the statement.
 _ANSWER_MARGIN_MS = 30.0
@@ -28,6 +30,15 @@
     return RefusedError(code, f"{reason}; retry_after_ms={RETRY_AFTER_MS}")
 
 
+def retry_pause_ms(n_refused: int) -> float:
+    """Return how long to wait after so many refusals; it doubles, with jitter.
+
+    Servers whose queues are full refuse all the faster the more often they are asked.
+    """
+    pause_ms = _RETRY_PAUSE_MIN_MS * 2.0 ** min(n_refused, 8)
+    return min(pause_ms, _RETRY_PAUSE_MAX_MS) * random.uniform(0.6, 1.0)
+
+
 def statement_deadline_ms(route: Route, arrived_ms: float, stop_by_ms: float) -> float:
     """Return until when a statement has to be answered.
 
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_line_transactions.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_line_transactions.py
@@ -1,6 +1,7 @@
 """Transactions: one connection from the first statement to the end."""
 
 import asyncio
+import itertools
 
 from cardamomshunt.fleet import Route
 from cardamomshunt.freshness import DatedPosition
@@ -15,11 +16,11 @@
 from cardamomshunt_node._decision_log import DecisionLog
 from cardamomshunt_node._fleet_view import FleetView
 from cardamomshunt_node._line_session_state import (
-    RETRY_PAUSE_MS,
     LineSession,
     RefusedError,
     Transaction,
     not_run,
+    retry_pause_ms,
     seconds_until,
     statement_deadline_ms,
 )
@@ -127,11 +128,13 @@
         if not transaction.is_read_only:
             at_least = None
         tried: set[str] = set()
+        n_refused = 0
         while boot_ms() < deadline_ms:
             pools = self._view.readers(route.group, at_least, tried)
             if not pools:
                 tried.clear()
-                await self._view.wait_change(RETRY_PAUSE_MS)
+                await self._view.wait_change(retry_pause_ms(n_refused))
+                n_refused += 1
                 continue
             if await self._begin_on(
                 pools[0], session, transaction, at_least, deadline_ms
@@ -197,7 +200,7 @@
         connection = transaction.connection
         assert connection is not None
         group = transaction.route.group
-        while True:
+        for n_refused in itertools.count():
             if transaction.epoch >= 0 and not self._view.may_acknowledge(
                 group, transaction.epoch
             ):
@@ -214,11 +217,12 @@
             is_retried = (
                 reply.code is ErrorCode.BUSY
                 and reply.state is TransactionState.OPEN
-                and boot_ms() + RETRY_PAUSE_MS < deadline_ms
+                and boot_ms() + retry_pause_ms(n_refused) < deadline_ms
             )
             if not is_retried:
                 return reply, sent_ms
-            await asyncio.sleep(RETRY_PAUSE_MS / 1_000.0)
+            await asyncio.sleep(retry_pause_ms(n_refused) / 1_000.0)
+        raise AssertionError("the loop ends with an answer")
 
     def _lost_in_transaction(
         self, transaction: Transaction, query: CallerQuery
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_line_writes.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_line_writes.py
@@ -1,6 +1,7 @@
 """Single writes, and what may be acknowledged of a primary's answers."""
 
 import asyncio
+import itertools
 
 from cardamomshunt.fleet import Route
 from cardamomshunt.freshness import DatedPosition
@@ -15,10 +16,10 @@
 from cardamomshunt_node._decision_log import DecisionLog
 from cardamomshunt_node._fleet_view import FleetView
 from cardamomshunt_node._line_session_state import (
-    RETRY_PAUSE_MS,
     LineSession,
     RefusedError,
     not_run,
+    retry_pause_ms,
     seconds_until,
     statement_deadline_ms,
 )
@@ -49,7 +50,7 @@
     ) -> Reply:
         """Return the answer of a single write; raise RefusedError."""
         deadline_ms = statement_deadline_ms(route, arrived_ms, self._view.stop_by_ms)
-        while True:
+        for n_refused in itertools.count():
             connection, epoch = await self._acquire(session, route, deadline_ms)
             sent_ms = boot_ms()
             try:
@@ -63,17 +64,19 @@
             finally:
                 connection.pool.release(connection)
             if reply.code in NOT_RUN_CODES and boot_ms() < deadline_ms:
-                await self._view.wait_change(RETRY_PAUSE_MS)
+                await self._view.wait_change(retry_pause_ms(n_refused))
                 continue
             return self.acknowledge(
                 query.request_id, session, route, reply, epoch, sent_ms
             )
+        raise AssertionError("the loop ends with an answer")
 
     async def _acquire(
         self, session: LineSession, route: Route, deadline_ms: float
     ) -> tuple[BackendConnection, int]:
         """Return a connection to the primary that may be used now."""
         reason = "no primary may be used"
+        n_lost = 0
         while (now := boot_ms()) < deadline_ms:
             primary = self._view.primary(route.group)
             if primary is None:
@@ -89,7 +92,8 @@
                 break
             except ServerLostError as error:
                 reason = str(error)
-                await self._view.wait_change(RETRY_PAUSE_MS)
+                await self._view.wait_change(retry_pause_ms(n_lost))
+                n_lost += 1
                 continue
             current = self._view.primary(route.group)
             if current is not None and current[1] == epoch:
--- a/packages/cardamomshunt/src/cardamomshunt/_data_path/freshness.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_data_path/freshness.py
@@ -55,12 +55,18 @@
         """Return the time of the newest bound."""
         return self._times_ms[-1] if self._times_ms else None
 
+    def newest(self) -> DatedPosition | None:
+        """Return the newest bound."""
+        if not self._times_ms:
+            return None
+        return DatedPosition(self._positions[-1], self._times_ms[-1])
+
     def first_since(self, since_ms: float) -> LogPosition | None:
         """Return the lowest position confirmed at or after a time."""
-        index = bisect_left(self._times_ms, since_ms)
-        return self._positions[index] if index < len(self._positions) else None
+        bound = self.first_bound_since(since_ms)
+        return bound.position if bound else None
 
-    def first_bound_since(self, since_ms: float) -> "DatedPosition | None":
+    def first_bound_since(self, since_ms: float) -> DatedPosition | None:
         """Return the lowest position confirmed at or after a time, with its time."""
         index = bisect_left(self._times_ms, since_ms)
         if index == len(self._times_ms):
--- a/packages/cardamomshunt/src/cardamomshunt/_fleet/messages.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_fleet/messages.py
@@ -1,9 +1,12 @@
 """Messages between entry VMs and control nodes, and among control nodes."""
 
+import zlib
+
 import msgspec
 
 from cardamomshunt._fleet.primary_assignments import Assignment
 from cardamomshunt._fleet.server_registry import ServerReport
+from cardamomshunt._fleet.shared_bounds import SharedBound
 from cardamomshunt._shared.messages import Message
 
 
@@ -19,36 +22,74 @@
     """Ask the leader to extend the right to use primaries.
 
     `released` names the epochs, by group, that this entry VM will not use any more.
-    Any control node answers with a newer configuration; only the leader grants.
+    With `is_home` the receiver passes the request on to the leader if it does not
+    lead, and sends what the entry VM lacks. `bounds` are dated by the home's message
+    that has the number `answers`.
     """
 
     sequence: int
-    started_ms: int
     version: int
     registry_digest: int = 0
     newest_epoch: int = -1
     suspicions: list[Suspicion] = []
     released: dict[str, int] = {}
+    is_home: bool = False
+    control_digest: int = 0
+    answers: int = 0
+    bounds: list[SharedBound] = []
 
 
 class LeaseGrant(Message, kw_only=True, array_like=True):
     """Allow the use of primaries for `lease_ms` from when `sequence` was sent.
 
-    `assignments` is None if the entry VM's newest epoch is the leader's.
+    `assignments` is None if the entry VM's newest epoch is the leader's. Lists of
+    addresses are None if the entry VM has them. `zone`, `number` and `bounds` are of
+    the home, which may not be the leader.
     """
 
     sequence: int
     lease_ms: float
     n_entries: int
     assignments: dict[str, Assignment] | None
-    control_addresses: list[str]
+    control_addresses: list[str] | None = None
+    leader_address: str = ""
+    zone: str = ""
+    number: int = 0
+    bounds: list[SharedBound] = []
+
+
+class RelayedRequest(msgspec.Struct, frozen=True, array_like=True):
+    """Hold a request with the address of the entry VM that sent it."""
+
+    entry: str
+    request: LeaseRequest
+
+
+class RelayedRequests(Message, kw_only=True, array_like=True):
+    """Carry requests of the entry VMs of a zone to the leader."""
+
+    requests: list[RelayedRequest]
+
+
+class RelayedGrant(msgspec.Struct, frozen=True, array_like=True):
+    """Hold a grant with the address of the entry VM that it is for."""
+
+    entry: str
+    grant: LeaseGrant
+
+
+class RelayedGrants(Message, kw_only=True, array_like=True):
+    """Carry grants back to the control node that passed the requests on."""
+
+    grants: list[RelayedGrant]
 
 
 class LeaderHint(Message, kw_only=True, array_like=True):
     """Name the leader to an entry VM that asked another control node."""
 
     leader_address: str
-    control_addresses: list[str]
+    control_addresses: list[str] | None = None
+    zone: str = ""
 
 
 class AssignmentsChanged(Message, kw_only=True, array_like=True):
@@ -84,3 +125,8 @@
     """
 
     digest: int = 0
+
+
+def digest_of(addresses: list[str]) -> int:
+    """Return a checksum of a sorted list of addresses."""
+    return zlib.crc32(" ".join(addresses).encode())
--- a/packages/cardamomshunt/src/cardamomshunt/fleet.py
+++ b/packages/cardamomshunt/src/cardamomshunt/fleet.py
@@ -1,15 +1,21 @@
 """Routes, servers, leases and assignments of a deployment found by reports."""
 
+from cardamomshunt._fleet.control_home import ControlHome
 from cardamomshunt._fleet.messages import (
     AssignmentsChanged,
     DocumentChanged,
     LeaderHint,
     LeaseGrant,
     LeaseRequest,
+    RelayedGrant,
+    RelayedGrants,
+    RelayedRequest,
+    RelayedRequests,
     ReportsChanged,
     ReportsReceived,
     ReportsRequest,
     Suspicion,
+    digest_of,
 )
 from cardamomshunt._fleet.primary_assignments import (
     Assignment,
@@ -43,6 +49,7 @@
     ServerReport,
     ServerState,
 )
+from cardamomshunt._fleet.shared_bounds import BoundExchange, SharedBound
 from cardamomshunt._fleet.successor import ServerStatus, choose_successor
 
 __all__ = [
@@ -53,7 +60,9 @@
     "AssignmentCommand",
     "AssignmentPhase",
     "AssignmentsChanged",
+    "BoundExchange",
     "ConfigurationInvalidError",
+    "ControlHome",
     "DocumentChanged",
     "FinishPromotion",
     "FleetCommand",
@@ -66,6 +75,10 @@
     "PrimaryLease",
     "PromoteSuccessor",
     "PutDocument",
+    "RelayedGrant",
+    "RelayedGrants",
+    "RelayedRequest",
+    "RelayedRequests",
     "ReportsChanged",
     "ReportsReceived",
     "ReportsRequest",
@@ -76,9 +89,11 @@
     "ServerReport",
     "ServerState",
     "ServerStatus",
+    "SharedBound",
     "StopPrimary",
     "Suspicion",
     "build_route_table",
     "choose_successor",
+    "digest_of",
     "encode_command",
 ]
--- a/packages/cardamomshunt/tests/test_fleet.py
+++ b/packages/cardamomshunt/tests/test_fleet.py
@@ -7,7 +7,9 @@
     Assignment,
     AssignmentPhase,
     AssignPrimary,
+    BoundExchange,
     ConfigurationInvalidError,
+    ControlHome,
     FinishPromotion,
     FleetState,
     GroupLimits,
@@ -23,12 +25,14 @@
     ServerReport,
     ServerState,
     ServerStatus,
+    SharedBound,
     StopPrimary,
     Suspicion,
     build_route_table,
     choose_successor,
     encode_command,
 )
+from cardamomshunt.freshness import DatedPosition
 from cardamomshunt.messages import InstanceRole
 from cardamomshunt.position import LogPosition
 
@@ -177,7 +181,7 @@
 
 
 def ask(table, entry, now_ms, **fields):
-    request = LeaseRequest(sequence=1, started_ms=0, version=1, **fields)
+    request = LeaseRequest(sequence=1, version=1, **fields)
     table.on_request(entry, request, now_ms)
 
 
@@ -253,3 +257,58 @@
 def test_the_most_advanced_server_succeeds(statuses, n_sync, chosen):
     found = choose_successor(statuses, former="a", n_group=3, n_sync_replicas=n_sync)
     assert found == chosen
+
+
+def test_an_age_counts_from_when_it_was_asked_for():
+    # Counted from its arrival, a bound that was long on its way would look fresh.
+    exchange = BoundExchange()
+    exchange.note_asked(7, 100.0)
+    bound = SharedBound("db", LogPosition(1, 5), age_ms=30.0)
+    assert exchange.take("entry-1", 7, [bound]) == {
+        "db": DatedPosition(LogPosition(1, 5), 70.0)
+    }
+
+
+def test_a_bound_that_answers_nothing_is_ignored():
+    exchange = BoundExchange()
+    exchange.note_asked(7, 100.0)
+    bound = SharedBound("db", LogPosition(1, 5), age_ms=30.0)
+    assert exchange.take("entry-1", 8, [bound]) == {}
+    assert exchange.bounds_for("entry-2", 110.0) == []
+
+
+def test_a_bound_goes_once_to_each_peer_and_not_back_to_its_source():
+    exchange = BoundExchange()
+    exchange.note_asked(7, 100.0)
+    bound = SharedBound("db", LogPosition(1, 5), age_ms=30.0)
+    exchange.take("entry-1", 7, [bound])
+    assert exchange.bounds_for("entry-1", 200.0) == []
+    assert exchange.bounds_for("entry-2", 200.0) == [
+        SharedBound("db", LogPosition(1, 5), 130.0)
+    ]
+    assert exchange.bounds_for("entry-2", 300.0) == []
+
+
+def test_the_home_is_near_and_another_one_takes_over():
+    home = ControlHome("entry-1", "z1")
+    for number, zone in enumerate(("z1", "z1", "z2"), start=1):
+        home.learn_zone(f"control-{number}", zone)
+    known = {"control-1", "control-2", "control-3"}
+    first = home.choose(known, "control-3", 0.0)
+    assert first in ("control-1", "control-2")
+    home.distrust(first, 0.0)
+    second = home.choose(known, "control-3", 1.0)
+    assert {first, second} == {"control-1", "control-2"}
+    home.distrust(second, 1.0)
+    assert home.choose(known, "control-3", 2.0) == "control-3"
+    assert home.choose(known, "control-3", 5_000.0) == first
+
+
+def test_the_load_of_homes_is_spread():
+    homes = [ControlHome(f"entry-{number}", "z1") for number in range(40)]
+    chosen = set()
+    for home in homes:
+        home.learn_zone("control-1", "z1")
+        home.learn_zone("control-2", "z1")
+        chosen.add(home.choose({"control-1", "control-2"}, "", 0.0))
+    assert chosen == {"control-1", "control-2"}
--- a/tests/users_platform/test_deployment.py
+++ b/tests/users_platform/test_deployment.py
@@ -374,7 +374,8 @@
     primary.n_connections_max = 0
     view = deployment.entries["entry-1"]._view
     pool, _ = view.primary("db")
-    pool.close_idle(-1.0)
+    pool._keep_ms = -1.0
+    pool.close_idle()
     caller = await open_session(deployment)
     asking = asyncio.create_task(caller.ask("WRITE k1 a", "w1"))
     await asyncio.sleep(0.5)
@@ -390,7 +391,8 @@
     view = deployment.entries["entry-1"]._view
     pool, _ = view.primary("db")
     pool._limit = lambda: 1
-    pool.close_idle(-1.0)
+    pool._keep_ms = -1.0
+    pool.close_idle()
     server_named(deployment, "i-3").work_s = 0.5
     assert (await caller.ask("EXECUTE s1 k1", "e1"))[-1].startswith("COMPLETE")
     await caller.ask("DEALLOCATE s1")
@@ -413,3 +415,39 @@
     assert (await caller.ask("WRITE k1 a", "t1"))[-1].startswith("ERROR")
     assert not stopping.done()
     await stopping
+
+
+def near_control(deployment, node):
+    zone = deployment.settings[node].zone
+    return next(
+        name
+        for name, settings in deployment.settings.items()
+        if settings.control_address and settings.zone == zone
+    )
+
+
+async def test_an_entry_is_served_by_the_control_node_of_its_zone(deployment):
+    # Each change of the configuration went from the leader to all entry VMs.
+    home = deployment.settings[near_control(deployment, "entry-1")].peer_address
+    await deployment.until(
+        lambda: any(
+            event["event"] == "home" and event["control"] == home
+            for event in deployment.events("entry-1")
+        )
+    )
+
+
+async def test_a_lease_outlives_the_home(deployment):
+    for node in ("entry-1", "entry-2"):
+        home = near_control(deployment, node)
+        if deployment.controls[home]._host.node.is_leader:
+            continue
+        await asyncio.sleep(0.5)
+        deployment.tasks[home].cancel()
+        await asyncio.gather(deployment.tasks[home], return_exceptions=True)
+        await deployment.controls[home]._transport.stop()
+        await deployment.controls[home]._host.stop()
+        await asyncio.sleep(3.0)
+        events = [event["event"] for event in deployment.events(node)]
+        assert "lease_lost" not in events
+        return
