Explain a request from the daemons' log files

Cause: on-call engineers have only logs, and had to search several files for what an entry VM believed before a refusal.

--- a/packages/cardamomshunt-cli/src/cardamomshunt_cli/_inspection_commands.py
+++ b/packages/cardamomshunt-cli/src/cardamomshunt_cli/_inspection_commands.py
@@ -22,6 +22,7 @@
 from cardamomshunt_cli._exit_codes import CommandError, ExitCode
 from cardamomshunt_cli._explanations import explain, names
 from cardamomshunt_cli._output import echo_json, echo_table
+from cardamomshunt_cli._request_trace import read_logs, trace_request
 from cardamomshunt_cli._run import Session, exits_with_code, finish, run
 from cardamomshunt_cli._status import collect_status, exit_code_for, show_status
 from cardamomshunt_cli._timeline import (
@@ -121,20 +122,60 @@
     return [name for name in names() if name.startswith(incomplete)]
 
 
+def _explain_request(
+    options: TargetOptions, request: str, log_files: tuple[Path, ...]
+) -> None:
+    """Print what happened to a request, around it, and the likely causes."""
+    trace = trace_request(request, read_logs(log_files))
+    if options.is_json:
+        echo_json(trace)
+        return
+    since_ms = trace.lines[0].ts_ms
+    click.echo(click.style(f"request {request}", bold=True))
+    for line in trace.lines:
+        click.echo(f"  {line.text(since_ms)}")
+    click.echo(click.style("around it", bold=True))
+    for line in trace.context:
+        click.echo(f"  {line.text(since_ms)}")
+    click.echo(click.style("causes, the nearest first", bold=True))
+    for cause in trace.causes:
+        click.echo(f"  {cause}")
+
+
 @click.command("explain")
 @click.argument(
-    "name", metavar="REASON_OR_NUMBER", required=False, shell_complete=_complete_name
+    "name",
+    metavar="REASON_OR_NUMBER_OR_REQUEST",
+    required=False,
+    shell_complete=_complete_name,
+)
+@click.argument(
+    "log_files",
+    nargs=-1,
+    type=click.Path(exists=True, dir_okay=False, path_type=Path),
 )
 @click.option("--all", "is_all", is_flag=True, help="Print the page of all events.")
 @click.pass_obj
 @exits_with_code
-def explain_command(options: TargetOptions, name: str | None, is_all: bool) -> None:
-    """Explain a refusal reason or an event number, and what to do."""
+def explain_command(
+    options: TargetOptions,
+    name: str | None,
+    log_files: tuple[Path, ...],
+    is_all: bool,
+) -> None:
+    """Explain a refusal reason, an event number, or a request by its logs.
+
+    With log files, NAME is the id of a request, and the files are those of the entry
+    VMs and of the control nodes.
+    """
     if is_all:
         click.echo(events_page())
         return
     if name is None:
         raise CommandError("give a refusal reason or an event number", ExitCode.USAGE)
+    if log_files:
+        _explain_request(options, name, log_files)
+        return
     explanation = explain(name)
     if options.is_json:
         echo_json(explanation)
