Share what the ways of spreading and the daemons' metrics have in common

Cause: three spread classes kept the same own member, leader, state, next beat and version; both metrics classes kept a registry and the same rendering. Change: SpreadBase and DaemonMetrics hold them.

--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_control_metrics.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_control_metrics.py
@@ -1,42 +1,44 @@
 """Counters of a control VM."""
 
-from aioprometheus import Counter, Gauge, Registry, render
+from aioprometheus import Counter, Gauge
 
+from cardamomshunt_node._daemon_metrics import DaemonMetrics
 
-class ControlMetrics:
+
+class ControlMetrics(DaemonMetrics):
     """Hold the metrics that the address of the settings serves."""
 
     def __init__(self) -> None:
-        self._registry = Registry()
+        super().__init__()
         self._calls = Counter(
             "cardamomshunt_control_calls_total",
             "Calls of servers and operators, by kind and status.",
-            registry=self._registry,
+            registry=self.registry,
         )
         self._grants = Counter(
             "cardamomshunt_lease_grants_total",
             "Leases granted to entry VMs.",
-            registry=self._registry,
+            registry=self.registry,
         )
         self._replacements = Counter(
             "cardamomshunt_replacements_total",
             "Replacements of a primary that were begun, by reason.",
-            registry=self._registry,
+            registry=self.registry,
         )
         self._is_leader = Gauge(
             "cardamomshunt_is_leader",
             "1 while this node leads.",
-            registry=self._registry,
+            registry=self.registry,
         )
         self._version = Gauge(
             "cardamomshunt_configuration_version",
             "Newest committed version of the configuration.",
-            registry=self._registry,
+            registry=self.registry,
         )
         self._entries = Gauge(
             "cardamomshunt_entries",
             "Entry VMs that asked lately.",
-            registry=self._registry,
+            registry=self.registry,
         )
 
     def count_call(self, kind: str, status: int) -> None:
@@ -56,8 +58,3 @@
         self._is_leader.set({}, int(is_leader))
         self._version.set({}, version)
         self._entries.set({}, n_entries)
-
-    def render(self) -> bytes:
-        """Return the metrics as text."""
-        content, _ = render(self._registry, ["text/plain"])
-        return content
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_entry_metrics.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_entry_metrics.py
@@ -1,50 +1,52 @@
 """Counters and latency histograms of an entry VM."""
 
-from aioprometheus import Counter, Gauge, Histogram, Registry, render
+from aioprometheus import Counter, Gauge, Histogram
+
+from cardamomshunt_node._daemon_metrics import DaemonMetrics
 
 _LATENCY_BUCKETS_MS = [
     2.0, 5.0, 10.0, 20.0, 50.0, 100.0, 200.0, 400.0, 800.0, 1_600.0, 3_200.0
 ]  # fmt: skip
 
 
-class EntryMetrics:
+class EntryMetrics(DaemonMetrics):
     """Hold the metrics that the address of the settings serves."""
 
     def __init__(self) -> None:
-        self._registry = Registry()
+        super().__init__()
         self._latency = Histogram(
             "cardamomshunt_statement_ms",
             "Time from a statement's arrival to its answer.",
-            registry=self._registry,
+            registry=self.registry,
             buckets=_LATENCY_BUCKETS_MS,
         )
         self._refusals = Counter(
             "cardamomshunt_refusals_total",
             "Statements refused or without an outcome, by code.",
-            registry=self._registry,
+            registry=self.registry,
         )
         self._reads = Counter(
             "cardamomshunt_reads_total",
             "Reads by the role of the server that ran them.",
-            registry=self._registry,
+            registry=self.registry,
         )
         self._hedges = Counter(
             "cardamomshunt_hedged_reads_total",
             "Second attempts of reads whose first one is still without an answer.",
-            registry=self._registry,
+            registry=self.registry,
         )
         self._sessions = Gauge(
-            "cardamomshunt_sessions", "Open sessions.", registry=self._registry
+            "cardamomshunt_sessions", "Open sessions.", registry=self.registry
         )
         self._has_lease = Gauge(
             "cardamomshunt_has_lease",
             "1 while primaries may be used.",
-            registry=self._registry,
+            registry=self.registry,
         )
         self._version = Gauge(
             "cardamomshunt_configuration_version",
             "Version of the configuration in force.",
-            registry=self._registry,
+            registry=self.registry,
         )
 
     def observe_statement(self, kind: str, elapsed_ms: float) -> None:
@@ -68,8 +70,3 @@
         self._sessions.set({}, n_sessions)
         self._has_lease.set({}, int(has_lease))
         self._version.set({}, version)
-
-    def render(self) -> bytes:
-        """Return the metrics as text."""
-        content, _ = render(self._registry, ["text/plain"])
-        return content
--- /dev/null
+++ b/packages/cardamomshunt/src/cardamomshunt/_spread/base.py
@@ -0,0 +1,39 @@
+"""What every way of spreading keeps of itself."""
+
+from cardamomshunt._spread.interface import (
+    AbstractSpread,
+    SpreadMember,
+    SpreadSettings,
+)
+from cardamomshunt._spread.state import SpreadState
+
+
+class SpreadBase(AbstractSpread):
+    """Hold the own member, the newest state and the time of the next beat."""
+
+    def __init__(
+        self,
+        now_ms: float,
+        own: SpreadMember,
+        leader: str,
+        settings: SpreadSettings,
+        phase: float,
+    ) -> None:
+        self._own = own
+        self._leader = leader
+        self._settings = settings
+        self._state = SpreadState()
+        self._next_beat_ms = now_ms + phase * settings.beat_ms
+
+    @property
+    def version(self) -> int:
+        """Return the newest version that this member has."""
+        return self._state.version
+
+    @property
+    def _is_leader(self) -> bool:
+        return self._own.node == self._leader
+
+    def next_deadline_ms(self) -> float | None:
+        """Return the time of the next beat."""
+        return self._next_beat_ms
--- a/packages/cardamomshunt/src/cardamomshunt/_spread/fan_out.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_spread/fan_out.py
@@ -1,8 +1,8 @@
 """Spread by plain fan-out: the leader talks to every member."""
 
 from cardamomshunt._shared.messages import Message
+from cardamomshunt._spread.base import SpreadBase
 from cardamomshunt._spread.interface import (
-    AbstractSpread,
     NodeBeat,
     SendTo,
     SpreadEffect,
@@ -10,10 +10,10 @@
     SpreadSettings,
     StateUpdate,
 )
-from cardamomshunt._spread.state import BeatTable, SpreadState
+from cardamomshunt._spread.state import BeatTable
 
 
-class FanOutSpread(AbstractSpread):
+class FanOutSpread(SpreadBase):
     """Send every version to every member, and get every beat."""
 
     def __init__(
@@ -25,22 +25,13 @@
         settings: SpreadSettings,
         phase: float,
     ) -> None:
-        self._own = own
-        self._leader = leader
-        self._settings = settings
-        self._state = SpreadState()
-        self._next_beat_ms = now_ms + phase * settings.beat_ms
+        super().__init__(now_ms, own, leader, settings, phase)
         self._beats = BeatTable(settings.silent_after_ms)
-        if own.node == leader:
+        if self._is_leader:
             for member in members:
                 if member.node != own.node:
                     self._beats.expect(member.node, now_ms)
 
-    @property
-    def version(self) -> int:
-        """Return the newest version that this member has."""
-        return self._state.version
-
     def publish(
         self, now_ms: float, version: int, payload: bytes
     ) -> list[SpreadEffect]:
@@ -55,7 +46,7 @@
         if isinstance(message, StateUpdate):
             effects = self._state.take(message)
             return [*effects, self._beat()] if effects else []
-        if isinstance(message, NodeBeat) and self._own.node == self._leader:
+        if isinstance(message, NodeBeat) and self._is_leader:
             self._beats.note(sender, now_ms, message.version)
             if message.version < self.version:
                 return [self._state.send(sender)]
@@ -66,15 +57,11 @@
         if now_ms < self._next_beat_ms:
             return []
         self._next_beat_ms = now_ms + self._settings.beat_ms
-        return [] if self._own.node == self._leader else [self._beat()]
+        return [] if self._is_leader else [self._beat()]
 
     def _beat(self) -> SendTo:
         return SendTo(node=self._leader, message=NodeBeat(version=self.version))
 
-    def next_deadline_ms(self) -> float | None:
-        """Return the time of the next beat."""
-        return self._next_beat_ms
-
     def silent_members(self, now_ms: float) -> set[str]:
         """Return the members whose beats are missing."""
         return self._beats.silent(now_ms)
--- a/packages/cardamomshunt/src/cardamomshunt/_spread/gossip.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_spread/gossip.py
@@ -3,8 +3,8 @@
 import random
 
 from cardamomshunt._shared.messages import Message
+from cardamomshunt._spread.base import SpreadBase
 from cardamomshunt._spread.interface import (
-    AbstractSpread,
     GroupReport,
     SendTo,
     SpreadEffect,
@@ -13,7 +13,7 @@
     StateRequest,
     StateUpdate,
 )
-from cardamomshunt._spread.state import BeatTable, SpreadState
+from cardamomshunt._spread.state import BeatTable
 
 _N_PUSHES = 3
 # Every fifth table goes to any member, silent or not. Two sides that each take the
@@ -36,7 +36,7 @@
     reports: list[GroupReport] = []
 
 
-class GossipSpread(AbstractSpread):
+class GossipSpread(SpreadBase):
     """Exchange tables with random members of the zone, and reports between zones.
 
     A member's counter grows with each beat; a counter that stands still for longer
@@ -53,12 +53,8 @@
         settings: SpreadSettings,
         random_state: random.Random,
     ) -> None:
-        self._own = own
-        self._leader = leader
-        self._settings = settings
+        super().__init__(now_ms, own, leader, settings, random_state.random())
         self._random = random_state
-        self._state = SpreadState()
-        self._next_beat_ms = now_ms + random_state.random() * settings.beat_ms
         groups: dict[str, list[str]] = {}
         for member in members:
             groups.setdefault(member.group, []).append(member.node)
@@ -73,11 +69,6 @@
         self._reports: dict[str, GroupReport] = {}
         self._report_heard_ms: dict[str, float] = dict.fromkeys(self._others, now_ms)
 
-    @property
-    def version(self) -> int:
-        """Return the newest version that this member has."""
-        return self._state.version
-
     def publish(
         self, now_ms: float, version: int, payload: bytes
     ) -> list[SpreadEffect]:
@@ -188,10 +179,6 @@
             for nodes in self._others.values()
         ]
 
-    def next_deadline_ms(self) -> float | None:
-        """Return the time of the next beat."""
-        return self._next_beat_ms
-
     def silent_members(self, now_ms: float) -> set[str]:
         """Return the members that their zones miss, and zones without reports."""
         silent = self._beats.silent(now_ms)
--- a/packages/cardamomshunt/src/cardamomshunt/_spread/relay.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_spread/relay.py
@@ -3,8 +3,8 @@
 from dataclasses import dataclass, field
 
 from cardamomshunt._shared.messages import Message
+from cardamomshunt._spread.base import SpreadBase
 from cardamomshunt._spread.interface import (
-    AbstractSpread,
     GroupReport,
     NodeBeat,
     SendTo,
@@ -13,7 +13,7 @@
     SpreadSettings,
     StateUpdate,
 )
-from cardamomshunt._spread.state import BeatTable, SpreadState
+from cardamomshunt._spread.state import BeatTable
 
 # A member that missed a beat is greeted again, as it may have missed the greeting and
 # send its beats to the last relay. More than one beat, so that no healthy one is.
@@ -59,7 +59,7 @@
     n_reports: int = 0
 
 
-class RelaySpread(AbstractSpread):
+class RelaySpread(SpreadBase):
     """Send versions to one relay a zone, and get one aggregated report a zone.
 
     The leader names another relay when a report is missing; members without a relay
@@ -75,17 +75,13 @@
         settings: SpreadSettings,
         phase: float,
     ) -> None:
-        self._own = own
-        self._leader = leader
-        self._settings = settings
-        self._state = SpreadState()
-        self._next_beat_ms = now_ms + phase * settings.beat_ms
+        super().__init__(now_ms, own, leader, settings, phase)
         self._relay = leader
         self._relay_epoch = 0
         self._duty: _Duty | None = None
         self._epoch = 0
         self._groups: dict[str, _Group] = {}
-        if own.node == leader:
+        if self._is_leader:
             self._build_groups(now_ms, members)
 
     def _build_groups(self, now_ms: float, members: list[SpreadMember]) -> None:
@@ -96,11 +92,6 @@
         for name, nodes in by_group.items():
             self._groups[name] = _Group(sorted(nodes), "", 0, now_ms)
 
-    @property
-    def version(self) -> int:
-        """Return the newest version that this member has."""
-        return self._state.version
-
     def publish(
         self, now_ms: float, version: int, payload: bytes
     ) -> list[SpreadEffect]:
@@ -190,7 +181,7 @@
         if now_ms < self._next_beat_ms:
             return []
         self._next_beat_ms = now_ms + self._settings.beat_ms
-        if self._own.node == self._leader:
+        if self._is_leader:
             return self._replace_silent_relays(now_ms)
         if self._duty is None:
             return [self._beat()]
@@ -241,10 +232,6 @@
             effects.append(self._state.send(group.relay))
         return effects
 
-    def next_deadline_ms(self) -> float | None:
-        """Return the time of the next beat."""
-        return self._next_beat_ms
-
     def silent_members(self, now_ms: float) -> set[str]:
         """Return the members that the relays or the leader miss."""
         silent: set[str] = set()
