Prefer servers whose recent statements did not fail

Cause: a server that fails a part of its statements while its health is good stayed the first choice for every read of its zone.

--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_backend_pool.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_backend_pool.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from cardamomshunt.fleet import OutcomeShare
 from cardamomshunt.position import LogPosition
 
 from cardamomshunt_node._boot_clock import boot_ms
@@ -220,6 +221,7 @@
         self.dial_after_ms = 0.0
         self.full_until_ms = 0.0
         self._keep_ms = _KEEP_START_MS
+        self.outcomes = OutcomeShare()
         self._lag_ms = 0.0
         self._lag_noted_ms = 0.0
         self.n_opened = 0
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_fleet_view.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_fleet_view.py
@@ -204,7 +204,7 @@
         """
         now = boot_ms()
         primary = self.primary(group)
-        found: list[tuple[tuple[bool, bool, int, bool], ServerPool]] = []
+        found: list[tuple[tuple[bool, bool, bool, int, bool], ServerPool]] = []
         for report in self.registry.of_group(group):
             pool = self.pool(report)
             is_primary = primary is not None and primary[0] is pool
@@ -218,6 +218,8 @@
                 continue
             is_far = report.zone != self._zone
             is_full = pool.load >= _N_LOCAL_LOAD_MAX or now < pool.full_until_ms
-            found.append(((is_full, is_far, pool.load, is_primary), pool))
+            is_unreliable = pool.outcomes.is_unreliable(now)
+            rank = (is_unreliable, is_full, is_far, pool.load, is_primary)
+            found.append((rank, pool))
         found.sort(key=lambda item: item[0])
         return [pool for _, pool in found]
--- a/packages/cardamomshunt/src/cardamomshunt/fleet.py
+++ b/packages/cardamomshunt/src/cardamomshunt/fleet.py
@@ -17,6 +17,7 @@
     Suspicion,
     digest_of,
 )
+from cardamomshunt._fleet.outcome_share import OutcomeShare
 from cardamomshunt._fleet.primary_assignments import (
     Assignment,
     AssignmentCommand,
@@ -72,6 +73,7 @@
     "LeaseGrant",
     "LeaseRequest",
     "LeaseTable",
+    "OutcomeShare",
     "PrimaryLease",
     "PromoteSuccessor",
     "PutDocument",
--- a/packages/cardamomshunt/tests/test_fleet.py
+++ b/packages/cardamomshunt/tests/test_fleet.py
@@ -16,6 +16,7 @@
     LeaseGrant,
     LeaseRequest,
     LeaseTable,
+    OutcomeShare,
     PrimaryLease,
     PromoteSuccessor,
     PutDocument,
@@ -312,3 +313,25 @@
         home.learn_zone("control-2", "z1")
         chosen.add(home.choose({"control-1", "control-2"}, "", 0.0))
     assert chosen == {"control-1", "control-2"}
+
+
+@pytest.mark.parametrize(
+    ("n_successes", "n_failures", "is_unreliable"),
+    [
+        (0, 0, False),
+        (0, 1, False),
+        (0, 2, True),
+        (2, 1, False),
+        (10, 4, True),
+        (40, 4, False),
+    ],
+)
+def test_a_server_that_fails_a_part_is_unreliable(
+    n_successes, n_failures, is_unreliable
+):
+    share = OutcomeShare()
+    for _ in range(n_successes):
+        share.note(0.0, is_failure=False)
+    for _ in range(n_failures):
+        share.note(0.0, is_failure=True)
+    assert share.is_unreliable(0.0) is is_unreliable
--- a/tests/users_platform/test_deployment.py
+++ b/tests/users_platform/test_deployment.py
@@ -451,3 +451,18 @@
         events = [event["event"] for event in deployment.events(node)]
         assert "lease_lost" not in events
         return
+
+
+async def test_a_replica_that_loses_answers_is_avoided(deployment):
+    # Its health was good, and every read of its zone went to it first.
+    server_named(deployment, "i-1").lost_share = 1.0
+    caller = await open_session(deployment, "stock")
+    await caller.ask("READ k1")
+    for number in range(12):
+        await caller.ask("READ k1", f"g{number}")
+    first_tries = {
+        run.request
+        for run in deployment.group.runs
+        if run.server == "i-1" and run.request.startswith("g")
+    }
+    assert len(first_tries) <= 4
