--- a/packages/cardamomshunt-node/src/cardamomshunt_node/mysql_server.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/mysql_server.py
@@ -3,8 +3,8 @@
 from mysql_mimic.results import ResultColumn
 from mysql_mimic.types import ColumnType
 
-from cardamomshunt_node._mysql_server import (
-    MysqlServerEdge,
+from cardamomshunt_node._mysql_server import MysqlServerEdge
+from cardamomshunt_node._mysql_session import (
     MysqlSession,
     Ok,
     Rows,
