Open connections before they are needed, and share scarce ones by need

Where they are scarce, a primary gives one to each VM, a replica the share of its zone; a refusal is told to the VMs of the zone through their home, and each shortens the time that it keeps idle ones; refused dials wait longer each time.

--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_backend_pool.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_backend_pool.py
@@ -220,6 +220,7 @@
         self.down_since_ms: float | None = None
         self.dial_after_ms = 0.0
         self.full_until_ms = 0.0
+        self._n_full = 0
         self._keep_ms = _KEEP_START_MS
         self.outcomes = OutcomeShare()
         self._lag_ms = 0.0
@@ -324,6 +325,7 @@
             return
         self._n_opening -= 1
         self.n_opened += 1
+        self._n_full = 0
         self.down_since_ms = None
         self._open.add(connection)
         self._leased.add(connection)
@@ -348,9 +350,11 @@
             self.replied_ms = now
         if refusal is ErrorCode.TOO_MANY_CONNECTIONS:
             # Other entry VMs hold all connections and give idle ones back soon.
-            self.dial_after_ms = now + random.uniform(*_FULL_PAUSE_MS)
+            pause_ms = random.uniform(*_FULL_PAUSE_MS) * 2.0 ** min(self._n_full, 2)
+            self._n_full += 1
+            self.dial_after_ms = now + pause_ms
             self.full_until_ms = self.dial_after_ms
-            self._keep_ms = max(self._keep_ms / 2.0, _KEEP_MIN_MS)
+            self.shorten_keep()
             self._dial_more()
             return
         if self._open:
@@ -398,6 +402,10 @@
         if self._waiters:
             self._dial_more()
 
+    def shorten_keep(self) -> None:
+        """Keep idle connections for half as long, as the server has too many."""
+        self._keep_ms = max(self._keep_ms / 2.0, _KEEP_MIN_MS)
+
     def close_idle(self) -> None:
         """Close connections that nobody used for a time, for others to open."""
         now = boot_ms()
@@ -411,6 +419,17 @@
         if self.down_since_ms is not None and not self._n_opening and not self._open:
             self._start_dial()
 
+    def keep_warm(self) -> bool:
+        """Open a first connection before anyone waits for it; return whether it does.
+
+        A new connection takes a slot of the server, so that all entry VMs at once
+        would hold up the first statements at a new primary.
+        """
+        if self._open or self._n_opening or self.dial_after_ms > boot_ms():
+            return False
+        self._start_dial()
+        return True
+
     def probe_if_late(self) -> None:
         """Dial once if statements are late, which tells a slow server from a dead one."""
         now = boot_ms()
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_entry_control_link.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_entry_control_link.py
@@ -197,6 +197,7 @@
                 control_digest=self._control_digest,
                 answers=self._answers,
                 bounds=bounds,
+                full_servers=self._view.full_servers() if is_home else [],
             ),
         )
 
@@ -232,6 +233,7 @@
             self._home_granted_ms = self._granted_ms
         if address == self._home and grant.number:
             self._answers = grant.number
+            self._view.note_full(grant.full_servers)
             news = self._bounds.take(address, grant.sequence, grant.bounds)
             for group, bound in news.items():
                 self._view.add_bound(group, bound.position, bound.since_ms)
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_entry_service.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_entry_service.py
@@ -34,6 +34,7 @@
 _ENTRY_FORGOTTEN_MS = 6_000.0
 _HOME_FORGOTTEN_MS = 2_000.0
 _PUSH_PAUSE_MS = 400.0
+_FULL_KEPT_MS = 500.0
 # Requests of a zone wait this long for each other on their way to the leader.
 _RELAY_INTERVAL_S = 0.015
 _NUMBER_START_BITS = 48
@@ -67,6 +68,7 @@
         self._heard_ms: dict[str, float] = {}
         self._home_heard_ms: dict[str, float] = {}
         self._pushed_ms: dict[str, float] = {}
+        self._full_heard_ms: dict[str, float] = {}
         self._bounds = BoundExchange()
         self._number = random.getrandbits(_NUMBER_START_BITS)
         self._pending: dict[str, LeaseRequest] = {}
@@ -121,6 +123,8 @@
         if request.is_home:
             self._home_heard_ms[address] = now
             self._bounds.take(address, request.answers, request.bounds)
+            for server in request.full_servers:
+                self._full_heard_ms[server] = now
             self._repair(address, request, now)
         if self._grants:
             grant = self._grant(address, request, now)
@@ -171,6 +175,7 @@
                 zone=self._settings.zone,
                 number=number,
                 bounds=bounds,
+                full_servers=_heard_within(self._full_heard_ms, _FULL_KEPT_MS),
             ),
         )
 
@@ -225,7 +230,7 @@
             return
         self._relayed.update(pending)
         requests = [
-            RelayedRequest(entry, structs.replace(request, is_home=False, bounds=[]))
+            RelayedRequest(entry, _without_home_parts(request))
             for entry, request in pending.items()
         ]
         self._transport.send(leader, RelayedRequests(requests=requests))
@@ -252,6 +257,10 @@
                 self._send_grant(item.entry, request, item.grant, now)
 
 
+def _without_home_parts(request: LeaseRequest) -> LeaseRequest:
+    return structs.replace(request, is_home=False, bounds=[], full_servers=[])
+
+
 def _heard_within(heard_ms: dict[str, float], kept_ms: float) -> list[str]:
     """Return the keys heard lately, and drop the others."""
     now = boot_ms()
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_fleet_view.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_fleet_view.py
@@ -1,6 +1,7 @@
 """What an entry VM knows of routes, servers and primaries, and its connections."""
 
 import asyncio
+import random
 from collections import deque
 
 from cardamomshunt.fleet import (
@@ -89,7 +90,7 @@
             group,
             report.server,
             report.address,
-            lambda: self._share(group),
+            lambda: self._share(group, report.server),
         )
         self._pools[report.server] = pool
         return pool
@@ -107,15 +108,26 @@
         while self._entry_counts[0][0] < now - _ENTRY_COUNT_KEPT_MS:
             self._entry_counts.popleft()
 
-    def _share(self, group: str) -> int:
-        """Return how many connections to one server are this entry VM's."""
+    def _share(self, group: str, server: str) -> int:
+        """Return how many connections to one server are this entry VM's.
+
+        Where there are fewer than two for each, a primary gives one to each, as two
+        for some would leave others none; replicas are used mostly within their zone.
+        """
         limits = self.table.groups.get(group)
         n_max = limits.n_connections_max if limits else _N_CONNECTIONS_MIN
         if boot_ms() < self._settled_ms:
             return _N_CONNECTIONS_MIN
+        n_usable = n_max - _N_RESERVED_CONNECTIONS
         n_entries = max(count for _, count in self._entry_counts)
-        share = (n_max - _N_RESERVED_CONNECTIONS) // n_entries
-        return max(share, _N_CONNECTIONS_MIN)
+        if n_usable >= n_entries * _N_CONNECTIONS_MIN:
+            return n_usable // n_entries
+        assignment = self.lease.known(group)
+        if assignment is None or assignment.server == server:
+            return 1
+        n_zones = len({report.zone for report in self.registry.of_group(group)})
+        n_near = -(-n_entries // max(n_zones, 1))
+        return max(n_usable // n_near, 1)
 
     def _is_scarce(self, group: str) -> bool:
         """Tell whether the servers take fewer connections than all shares."""
@@ -132,6 +144,37 @@
             pool.probe()
             if self._is_scarce(pool.group):
                 pool.close_idle()
+        self._warm_one()
+
+    def _warm_one(self) -> None:
+        """Open a connection to one server that has none, if there are enough."""
+        if boot_ms() < self._settled_ms:
+            return
+        reports = [
+            report
+            for report in self.registry.all()
+            if report.state is ServerState.READY
+            and report.group in self.table.groups
+            and not self._is_scarce(report.group)
+        ]
+        random.shuffle(reports)
+        for report in reports:
+            if self.pool(report).keep_warm():
+                return
+
+    def full_servers(self) -> list[str]:
+        """Return the servers that lately refused a connection of this VM."""
+        now = boot_ms()
+        return [
+            pool.server for pool in self._pools.values() if now < pool.full_until_ms
+        ]
+
+    def note_full(self, servers: list[str]) -> None:
+        """Give idle connections back sooner to servers that refused other VMs."""
+        for server in servers:
+            pool = self._pools.get(server)
+            if pool is not None:
+                pool.shorten_keep()
 
     def _drop_pool(self, server: str, reason: str) -> None:
         pool = self._pools.pop(server, None)
--- a/packages/cardamomshunt/src/cardamomshunt/_fleet/messages.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_fleet/messages.py
@@ -24,7 +24,8 @@
     `released` names the epochs, by group, that this entry VM will not use any more.
     With `is_home` the receiver passes the request on to the leader if it does not
     lead, and sends what the entry VM lacks. `bounds` are dated by the home's message
-    that has the number `answers`.
+    that has the number `answers`. `full_servers` lately refused a connection because
+    they have as many as they take.
     """
 
     sequence: int
@@ -37,14 +38,15 @@
     control_digest: int = 0
     answers: int = 0
     bounds: list[SharedBound] = []
+    full_servers: list[str] = []
 
 
 class LeaseGrant(Message, kw_only=True, array_like=True):
     """Allow the use of primaries for `lease_ms` from when `sequence` was sent.
 
     `assignments` is None if the entry VM's newest epoch is the leader's. Lists of
-    addresses are None if the entry VM has them. `zone`, `number` and `bounds` are of
-    the home, which may not be the leader.
+    addresses are None if the entry VM has them. `zone`, `number`, `bounds` and
+    `full_servers` are of the home, which may not be the leader.
     """
 
     sequence: int
@@ -56,6 +58,7 @@
     zone: str = ""
     number: int = 0
     bounds: list[SharedBound] = []
+    full_servers: list[str] = []
 
 
 class RelayedRequest(msgspec.Struct, frozen=True, array_like=True):
