Store the number of entry VMs, so that scarce connections are shared after a restart

Change: the leader stores the number in the replicated state when it grows, or 20 s after it fell, and grants carry it from the first one on; 0 says that it is not known yet.

--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_control_node.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_control_node.py
@@ -8,6 +8,7 @@
 from cardamomshunt.fleet import (
     Assignment,
     ConfigurationInvalidError,
+    CountEntries,
     FleetState,
     LeaseRequest,
     PutDocument,
@@ -46,6 +47,7 @@
 from cardamomshunt_node._stream_transport import StreamMessage, StreamTransport
 
 _FLUSH_INTERVAL_S = 0.25
+_COUNT_INTERVAL_S = 1.0
 _LEADER_WAIT_MS = 600.0
 _STOP_TIMEOUT_MS = 1_500.0
 _LINGER_S = 0.15
@@ -149,6 +151,7 @@
             asyncio.create_task(self._primaries.run()),
             asyncio.create_task(self._reports.run()),
             asyncio.create_task(self._flush_log()),
+            asyncio.create_task(self._count_entries()),
         ]
         self._log.write("started", role="control", zone=self._settings.zone)
         await self._stop.wait()
@@ -180,6 +183,21 @@
             await asyncio.sleep(_FLUSH_INTERVAL_S)
             self._log.flush()
 
+    async def _count_entries(self) -> None:
+        """Keep the stored number of entry VMs while this node leads."""
+        while True:
+            await asyncio.sleep(_COUNT_INTERVAL_S)
+            n_entries = self._entries.count_to_store()
+            if n_entries is None or not self._host.may_act:
+                continue
+            try:
+                await self._host.propose(
+                    encode_command(CountEntries(n_entries=n_entries)),
+                    COMMIT_TIMEOUT_MS,
+                )
+            except (NotLeaderError, TimeoutError):
+                self._log.write("entry_count_unsure", n_entries=n_entries)
+
     def _reload(self) -> None:
         self._log.write("reloaded")
 
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_entry_service.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_entry_service.py
@@ -35,6 +35,10 @@
 _HOME_FORGOTTEN_MS = 2_000.0
 _PUSH_PAUSE_MS = 400.0
 _FULL_KEPT_MS = 500.0
+# A leader has heard all entry VMs that run after this time, and those that are away
+# for a restart or a partition after the second one.
+_COUNT_SETTLED_MS = 2_500.0
+_COUNT_SHRINKS_MS = 20_000.0
 # Requests of a zone wait this long for each other on their way to the leader.
 _RELAY_INTERVAL_S = 0.015
 _NUMBER_START_BITS = 48
@@ -65,6 +69,7 @@
         self._metrics = metrics
         self._state = state
         self._leases = leases
+        self._leads_since_ms = boot_ms()
         self._heard_ms: dict[str, float] = {}
         self._home_heard_ms: dict[str, float] = {}
         self._pushed_ms: dict[str, float] = {}
@@ -102,6 +107,7 @@
 
     def announce_leadership(self) -> None:
         """Tell all entry VMs that this node leads now."""
+        self._leads_since_ms = boot_ms()
         hint = LeaderHint(
             leader_address=self._settings.peer_address,
             control_addresses=self.control_addresses(),
@@ -146,11 +152,26 @@
         return LeaseGrant(
             sequence=request.sequence,
             lease_ms=LEASE_MS,
-            n_entries=len(self.live()),
+            n_entries=self._n_entries(now),
             assignments=self._newer_assignments(request.newest_epoch),
             leader_address=self._settings.peer_address,
         )
 
+    def _n_entries(self, now: float) -> int:
+        """Return how many entry VMs there are, or 0 if that is not known yet."""
+        n_stored = self._state().n_entries
+        if not n_stored and now < self._leads_since_ms + _COUNT_SETTLED_MS:
+            return 0
+        return max(n_stored, len(self.live()))
+
+    def count_to_store(self) -> int | None:
+        """Return the number of entry VMs if the stored one is to be changed."""
+        n_stored, n_live = self._state().n_entries, len(self.live())
+        led_ms = boot_ms() - self._leads_since_ms
+        is_grown = n_live > n_stored and led_ms > _COUNT_SETTLED_MS
+        is_shrunk = n_live < n_stored and led_ms > _COUNT_SHRINKS_MS
+        return n_live if is_grown or is_shrunk else None
+
     def _newer_assignments(self, known_epoch: int) -> dict[str, Assignment] | None:
         """Return the assignments unless an entry VM knows the newest of them."""
         assignments = self._state().assignments
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_fleet_view.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_fleet_view.py
@@ -23,7 +23,6 @@
 # Connections that control and a reconnecting entry VM need besides the shares.
 _N_RESERVED_CONNECTIONS = 3
 _N_CONNECTIONS_MIN = 2
-_ENTRY_COUNT_SETTLED_MS = 2_500.0
 _ENTRY_COUNT_KEPT_MS = 10_000.0
 _N_LOCAL_LOAD_MAX = 5
 
@@ -37,7 +36,6 @@
         self.table = RouteTable()
         self.lease = PrimaryLease()
         self.registry = ServerRegistry()
-        self._settled_ms = float("inf")
         self._entry_counts: deque[tuple[float, int]] = deque()
         self._pools: dict[str, ServerPool] = {}
         self._bounds: dict[str, BoundHistory] = {}
@@ -96,18 +94,22 @@
         return pool
 
     def note_n_entries(self, n_entries: int) -> None:
-        """Note how many entry VMs a leader knows of.
+        """Note how many entry VMs a leader knows of; 0 is not known.
 
-        A new leader knows few at first, so that the most of the last seconds counts,
-        and none is believed right after the start.
+        The most of the last seconds counts, as leaders may differ.
         """
         now = boot_ms()
-        if not self._entry_counts:
-            self._settled_ms = now + _ENTRY_COUNT_SETTLED_MS
-        self._entry_counts.append((now, n_entries))
-        while self._entry_counts[0][0] < now - _ENTRY_COUNT_KEPT_MS:
+        if n_entries:
+            self._entry_counts.append((now, n_entries))
+        while self._entry_counts and (
+            self._entry_counts[0][0] < now - _ENTRY_COUNT_KEPT_MS
+        ):
             self._entry_counts.popleft()
 
+    @property
+    def _n_entries(self) -> int:
+        return max((count for _, count in self._entry_counts), default=0)
+
     def _share(self, group: str, server: str) -> int:
         """Return how many connections to one server are this entry VM's.
 
@@ -116,10 +118,10 @@
         """
         limits = self.table.groups.get(group)
         n_max = limits.n_connections_max if limits else _N_CONNECTIONS_MIN
-        if boot_ms() < self._settled_ms:
-            return _N_CONNECTIONS_MIN
         n_usable = n_max - _N_RESERVED_CONNECTIONS
-        n_entries = max(count for _, count in self._entry_counts)
+        n_entries = self._n_entries
+        if not n_entries:
+            return _N_CONNECTIONS_MIN
         if n_usable >= n_entries * _N_CONNECTIONS_MIN:
             return n_usable // n_entries
         assignment = self.lease.known(group)
@@ -132,9 +134,8 @@
     def _is_scarce(self, group: str) -> bool:
         """Tell whether the servers take fewer connections than all shares."""
         limits = self.table.groups.get(group)
-        n_entries = max((count for _, count in self._entry_counts), default=0)
         return limits is not None and (
-            n_entries * _N_CONNECTIONS_MIN
+            self._n_entries * _N_CONNECTIONS_MIN
             > limits.n_connections_max - _N_RESERVED_CONNECTIONS
         )
 
@@ -148,7 +149,7 @@
 
     def _warm_one(self) -> None:
         """Open a connection to one server that has none, if there are enough."""
-        if boot_ms() < self._settled_ms:
+        if not self._n_entries:
             return
         reports = [
             report
--- a/packages/cardamomshunt/src/cardamomshunt/_fleet/messages.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_fleet/messages.py
@@ -44,7 +44,8 @@
 class LeaseGrant(Message, kw_only=True, array_like=True):
     """Allow the use of primaries for `lease_ms` from when `sequence` was sent.
 
-    `assignments` is None if the entry VM's newest epoch is the leader's. Lists of
+    `n_entries` is 0 while the leader can't know it. `assignments` is None if the
+    entry VM's newest epoch is the leader's. Lists of
     addresses are None if the entry VM has them. `zone`, `number`, `bounds` and
     `full_servers` are of the home, which may not be the leader.
     """
--- a/packages/cardamomshunt/src/cardamomshunt/_fleet/primary_assignments.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_fleet/primary_assignments.py
@@ -33,6 +33,12 @@
     document: bytes
 
 
+class CountEntries(FleetCommand, frozen=True, kw_only=True):
+    """Store how many entry VMs there are, for the time after a restart of all."""
+
+    n_entries: int
+
+
 class AssignPrimary(FleetCommand, frozen=True, kw_only=True):
     """Name the first primary of a group."""
 
@@ -64,7 +70,7 @@
 
 
 AssignmentCommand = StopPrimary | PromoteSuccessor | FinishPromotion
-_Command = PutDocument | AssignPrimary | AssignmentCommand
+_Command = PutDocument | CountEntries | AssignPrimary | AssignmentCommand
 _DECODER = msgspec.msgpack.Decoder(_Command)
 _ENCODER = msgspec.msgpack.Encoder()
 
@@ -80,6 +86,7 @@
     version: int = 0
     document: bytes = b""
     assignments: dict[str, Assignment] = {}
+    n_entries: int = 0
 
     def apply(self, index: int, payload: bytes) -> bool:
         """Apply the command of a log entry; return whether it took effect."""
@@ -87,6 +94,9 @@
         match command:
             case PutDocument():
                 return self._put_document(command)
+            case CountEntries():
+                self.n_entries = command.n_entries
+                return True
             case AssignPrimary():
                 if command.group in self.assignments:
                     return False
--- a/packages/cardamomshunt/tests/test_fleet.py
+++ b/packages/cardamomshunt/tests/test_fleet.py
@@ -10,6 +10,7 @@
     BoundExchange,
     ConfigurationInvalidError,
     ControlHome,
+    CountEntries,
     FinishPromotion,
     FleetState,
     GroupLimits,
@@ -335,3 +336,9 @@
     for _ in range(n_failures):
         share.note(0.0, is_failure=True)
     assert share.is_unreliable(0.0) is is_unreliable
+
+
+def test_the_number_of_entries_is_in_the_snapshot():
+    state = FleetState()
+    assert state.apply(1, encode_command(CountEntries(n_entries=67)))
+    assert FleetState.decode(state.encode()).n_entries == 67
--- a/tests/users_platform/test_deployment.py
+++ b/tests/users_platform/test_deployment.py
@@ -362,7 +362,7 @@
         RouteTable(version=1, groups={"db": GroupLimits("db", n_connections_max=34)})
     )
     assert view._share("db", "i-1") == 2
-    view.note_n_entries(1)
+    view.note_n_entries(0)
     assert view._share("db", "i-1") == 2
 
 
@@ -374,7 +374,6 @@
     )
     view.note_n_entries(n_entries)
     view.note_n_entries(1)
-    view._settled_ms = 0.0
     assert view._share("db", "i-1") == share
 
 
@@ -388,7 +387,6 @@
         view.merge_report(make_report(number))
     view.lease.on_assignments({"db": Assignment(server="i-1", epoch=1)})
     view.note_n_entries(67)
-    view._settled_ms = 0.0
     assert view._share("db", "i-1") == 1
     assert view._share("db", "i-2") == 2
 
@@ -521,3 +519,14 @@
     kept_ms = pool._keep_ms
     deployment.controls[home]._entries._full_heard_ms["i-1"] = boot_ms()
     await deployment.until(lambda: pool._keep_ms < kept_ms)
+
+
+async def test_the_number_of_entries_outlives_a_restart_of_all(deployment):
+    # After a power loss each entry VM took two of connections that are scarce.
+    await deployment.until(
+        lambda: all(n._state.n_entries == 2 for n in deployment.controls.values())
+    )
+    assert not any(
+        node._entries._n_entries(boot_ms()) == 0
+        for node in deployment.controls.values()
+    )
