--- a/tests/users_platform/standin.py
+++ b/tests/users_platform/standin.py
@@ -60,6 +60,7 @@
         # The share of answers to callers' statements that is lost.
         self.lost_share = 0.0
         self.work_s = 0.002
+        self.open_s = 0.0
         self.lag_s = 0.0
         self.sequence = 0
         self.born = 1_000 + len(group.servers)
@@ -130,6 +131,8 @@
     async def handle(self, line: str) -> str:
         word, _, rest = line.partition(" ")
         if word == "START":
+            if self._server.open_s:
+                await asyncio.sleep(self._server.open_s)
             group, _, expected = rest.split(" ")
             if (group, expected) != (self._server.group.name, self._server.name):
                 return "ERROR MISROUTED -\r\n"
