--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 PACKAGES := cardamomshunt cardamomshunt-node cardamomshunt-cli cardamomshunt-testing
 INSTALLED := $(VENV)/installed
 
-.PHONY: install demo test lint format types measure soak capacity clean
+.PHONY: install demo test lint format types measure soak fault-soak capacity clean
 
 install: $(INSTALLED)
 
@@ -37,6 +37,9 @@
 soak: install
 	$(BIN)/python -m cardamomshunt_testing.soak
 
+fault-soak: install
+	$(BIN)/python tests/fault_soak/soak.py --seeds 50 --first-seed 1 --at-once 2
+
 capacity: install
 	@$(BIN)/python -m cardamomshunt_testing.capacity
 
