Take back connections beyond the share

More connections only lengthen the queue at that server. Conclusion: what binds is that no entry VM admits less while a primary is overloaded; that needs admission by the latency that the zone sees.

--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_backend_pool.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_backend_pool.py
@@ -33,11 +33,6 @@
 _KEEP_MIN_MS = 60.0
 _KEEP_MAX_MS = 20_000.0
 _KEEP_GROWTH = 1.05
-# Connections beyond the share, while statements wait and no entry VM is refused: one
-# more in each interval, and half as many after a refusal.
-_N_EXTRA_MAX = 8
-_EXTRA_INTERVAL_MS = 250.0
-_CALM_AFTER_FULL_MS = 600.0
 _LAG_MIN_MS = 50.0
 _LAG_MAX_MS = 5_000.0
 _LAG_MARGIN = 1.5
@@ -226,9 +221,6 @@
         self.dial_after_ms = 0.0
         self.full_until_ms = 0.0
         self._n_full = 0
-        self._n_extra = 0
-        self._extra_due_ms = 0.0
-        self._full_heard_ms = float("-inf")
         self._keep_ms = _KEEP_START_MS
         self.outcomes = OutcomeShare()
         self._lag_ms = 0.0
@@ -311,13 +303,10 @@
                 return self._idle.pop(number)
         return self._idle.pop()
 
-    def _n_allowed(self) -> int:
-        return self._limit() + self._n_extra
-
     def _dial_more(self) -> None:
         n_wanted = min(
             len(self._waiters) - self._n_opening,
-            self._n_allowed() - len(self._open) - self._n_opening,
+            self._limit() - len(self._open) - self._n_opening,
         )
         for _ in range(n_wanted):
             self._start_dial()
@@ -388,7 +377,7 @@
         if not connection.is_quiet:
             connection.close("given back in the middle of a statement")
             return
-        if len(self._open) > self._n_allowed():
+        if len(self._open) > self._limit():
             connection.close("more connections than the share")
             return
         while self._waiters:
@@ -416,30 +405,11 @@
     def shorten_keep(self) -> None:
         """Keep idle connections for half as long, as the server has too many."""
         self._keep_ms = max(self._keep_ms / 2.0, _KEEP_MIN_MS)
-        self._n_extra //= 2
-        self._full_heard_ms = boot_ms()
-
-    def tend(self) -> None:
-        """Take connections that other entry VMs leave, where statements wait.
-
-        Callers stay with their entry VM, so that some have several times the load of
-        others after a partition.
-        """
-        now = boot_ms()
-        if not self._waiters:
-            return
-        is_calm = now > self._full_heard_ms + _CALM_AFTER_FULL_MS
-        if is_calm and now >= self._extra_due_ms and self._n_extra < _N_EXTRA_MAX:
-            self._extra_due_ms = now + _EXTRA_INTERVAL_MS
-            self._n_extra += 1
-            self._dial_more()
 
     def close_idle(self) -> None:
         """Close connections that nobody used for a time, for others to open."""
         now = boot_ms()
         self._keep_ms = min(self._keep_ms * _KEEP_GROWTH, _KEEP_MAX_MS)
-        if not self._waiters and len(self._open) <= self._limit():
-            self._n_extra = 0
         for connection in list(self._idle):
             if now > connection.used_ms + self._keep_ms:
                 connection.close("idle while connections are scarce")
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_fleet_view.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_fleet_view.py
@@ -144,7 +144,6 @@
         for pool in self._pools.values():
             pool.probe()
             if self._is_scarce(pool.group):
-                pool.tend()
                 pool.close_idle()
         self._warm_one()
 
--- a/tests/users_platform/test_deployment.py
+++ b/tests/users_platform/test_deployment.py
@@ -532,22 +532,6 @@
     )
 
 
-async def test_an_entry_with_more_callers_takes_what_others_leave(deployment):
-    # After a partition a third of the VMs had all callers, and one connection each.
-    view = deployment.entries["entry-1"]._view
-    view.note_n_entries(30)
-    primary = server_named(deployment, "i-3")
-    pool, _ = view.primary("db")
-    assert pool._limit() == 1
-    primary.work_s = 0.3
-    callers = [await open_session(deployment, "orders") for _ in range(6)]
-    for _ in range(4):
-        await asyncio.gather(*(caller.ask("READ k1") for caller in callers))
-    assert pool._n_extra >= 2
-    pool.shorten_keep()
-    assert pool._n_extra < 4
-
-
 async def test_a_primary_with_a_long_queue_is_not_replaced(deployment):
     # Grown Kiti Bora, scale-1: under a burst each entry VM had one statement in the
     # queue of a primary, got no answer for 450 ms, and took it for dead.
