--- a/tests/fault_soak/fault_links.py
+++ b/tests/fault_soak/fault_links.py
@@ -73,7 +73,7 @@
             target_reader, target_writer = await asyncio.open_connection(
                 host, int(port)
             )
-        except OSError:
+        except (OSError, asyncio.CancelledError):
             writer.transport.abort()
             self._writers.discard(writer)
             self._tasks.discard(task)
--- a/tests/fault_soak/soak.py
+++ b/tests/fault_soak/soak.py
@@ -464,6 +464,10 @@
 async def _run_seeds(
     seeds: list[int], seconds: float, n_at_once: int, first_network: int
 ) -> list[SoakResult]:
+    running = asyncio.current_task()
+    assert running is not None
+    # The daemons are children, which a killed soak would leave behind.
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, running.cancel)
     networks = asyncio.Queue[int]()
     for number in range(n_at_once):
         networks.put_nowait(first_network + number)
