--- a/tests/users_platform/test_deployment.py
+++ b/tests/users_platform/test_deployment.py
@@ -16,7 +16,7 @@
 from cardamomshunt_node._http import HttpRequest, call_http
 from cardamomshunt_platform._lines import LineProtocol
 from msgspec import structs
-from standin import Caller, report
+from standin import Caller, Group, report
 
 
 def server_named(deployment, name):
@@ -544,3 +544,18 @@
     for number in range(2):
         await asyncio.gather(*(c.ask("READ k1", f"q{number}") for c in callers))
     assert deployment.provider.calls == []
+
+
+async def test_a_statement_never_runs_on_a_server_that_took_over_an_address(deployment):
+    # Addresses of servers that are gone are used again by other groups.
+    server = server_named(deployment, "i-1")
+    caller = await open_session(deployment, "stock")
+    await caller.ask("READ k1")
+    await caller.ask("READ k1", "before")
+    server.group = Group("other", server.group.port)
+    for writer in list(server._writers):
+        writer.transport.abort()
+    for number in range(5):
+        lines = await caller.ask("READ k1", f"after{number}")
+        assert lines[-1].startswith("COMPLETE")
+    assert server.group.runs == []
