Leave a home that lacks the leader's configuration

Cause: a control node that the others left out (restarted, or removed as silent) still passed lease requests on, as that needs only the leader's address, and its entry VMs had their leases while nobody sent them the configuration. Change: a grant carries the leader's version; an entry VM that is behind it for 400 ms leaves its home for another one, in the end for the leader, which sends what is missing. Test: a home that sends nothing; fails before (no version 9 in 2.5 s).

--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_entry_control_link.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_entry_control_link.py
@@ -33,6 +33,8 @@
 _GRANT_LATE_MS = 300.0
 # A home through which no grant came for this long is left for another one.
 _HOME_SILENCE_MS = 600.0
+# A home that does not send a configuration that the leader has is left after this.
+_BEHIND_MS = 400.0
 _LEADER_SILENCE_MS = 500.0
 # Other control nodes are asked that often, those of other zones less.
 _NEAR_CONTACT_INTERVAL_MS = 1_000.0
@@ -68,6 +70,7 @@
         self._home = ""
         self._home_granted_ms = boot_ms()
         self._answers = 0
+        self._behind_since_ms: float | None = None
         # A late answer to a former life of this process must match no request.
         self._sequence = random.getrandbits(_SEQUENCE_START_BITS)
         self._leader = ""
@@ -237,6 +240,7 @@
             news = self._bounds.take(address, grant.sequence, grant.bounds)
             for group, bound in news.items():
                 self._view.add_bound(group, bound.position, bound.since_ms)
+        self._watch_version(grant.version)
         known = grant.assignments or {}
         changed = self._view.lease.on_grant(grant)
         if not self._had_lease:
@@ -245,6 +249,27 @@
             self._view.notify()
         self._on_assignments(changed, known)
 
+    def _watch_version(self, version: int) -> None:
+        """Leave a home that passes leases on but lacks the newest configuration.
+
+        It may have been cut off from the other control nodes, or not be one of them.
+        """
+        now = boot_ms()
+        if version <= self._view.table.version:
+            self._behind_since_ms = None
+        elif self._behind_since_ms is None:
+            self._behind_since_ms = now
+        elif now > self._behind_since_ms + _BEHIND_MS:
+            self._log.write(
+                "home_behind",
+                control=self._home,
+                version=self._view.table.version,
+                newest=version,
+            )
+            self._behind_since_ms = None
+            self._home_choice.distrust(self._home, now)
+            self._renew.set()
+
     def _on_hint(self, address: str, hint: LeaderHint) -> None:
         self._learn_control(address, hint.zone, hint.control_addresses)
         if hint.leader_address and hint.leader_address != self._leader:
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_entry_service.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_entry_service.py
@@ -155,6 +155,7 @@
             n_entries=self._n_entries(now),
             assignments=self._newer_assignments(request.newest_epoch),
             leader_address=self._settings.peer_address,
+            version=self._state().version,
         )
 
     def _n_entries(self, now: float) -> int:
--- a/packages/cardamomshunt/src/cardamomshunt/_fleet/messages.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_fleet/messages.py
@@ -47,7 +47,8 @@
     `n_entries` is 0 while the leader can't know it. `assignments` is None if the
     entry VM's newest epoch is the leader's. Lists of
     addresses are None if the entry VM has them. `zone`, `number`, `bounds` and
-    `full_servers` are of the home, which may not be the leader.
+    `full_servers` are of the home, which may not be the leader. `version` is the
+    leader's configuration, so that an entry VM leaves a home that does not have it.
     """
 
     sequence: int
@@ -56,6 +57,7 @@
     assignments: dict[str, Assignment] | None
     control_addresses: list[str] | None = None
     leader_address: str = ""
+    version: int = 0
     zone: str = ""
     number: int = 0
     bounds: list[SharedBound] = []
--- a/tests/users_platform/test_deployment.py
+++ b/tests/users_platform/test_deployment.py
@@ -559,3 +559,21 @@
         lines = await caller.ask("READ k1", f"after{number}")
         assert lines[-1].startswith("COMPLETE")
     assert server.group.runs == []
+
+
+async def test_a_home_without_the_newest_configuration_is_left(
+    deployment, make_document
+):
+    # Hunts of the grown sites: a control node that the others had left out passed
+    # leases on, and its entry VMs refused a route 4 s after it was confirmed.
+    node = next(
+        node
+        for node in ("entry-1", "entry-2")
+        if not deployment.controls[near_control(deployment, node)]._host.node.is_leader
+    )
+    service = deployment.controls[near_control(deployment, node)]._entries
+    service.tell_document = lambda: None
+    service._repair = lambda address, request, now: None
+    assert (await deployment.put(make_document(version=9))).status == 200
+    view = deployment.entries[node]._view
+    await deployment.until(lambda: view.table.version == 9, timeout_s=2.5)
