Let the fault soak use the stand-in's document and control call

Cause: the soak built a configuration and followed redirects with copies of what the deployment's fixtures had. Change: both stand in standin.py and serve both; a wrapper of a fault is gone.

--- a/tests/fault_soak/soak.py
+++ b/tests/fault_soak/soak.py
@@ -11,7 +11,7 @@
 import sys
 import tempfile
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -22,7 +22,7 @@
 
 from cardamomshunt_node._http import HttpRequest, call_http  # noqa: E402
 from fault_links import FaultLink, LinkMode  # noqa: E402
-from soak_callers import KINDS, History, SoakCaller, SoakOperator  # noqa: E402
+from soak_callers import History, SoakCaller, SoakOperator  # noqa: E402
 from soak_checks import check_all, check_planned_stop  # noqa: E402
 from soak_processes import (  # noqa: E402
     HEALTH_PORT,
@@ -30,6 +30,7 @@
     DaemonProcess,
 )
 from standin import (  # noqa: E402
+    KINDS,
     REPORT_INTERVAL_S,
     Caller,
     Group,
@@ -224,7 +225,7 @@
 
     async def _harm(self, seconds: float) -> None:
         end_s = time.monotonic() + seconds
-        faults: list[Callable[[], Awaitable[None]]] = [
+        faults: list[Callable[[], Coroutine[None, None, None]]] = [
             self._fault_kill,
             self._fault_kill,
             self._fault_pause,
@@ -247,13 +248,10 @@
         while time.monotonic() < end_s:
             await asyncio.sleep(self._random.uniform(*_FAULT_INTERVAL_S))
             fault = self._random.choice(faults)
-            task = asyncio.create_task(self._run_fault(fault))
+            task = asyncio.create_task(fault())
             self._pending.add(task)
             task.add_done_callback(self._pending.discard)
 
-    async def _run_fault(self, fault: Callable[[], Awaitable[None]]) -> None:
-        await fault()
-
     def _note(self, text: str) -> None:
         elapsed_s = time.monotonic() - self._began_s
         self.result.faults.append(f"{elapsed_s:7.3f} {text}")
--- a/tests/fault_soak/soak_callers.py
+++ b/tests/fault_soak/soak_callers.py
@@ -7,15 +7,9 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from cardamomshunt_node._http import HttpRequest, call_http
-from standin import Caller
+from cardamomshunt_node._http import HttpRequest
+from standin import Caller, call_control, document
 
-KINDS = {
-    "orders": "primary",
-    "stock": "bounded_staleness",
-    "dispatch": "read_your_writes",
-}
-MAX_STALENESS_S = 2.0
 PROMISES = ("BUSY", "ABORTED", "LAGGING", "READONLY", "MISROUTED", "OVERLOAD")
 _PAUSE_S = (0.005, 0.06)
 _N_ITEMS = 40
@@ -178,32 +172,6 @@
         return self._database
 
 
-def document(version: int) -> bytes:
-    """Return a configuration whose time limit tells its version."""
-    routes = [
-        {
-            "name": f"r-{database}",
-            "host": database,
-            "path_prefix": "/",
-            "kind": kind,
-            "timeout_ms": 1_000 + version,
-            "target_latency_ms": 300,
-            "priority": 1,
-            "service": "db",
-            "max_attempts": 2,
-            "max_staleness_ms": MAX_STALENESS_S * 1_000.0,
-        }
-        for database, kind in KINDS.items()
-    ]
-    fields = {
-        "version": version,
-        "routes": routes,
-        "services": [{"name": "db", "connection_limit": 60, "sync_replicas": 0}],
-        "limits": {"transaction_idle_ms": 3_000},
-    }
-    return json.dumps(fields).encode()
-
-
 class SoakOperator:
     """Send configurations of rising versions, and read them back."""
 
@@ -225,7 +193,9 @@
     async def put(self, version: int) -> None:
         """Send one configuration until it is acknowledged."""
         self.version = version
-        while not await self._call("POST", "/Configuration.Replace", document(version)):
+        while not await self._call(
+            "POST", "/Configuration.Replace", _document(version)
+        ):
             await asyncio.sleep(0.15)
         self._history.acknowledged.append((version, time.monotonic()))
 
@@ -241,19 +211,16 @@
 
     async def _call(self, method: str, path: str, body: bytes) -> bytes | None:
         """Return the body of a 200, or None."""
-        address = self._random.choice(self._controls)
-        for _ in range(3):
-            try:
-                response = await call_http(
-                    address, HttpRequest(method, path, body), 1_000.0
-                )
-            except (OSError, TimeoutError):
-                return None
-            assert response is not None
-            if response.status == 200:
-                return response.body or b"{}"
-            if response.status != 307:
-                return None
-            location = response.headers["location"].removeprefix("http://")
-            address = location.partition("/")[0]
-        return None
+        request = HttpRequest(method, path, body)
+        try:
+            response = await call_control(
+                self._random.choice(self._controls), request, 1_000.0
+            )
+        except (OSError, TimeoutError):
+            return None
+        return (response.body or b"{}") if response.status == 200 else None
+
+
+def _document(version: int) -> bytes:
+    """Return a configuration whose time limit tells its version."""
+    return document(version, timeout_ms=1_000 + version, n_connections_max=60)
--- a/tests/fault_soak/soak_checks.py
+++ b/tests/fault_soak/soak_checks.py
@@ -2,8 +2,8 @@
 
 from collections import Counter, defaultdict
 
-from soak_callers import KINDS, MAX_STALENESS_S, History, Statement
-from standin import Group, Provider, Run
+from soak_callers import History, Statement
+from standin import KINDS, MAX_STALENESS_S, Group, Provider, Run
 
 CONFIGURATION_APPLY_S = 3.0
 # A statement that was sent this shortly before its connection ended may not have
--- a/tests/users_platform/conftest.py
+++ b/tests/users_platform/conftest.py
@@ -10,49 +10,26 @@
 import pytest
 import pytest_asyncio
 from cardamomshunt_node._decision_log import DecisionLog
-from cardamomshunt_node._http import HttpRequest, call_http
+from cardamomshunt_node._http import HttpRequest
 from cardamomshunt_node.control_node import ControlNodeDaemon
 from cardamomshunt_node.deployment import DeploymentSettings
 from cardamomshunt_node.entry_daemon import EntryDaemon
 from cardamomshunt_platform._platform import UsersPlatform
-from standin import REPORT_INTERVAL_S, Caller, Group, LineServer, Provider, report
+from standin import (
+    REPORT_INTERVAL_S,
+    Caller,
+    Group,
+    LineServer,
+    Provider,
+    call_control,
+    document,
+    report,
+)
 
 _NETWORKS = itertools.count(1)
 _PEER_PORT = 17_440
 
 
-def document(version=1, kinds=None, timeout_ms=1_000, **changes):
-    """Return a configuration with one route for each kind."""
-    kinds = kinds or {
-        "orders": "primary",
-        "stock": "bounded_staleness",
-        "dispatch": "read_your_writes",
-    }
-    routes = [
-        {
-            "name": f"r-{database}",
-            "host": database,
-            "path_prefix": "/",
-            "kind": kind,
-            "timeout_ms": timeout_ms,
-            "target_latency_ms": 200,
-            "priority": 1,
-            "service": "db",
-            "max_attempts": 2,
-            "max_staleness_ms": 2_000,
-        }
-        for database, kind in kinds.items()
-    ]
-    services = [{"name": "db", "connection_limit": 34, "sync_replicas": 0}]
-    fields = {
-        "version": version,
-        "routes": routes,
-        "services": services,
-        "limits": {"transaction_idle_ms": 3_000},
-    }
-    return json.dumps(fields | changes).encode()
-
-
 @dataclass
 class Deployment:
     """Hold the daemons and the stand-ins of one test."""
@@ -94,14 +71,10 @@
         return self.settings[node].caller_address
 
     async def call(self, address: str, method: str, path: str, body: bytes = b""):
-        for _ in range(3):
-            request = HttpRequest(method, path, body)
-            response = await call_http(address, request, 2_000.0)
-            if response.status != 307:
-                return response
-            location = response.headers["location"].removeprefix("http://")
-            address = location.partition("/")[0]
-        raise AssertionError("redirected too often")
+        request = HttpRequest(method, path, body)
+        response = await call_control(address, request, 2_000.0)
+        assert response.status != 307, "redirected too often"
+        return response
 
     async def put(self, body: bytes):
         for _ in range(60):
--- a/tests/users_platform/standin.py
+++ b/tests/users_platform/standin.py
@@ -323,6 +323,61 @@
         return HttpResponse(200)
 
 
+KINDS = {
+    "orders": "primary",
+    "stock": "bounded_staleness",
+    "dispatch": "read_your_writes",
+}
+MAX_STALENESS_S = 2.0
+
+
+def document(
+    version: int = 1,
+    kinds: dict[str, str] = KINDS,
+    timeout_ms: int = 1_000,
+    n_connections_max: int = 34,
+    **changes: object,
+) -> bytes:
+    """Return a configuration with one route for each database."""
+    routes = [
+        {
+            "name": f"r-{database}",
+            "host": database,
+            "path_prefix": "/",
+            "kind": kind,
+            "timeout_ms": timeout_ms,
+            "target_latency_ms": 200,
+            "priority": 1,
+            "service": "db",
+            "max_attempts": 2,
+            "max_staleness_ms": MAX_STALENESS_S * 1_000.0,
+        }
+        for database, kind in kinds.items()
+    ]
+    service = {"name": "db", "connection_limit": n_connections_max, "sync_replicas": 0}
+    fields = {
+        "version": version,
+        "routes": routes,
+        "services": [service],
+        "limits": {"transaction_idle_ms": 3_000},
+    }
+    return json.dumps(fields | changes).encode()
+
+
+async def call_control(
+    address: str, request: HttpRequest, timeout_ms: float
+) -> HttpResponse:
+    """Call a control node, following two redirects; raise OSError or TimeoutError."""
+    for _ in range(3):
+        response = await call_http(address, request, timeout_ms)
+        assert response is not None
+        if response.status != 307:
+            break
+        location = response.headers["location"].removeprefix("http://")
+        address = location.partition("/")[0]
+    return response
+
+
 async def report(server: LineServer, control: str, address: str = "") -> int:
     """Send one report of a server, reached at an address; return the status."""
     server.sequence += 1
