Share the daemons' signals and metrics address, and compute less per request

Cause: both daemons repeated constructor, signals and metrics lines. The registry's checksum was computed for each request on both ends; the leader counted its live entry VMs and looked for gone ones once for each relayed grant, which grows with their square; a grant carried full servers to entry VMs that do not use them; two endless loops ended in an assertion. Change: a Daemon base class; the checksum is kept until a report changes; one count for a batch, and gone entry VMs dropped once a second; plain loops.

--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_control_node.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_control_node.py
@@ -1,7 +1,6 @@
 """The daemon of a control VM for deployments whose servers announce themselves."""
 
 import asyncio
-import signal
 from pathlib import Path
 
 from cardamomshunt.consensus import ConsensusMessage, Member
@@ -24,6 +23,7 @@
 from cardamomshunt_node._boot_clock import boot_ms, wall_ms
 from cardamomshunt_node._consensus_host import ConsensusHost, NotLeaderError
 from cardamomshunt_node._control_metrics import ControlMetrics
+from cardamomshunt_node._daemon import Daemon
 from cardamomshunt_node._decision_log import DecisionLog
 from cardamomshunt_node._deployment import (
     ConfigurationAsked,
@@ -53,7 +53,7 @@
 _LINGER_S = 0.15
 
 
-class ControlNodeDaemon:
+class ControlNodeDaemon(Daemon):
     """Own the sockets, the disk and the replicated state of a control VM."""
 
     def __init__(
@@ -62,10 +62,8 @@
         settings: DeploymentSettings,
         log: DecisionLog | None = None,
     ) -> None:
-        self._platform = platform
-        self._settings = settings
-        self._log = log or DecisionLog(settings.node)
         self._metrics = ControlMetrics()
+        super().__init__(platform, settings, log, self._metrics)
         self._state = FleetState()
         self._table = RouteTable()
         self._transport = StreamTransport(
@@ -76,7 +74,6 @@
         self._reports = ReportExchange(
             self._transport, self._log, self._peers, lambda: self._entries.at_home()
         )
-        self._stop = asyncio.Event()
         self._storage = LogStorage(Path(settings.data_folder) / "log")
         self._host = self._open_host()
         self._primaries = PrimaryWatch(
@@ -99,9 +96,6 @@
             lambda: self._primaries.leases,
         )
         self._control = HttpServer(settings.control_address, self._answer)
-        self._metrics_server = HttpServer(
-            f"{settings.host}:{settings.metrics_port}", self._answer_metrics
-        )
 
     def _open_host(self) -> ConsensusHost:
         settings = self._settings
@@ -139,10 +133,7 @@
 
     async def run(self) -> None:
         """Run until SIGTERM, then hand leadership over."""
-        loop = asyncio.get_running_loop()
-        loop.add_signal_handler(signal.SIGTERM, self._stop.set)
-        loop.add_signal_handler(signal.SIGINT, self._stop.set)
-        loop.add_signal_handler(signal.SIGHUP, self._reload)
+        self._install_signals()
         await self._transport.start()
         await self._control.start()
         await self._metrics_server.start()
@@ -174,10 +165,6 @@
         await self._control.stop()
         await self._transport.stop()
 
-    def stop(self) -> None:
-        """Begin to stop, as at SIGTERM."""
-        self._stop.set()
-
     async def _flush_log(self) -> None:
         while True:
             await asyncio.sleep(_FLUSH_INTERVAL_S)
@@ -335,10 +322,9 @@
             return ControlReply(503, b'{"error":"no configuration yet"}')
         return ControlReply(200, self._state.document)
 
-    async def _answer_metrics(self, request: HttpRequest) -> HttpResponse:
+    def _update_metrics(self) -> None:
         self._metrics.set_state(
             self._host.node.is_leader,
             self._state.version,
             len(self._entries.live()),
         )
-        return HttpResponse(200, self._metrics.render(), content_type="text/plain")
--- /dev/null
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_daemon.py
@@ -0,0 +1,53 @@
+"""What the daemons of entry and control VMs share."""
+
+import asyncio
+import signal
+from abc import ABC, abstractmethod
+
+from cardamomshunt_node._daemon_metrics import DaemonMetrics
+from cardamomshunt_node._decision_log import DecisionLog
+from cardamomshunt_node._deployment import DeploymentSettings, Platform
+from cardamomshunt_node._http import HttpRequest, HttpResponse, HttpServer
+
+
+class Daemon(ABC):
+    """Own the signals, the log and the metrics address of a process."""
+
+    def __init__(
+        self,
+        platform: Platform,
+        settings: DeploymentSettings,
+        log: DecisionLog | None,
+        metrics: DaemonMetrics,
+    ) -> None:
+        self._platform = platform
+        self._settings = settings
+        self._log = log or DecisionLog(settings.node)
+        self._stop = asyncio.Event()
+        self._daemon_metrics = metrics
+        self._metrics_server = HttpServer(
+            f"{settings.host}:{settings.metrics_port}", self._answer_metrics
+        )
+
+    def stop(self) -> None:
+        """Begin to stop, as at SIGTERM."""
+        self._stop.set()
+
+    def _install_signals(self) -> None:
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, self._stop.set)
+        loop.add_signal_handler(signal.SIGINT, self._stop.set)
+        loop.add_signal_handler(signal.SIGHUP, self._reload)
+
+    @abstractmethod
+    def _reload(self) -> None:
+        """Take over changed settings, as at SIGHUP."""
+
+    @abstractmethod
+    def _update_metrics(self) -> None:
+        """Set the gauges."""
+
+    async def _answer_metrics(self, request: HttpRequest) -> HttpResponse:
+        self._update_metrics()
+        content = self._daemon_metrics.render()
+        return HttpResponse(200, content, content_type="text/plain")
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_entry_control_link.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_entry_control_link.py
@@ -321,13 +321,11 @@
 
     # State
 
-    def watch_lease(self, now: float) -> bool:
-        """Return whether primaries may be used; note when that ends."""
-        has_lease = self._view.lease.is_valid(now)
-        if self._had_lease and not has_lease:
+    def watch_lease(self, now: float) -> None:
+        """Note when the right to use primaries ends."""
+        if self._had_lease and not self._view.lease.is_valid(now):
             self._had_lease = False
             self._log.write("lease_lost", leader=self._leader)
-        return has_lease
 
     def is_cut_off(self, now: float) -> bool:
         """Tell whether this VM reaches too few control nodes to get a lease again."""
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_entry_daemon.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_entry_daemon.py
@@ -1,12 +1,12 @@
 """The daemon of an entry VM for deployments whose servers announce themselves."""
 
 import asyncio
-import signal
 
 from cardamomshunt.fleet import Assignment, AssignmentPhase, ServerState
 
 from cardamomshunt_node._boot_clock import boot_ms
 from cardamomshunt_node._caller_edge_lines import LineEdge
+from cardamomshunt_node._daemon import Daemon
 from cardamomshunt_node._decision_log import DecisionLog
 from cardamomshunt_node._deployment import DeploymentSettings, Platform
 from cardamomshunt_node._entry_control_link import EntryControlLink
@@ -26,7 +26,7 @@
 _CUT_OFF_IDLE_MS = 100.0
 
 
-class EntryDaemon:
+class EntryDaemon(Daemon):
     """Own the sockets of an entry VM, its lease and its view of the deployment."""
 
     def __init__(
@@ -35,10 +35,8 @@
         settings: DeploymentSettings,
         log: DecisionLog | None = None,
     ) -> None:
-        self._platform = platform
-        self._settings = settings
-        self._log = log or DecisionLog(settings.node)
         self._metrics = EntryMetrics()
+        super().__init__(platform, settings, log, self._metrics)
         protocol = platform.session_protocol
         self._view = FleetView(settings.zone, protocol)
         runner = StatementRunner(self._view, protocol, self._log, self._metrics)
@@ -55,19 +53,12 @@
         self._cut_off_since_ms: float | None = None
         self._stopping: dict[str, asyncio.Task[None]] = {}
         self._is_stopping = False
-        self._stop = asyncio.Event()
         self._tasks: list[asyncio.Task[None]] = []
         self._health = HttpServer(settings.health_address, self._answer_health)
-        self._metrics_server = HttpServer(
-            f"{settings.host}:{settings.metrics_port}", self._answer_metrics
-        )
 
     async def run(self) -> None:
         """Run until SIGTERM, then let sessions end."""
-        loop = asyncio.get_running_loop()
-        loop.add_signal_handler(signal.SIGTERM, self._stop.set)
-        loop.add_signal_handler(signal.SIGINT, self._stop.set)
-        loop.add_signal_handler(signal.SIGHUP, self._reload)
+        self._install_signals()
         await self._control_link.start()
         await self._edge.start()
         await self._health.start()
@@ -85,10 +76,6 @@
         await self._control_link.stop()
         self._log.write("stopped", role="entry")
 
-    def stop(self) -> None:
-        """Begin to stop, as at SIGTERM."""
-        self._stop.set()
-
     def _reload(self) -> None:
         try:
             settings = self._platform.load_settings()
@@ -161,13 +148,10 @@
         while True:
             await asyncio.sleep(_SWEEP_INTERVAL_S)
             now = boot_ms()
-            has_lease = self._control_link.watch_lease(now)
+            self._control_link.watch_lease(now)
             self._edge.end_idle_transactions()
             self._view.tend_pools()
             self._watch_cut_off(now)
-            self._metrics.set_state(
-                len(self._edge.connections), has_lease, self._view.table.version
-            )
             self._log.flush()
 
     def _watch_cut_off(self, now: float) -> None:
@@ -191,5 +175,9 @@
         )
         return HttpResponse(200 if is_ready else 503, b"{}")
 
-    async def _answer_metrics(self, request: HttpRequest) -> HttpResponse:
-        return HttpResponse(200, self._metrics.render(), content_type="text/plain")
+    def _update_metrics(self) -> None:
+        self._metrics.set_state(
+            len(self._edge.connections),
+            self._view.lease.is_valid(boot_ms()),
+            self._view.table.version,
+        )
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_entry_service.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_entry_service.py
@@ -155,7 +155,7 @@
                 self._full_heard_ms[server] = now
             self._repair(address, request, now)
         if self._grants:
-            grant = self._grant(address, request, now)
+            grant = self._grant(address, request, now, self._n_entries(now))
             self._send_grant(address, request, grant, now)
         elif request.is_home and self._host.leader_address():
             self._pass_on(address, request)
@@ -166,7 +166,9 @@
     def _grants(self) -> bool:
         return self._host.may_act and self._leases() is not None
 
-    def _grant(self, entry: str, request: LeaseRequest, now: float) -> LeaseGrant:
+    def _grant(
+        self, entry: str, request: LeaseRequest, now: float, n_entries: int
+    ) -> LeaseGrant:
         leases = self._leases()
         assert leases is not None
         leases.on_request(entry, request, now)
@@ -174,7 +176,7 @@
         return LeaseGrant(
             sequence=request.sequence,
             lease_ms=LEASE_MS,
-            n_entries=self._n_entries(now),
+            n_entries=n_entries,
             assignments=self._newer_assignments(request.newest_epoch),
             leader_address=self._settings.peer_address,
             version=self._state().version,
@@ -205,12 +207,13 @@
         self, address: str, request: LeaseRequest, grant: LeaseGrant, now: float
     ) -> None:
         """Send a grant with what this node, and not the leader, has to add."""
-        number, bounds = 0, []
+        number, bounds, full_servers = 0, [], []
         if request.is_home:
             self._number += 1
             number = self._number
             self._bounds.note_asked(number, now)
             bounds = self._bounds.bounds_for(address, now)
+            full_servers = _heard_within(self._full_heard_ms, _FULL_KEPT_MS)
         self._transport.send(
             address,
             structs.replace(
@@ -219,7 +222,7 @@
                 zone=self._settings.zone,
                 number=number,
                 bounds=bounds,
-                full_servers=_heard_within(self._full_heard_ms, _FULL_KEPT_MS),
+                full_servers=full_servers,
             ),
         )
 
@@ -282,11 +285,14 @@
         if not self._grants:
             return
         now = boot_ms()
-        grants = []
-        for item in message.requests:
-            self._heard_ms[item.entry] = now
-            grant = self._grant(item.entry, item.request, now)
-            grants.append(RelayedGrant(item.entry, grant))
+        self._heard_ms.update((item.entry, now) for item in message.requests)
+        n_entries = self._n_entries(now)
+        grants = [
+            RelayedGrant(
+                item.entry, self._grant(item.entry, item.request, now, n_entries)
+            )
+            for item in message.requests
+        ]
         self._transport.send(relay, RelayedGrants(grants=grants))
 
     def on_relayed_grants(self, message: RelayedGrants) -> None:
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_line_transactions.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_line_transactions.py
@@ -1,7 +1,6 @@
 """Transactions: one connection from the first statement to the end."""
 
 import asyncio
-import itertools
 
 from cardamomshunt.fleet import Route
 from cardamomshunt.freshness import DatedPosition
@@ -200,7 +199,8 @@
         connection = transaction.connection
         assert connection is not None
         group = transaction.route.group
-        for n_refused in itertools.count():
+        n_refused = 0
+        while True:
             if transaction.epoch >= 0 and not self._view.may_acknowledge(
                 group, transaction.epoch
             ):
@@ -222,7 +222,7 @@
             if not is_retried:
                 return reply, sent_ms
             await asyncio.sleep(retry_pause_ms(n_refused) / 1_000.0)
-        raise AssertionError("the loop ends with an answer")
+            n_refused += 1
 
     def _lost_in_transaction(
         self, transaction: Transaction, query: CallerQuery
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_line_writes.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_line_writes.py
@@ -1,7 +1,6 @@
 """Single writes, and what may be acknowledged of a primary's answers."""
 
 import asyncio
-import itertools
 
 from cardamomshunt.fleet import Route
 from cardamomshunt.freshness import DatedPosition
@@ -50,7 +49,8 @@
     ) -> Reply:
         """Return the answer of a single write; raise RefusedError."""
         deadline_ms = statement_deadline_ms(route, arrived_ms, self._view.stop_by_ms)
-        for n_refused in itertools.count():
+        n_refused = 0
+        while True:
             connection, epoch = await self._acquire(session, route, deadline_ms)
             sent_ms = boot_ms()
             try:
@@ -65,11 +65,11 @@
                 connection.pool.release(connection)
             if reply.code in NOT_RUN_CODES and boot_ms() < deadline_ms:
                 await self._view.wait_change(retry_pause_ms(n_refused))
+                n_refused += 1
                 continue
             return self.acknowledge(
                 query.request_id, session, route, reply, epoch, sent_ms
             )
-        raise AssertionError("the loop ends with an answer")
 
     async def _acquire(
         self, session: LineSession, route: Route, deadline_ms: float
--- a/packages/cardamomshunt/src/cardamomshunt/_fleet/primary_lease.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_fleet/primary_lease.py
@@ -10,6 +10,7 @@
 LEASE_MARGIN_MS = 80.0
 SUSPICION_KEPT_MS = 800.0
 ENTRY_FORGOTTEN_MS = 6_000.0
+_FORGET_INTERVAL_MS = 1_000.0
 # An entry VM that has been silent this long has no say on whether a primary is dead.
 ENTRY_LIVE_MS = 700.0
 
@@ -86,6 +87,7 @@
         # An earlier leader may have granted a lease just before this one took over.
         self._earlier_until_ms = leads_since_ms + LEASE_MS
         self._holders: dict[str, _Holder] = {}
+        self._forget_due_ms = leads_since_ms
 
     def on_request(self, entry: str, request: LeaseRequest, now_ms: float) -> None:
         """Note a request, which is granted for `LEASE_MS` from now at the most."""
@@ -98,6 +100,10 @@
         self._forget(now_ms)
 
     def _forget(self, now_ms: float) -> None:
+        """Drop entry VMs that are gone, whose leases ended long before."""
+        if now_ms < self._forget_due_ms:
+            return
+        self._forget_due_ms = now_ms + _FORGET_INTERVAL_MS
         for entry in [
             name
             for name, holder in self._holders.items()
--- a/packages/cardamomshunt/src/cardamomshunt/_fleet/server_registry.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_fleet/server_registry.py
@@ -48,6 +48,7 @@
 
     def __init__(self) -> None:
         self._reports: dict[str, ServerReport] = {}
+        self._digest: int | None = None
 
     def merge(self, report: ServerReport) -> bool:
         """Take over a report; return whether it changes what the server is."""
@@ -62,7 +63,10 @@
         ):
             return False
         self._reports[report.server] = report
-        return known is None or report.is_change_of(known)
+        is_change = known is None or report.is_change_of(known)
+        if is_change:
+            self._digest = None
+        return is_change
 
     def get(self, server: str) -> ServerReport | None:
         """Return the newest report of a server."""
@@ -81,7 +85,15 @@
         ]
 
     def digest(self) -> int:
-        """Return a checksum of what the reports say, whatever their sequence."""
+        """Return a checksum of what the reports say, whatever their sequence.
+
+        It goes with every request of an entry VM, so it is kept until a change.
+        """
+        if self._digest is None:
+            self._digest = self._compute_digest()
+        return self._digest
+
+    def _compute_digest(self) -> int:
         lines = sorted(
             f"{item.server} {item.started_ms} {item.state.value} {item.role.value}"
             for item in self._reports.values()
