Base all decisions on the boot clock

Cause: a time of day that steps back and forth, and a machine that is suspended, reach decisions of the product: control and the MySQL edge counted leases on a clock that stops while suspended; the windows of repeated events and the limit on request lines used the time of day, as did the numbers of health reports across a restart, and the incarnation of a new disk. Change: all of them use the boot clock; a new disk's incarnation is random. The time of day only labels what people read, in the modules that a test lists.

--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_backend_edge_mysql.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_backend_edge_mysql.py
@@ -1,7 +1,6 @@
 """Backend edge for MySQL servers, based on asyncmy."""
 
 import asyncio
-import time
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass
 from typing import Any
@@ -39,6 +38,7 @@
     Reply,
 )
 from cardamomshunt_node._backend_edge_rows import RowStream
+from cardamomshunt_node._boot_clock import boot_ms
 
 BACKEND_USER = "cardamomshunt"
 # Connecting takes 10 to 30 ms; after this time it counts as failed.
@@ -46,11 +46,6 @@
 RESET_TIMEOUT_S = 2.0
 
 
-def monotonic_ms() -> float:
-    """Return the monotonic time in milliseconds."""
-    return time.monotonic() * 1_000.0
-
-
 @dataclass(slots=True)
 class _TrackedConnection:
     """Connection, the task that uses it and the term that it is bound to."""
@@ -69,7 +64,7 @@
     """Run attempts on MySQL connections, one task for each command."""
 
     def __init__(
-        self, user: str = BACKEND_USER, clock_ms: Callable[[], float] = monotonic_ms
+        self, user: str = BACKEND_USER, clock_ms: Callable[[], float] = boot_ms
     ) -> None:
         self._user = user
         self._clock_ms = clock_ms
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_backend_edge_mysql_attempts.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_backend_edge_mysql_attempts.py
@@ -8,7 +8,6 @@
 connection is lost.
 """
 
-import time
 from dataclasses import dataclass
 
 from cardamomshunt.effects import (
@@ -32,6 +31,7 @@
     RowConsumer,
     StreamedRows,
 )
+from cardamomshunt_node._boot_clock import boot_ms, wall_ms
 
 _FENCED_CODE = 1290
 _FENCED_TEXT = "cardamomshunt_fenced"
@@ -105,7 +105,7 @@
         "_connection",
         "_consume_rows",
         "_effect",
-        "_started_s",
+        "_started_ms",
         "_statement",
         "is_sent",
     )
@@ -121,7 +121,7 @@
         self._effect = effect
         self._statement = statement
         self._consume_rows = consume_rows
-        self._started_s = time.monotonic()
+        self._started_ms = boot_ms()
         self.is_sent = False
 
     async def run(self) -> AttemptCompletion:
@@ -145,7 +145,7 @@
         return [await self._connection.read() for _ in statements]
 
     def _majority_wait_statement(self) -> str:
-        spent_ms = (time.monotonic() - self._started_s) * 1_000.0
+        spent_ms = boot_ms() - self._started_ms
         wait_ms = self._effect.timeout_ms - spent_ms - _WAIT_MARGIN_MS
         if self._effect.await_majority_ms > 0:
             wait_ms = min(wait_ms, self._effect.await_majority_ms)
@@ -264,7 +264,7 @@
     def _insert_statement(self, n_affected_rows: int, fingerprint: str = "") -> str:
         key = quote(self._effect.idempotency_key or "")
         fingerprint_text = quote(fingerprint or self._effect.fingerprint)
-        created_at_ms = int(time.time() * 1_000)
+        created_at_ms = wall_ms()
         return (
             f"INSERT INTO {_KEY_TABLE} (idempotency_key, fingerprint, affected_rows, "
             f"last_insert_id, created_at_ms) "
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_boot_clock.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_boot_clock.py
@@ -9,5 +9,8 @@
 
 
 def wall_ms() -> int:
-    """Return the Unix time in milliseconds."""
+    """Return the Unix time in milliseconds, which may be set forward or back.
+
+    It only labels what people read; no decision depends on its course.
+    """
     return int(time.time() * 1_000.0)
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_control_daemon.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_control_daemon.py
@@ -5,7 +5,6 @@
 import itertools
 import random
 import signal
-import time
 from dataclasses import dataclass
 
 from cardamomshunt.consensus import Member, Peer
@@ -28,6 +27,7 @@
     TimelineRequest,
 )
 
+from cardamomshunt_node._boot_clock import boot_ms
 from cardamomshunt_node._instance_commands import InstanceCommands
 from cardamomshunt_node._keys import KeyFileError, KeyRing, load_key_ring
 from cardamomshunt_node._log_storage import LogStorage, OpenedStorage
@@ -75,11 +75,6 @@
 )
 
 
-def now_ms() -> float:
-    """Return the time of the monotonic clock."""
-    return time.monotonic() * 1_000.0
-
-
 def members_of(settings: DaemonSettings) -> list[Member]:
     """Return the control nodes of the settings as initial members."""
     return [
@@ -118,7 +113,7 @@
             members_of(settings),
             opened.restored,
             random.Random(),
-            now_ms(),
+            boot_ms(),
         )
         self._transport = PeerTransport(
             settings.node,
@@ -165,22 +160,22 @@
     def _may_exit(self) -> bool:
         if self._stop_deadline_ms is None:
             return False
-        if now_ms() >= self._stop_deadline_ms:
+        if boot_ms() >= self._stop_deadline_ms:
             return True
         return not self._node.consensus.is_leader and self._storage_task.is_idle
 
     async def _step(self) -> None:
         """Wait for an input or a deadline, and handle all queued inputs."""
         deadline_ms = self._node.next_deadline_ms()
-        wait_s = max(((deadline_ms or now_ms()) - now_ms()) / 1_000.0, 0.0)
+        wait_s = max(((deadline_ms or boot_ms()) - boot_ms()) / 1_000.0, 0.0)
         if self._inbox.empty() and wait_s > 0.0:
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(wait_s):
                     self._handle(await self._inbox.get())
         while not self._inbox.empty():
             self._handle(self._inbox.get_nowait())
-        self._run_effects(self._node.tick(now_ms()))
-        self._watch(now_ms())
+        self._run_effects(self._node.tick(boot_ms()))
+        self._watch(boot_ms())
         # Let other tasks run even if deadlines follow one another without a pause.
         await asyncio.sleep(0)
 
@@ -196,7 +191,7 @@
             self._node_watch.reset()
 
     def _handle(self, item: _Input) -> None:
-        now = now_ms()
+        now = boot_ms()
         match item:
             case ReceivedMessage():
                 self._telemetry.observe(item.envelope.sender, item.envelope.sent_hlc)
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_control_node.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_control_node.py
@@ -1,6 +1,7 @@
 """Daemon of a control VM, for deployments whose servers report to control nodes."""
 
 import asyncio
+import random
 from pathlib import Path
 
 from cardamomshunt.consensus import ConsensusMessage, Member
@@ -20,7 +21,7 @@
     encode_command,
 )
 
-from cardamomshunt_node._boot_clock import boot_ms, wall_ms
+from cardamomshunt_node._boot_clock import boot_ms
 from cardamomshunt_node._consensus_host import ConsensusHost, NotLeaderError
 from cardamomshunt_node._control_metrics import ControlMetrics
 from cardamomshunt_node._daemon import Daemon
@@ -51,6 +52,7 @@
 _LEADER_WAIT_MS = 600.0
 _STOP_TIMEOUT_MS = 1_500.0
 _LINGER_S = 0.15
+_INCARNATION_BITS = 62
 
 
 class ControlNodeDaemon(Daemon):
@@ -102,7 +104,10 @@
 
     def _open_host(self) -> ConsensusHost:
         settings = self._settings
-        opened = self._storage.open(new_incarnation=wall_ms())
+        # Random, as a time of day that is set back could return twice and give a new
+        # disk the incarnation of the one it replaces.
+        new_incarnation = 1 + random.getrandbits(_INCARNATION_BITS)
+        opened = self._storage.open(new_incarnation)
         if opened.truncated_tail:
             self._log.write("torn_record_cut", detail=opened.truncated_tail)
         members = [
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_decision_log.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_decision_log.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from cardamomshunt_node._boot_clock import wall_ms
+from cardamomshunt_node._boot_clock import boot_ms, wall_ms
 
 _N_PENDING_LINES_MAX = 2_000
 _N_REQUEST_LINES_PER_S_MAX = 400
@@ -45,7 +45,7 @@
 
     def write_request(self, event: str, **fields: Any) -> None:
         """Write a line on one request, unless the limit a second is reached."""
-        second = wall_ms() // 1_000
+        second = int(boot_ms() / 1_000.0)
         if second != self._second:
             self._second, self._n_this_second = second, 0
         self._n_this_second += 1
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_event_log.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_event_log.py
@@ -18,6 +18,8 @@
     TimelineRequest,
 )
 
+from cardamomshunt_node._boot_clock import boot_ms, wall_ms
+
 N_EVENTS_MAX = 20_000
 # A burst of refusals emits thousands of equal events per second, of which the first five
 # are sufficient.
@@ -33,11 +35,6 @@
 }
 
 
-def wall_clock_ms() -> float:
-    """Return the wall-clock time in milliseconds since the Unix epoch."""
-    return time.time() * 1_000.0
-
-
 @dataclass(slots=True)
 class _RepeatWindow:
     """Numbers of equal events in one time window."""
@@ -71,9 +68,7 @@
         expired = [
             key
             for key, window in self.windows.items()
-            if is_closing
-            or is_full
-            or not 0 <= now_ms - window.started_ms < REPEAT_WINDOW_MS
+            if is_closing or is_full or now_ms - window.started_ms >= REPEAT_WINDOW_MS
         ]
         counts = [(key, self.windows.pop(key).n_suppressed) for key in expired]
         return [(key, n_suppressed) for key, n_suppressed in counts if n_suppressed]
@@ -84,7 +79,8 @@
 
     `emit` returns the id of the event (`node@hlc`), by which later events refer to their
     cause. Each event is one line of text or JSON. `count` is called with the number of
-    each event, whether logged or suppressed.
+    each event, whether logged or suppressed. Events carry the time of day; windows of
+    repeats use `steady_ms`, as a time of day that is set back would hold them open.
     """
 
     def __init__(
@@ -94,12 +90,14 @@
         log_file: Path | None = None,
         is_json: bool = False,
         stream: TextIO | None = None,
-        wall_ms: Callable[[], float] = wall_clock_ms,
+        wall_ms: Callable[[], float] = wall_ms,
+        steady_ms: Callable[[], float] = boot_ms,
         n_events_max: int = N_EVENTS_MAX,
         count: Callable[[int], None] = lambda number: None,
     ) -> None:
         self._node = node
         self._wall_ms = wall_ms
+        self._steady_ms = steady_ms
         self._count = count
         self._is_json = is_json
         self._repeats = _RepeatFilter()
@@ -129,10 +127,10 @@
     ) -> str:
         """Log an event, unless it repeats too often, and return its id."""
         self._count(int(number))
-        now_ms = self._wall_ms()
+        now_ms = self._steady_ms()
         self._report_suppressed(now_ms, is_closing=False)
         event = TimelineEvent(
-            hlc=self.clock.now(now_ms),
+            hlc=self.now_hlc(),
             node=self._node,
             number=int(number),
             subject=subject,
@@ -146,7 +144,7 @@
 
     def answer(self, request: TimelineRequest) -> TimelineReply:
         """Return the retained events that match a request, oldest first."""
-        self._report_suppressed(self._wall_ms(), is_closing=True)
+        self._report_suppressed(self._steady_ms(), is_closing=True)
         oldest_ms = self._wall_ms() - request.since_ms
         events = [
             event
@@ -163,7 +161,7 @@
 
     def close(self) -> None:
         """Log the numbers of suppressed repeats and close the log file."""
-        self._report_suppressed(self._wall_ms(), is_closing=True)
+        self._report_suppressed(self._steady_ms(), is_closing=True)
         self._handler.close()
 
     def _report_suppressed(self, now_ms: float, is_closing: bool) -> None:
@@ -174,7 +172,7 @@
             number, subject, database = key
             self._write(
                 TimelineEvent(
-                    hlc=self.clock.now(now_ms),
+                    hlc=self.now_hlc(),
                     node=self._node,
                     number=EventNumber.EVENTS_SUPPRESSED,
                     subject=subject,
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_proxy_control_link.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_proxy_control_link.py
@@ -1,7 +1,6 @@
 """Exchange of messages between a proxy and the control nodes."""
 
 import asyncio
-import time
 from collections.abc import Callable
 from contextlib import AbstractContextManager, nullcontext
 from dataclasses import dataclass
@@ -22,6 +21,7 @@
     TopologyUpdate,
 )
 
+from cardamomshunt_node._boot_clock import boot_ms, wall_ms
 from cardamomshunt_node._proxy_core import ProxyCore
 from cardamomshunt_node._proxy_versions import UnusableUpdateError, VersionedState
 from cardamomshunt_node._settings import DaemonSettings
@@ -85,14 +85,14 @@
         self._transport = transport
         self._request_drain = request_drain
         self._measure_cpu = measure_cpu
-        self._incarnation = int(time.time() * 1_000)
+        self._incarnation = wall_ms()
         self._leader: _Leader | None = None
-        # Grows across restarts too, so that control never mistakes a new report for an
-        # old one.
-        self._sequence = self._incarnation
+        # Grows across restarts of the process even if the time of day is set back, so
+        # that control never mistakes a new report for an old one.
+        self._sequence = int(boot_ms())
         self._confirmed_sequence = 0
         self._is_repeat_due = True
-        self._demand_sequence = self._incarnation
+        self._demand_sequence = self._sequence
         self._last_urgent_fields: list[tuple[object, ...]] = []
         self._next_heartbeat_ms = 0.0
         self._next_report_ms = 0.0
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_proxy_role.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_proxy_role.py
@@ -15,7 +15,8 @@
 
 from cardamomshunt_node._announcements import AnnouncementReceiver
 from cardamomshunt_node._backend_edge import BackendEdge
-from cardamomshunt_node._backend_edge_mysql import MysqlBackendEdge, monotonic_ms
+from cardamomshunt_node._backend_edge_mysql import MysqlBackendEdge
+from cardamomshunt_node._boot_clock import boot_ms
 from cardamomshunt_node._caller_edge import CallerEdge
 from cardamomshunt_node._caller_edge_mysql import MysqlCallerEdge
 from cardamomshunt_node._keys import KeyFileError, load_key_ring
@@ -63,7 +64,7 @@
         self.core = ProxyCore(
             data_path or DataPath(zone=settings.zone, generator=Random()),
             self._backend,
-            monotonic_ms,
+            boot_ms,
             self._on_event,
             self._on_fault,
         )
@@ -99,11 +100,11 @@
             announcement_address.host,
             announcement_address.port,
             self._on_announcement,
-            monotonic_ms,
+            boot_ms,
             self._on_rejected_announcement,
         )
         self._request_port = MeasuredRequestPort(
-            self.core, self.metrics, self.events, monotonic_ms, self._default_max_age_ms
+            self.core, self.metrics, self.events, boot_ms, self._default_max_age_ms
         )
         self._caller_edge: CallerEdge = MysqlCallerEdge(
             _require_address(settings.caller_address),
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/event_log.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/event_log.py
@@ -5,7 +5,6 @@
     N_REPEATS_MAX,
     REPEAT_WINDOW_MS,
     EventLog,
-    wall_clock_ms,
 )
 
 __all__ = [
@@ -13,5 +12,4 @@
     "N_REPEATS_MAX",
     "REPEAT_WINDOW_MS",
     "EventLog",
-    "wall_clock_ms",
 ]
--- a/packages/cardamomshunt-node/tests/test_event_log.py
+++ b/packages/cardamomshunt-node/tests/test_event_log.py
@@ -26,6 +26,7 @@
         stream=stream,
         is_json=is_json,
         wall_ms=clock,
+        steady_ms=clock,
         n_events_max=n_events_max,
     )
     return log, stream
