Route reads away from overloaded primaries, and retry full servers in time

Reads with no server in the zone all went to the first server known. Change: the order of servers for a read is a part without I/O. A primary that refused work to any entry VM of the zone lately is left to what only it can run; equally good servers are spread by a hash. A pause takes at most a quarter of the time that the most urgent statement has left.

--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_backend_pool.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_backend_pool.py
@@ -3,12 +3,11 @@
 import asyncio
 import heapq
 import itertools
-import random
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from cardamomshunt.fleet import FailureRate
+from cardamomshunt.fleet import FailureRate, RefusalHistory, full_server_pause_ms
 from cardamomshunt.position import LogPosition
 
 from cardamomshunt_node._boot_clock import boot_ms
@@ -26,7 +25,6 @@
 _OPEN_TIMEOUT_S = 1.0
 _UNACKNOWLEDGED_TIMEOUT_MS = 700
 _RECONNECT_PAUSE_MS = 120.0
-_FULL_PAUSE_RANGE_MS = (60.0, 200.0)
 # Idle timeout while connections are scarce: halved after each refusal by a full
 # server, and slowly raised while there is none.
 _IDLE_TIMEOUT_START_MS = 300.0
@@ -175,7 +173,7 @@
 
     def _finish_reply(self) -> None:
         reply, self._reply = self._reply, Reply()
-        self.pool.on_reply()
+        self.pool.on_reply(reply.code)
         if not self._outstanding:
             self.close("the server sent an answer without a statement")
             return
@@ -193,6 +191,7 @@
 class _Waiter:
     priority: int
     order: int
+    deadline_ms: float = field(compare=False)
     future: asyncio.Future[BackendConnection] = field(compare=False)
 
 
@@ -226,6 +225,7 @@
         self._n_full_refusals = 0
         self._idle_timeout_ms = _IDLE_TIMEOUT_START_MS
         self.failure_rate = FailureRate()
+        self.refusals = RefusalHistory()
         self._lag_ms = 0.0
         self._lag_recorded_ms = 0.0
         self.n_opened = 0
@@ -275,7 +275,8 @@
         future: asyncio.Future[BackendConnection] = (
             asyncio.get_running_loop().create_future()
         )
-        heapq.heappush(self._waiters, _Waiter(priority, next(self._orders), future))
+        waiter = _Waiter(priority, next(self._orders), deadline_ms, future)
+        heapq.heappush(self._waiters, waiter)
         self._connect_for_waiters()
         try:
             async with asyncio.timeout(max(deadline_ms - boot_ms(), 1.0) / 1_000.0):
@@ -353,12 +354,13 @@
             self.last_reply_ms = now
         if refusal is ErrorCode.TOO_MANY_CONNECTIONS:
             # Other entry VMs use all connections and will close idle ones soon.
-            pause_ms = random.uniform(*_FULL_PAUSE_RANGE_MS) * 2.0 ** min(
-                self._n_full_refusals, 2
+            pause_ms = full_server_pause_ms(
+                self._n_full_refusals, self._earliest_deadline_ms - now
             )
             self._n_full_refusals += 1
             self.connect_after_ms = now + pause_ms
             self.full_until_ms = self.connect_after_ms
+            self.refusals.record(now)
             self.shorten_idle_timeout()
             self._connect_for_waiters()
             return
@@ -368,6 +370,10 @@
             self.down_since_ms = now
         self._fail_waiters(reason)
 
+    @property
+    def _earliest_deadline_ms(self) -> float:
+        return min((item.deadline_ms for item in self._waiters), default=float("inf"))
+
     def _fail_waiters(self, reason: str) -> None:
         waiters, self._waiters = self._waiters, []
         for waiter in waiters:
@@ -393,9 +399,11 @@
                 return
         self._idle.append(connection)
 
-    def on_reply(self) -> None:
-        """Record that the server answers."""
+    def on_reply(self, code: ErrorCode | None) -> None:
+        """Record that the server answers, and whether it refused work."""
         self.last_reply_ms = boot_ms()
+        if code is ErrorCode.BUSY:
+            self.refusals.record(self.last_reply_ms)
         self.down_since_ms = None
 
     def on_closed(self, connection: BackendConnection) -> None:
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_entry_control_link.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_entry_control_link.py
@@ -221,6 +221,9 @@
                 answered_number=self._answered_number,
                 bounds=bounds,
                 full_servers=self._view.full_servers() if is_assigned else [],
+                overloaded_servers=(
+                    self._view.overloaded_servers() if is_assigned else []
+                ),
             ),
         )
 
@@ -259,6 +262,7 @@
         if address == self._assigned_control_node and grant.number:
             self._answered_number = grant.number
             self._view.record_full_servers(grant.full_servers)
+            self._view.record_overloaded_servers(grant.overloaded_servers)
             newer = self._bounds.receive(address, grant.sequence, grant.bounds)
             for group, bound in newer.items():
                 self._view.add_bound(group, bound.position, bound.since_ms)
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_entry_daemon.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_entry_daemon.py
@@ -38,7 +38,7 @@
         self._metrics = EntryMetrics()
         super().__init__(platform, settings, log, self._metrics)
         protocol = platform.session_protocol
-        self._view = FleetView(settings.zone, protocol)
+        self._view = FleetView(settings.node, settings.zone, protocol)
         runner = StatementRunner(self._view, protocol, self._log, self._metrics)
         self._edge = LineEdge(
             settings.caller_address, protocol, self._view, runner, self._log
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_entry_service.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_entry_service.py
@@ -79,6 +79,7 @@
         self._document_sent: dict[str, tuple[int, float]] = {}
         self._document: DocumentChanged | None = None
         self._full_reported_ms: dict[str, float] = {}
+        self._overload_reported_ms: dict[str, float] = {}
         self._bounds = BoundExchange()
         self._number = random.getrandbits(_NUMBER_START_BITS)
         self._pending: dict[str, LeaseRequest] = {}
@@ -154,6 +155,8 @@
             self._bounds.receive(address, request.answered_number, request.bounds)
             for server in request.full_servers:
                 self._full_reported_ms[server] = now
+            for server in request.overloaded_servers:
+                self._overload_reported_ms[server] = now
             self._resync(address, request, now)
         if self._may_grant:
             grant = self._grant(address, request, now, self._n_entries(now))
@@ -208,13 +211,16 @@
         self, address: str, request: LeaseRequest, grant: LeaseGrant, now: float
     ) -> None:
         """Send a grant, completed with the fields that this node knows itself."""
-        number, bounds, full_servers = 0, [], []
+        number, bounds, full_servers, overloaded_servers = 0, [], [], []
         if request.is_for_assigned_control_node:
             self._number += 1
             number = self._number
             self._bounds.record_request(number, now)
             bounds = self._bounds.bounds_for(address, now)
             full_servers = _recent_keys(self._full_reported_ms, _FULL_SERVER_TIMEOUT_MS)
+            overloaded_servers = _recent_keys(
+                self._overload_reported_ms, _FULL_SERVER_TIMEOUT_MS
+            )
         self._transport.send(
             address,
             structs.replace(
@@ -224,6 +230,7 @@
                 number=number,
                 bounds=bounds,
                 full_servers=full_servers,
+                overloaded_servers=overloaded_servers,
             ),
         )
 
@@ -314,7 +321,11 @@
 
 def _without_relay_fields(request: LeaseRequest) -> LeaseRequest:
     return structs.replace(
-        request, is_for_assigned_control_node=False, bounds=[], full_servers=[]
+        request,
+        is_for_assigned_control_node=False,
+        bounds=[],
+        full_servers=[],
+        overloaded_servers=[],
     )
 
 
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_fleet_view.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_fleet_view.py
@@ -7,11 +7,13 @@
 from cardamomshunt.fleet import (
     AssignmentPhase,
     PrimaryLease,
+    ReadCandidate,
     RouteTable,
     ServerRegistry,
     ServerReport,
     ServerState,
     Suspicion,
+    order_of_reads,
 )
 from cardamomshunt.freshness import BoundHistory, DatedPosition
 from cardamomshunt.position import LogPosition
@@ -30,7 +32,8 @@
 class FleetView:
     """Track the servers and primaries of the fleet; choose the pools of statements."""
 
-    def __init__(self, zone: str, protocol: SessionProtocol) -> None:
+    def __init__(self, node: str, zone: str, protocol: SessionProtocol) -> None:
+        self._node = node
         self._zone = zone
         self._protocol = protocol
         self.table = RouteTable()
@@ -171,6 +174,23 @@
             pool.server for pool in self._pools.values() if now < pool.full_until_ms
         ]
 
+    def overloaded_servers(self) -> list[str]:
+        """Return the servers that recently refused work to this entry VM."""
+        now = boot_ms()
+        return [
+            pool.server
+            for pool in self._pools.values()
+            if pool.refusals.should_share(now)
+        ]
+
+    def record_overloaded_servers(self, servers: list[str]) -> None:
+        """Record the servers that refused work to other entry VMs of the zone."""
+        now = boot_ms()
+        for server in servers:
+            pool = self._pools.get(server)
+            if pool is not None:
+                pool.refusals.record_shared(now)
+
     def record_full_servers(self, servers: list[str]) -> None:
         """Shorten the idle timeout for servers that refused other entry VMs."""
         for server in servers:
@@ -251,7 +271,7 @@
         """
         now = boot_ms()
         primary = self.primary(group)
-        found: list[tuple[tuple[bool, bool, bool, int, bool], ServerPool]] = []
+        found: list[ReadCandidate] = []
         for report in self.registry.of_group(group):
             pool = self.pool(report)
             is_primary = primary is not None and primary[0] is pool
@@ -263,10 +283,24 @@
                 or now - at_least.since_ms < pool.expected_lag_ms(now)
             ):
                 continue
-            is_far = report.zone != self._zone
-            is_full = pool.load >= _N_LOCAL_LOAD_MAX or now < pool.full_until_ms
-            is_unreliable = pool.failure_rate.is_unreliable(now)
-            rank = (is_unreliable, is_full, is_far, pool.load, is_primary)
-            found.append((rank, pool))
-        found.sort(key=lambda item: item[0])
-        return [pool for _, pool in found]
+            found.append(
+                ReadCandidate(
+                    server=report.server,
+                    is_primary=is_primary,
+                    is_in_zone=report.zone == self._zone,
+                    is_unreliable=pool.failure_rate.is_unreliable(now),
+                    is_busy=self._is_busy(pool, now),
+                    n_in_flight=pool.load,
+                )
+            )
+        is_reserved = primary is not None and primary[0].refusals.is_overloaded(now)
+        order = order_of_reads(self._node, found, is_primary_reserved=is_reserved)
+        return [self._pools[server] for server in order]
+
+    @staticmethod
+    def _is_busy(pool: ServerPool, now: float) -> bool:
+        return (
+            pool.load >= _N_LOCAL_LOAD_MAX
+            or now < pool.full_until_ms
+            or pool.refusals.should_avoid(now)
+        )
--- a/packages/cardamomshunt/src/cardamomshunt/_fleet/messages.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_fleet/messages.py
@@ -29,7 +29,8 @@
     `is_for_assigned_control_node` the receiver, if it is not the leader, forwards the
     request to the leader, and sends the entry VM the updates that it lacks. Ages in
     `bounds` count from the grant with `number` equal to `answered_number`.
-    `full_servers` lately refused a connection because they had reached their maximum.
+    `full_servers` lately refused a connection because they had reached their maximum,
+    `overloaded_servers` a statement because of a full queue, or a connection.
     """
 
     sequence: int
@@ -43,6 +44,7 @@
     answered_number: int = msgspec.field(default=0, name="answers")
     bounds: list[SharedBound] = []
     full_servers: list[str] = []
+    overloaded_servers: list[str] = []
 
 
 class LeaseGrant(Message, kw_only=True, array_like=True):
@@ -50,8 +52,9 @@
 
     `n_entries` counts the entry VMs and is 0 while the leader can't know it.
     `assignments` is None if the entry VM's newest epoch is the leader's, and
-    `control_addresses` if the entry VM has them. `zone`, `number`, `bounds` and
-    `full_servers` are of the assigned control node, which may not be the leader.
+    `control_addresses` if the entry VM has them. `zone`, `number`, `bounds`,
+    `full_servers` and `overloaded_servers` are of the assigned control node, which may
+    not be the leader.
     `version` is the leader's configuration version, so that an entry VM can leave an
     assigned control node that does not have it.
     """
@@ -67,6 +70,7 @@
     number: int = 0
     bounds: list[SharedBound] = []
     full_servers: list[str] = []
+    overloaded_servers: list[str] = []
 
 
 class RelayedRequest(msgspec.Struct, frozen=True, array_like=True):
--- a/packages/cardamomshunt/src/cardamomshunt/fleet.py
+++ b/packages/cardamomshunt/src/cardamomshunt/fleet.py
@@ -1,5 +1,6 @@
 """Routes, leases and primary assignments where servers report themselves."""
 
+from cardamomshunt._fleet.connect_backoff import full_server_pause_ms
 from cardamomshunt._fleet.control_node_selector import ControlNodeSelector
 from cardamomshunt._fleet.failure_rate import FailureRate
 from cardamomshunt._fleet.messages import (
@@ -38,6 +39,8 @@
     LeaseTable,
     PrimaryLease,
 )
+from cardamomshunt._fleet.read_routing import ReadCandidate, order_of_reads
+from cardamomshunt._fleet.refusal_history import RefusalHistory
 from cardamomshunt._fleet.route_table import (
     ConfigurationInvalidError,
     GroupLimits,
@@ -79,6 +82,8 @@
     "PrimaryLease",
     "PromoteSuccessor",
     "PutDocument",
+    "ReadCandidate",
+    "RefusalHistory",
     "RelayedGrant",
     "RelayedGrants",
     "RelayedRequest",
@@ -100,4 +105,6 @@
     "choose_successor",
     "digest_of",
     "encode_command",
+    "full_server_pause_ms",
+    "order_of_reads",
 ]
--- a/tests/users_platform/test_deployment.py
+++ b/tests/users_platform/test_deployment.py
@@ -362,7 +362,7 @@
 async def test_a_new_entry_takes_few_connections_until_others_are_known():
     # Right after a restart the leader has heard from one entry VM only, and each entry
     # VM opened all connections of a server.
-    view = FleetView("z1", LineProtocol())
+    view = FleetView("entry-1", "z1", LineProtocol())
     view.set_table(
         RouteTable(version=1, groups={"db": GroupLimits("db", n_connections_max=34)})
     )
@@ -373,7 +373,7 @@
 
 @pytest.mark.parametrize(("n_entries", "share"), [(1, 31), (9, 3), (15, 2), (40, 1)])
 async def test_connections_are_shared_by_the_most_entries_seen(n_entries, share):
-    view = FleetView("z1", LineProtocol())
+    view = FleetView("entry-1", "z1", LineProtocol())
     view.set_table(
         RouteTable(version=1, groups={"db": GroupLimits("db", n_connections_max=34)})
     )
@@ -385,7 +385,7 @@
 async def test_scarce_connections_of_a_replica_are_those_of_its_zone():
     # A primary's connections divided by zone gave two to one entry VM in three, and
     # none to the others.
-    view = FleetView("z1", LineProtocol())
+    view = FleetView("entry-1", "z1", LineProtocol())
     view.set_table(
         RouteTable(version=1, groups={"db": GroupLimits("db", n_connections_max=60)})
     )
