Keep the connections to the usual replica while connections are scarce

Change: each entry VM keeps the connection to the replica that its reads prefer, as these are about equally many for each replica; only others are closed. On the way: the connections and the pool of a server are two modules, and the division of connections is a part without I/O.

--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_fleet_view.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_fleet_view.py
@@ -6,6 +6,7 @@
 
 from cardamomshunt.fleet import (
     AssignmentPhase,
+    ConnectionQuota,
     PrimaryLease,
     ReadCandidate,
     RouteTable,
@@ -18,13 +19,10 @@
 from cardamomshunt.freshness import BoundHistory, DatedPosition
 from cardamomshunt.position import LogPosition
 
-from cardamomshunt_node._backend_pool import ServerPool
 from cardamomshunt_node._boot_clock import boot_ms
+from cardamomshunt_node._server_pool import ServerPool
 from cardamomshunt_node._session_protocol import SessionProtocol
 
-# Not part of any quota: for control nodes and for entry VMs that reconnect.
-_N_RESERVED_CONNECTIONS = 3
-_N_CONNECTIONS_MIN = 2
 _ENTRY_COUNT_WINDOW_MS = 10_000.0
 _N_LOCAL_LOAD_MAX = 5
 
@@ -114,43 +112,46 @@
         return max((count for _, count in self._entry_counts), default=0)
 
     def _connection_quota(self, group: str, server: str) -> int:
-        """Return how many connections this entry VM may open to one server.
-
-        If there are fewer than two for each entry VM, each gets one to a primary, as
-        two for some would leave none for others. Replicas are mostly read within
-        their zone, so their connections are divided among the entry VMs of one zone.
-        """
-        limits = self.table.groups.get(group)
-        n_max = limits.n_connections_max if limits else _N_CONNECTIONS_MIN
-        n_usable = n_max - _N_RESERVED_CONNECTIONS
-        n_entries = self._n_entries
-        if not n_entries:
-            return _N_CONNECTIONS_MIN
-        if n_usable >= n_entries * _N_CONNECTIONS_MIN:
-            return n_usable // n_entries
+        """Return how many connections this entry VM may open to one server."""
+        quota = self._quota(group)
         assignment = self.lease.latest_assignment(group)
         if assignment is None or assignment.server == server:
-            return 1
-        n_zones = len({report.zone for report in self.registry.of_group(group)})
-        n_entries_per_zone = -(-n_entries // max(n_zones, 1))
-        return max(n_usable // n_entries_per_zone, 1)
+            return quota.of_primary()
+        zones = {report.zone for report in self.registry.of_group(group)}
+        return quota.of_replica(len(zones))
 
-    def _is_scarce(self, group: str) -> bool:
-        """Return whether a server accepts fewer than two connections per entry VM."""
+    def _quota(self, group: str) -> ConnectionQuota:
         limits = self.table.groups.get(group)
-        return limits is not None and (
-            self._n_entries * _N_CONNECTIONS_MIN
-            > limits.n_connections_max - _N_RESERVED_CONNECTIONS
-        )
+        n_connections_max = limits.n_connections_max if limits else 0
+        return ConnectionQuota(n_connections_max, self._n_entries)
+
+    def _is_scarce(self, group: str) -> bool:
+        return group in self.table.groups and self._quota(group).is_scarce
 
     def maintain_pools(self) -> None:
-        """Probe servers that are down, close scarce idle connections, and warm up."""
+        """Probe servers that are down, close scarce idle connections, and warm up.
+
+        Each entry VM keeps the connection to the replica that it reads from, as these
+        are about equally many for each replica. Reopening them would take up slots.
+        """
         for pool in self._pools.values():
             pool.probe()
-            if self._is_scarce(pool.group):
+            if self._is_scarce(pool.group) and pool is not self._usual_replica(pool):
                 pool.close_idle()
         self._warm_up_one()
 
+    def _usual_replica(self, pool: ServerPool) -> ServerPool | None:
+        """Return the pool of the replica that reads of a group prefer, if any."""
+        assignment = self.lease.latest_assignment(pool.group)
+        replicas = [
+            ReadCandidate(report.server, is_in_zone=report.zone == self._zone)
+            for report in self.registry.of_group(pool.group)
+            if report.state is ServerState.READY
+            and (assignment is None or report.server != assignment.server)
+        ]
+        order = order_of_reads(self._node, replicas, is_primary_reserved=True)
+        return self._pools.get(order[0]) if order else None
+
     def _warm_up_one(self) -> None:
         """Open a connection to one server without any, unless they are scarce."""
         if not self._n_entries:
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_line_reads.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_line_reads.py
@@ -6,12 +6,7 @@
 from cardamomshunt.fleet import Route
 from cardamomshunt.freshness import DatedPosition
 
-from cardamomshunt_node._backend_pool import (
-    Reply,
-    ServerBusyError,
-    ServerLostError,
-    ServerPool,
-)
+from cardamomshunt_node._backend_connection import Reply, ServerLostError
 from cardamomshunt_node._boot_clock import boot_ms
 from cardamomshunt_node._decision_log import DecisionLog
 from cardamomshunt_node._entry_metrics import EntryMetrics
@@ -25,6 +20,7 @@
     statement_deadline_ms,
 )
 from cardamomshunt_node._read_freshness import ReadFreshness
+from cardamomshunt_node._server_pool import ServerBusyError, ServerPool
 from cardamomshunt_node._session_protocol import (
     NOT_RUN_CODES,
     CallerQuery,
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_line_session_state.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_line_session_state.py
@@ -6,7 +6,7 @@
 from cardamomshunt.fleet import Route
 from cardamomshunt.freshness import DatedPosition
 
-from cardamomshunt_node._backend_pool import BackendConnection
+from cardamomshunt_node._backend_connection import BackendConnection
 from cardamomshunt_node._boot_clock import boot_ms
 from cardamomshunt_node._session_protocol import (
     ErrorCode,
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_line_sessions.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_line_sessions.py
@@ -3,7 +3,7 @@
 from cardamomshunt.fleet import Route
 from cardamomshunt.position import LogPosition
 
-from cardamomshunt_node._backend_pool import Reply
+from cardamomshunt_node._backend_connection import Reply
 from cardamomshunt_node._boot_clock import boot_ms
 from cardamomshunt_node._decision_log import DecisionLog
 from cardamomshunt_node._entry_metrics import EntryMetrics
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_line_transactions.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_line_transactions.py
@@ -5,12 +5,7 @@
 from cardamomshunt.fleet import Route
 from cardamomshunt.freshness import DatedPosition
 
-from cardamomshunt_node._backend_pool import (
-    Reply,
-    ServerBusyError,
-    ServerLostError,
-    ServerPool,
-)
+from cardamomshunt_node._backend_connection import Reply, ServerLostError
 from cardamomshunt_node._boot_clock import boot_ms
 from cardamomshunt_node._decision_log import DecisionLog
 from cardamomshunt_node._fleet_view import FleetView
@@ -25,6 +20,7 @@
 )
 from cardamomshunt_node._line_writes import WriteRunner
 from cardamomshunt_node._read_freshness import ReadFreshness
+from cardamomshunt_node._server_pool import ServerBusyError, ServerPool
 from cardamomshunt_node._session_protocol import (
     NOT_RUN_CODES,
     CallerQuery,
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_line_writes.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_line_writes.py
@@ -5,10 +5,9 @@
 from cardamomshunt.fleet import Route
 from cardamomshunt.freshness import DatedPosition
 
-from cardamomshunt_node._backend_pool import (
+from cardamomshunt_node._backend_connection import (
     BackendConnection,
     Reply,
-    ServerBusyError,
     ServerLostError,
 )
 from cardamomshunt_node._boot_clock import boot_ms
@@ -22,6 +21,7 @@
     seconds_until,
     statement_deadline_ms,
 )
+from cardamomshunt_node._server_pool import ServerBusyError
 from cardamomshunt_node._session_protocol import (
     NOT_RUN_CODES,
     CallerQuery,
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_read_freshness.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_read_freshness.py
@@ -3,9 +3,10 @@
 from cardamomshunt.fleet import Route, RouteKind
 from cardamomshunt.freshness import DatedPosition
 
-from cardamomshunt_node._backend_pool import Reply, ServerPool
+from cardamomshunt_node._backend_connection import Reply
 from cardamomshunt_node._fleet_view import FleetView
 from cardamomshunt_node._line_session_state import LineSession
+from cardamomshunt_node._server_pool import ServerPool
 from cardamomshunt_node._session_protocol import ErrorCode
 
 # Bounds have to be younger than the accepted age by this margin.
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_server_admin.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_server_admin.py
@@ -4,8 +4,9 @@
 
 from cardamomshunt.fleet import ServerReport, ServerStatus
 
-from cardamomshunt_node._backend_pool import Reply, ServerLostError, ServerPool
+from cardamomshunt_node._backend_connection import Reply, ServerLostError
 from cardamomshunt_node._boot_clock import boot_ms
+from cardamomshunt_node._server_pool import ServerPool
 from cardamomshunt_node._session_protocol import ErrorCode, SessionProtocol
 
 STATUS_TIMEOUT_MS = 400.0
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_statement_sender.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_statement_sender.py
@@ -5,7 +5,7 @@
 
 from cardamomshunt.position import LogPosition
 
-from cardamomshunt_node._backend_pool import BackendConnection, Reply
+from cardamomshunt_node._backend_connection import BackendConnection, Reply
 from cardamomshunt_node._line_session_state import LineSession
 from cardamomshunt_node._session_protocol import (
     CallerQuery,
--- a/packages/cardamomshunt/src/cardamomshunt/fleet.py
+++ b/packages/cardamomshunt/src/cardamomshunt/fleet.py
@@ -1,6 +1,7 @@
 """Routes, leases and primary assignments where servers report themselves."""
 
 from cardamomshunt._fleet.connect_backoff import full_server_pause_ms
+from cardamomshunt._fleet.connection_quota import ConnectionQuota
 from cardamomshunt._fleet.control_node_selector import ControlNodeSelector
 from cardamomshunt._fleet.failure_rate import FailureRate
 from cardamomshunt._fleet.messages import (
@@ -67,6 +68,7 @@
     "AssignmentsChanged",
     "BoundExchange",
     "ConfigurationInvalidError",
+    "ConnectionQuota",
     "ControlNodeSelector",
     "CountEntries",
     "DocumentChanged",
