Let reads after a restart wait for the first bound

Cause: from the logs of the incident of the further deployment: after the power loss all entry VMs had leases at 44.95 s, and 50 statements were refused around 45.8 s with 'no connection is free'. No entry VM knew how far the log was, so all reads of all sessions queued for the two connections to the primary and stayed there, although replicas may serve them once one answer has come. Change: two reads of a group ask the primary, the others wait for the bound that their answers give, and each round of a read looks for a bound again.

--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_fleet_view.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_fleet_view.py
@@ -25,6 +25,8 @@
 
 _ENTRY_COUNT_WINDOW_MS = 10_000.0
 _N_LOCAL_LOAD_MAX = 5
+# Reads may wait for a bound if the newest one is older.
+_BOUND_USUAL_AGE_MAX_MS = 500.0
 
 
 class FleetView:
@@ -251,7 +253,11 @@
 
     def add_bound(self, group: str, position: LogPosition, sent_ms: float) -> None:
         """Record the position of a primary in the answer to a message of `sent_ms`."""
-        self._bounds.setdefault(group, BoundHistory()).add(position, sent_ms)
+        bounds = self._bounds.setdefault(group, BoundHistory())
+        newest = bounds.newest()
+        bounds.add(position, sent_ms)
+        if newest is None or newest.since_ms < sent_ms - _BOUND_USUAL_AGE_MAX_MS:
+            self.notify()
 
     def newest_bounds(self) -> dict[str, DatedPosition]:
         """Return the newest bound of each group."""
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_line_reads.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_line_reads.py
@@ -1,9 +1,10 @@
 """Reads outside of transactions, hedged if the first attempt is late."""
 
 import asyncio
+from collections import Counter
 from dataclasses import dataclass, field
 
-from cardamomshunt.fleet import Route
+from cardamomshunt.fleet import Route, RouteKind
 from cardamomshunt.freshness import DatedPosition
 
 from cardamomshunt_node._backend_connection import Reply, ServerLostError
@@ -33,6 +34,9 @@
 _HEDGE_BUDGET_PER_READ = 0.1
 _HEDGE_BUDGET_MAX = 10.0
 _N_RUNNING_ATTEMPTS_MAX = 2
+# Reads that ask the primary for the first bound, for the others that wait for it.
+_N_READS_WITHOUT_BOUND_MAX = 2
+_BOUND_WAIT_MS = 50.0
 
 
 @dataclass(slots=True)
@@ -42,9 +46,10 @@
     session: LineSession
     query: CallerQuery
     route: Route
-    at_least: DatedPosition | None
     received_ms: float
     deadline_ms: float
+    # None until a position is known that proves a replica fresh enough.
+    at_least: DatedPosition | None = None
     tried: set[str] = field(default_factory=set)
     running: set[asyncio.Task[Reply]] = field(default_factory=set)
     reason: str = "no server may serve the read"
@@ -95,17 +100,17 @@
         self._metrics = metrics
         self._hedge_budget = _HEDGE_BUDGET_MAX
         self._latency_ms: dict[str, float] = {}
+        self._n_without_bound: Counter[str] = Counter()
         self._background: set[asyncio.Task[Reply]] = set()
 
     async def run(
         self, session: LineSession, query: CallerQuery, route: Route, received_ms: float
     ) -> Reply:
         """Run a read and return its answer; raise RefusedError."""
-        at_least = self._freshness.requirement(session, route, received_ms)
         deadline_ms = statement_deadline_ms(
             route, received_ms, self._view.answer_deadline_ms
         )
-        read = _Read(session, query, route, at_least, received_ms, deadline_ms)
+        read = _Read(session, query, route, received_ms, deadline_ms)
         self._hedge_budget = min(
             self._hedge_budget + _HEDGE_BUDGET_PER_READ, _HEDGE_BUDGET_MAX
         )
@@ -116,6 +121,13 @@
 
     async def _race(self, read: _Read) -> Reply:
         while boot_ms() < read.deadline_ms:
+            if read.at_least is None:
+                read.at_least = self._freshness.requirement(
+                    read.session, read.route, read.received_ms
+                )
+            if not read.running and self._should_await_bound(read):
+                await self._view.wait_for_change(_BOUND_WAIT_MS)
+                continue
             may_hedge = self._start_attempt(read)
             if not read.running:
                 read.tried.clear()
@@ -127,6 +139,16 @@
                 return reply
         raise read.refusal()
 
+    def _should_await_bound(self, read: _Read) -> bool:
+        """Return whether others already ask the primary for a bound for this read.
+
+        After a restart no bound is known, and all reads would queue at the primary
+        although replicas may serve them as soon as one of them is answered.
+        """
+        if read.at_least is not None or read.route.kind is RouteKind.PRIMARY:
+            return False
+        return self._n_without_bound[read.route.group] >= _N_READS_WITHOUT_BOUND_MAX
+
     def _start_attempt(self, read: _Read) -> bool:
         """Start an attempt if the limits allow it; return whether one more may start.
 
@@ -184,6 +206,10 @@
         task = asyncio.get_running_loop().create_task(self._attempt_read(pool, read))
         self._background.add(task)
         task.add_done_callback(self._on_attempt_done)
+        if read.at_least is None:
+            group = read.route.group
+            self._n_without_bound[group] += 1
+            task.add_done_callback(lambda _: self._n_without_bound.subtract([group]))
         return task
 
     def _on_attempt_done(self, task: asyncio.Task[Reply]) -> None:
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_line_transactions.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_line_transactions.py
@@ -122,12 +122,14 @@
     ) -> None:
         """Begin on a server that is fresh enough, with backoff while there is none."""
         route = transaction.route
-        at_least = self._freshness.requirement(session, route, transaction.received_ms)
-        if not transaction.is_read_only:
-            at_least = None
+        at_least: DatedPosition | None = None
         tried: set[str] = set()
         n_refused = 0
         while boot_ms() < deadline_ms:
+            if transaction.is_read_only and at_least is None:
+                at_least = self._freshness.requirement(
+                    session, route, transaction.received_ms
+                )
             pools = self._view.read_candidates(route.group, at_least, tried)
             if not pools:
                 tried.clear()
--- a/tests/users_platform/test_fleet_view.py
+++ b/tests/users_platform/test_fleet_view.py
@@ -1,20 +1,36 @@
 """Decisions of an entry VM's view of the fleet, without network."""
 
+import asyncio
+import os
 from collections import Counter
 
 import pytest
 from cardamomshunt.fleet import (
     Assignment,
     GroupLimits,
+    LeaseGrant,
+    Route,
+    RouteKind,
     RouteTable,
     ServerReport,
     ServerState,
 )
 from cardamomshunt.messages import InstanceRole
-from cardamomshunt_node._backend_connection import BackendConnection
+from cardamomshunt.position import LogPosition
+from cardamomshunt_node._backend_connection import BackendConnection, Reply
+from cardamomshunt_node._boot_clock import boot_ms
+from cardamomshunt_node._decision_log import DecisionLog
+from cardamomshunt_node._entry_metrics import EntryMetrics
 from cardamomshunt_node._fleet_view import FleetView
+from cardamomshunt_node._line_reads import ReadRunner
+from cardamomshunt_node._line_session_state import LineSession
+from cardamomshunt_node._read_freshness import ReadFreshness
+from cardamomshunt_node._server_pool import ServerPool
+from cardamomshunt_node._session_protocol import CallerQuery, Statement, StatementKind
+from cardamomshunt_node._statement_sender import StatementSender
 from cardamomshunt_platform._lines import LineProtocol
 
+_WORK_S = 0.02
 _N_SERVERS = 3
 _PRIMARY = "i-3"
 
@@ -78,3 +94,71 @@
         found.update(await _servers_kept(view))
     assert set(found) == {"i-1", "i-2"}
     assert min(found.values()) > 20
+
+
+class _AnsweringConnection(BackendConnection):
+    """Connection whose server answers each statement after a fixed time."""
+
+    def __init__(self, pool):
+        super().__init__(LineProtocol(), pool)
+        self.position = LogPosition(1, 7)
+
+    def send(self, data):
+        future = asyncio.get_running_loop().create_future()
+        reply = Reply(is_complete=True, position=self.position)
+        asyncio.get_running_loop().call_later(_WORK_S, future.set_result, reply)
+        return future
+
+
+def _grant_lease(view):
+    view.lease.on_request_sent(1, boot_ms())
+    view.lease.on_grant(
+        LeaseGrant(sequence=1, lease_ms=5_000.0, n_entries=1, assignments=None)
+    )
+
+
+async def test_reads_after_a_restart_do_not_queue_at_the_primary(monkeypatch):
+    # After a power loss no entry VM knows how far the log is. All reads queued at the
+    # primary, which had two connections for each entry VM, and most missed their
+    # deadlines, although replicas may serve them once one answer has come.
+    view = _make_view(n_entries=1)
+    _grant_lease(view)
+    served = Counter()
+
+    async def acquire(pool, priority, deadline_ms, values):
+        connection = _AnsweringConnection(pool)
+        pool._in_use.add(connection)
+        served[pool.server] += 1
+        return connection
+
+    monkeypatch.setattr(ServerPool, "acquire", acquire)
+    monkeypatch.setattr(ServerPool, "release", lambda p, c: p._in_use.discard(c))
+    log = DecisionLog("entry-1", os.open(os.devnull, os.O_WRONLY))
+    runner = ReadRunner(
+        view,
+        StatementSender(LineProtocol()),
+        ReadFreshness(view),
+        log,
+        EntryMetrics(),
+    )
+    route = Route(
+        "r",
+        "stock",
+        "db",
+        RouteKind.BOUNDED_STALENESS,
+        1_000.0,
+        200.0,
+        max_age_ms=1_500.0,
+    )
+    reads = [
+        runner.run(
+            LineSession(number, "stock"),
+            CallerQuery(f"r{number}", Statement(StatementKind.READ, "READ k")),
+            route,
+            boot_ms(),
+        )
+        for number in range(50)
+    ]
+    replies = await asyncio.gather(*reads)
+    assert all(reply.is_success for reply in replies)
+    assert served[_PRIMARY] <= 3
