Drop the statements of callers that left before they are sent

Cause: a statement that waited for a connection went on waiting after its caller had given up, and ran before those of callers that still waited; so did the second attempt of a read that was answered. Change: when a caller disconnects, a statement that no server has is cancelled and logged as caller_left; attempts that wait are cancelled with their read. Measured: test_a_statement_of_a_caller_that_left_is_not_sent fails in its three cases before, and passes.

--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_caller_edge_lines.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_caller_edge_lines.py
@@ -44,11 +44,18 @@
         self._edge.connections.add(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """Roll back an open transaction, after a running statement has completed."""
+        """Roll back an open transaction, after a running statement has ended.
+
+        A statement that no server has yet is cancelled: nobody waits for its answer.
+        """
         self._transport = None
         self._edge.connections.discard(self)
-        if self._worker is None and self.session is not None:
+        if self.session is None:
+            return
+        if self._worker is None:
             self._edge.runner.abandon(self.session)
+        elif self.session.may_cancel:
+            self._worker.cancel()
 
     def data_received(self, data: bytes) -> None:
         """Split the data into lines and start to process them."""
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_line_reads.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_line_reads.py
@@ -51,6 +51,8 @@
     # None until a position is known that proves a replica fresh enough.
     at_least: DatedPosition | None = None
     tried: set[str] = field(default_factory=set)
+    # Attempts that wait for a connection.
+    waiting: set[asyncio.Task[Reply]] = field(default_factory=set)
     running: set[asyncio.Task[Reply]] = field(default_factory=set)
     reason: str = "no server may serve the read"
     code: ErrorCode = ErrorCode.BUSY
@@ -114,10 +116,14 @@
         self._hedge_budget = min(
             self._hedge_budget + _HEDGE_BUDGET_PER_READ, _HEDGE_BUDGET_MAX
         )
+        session.may_cancel = True
         try:
             return await self._race(read)
         finally:
+            session.may_cancel = False
             read.is_finished = True
+            for task in read.waiting:
+                task.cancel()
 
     async def _race(self, read: _Read) -> Reply:
         while boot_ms() < read.deadline_ms:
@@ -205,7 +211,9 @@
         """Start an attempt, which releases its connection even if it is abandoned."""
         task = asyncio.get_running_loop().create_task(self._attempt_read(pool, read))
         self._background.add(task)
+        read.waiting.add(task)
         task.add_done_callback(self._on_attempt_done)
+        task.add_done_callback(read.waiting.discard)
         if read.at_least is None:
             group = read.route.group
             self._n_without_bound[group] += 1
@@ -224,6 +232,9 @@
         connection = await pool.acquire(
             route.priority, read.deadline_ms, read.session.values
         )
+        task = asyncio.current_task()
+        assert task is not None
+        read.waiting.discard(task)
         try:
             if read.is_finished:
                 # The session may have prepared another statement under this name.
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_line_session_state.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_line_session_state.py
@@ -75,7 +75,11 @@
 
 @dataclass(slots=True)
 class LineSession:
-    """State of one caller's session."""
+    """State of one caller's session.
+
+    `may_cancel` says that the running statement has sent nothing that a server would
+    have to undo, so that it may end when its caller disconnects.
+    """
 
     session_id: int
     database: str
@@ -83,6 +87,7 @@
     prepared: dict[str, PreparedStatement] = field(default_factory=dict)
     positions: dict[str, DatedPosition] = field(default_factory=dict)
     transaction: Transaction | None = None
+    may_cancel: bool = False
 
     @property
     def state(self) -> TransactionState:
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_line_sessions.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_line_sessions.py
@@ -1,5 +1,7 @@
 """Dispatch of callers' statements to reads, writes and transactions."""
 
+import asyncio
+
 from cardamomshunt.fleet import Route
 from cardamomshunt.position import LogPosition
 
@@ -63,6 +65,9 @@
             reply = await self._dispatch(session, query, received_ms)
         except RefusedError as error:
             answer = self._refuse(session, query, error, received_ms)
+        except asyncio.CancelledError:
+            self._log_caller_left(session, query, received_ms)
+            raise
         else:
             answer = self._answer(session, reply)
         self._metrics.observe_statement(
@@ -70,6 +75,19 @@
         )
         return answer
 
+    def _log_caller_left(
+        self, session: LineSession, query: CallerQuery, received_ms: float
+    ) -> None:
+        self._log.write_request(
+            "caller_left",
+            request=query.request_id,
+            session=session.session_id,
+            database=session.database,
+            statement=query.statement.kind.value,
+            elapsed_ms=round(boot_ms() - received_ms, 1),
+            configuration_version=self._view.table.version,
+        )
+
     def _answer(self, session: LineSession, reply: Reply | None) -> bytes:
         if reply is None:
             return self._protocol.completed() + self._ready_line(session, None)
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_line_transactions.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_line_transactions.py
@@ -152,10 +152,13 @@
         deadline_ms: float,
     ) -> bool:
         route = transaction.route
+        session.may_cancel = True
         try:
             connection = await pool.acquire(route.priority, deadline_ms, session.values)
         except (ServerBusyError, ServerLostError):
             return False
+        finally:
+            session.may_cancel = False
         primary = self._view.primary(route.group)
         is_primary = primary is not None and primary[0] is pool
         if not is_primary and at_least is None:
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_line_writes.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_line_writes.py
@@ -53,7 +53,11 @@
         )
         n_refused = 0
         while True:
-            connection, epoch = await self._acquire(session, route, deadline_ms)
+            session.may_cancel = True
+            try:
+                connection, epoch = await self._acquire(session, route, deadline_ms)
+            finally:
+                session.may_cancel = False
             sent_ms = boot_ms()
             try:
                 future = self._sender.send(connection, session, query, None)
--- a/tests/users_platform/test_deployment.py
+++ b/tests/users_platform/test_deployment.py
@@ -425,6 +425,31 @@
     assert (await pending)[-1].startswith("COMPLETE")
 
 
+@pytest.mark.parametrize("texts", [["WRITE k1 a"], ["READ k1"], ["BEGIN", "READ k1"]])
+async def test_a_statement_of_a_caller_that_left_is_not_sent(deployment, texts):
+    # Statements of callers that had given up stayed in the queues of full servers, and
+    # ran there before those of callers that still waited.
+    primary = server_named(deployment, "i-3")
+    primary.n_connections_max = 0
+    view = deployment.entries["entry-1"]._view
+    pool, _ = view.primary("db")
+    pool._idle_timeout_ms = -1.0
+    pool.close_idle()
+    caller = await open_session(deployment)
+    for text in texts[:-1]:
+        await caller.execute(text)
+    pending = asyncio.create_task(caller.execute(texts[-1], "late"))
+    await asyncio.sleep(0.2)
+    caller.close()
+    await asyncio.gather(pending, return_exceptions=True)
+    await deployment.until(lambda: not pool._waiters, timeout_s=0.3)
+    primary.n_connections_max = 100
+    await asyncio.sleep(1.0)
+    assert "late" not in [run.request for run in deployment.group.runs]
+    events = deployment.events("entry-1")
+    assert [e["request"] for e in events if e["event"] == "caller_left"] == ["late"]
+
+
 async def test_an_attempt_that_waits_is_not_sent_after_the_answer(deployment):
     # A second attempt that waited for a connection ran after the answer of the first,
     # when the caller had prepared another statement under the same name.
