Keep the tests of an entry VM's own decisions in one module

Cause: three tests of quotas that need no network stood among those of the deployment, and two modules built the same report. Change: they stand in test_fleet_view.py, and the stand-in builds reports.

--- a/tests/users_platform/standin.py
+++ b/tests/users_platform/standin.py
@@ -6,6 +6,8 @@
 import random
 from dataclasses import dataclass, field
 
+from cardamomshunt.fleet import ServerReport, ServerState
+from cardamomshunt.messages import InstanceRole
 from cardamomshunt_node._http import (
     HttpRequest,
     HttpResponse,
@@ -323,6 +325,20 @@
         return HttpResponse(200)
 
 
+def make_server_report(number: int) -> ServerReport:
+    """Return the report of a replica in a zone of its own."""
+    return ServerReport(
+        server=f"i-{number}",
+        group="db",
+        address=f"127.0.0.1:{number}",
+        zone=f"z{number}",
+        state=ServerState.READY,
+        role=InstanceRole.REPLICA,
+        started_ms=1,
+        sequence=1,
+    )
+
+
 KINDS = {
     "orders": "primary",
     "stock": "bounded_staleness",
--- a/tests/users_platform/test_deployment.py
+++ b/tests/users_platform/test_deployment.py
@@ -4,18 +4,10 @@
 
 import pytest
 from cardamomshunt.fleet import (
-    Assignment,
     DocumentChanged,
-    GroupLimits,
-    RouteTable,
-    ServerReport,
-    ServerState,
 )
-from cardamomshunt.messages import InstanceRole
 from cardamomshunt_node._boot_clock import boot_ms
-from cardamomshunt_node._fleet_view import FleetView
 from cardamomshunt_node._http import HttpRequest, call_http
-from cardamomshunt_platform._lines import LineProtocol
 from msgspec import structs
 from standin import Caller, Group, report
 
@@ -24,19 +16,6 @@
     return next(s for s in deployment.group.servers if s.name == name)
 
 
-def make_report(number):
-    return ServerReport(
-        server=f"i-{number}",
-        group="db",
-        address=f"127.0.0.1:{number}",
-        zone=f"z{number}",
-        state=ServerState.READY,
-        role=InstanceRole.REPLICA,
-        started_ms=1,
-        sequence=1,
-    )
-
-
 async def open_session(deployment, database="orders", node="entry-1"):
     return await Caller.open(deployment.caller_address(node), database)
 
@@ -359,44 +338,6 @@
     )
 
 
-async def test_a_new_entry_takes_few_connections_until_others_are_known():
-    # Right after a restart the leader has heard from one entry VM only, and each entry
-    # VM opened all connections of a server.
-    view = FleetView("entry-1", "z1", LineProtocol())
-    view.set_table(
-        RouteTable(version=1, groups={"db": GroupLimits("db", n_connections_max=34)})
-    )
-    assert view._connection_quota("db", "i-1") == 2
-    view.record_n_entries(0)
-    assert view._connection_quota("db", "i-1") == 2
-
-
-@pytest.mark.parametrize(("n_entries", "share"), [(1, 31), (9, 3), (15, 2), (40, 1)])
-async def test_connections_are_shared_by_the_most_entries_seen(n_entries, share):
-    view = FleetView("entry-1", "z1", LineProtocol())
-    view.set_table(
-        RouteTable(version=1, groups={"db": GroupLimits("db", n_connections_max=34)})
-    )
-    view.record_n_entries(n_entries)
-    view.record_n_entries(1)
-    assert view._connection_quota("db", "i-1") == share
-
-
-async def test_scarce_connections_of_a_replica_are_those_of_its_zone():
-    # A primary's connections divided by zone gave two to one entry VM in three, and
-    # none to the others.
-    view = FleetView("entry-1", "z1", LineProtocol())
-    view.set_table(
-        RouteTable(version=1, groups={"db": GroupLimits("db", n_connections_max=60)})
-    )
-    for number in (1, 2, 3):
-        view.merge_report(make_report(number))
-    view.lease.on_assignments({"db": Assignment(server="i-1", epoch=1)})
-    view.record_n_entries(67)
-    assert view._connection_quota("db", "i-1") == 1
-    assert view._connection_quota("db", "i-2") == 2
-
-
 async def test_idle_connections_are_closed_while_they_are_scarce(deployment):
     # With 67 entry VMs and 60 connections per server, those that connected first never
     # closed idle connections, and the others got none.
--- a/tests/users_platform/test_fleet_view.py
+++ b/tests/users_platform/test_fleet_view.py
@@ -12,10 +12,7 @@
     Route,
     RouteKind,
     RouteTable,
-    ServerReport,
-    ServerState,
 )
-from cardamomshunt.messages import InstanceRole
 from cardamomshunt.position import LogPosition
 from cardamomshunt_node._backend_connection import BackendConnection, Reply
 from cardamomshunt_node._boot_clock import boot_ms
@@ -29,6 +26,7 @@
 from cardamomshunt_node._session_protocol import CallerQuery, Statement, StatementKind
 from cardamomshunt_node._statement_sender import StatementSender
 from cardamomshunt_platform._lines import LineProtocol
+from standin import make_server_report
 
 _WORK_S = 0.02
 _N_SERVERS = 3
@@ -40,18 +38,7 @@
     limits = GroupLimits("db", n_connections_max=n_connections_max)
     view.set_table(RouteTable(version=1, groups={"db": limits}))
     for number in range(1, _N_SERVERS + 1):
-        view.merge_report(
-            ServerReport(
-                server=f"i-{number}",
-                group="db",
-                address=f"127.0.0.1:{number}",
-                zone=f"z{number}",
-                state=ServerState.READY,
-                role=InstanceRole.REPLICA,
-                started_ms=1,
-                sequence=1,
-            )
-        )
+        view.merge_report(make_server_report(number))
     view.lease.on_assignments({"db": Assignment(server=_PRIMARY, epoch=1)})
     view.record_n_entries(n_entries)
     return view
@@ -96,6 +83,44 @@
     assert min(found.values()) > 20
 
 
+async def test_a_new_entry_takes_few_connections_until_others_are_known():
+    # Right after a restart the leader has heard from one entry VM only, and each entry
+    # VM opened all connections of a server.
+    view = FleetView("entry-1", "z1", LineProtocol())
+    view.set_table(
+        RouteTable(version=1, groups={"db": GroupLimits("db", n_connections_max=34)})
+    )
+    assert view._connection_quota("db", "i-1") == 2
+    view.record_n_entries(0)
+    assert view._connection_quota("db", "i-1") == 2
+
+
+@pytest.mark.parametrize(("n_entries", "share"), [(1, 31), (9, 3), (15, 2), (40, 1)])
+async def test_connections_are_shared_by_the_most_entries_seen(n_entries, share):
+    view = FleetView("entry-1", "z1", LineProtocol())
+    view.set_table(
+        RouteTable(version=1, groups={"db": GroupLimits("db", n_connections_max=34)})
+    )
+    view.record_n_entries(n_entries)
+    view.record_n_entries(1)
+    assert view._connection_quota("db", "i-1") == share
+
+
+async def test_scarce_connections_of_a_replica_are_those_of_its_zone():
+    # A primary's connections divided by zone gave two to one entry VM in three, and
+    # none to the others.
+    view = FleetView("entry-1", "z1", LineProtocol())
+    view.set_table(
+        RouteTable(version=1, groups={"db": GroupLimits("db", n_connections_max=60)})
+    )
+    for number in (1, 2, 3):
+        view.merge_report(make_server_report(number))
+    view.lease.on_assignments({"db": Assignment(server="i-1", epoch=1)})
+    view.record_n_entries(67)
+    assert view._connection_quota("db", "i-1") == 1
+    assert view._connection_quota("db", "i-2") == 2
+
+
 class _AnsweringConnection(BackendConnection):
     """Connection whose server answers each statement after a fixed time."""
 
