--- a/packages/cardamomshunt-testing/src/cardamomshunt_testing/control_schedules.py
+++ b/packages/cardamomshunt-testing/src/cardamomshunt_testing/control_schedules.py
@@ -45,10 +45,12 @@
 
 from cardamomshunt_testing._fake_disk import FakeDisk
 from cardamomshunt_testing._fake_group import FakeGroup
+from cardamomshunt_testing._schedule_faults import FaultInjector
+from cardamomshunt_testing._schedule_host import ZONES, ScheduledHost
+from cardamomshunt_testing._schedule_invariants import ScheduleInvariants
 
 _TICK_INTERVAL_MS = 10.0
 _REPORT_INTERVAL_MS = 100.0
-_ZONES = ["zone-a", "zone-b", "zone-c"]
 
 
 @dataclass(slots=True)
@@ -75,27 +77,6 @@
     failover: FailoverOptions = field(default_factory=FailoverOptions)
 
 
-@dataclass(slots=True)
-class _Host:
-    """Process of a control node, with its clock and disk."""
-
-    name: str
-    zone: str
-    disk: FakeDisk
-    clock_rate: float
-    clock_offset_ms: float
-    node: ControlNode | None = None
-    is_frozen: bool = False
-    crashes_at_write: bool = False
-    n_starts: int = 0
-    pending_inputs: list[Callable[[], None]] = field(default_factory=list)
-    configuration_version: int = 0
-    last_led_term: int = 0
-
-    def clock(self, now_ms: float) -> float:
-        return self.clock_offset_ms + now_ms * self.clock_rate
-
-
 @dataclass(slots=True)
 class _Proxy:
     """Entry VM, reduced to its reports and to the updates that it received."""
@@ -132,10 +113,6 @@
         self._queue: list[tuple[float, int, Callable[[], None]]] = []
         self._counter = itertools.count()
         self._incarnations = itertools.count(1)
-        self._committed: dict[int, tuple[int, bytes]] = {}
-        self._commit_terms: dict[int, int] = {}
-        self._leader_of_term: dict[int, str] = {}
-        self._documents: dict[int, str] = {}
         self._accepted_versions: dict[str, int] = {}
         self._sent_patches: list[PatchRequest] = []
         self._request_ids = itertools.count(1)
@@ -144,7 +121,7 @@
         self.members = [
             Member(
                 node=name,
-                zone=_ZONES[i % 3],
+                zone=ZONES[i % 3],
                 peer_address=name,
                 operator_address=name,
             )
@@ -152,21 +129,23 @@
         ]
         self.hosts = {name: self._new_host(i) for i, name in enumerate(names)}
         self.proxies = {
-            f"proxy-{i}": _Proxy(f"proxy-{i}", _ZONES[i % 3])
+            f"proxy-{i}": _Proxy(f"proxy-{i}", ZONES[i % 3])
             for i in range(self.options.n_proxies)
         }
-        self.group = FakeGroup("orders", _ZONES)
+        self.group = FakeGroup("orders", ZONES)
         self.zones = {
             **{host.name: host.zone for host in self.hosts.values()},
             **{proxy.name: proxy.zone for proxy in self.proxies.values()},
             **{item.name: item.zone for item in self.group.instances.values()},
         }
+        self._invariants = ScheduleInvariants(self.hosts.values(), self.violations)
+        self._faults = FaultInjector(self)
         for host in self.hosts.values():
             self.boot(host)
 
-    def _new_host(self, number: int) -> _Host:
+    def _new_host(self, number: int) -> ScheduledHost:
         drift = self.options.clock_drift
-        return _Host(
+        return ScheduledHost(
             name=self.members[number].node,
             zone=self.members[number].zone,
             disk=FakeDisk(next(self._incarnations)),
@@ -220,7 +199,7 @@
             self.every(10.0, self._replicate)
         self.every(self.options.patch_interval_ms, self._send_patch)
         if self.options.has_faults:
-            self._schedule_next_fault()
+            self._faults.schedule_next()
         return self
 
     def run_all(self) -> "Schedule":
@@ -231,12 +210,12 @@
             self.options.has_faults = False
             self.end_faults()
             self.run(self.options.duration_ms + 8_000.0)
-            self._check_final_state()
+            self._invariants.check_final_state(self.leader(), self._accepted_versions)
         return self
 
     # Control nodes
 
-    def boot(self, host: _Host) -> None:
+    def boot(self, host: ScheduledHost) -> None:
         """Start a control node from the state on its disk."""
         host.n_starts += 1
         # A restarted node learns the commit index only from a leader.
@@ -253,7 +232,7 @@
             failover_options=self.options.failover,
         )
 
-    def crash(self, host: _Host, loses_disk: bool = False) -> None:
+    def crash(self, host: ScheduledHost, loses_disk: bool = False) -> None:
         """Crash a control node; some of its pending writes may be lost."""
         host.node = None
         host.is_frozen = False
@@ -262,11 +241,22 @@
         if loses_disk:
             host.disk = FakeDisk(next(self._incarnations))
 
-    def freeze(self, host: _Host) -> None:
+    def crash_temporarily(self, host: ScheduledHost) -> None:
+        """Crash a control node and start it again after a random time."""
+        if host.node is None:
+            return
+        self.crash(host)
+        self.after(self.random.uniform(20.0, 1_500.0), lambda: self._restart(host))
+
+    def _restart(self, host: ScheduledHost) -> None:
+        if host.node is None:
+            self.boot(host)
+
+    def freeze(self, host: ScheduledHost) -> None:
         """Suspend a control node; its inputs are queued."""
         host.is_frozen = host.node is not None
 
-    def thaw(self, host: _Host) -> None:
+    def thaw(self, host: ScheduledHost) -> None:
         """Resume a suspended control node and deliver its queued inputs."""
         host.is_frozen = False
         inputs, host.pending_inputs = host.pending_inputs, []
@@ -286,7 +276,7 @@
             if not instance.is_up:
                 self.group.start(instance.name, keeps_log=True)
 
-    def leader(self) -> _Host | None:
+    def leader(self) -> ScheduledHost | None:
         """Return the responsive node that has the leader lease, or None."""
         for host in self.hosts.values():
             node = host.node
@@ -296,12 +286,14 @@
                 return host
         return None
 
-    def _tick(self, host: _Host) -> None:
+    def _tick(self, host: ScheduledHost) -> None:
         if host.node is not None and not host.is_frozen:
             self._run_effects(host, host.node.tick(host.clock(self.now_ms)))
 
     def _deliver_input(
-        self, host: _Host, call: Callable[[ControlNode, float], list[ControlEffect]]
+        self,
+        host: ScheduledHost,
+        call: Callable[[ControlNode, float], list[ControlEffect]],
     ) -> None:
         """Deliver an input, or queue it while the node is frozen.
 
@@ -319,7 +311,7 @@
         else:
             deliver()
 
-    def _run_effects(self, host: _Host, effects: list[ControlEffect]) -> None:
+    def _run_effects(self, host: ScheduledHost, effects: list[ControlEffect]) -> None:
         for effect in effects:
             match effect:
                 case SendMessage():
@@ -332,19 +324,19 @@
                     self._on_reply(host, effect)
                 case EmitEvent():
                     self.events.append((self.now_ms, effect))
-        self._check_node(host)
+        self._invariants.check_node(self.now_ms, host)
 
-    def _persist(self, host: _Host, effect: PersistEffect) -> None:
+    def _persist(self, host: ScheduledHost, effect: PersistEffect) -> None:
         is_sync_running = bool(host.disk.pending_writes)
         host.disk.pending_writes.append(effect)
         if host.crashes_at_write:
             host.crashes_at_write = False
             delay_ms = self.random.uniform(0.0, self.options.sync_ms[1])
-            self.after(delay_ms, lambda: self._crash_temporarily(host))
+            self.after(delay_ms, lambda: self.crash_temporarily(host))
         if not is_sync_running:
             self._schedule_sync(host)
 
-    def _schedule_sync(self, host: _Host) -> None:
+    def _schedule_sync(self, host: ScheduledHost) -> None:
         n_starts = host.n_starts
 
         def on_synced() -> None:
@@ -358,7 +350,7 @@
 
         self.after(self.random.uniform(*self.options.sync_ms), on_synced)
 
-    def _run_command(self, host: _Host, command: CommandInstance) -> None:
+    def _run_command(self, host: ScheduledHost, command: CommandInstance) -> None:
         def execute() -> None:
             if not self._is_delivered(host.name, command.instance):
                 return
@@ -387,7 +379,7 @@
 
     def partition_zone(self, zone: str) -> None:
         """Partition a zone from the other zones."""
-        for other in _ZONES:
+        for other in ZONES:
             if other != zone:
                 self.blocked.add(frozenset((zone, other)))
 
@@ -467,7 +459,7 @@
             proxy.configuration = _apply_all(
                 proxy.configuration, update.changes, update.version
             )
-        self._check_document(proxy.name, proxy.configuration)
+        self._invariants.check_document(proxy.name, proxy.configuration)
 
     # Database group
 
@@ -494,7 +486,7 @@
         if self._sent_patches and self.random.random() < 0.3:
             request = self.random.choice(self._sent_patches[-10:])
         else:
-            base = max(self._documents, default=0)
+            base = max(self._invariants.documents, default=0)
             request = PatchRequest(
                 patch_id=f"patch-{len(self._sent_patches)}",
                 base_version=base,
@@ -508,7 +500,7 @@
             self._sent_patches.append(request)
         self.request(host, request)
 
-    def request(self, host: _Host, request: Message) -> int:
+    def request(self, host: ScheduledHost, request: Message) -> int:
         """Send an operator's request to a node and return the id of the request."""
         request_id = next(self._request_ids)
         if isinstance(request, PatchRequest):
@@ -519,7 +511,7 @@
         )
         return request_id
 
-    def _on_reply(self, host: _Host, effect: ReplyOperator) -> None:
+    def _on_reply(self, host: ScheduledHost, effect: ReplyOperator) -> None:
         patch_id = self._open_requests.pop(
             (host.name, host.n_starts, effect.request_id), None
         )
@@ -541,244 +533,6 @@
         if len(patch_ids) > 1:
             self.violations.append(f"{patch_ids} were all accepted as version {known}")
 
-    # Invariants
-
-    def _check_node(self, host: _Host) -> None:
-        node = host.node
-        if node is None:
-            return
-        self._check_leadership(host, node)
-        self._check_committed(host, node)
-        version = node.state.configuration.version
-        if version < host.configuration_version:
-            self.violations.append(
-                f"{host.name} went from version "
-                f"{host.configuration_version} back to {version}"
-            )
-        host.configuration_version = version
-        self._check_document(host.name, node.state.configuration)
-
-    def _check_leadership(self, host: _Host, node: ControlNode) -> None:
-        consensus = node.consensus
-        if not consensus.is_leader:
-            return
-        key = f"{host.name}/{host.disk.incarnation}"
-        first = self._leader_of_term.setdefault(consensus.term, key)
-        if first != key:
-            self.violations.append(
-                f"{first} and {key} both lead in term {consensus.term}"
-            )
-        if host.last_led_term != consensus.term:
-            host.last_led_term = consensus.term
-            self._check_completeness(host, node)
-        lease_holders = [
-            item.name
-            for item in self.hosts.values()
-            if item.node
-            and item.node.consensus.is_leader
-            and item.node.consensus.has_lease(item.clock(self.now_ms))
-        ]
-        if len(lease_holders) > 1:
-            self.violations.append(f"{lease_holders} have a lease at the same time")
-
-    def _check_completeness(self, host: _Host, node: ControlNode) -> None:
-        log = node.consensus.log
-        for index, (term, _) in self._committed.items():
-            # A leader of an older term need not have entries that were committed in
-            # a newer term.
-            if self._commit_terms[index] >= node.consensus.term:
-                continue
-            if index > log.base_index and log.term_at(index) != term:
-                self.violations.append(
-                    f"leader {host.name} of term {node.consensus.term} lacks "
-                    f"committed entry {index} of term {term}"
-                )
-                return
-
-    def _check_committed(self, host: _Host, node: ControlNode) -> None:
-        log = node.consensus.log
-        index = node.consensus.commit_index
-        # Checks backwards from the newest entry up to the last one checked before.
-        while index > log.base_index:
-            entry = log.entry_at(index)
-            known = self._committed.setdefault(index, (entry.term, entry.payload))
-            self._commit_terms.setdefault(index, node.consensus.term)
-            if known != (entry.term, entry.payload):
-                self.violations.append(
-                    f"{host.name} committed another entry {index}: "
-                    f"term {entry.term} instead of {known[0]}"
-                )
-                return
-            if index <= getattr(node, "checked_index", 0):
-                break
-            index -= 1
-        node.checked_index = node.consensus.commit_index  # type: ignore[attr-defined]
-
-    def _check_document(self, name: str, document: ClusterConfiguration) -> None:
-        text = document.to_json()
-        known = self._documents.setdefault(document.version, text)
-        if known != text:
-            self.violations.append(
-                f"{name} has a different document of version {document.version}"
-            )
-
-    def _check_final_state(self) -> None:
-        """Check the invariants that apply after all faults have ended."""
-        leader = self.leader()
-        if self.violations:
-            return
-        if leader is None or leader.node is None:
-            self.violations.append(
-                "no node has the leader lease after all faults ended"
-            )
-            return
-        state = leader.node.state
-        ids = [record.entry.patch_id for record in state.versions]
-        if len(set(ids)) != len(ids):
-            self.violations.append("a patch was applied twice")
-        for patch_id, version in self._accepted_versions.items():
-            stored = state.patch_replies.get(patch_id)
-            if stored is None or stored.version != version:
-                self.violations.append(f"the state lacks accepted {patch_id}")
-        self._check_logs()
-
-    def _check_logs(self) -> None:
-        """Check that logs with equal index and term of an entry are equal up to it."""
-        nodes = [host.node for host in self.hosts.values() if host.node]
-        for a, b in itertools.combinations(nodes, 2):
-            first, second = a.consensus.log, b.consensus.log
-            index = min(first.last_index, second.last_index)
-            base = max(first.base_index, second.base_index)
-            while index > base and first.term_at(index) != second.term_at(index):
-                index -= 1
-            for position in range(base + 1, index + 1):
-                if first.entry_at(position) != second.entry_at(position):
-                    self.violations.append(f"logs differ at entry {position}")
-                    return
-
-    # Faults
-
-    def _schedule_next_fault(self) -> None:
-        delay_ms = self.random.uniform(*self.options.fault_interval_ms)
-
-        def inject() -> None:
-            if not self.options.has_faults:
-                return
-            self.random.choice(self._available_faults())()
-            self._schedule_next_fault()
-
-        self.after(delay_ms, inject)
-
-    def _available_faults(self) -> list[Callable[[], None]]:
-        faults = [
-            self._fault_crash,
-            self._fault_crash,
-            self._fault_crash_at_write,
-            self._fault_crash_all,
-            self._fault_freeze,
-            self._fault_partition,
-            self._fault_partition,
-            self._fault_block_link,
-            self._fault_block_link,
-            self._end_network_faults,
-            self._fault_delay,
-        ]
-        if self.options.has_lost_disks:
-            faults.append(self._fault_lost_disk)
-        if self.options.has_database:
-            faults += [self._fault_instance] * 4
-        return faults
-
-    def _choose_host(self) -> _Host:
-        leader = self.leader()
-        if leader is not None and self.random.random() < 0.5:
-            return leader
-        return self.random.choice(list(self.hosts.values()))
-
-    def _crash_temporarily(self, host: _Host) -> None:
-        if host.node is None:
-            return
-        self.crash(host)
-        self.after(self.random.uniform(20.0, 1_500.0), lambda: self._restart(host))
-
-    def _restart(self, host: _Host) -> None:
-        if host.node is None:
-            self.boot(host)
-
-    def _fault_crash(self) -> None:
-        self._crash_temporarily(self._choose_host())
-
-    def _fault_crash_at_write(self) -> None:
-        """Crash a node during its next write."""
-        self._choose_host().crashes_at_write = True
-
-    def _fault_crash_all(self) -> None:
-        """Crash all nodes at the same moment, as a power loss does."""
-        for host in self.hosts.values():
-            self._crash_temporarily(host)
-
-    def _fault_freeze(self) -> None:
-        host = self._choose_host()
-        self.freeze(host)
-        self.after(self.random.uniform(100.0, 2_000.0), lambda: self.thaw(host))
-
-    def _fault_lost_disk(self) -> None:
-        """Crash a node and erase its disk.
-
-        This happens only while all nodes vote, so that a majority retains its logs.
-        """
-        leader = self.leader()
-        if leader is None or leader.node is None:
-            return
-        consensus = leader.node.consensus
-        voters = {(item.node, item.incarnation) for item in consensus.voters}
-        disks = {(host.name, host.disk.incarnation) for host in self.hosts.values()}
-        if voters == disks and consensus.can_change_members():
-            host = self._choose_host()
-            self.crash(host, loses_disk=True)
-            self.boot(host)
-
-    def _fault_partition(self) -> None:
-        if self.random.random() < 0.5:
-            self.partition_zone(self.random.choice(_ZONES))
-        else:
-            self.isolate_node(self.random.choice(list(self.zones)))
-        self.after(self.random.uniform(200.0, 2_500.0), self.blocked.clear)
-
-    def _fault_block_link(self) -> None:
-        """Block the link of two control nodes that others may still reach."""
-        pair = frozenset(self.random.sample(list(self.hosts), 2))
-        self.blocked.add(pair)
-        self.after(
-            self.random.uniform(200.0, 2_500.0), lambda: self.blocked.discard(pair)
-        )
-
-    def _end_network_faults(self) -> None:
-        self.blocked.clear()
-        self.delay_factor = 1.0
-
-    def _fault_delay(self) -> None:
-        self.delay_factor = 10.0
-
-    def _fault_instance(self) -> None:
-        """Kill, freeze or restart one instance; a majority retains its logs."""
-        instances = list(self.group.instances.values())
-        down = [item for item in instances if not item.is_responsive]
-        if down:
-            item = self.random.choice(down)
-            if item.is_up:
-                item.is_frozen = False
-            else:
-                keeps_log = self.random.random() < 0.7
-                may_lose_log = self.group.may_lose_log(item.name)
-                self.group.start(item.name, keeps_log or not may_lose_log)
-            return
-        item = self.random.choice(instances)
-        if self.random.random() < 0.5:
-            item.is_frozen = True
-        else:
-            self.group.stop(item.name)
-
 
 def _apply_all(
     document: ClusterConfiguration, changes: list[Change], version: int
