Identify the team of each session by its key

Configurations name teams with keys, priorities and rate limits, and routes that are not public need a key. Until now any caller could open a session, and servers were told the proxy's own name whoever the caller was.

A session with an unknown key is refused with DENIED before anything is sent. Sessions whose key a newer configuration no longer holds are closed: at once when idle, after the running statement otherwise. Keys are held as digests.

--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_caller_edge_lines.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_caller_edge_lines.py
@@ -4,6 +4,8 @@
 import itertools
 from collections import deque
 
+from cardamomshunt.fleet import key_digest
+
 from cardamomshunt_node._boot_clock import boot_ms
 from cardamomshunt_node._decision_log import DecisionLog
 from cardamomshunt_node._fleet_view import FleetView
@@ -35,6 +37,7 @@
         self._buffer = bytearray()
         self._lines: deque[bytes] = deque()
         self._worker: asyncio.Task[None] | None = None
+        self._is_denied = False
         self.last_used_ms = boot_ms()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -84,13 +87,16 @@
 
     async def _process_lines(self) -> None:
         try:
-            while self._lines and self._transport is not None:
+            while self._lines and self._transport is not None and not self._is_denied:
                 await self._handle(self._lines.popleft())
         finally:
             self._worker = None
             self.last_used_ms = boot_ms()
-            if self._transport is None and self.session is not None:
+            is_over = self._transport is None or self._is_denied
+            if is_over and self.session is not None:
                 self._edge.runner.abandon(self.session)
+            if self._is_denied:
+                self.close()
 
     async def _handle(self, line: bytes) -> None:
         try:
@@ -115,23 +121,48 @@
                 ErrorCode.BUSY, "no configuration has been received yet"
             )
             return
-        if self._edge.view.table.route_of(message.database) is None:
-            self._edge.log.write_request(
-                "session_refused",
-                database=message.database,
-                configuration_version=self._edge.view.table.version,
-            )
-            self._close_with_error(ErrorCode.UNKNOWN_DATABASE, message.database)
+        table = self._edge.view.table
+        route = table.route_of(message.database)
+        if route is None:
+            self._refuse_session(message, ErrorCode.UNKNOWN_DATABASE, message.database)
+            return
+        digest = key_digest(message.key)
+        team = table.team_of_session(route, digest)
+        if team is None:
+            self._refuse_session(message, ErrorCode.DENIED, "the key is not known")
             return
-        self.session = LineSession(self._session_id, message.database)
+        self.session = LineSession(self._session_id, message.database, team, digest)
         self._write(self._edge.protocol.ready(TransactionState.IDLE, None))
 
+    def _refuse_session(self, message: CallerOpen, code: ErrorCode, text: str) -> None:
+        self._edge.log.write_request(
+            "session_refused",
+            database=message.database,
+            code=code.value,
+            configuration_version=self._edge.view.table.version,
+        )
+        self._close_with_error(code, text)
+
     async def _run(self, message: CallerQuery) -> None:
         if self.session is None:
             self._close_with_error(ErrorCode.MALFORMED, "no session is open")
             return
         self._write(await self._edge.runner.run(self.session, message))
 
+    def end_if_denied(self) -> bool:
+        """Close the session if its key is no longer valid; return whether it is not.
+
+        A running statement still gets its answer. An open transaction is rolled back.
+        """
+        if self.session is None or self._edge.is_allowed(self.session):
+            return False
+        if self._worker is None:
+            self._edge.runner.abandon(self.session)
+            self.close()
+        else:
+            self._is_denied = True
+        return True
+
     def _write(self, data: bytes) -> None:
         if self._transport is not None:
             self._transport.write(data)
@@ -191,6 +222,27 @@
             if connection.session is not None:
                 self.runner.end_idle_transaction(connection.session, now)
 
+    def is_allowed(self, session: LineSession) -> bool:
+        """Return whether the key of a session is valid for its team and route.
+
+        A session whose route is gone stays open: its statements say so.
+        """
+        table = self.view.table
+        route = table.route_of(session.database)
+        if route is None:
+            return True
+        return table.team_of_session(route, session.key_digest) == session.team
+
+    def end_denied_sessions(self) -> None:
+        """End the sessions whose keys the newest configuration has taken away."""
+        n_ended = sum(item.end_if_denied() for item in list(self.connections))
+        if n_ended:
+            self.log.write(
+                "sessions_denied",
+                n_sessions=n_ended,
+                configuration_version=self.view.table.version,
+            )
+
     def close_idle(self, idle_ms: float) -> int:
         """Close idle sessions, so that callers reconnect elsewhere; return how many."""
         now = boot_ms()
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_entry_daemon.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_entry_daemon.py
@@ -43,6 +43,7 @@
         self._edge = LineEdge(
             settings.caller_address, protocol, self._view, runner, self._log
         )
+        self._view.on_table_changed(self._edge.end_denied_sessions)
         self._control_link = EntryControlLink(
             settings,
             self._view,
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_fleet_view.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_fleet_view.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 from collections import deque
+from collections.abc import Callable
 
 from cardamomshunt.fleet import (
     AssignmentPhase,
@@ -37,6 +38,7 @@
         self._zone = zone
         self._protocol = protocol
         self.table = RouteTable()
+        self._on_table: list[Callable[[], None]] = []
         self.lease = PrimaryLease()
         self.registry = ServerRegistry()
         self._entry_counts: deque[tuple[float, int]] = deque()
@@ -52,8 +54,14 @@
     def set_table(self, table: RouteTable) -> None:
         """Apply a newer configuration."""
         self.table = table
+        for on_table in self._on_table:
+            on_table()
         self.notify()
 
+    def on_table_changed(self, callback: Callable[[], None]) -> None:
+        """Call `callback` after each change of the configuration."""
+        self._on_table.append(callback)
+
     def notify(self) -> None:
         """Wake the statements that wait for a change."""
         self._change.set()
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_line_reads.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_line_reads.py
@@ -230,7 +230,7 @@
     async def _attempt_read(self, pool: ServerPool, read: _Read) -> Reply:
         route = read.route
         connection = await pool.acquire(
-            route.priority, read.deadline_ms, read.session.values
+            route.priority, read.deadline_ms, read.session.values, read.session.team
         )
         task = asyncio.current_task()
         assert task is not None
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_line_session_state.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_line_session_state.py
@@ -75,14 +75,17 @@
 
 @dataclass(slots=True)
 class LineSession:
-    """State of one caller's session.
+    """State of one caller's session; `team` is empty where callers have no teams.
 
+    `key_digest` is the digest of the key that the session was opened with.
     `may_cancel` says that the running statement has sent nothing that a server would
     have to undo, so that it may end when its caller disconnects.
     """
 
     session_id: int
     database: str
+    team: str = ""
+    key_digest: bytes = b""
     values: dict[str, str] = field(default_factory=dict)
     prepared: dict[str, PreparedStatement] = field(default_factory=dict)
     positions: dict[str, DatedPosition] = field(default_factory=dict)
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_line_transactions.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_line_transactions.py
@@ -154,7 +154,9 @@
         route = transaction.route
         session.may_cancel = True
         try:
-            connection = await pool.acquire(route.priority, deadline_ms, session.values)
+            connection = await pool.acquire(
+                route.priority, deadline_ms, session.values, session.team
+            )
         except (ServerBusyError, ServerLostError):
             return False
         finally:
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_line_writes.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_line_writes.py
@@ -91,7 +91,7 @@
             pool, epoch = primary
             try:
                 connection = await pool.acquire(
-                    route.priority, deadline_ms, session.values
+                    route.priority, deadline_ms, session.values, session.team
                 )
             except ServerBusyError as error:
                 reason = str(error)
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_server_admin.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_server_admin.py
@@ -40,7 +40,7 @@
         deadline_ms = boot_ms() + timeout_ms
         try:
             async with asyncio.timeout(timeout_ms / 1_000.0):
-                connection = await pool.acquire(0, deadline_ms, {})
+                connection = await pool.acquire(0, deadline_ms, {}, "")
                 while True:
                     reply: Reply = await connection.send(command)
                     if reply.code is not ErrorCode.BUSY:
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_server_pool.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_server_pool.py
@@ -118,7 +118,7 @@
         self._lag_recorded_ms = now
 
     async def acquire(
-        self, priority: int, deadline_ms: float, values: dict[str, str]
+        self, priority: int, deadline_ms: float, values: dict[str, str], team: str
     ) -> BackendConnection:
         """Return a connection; raise ServerBusyError or ServerLostError."""
         connection = self._pop_idle(values)
@@ -195,7 +195,7 @@
             await loop.create_connection(lambda: connection, host, port)
         async with asyncio.timeout(_OPEN_TIMEOUT_S):
             reply = await connection.send(
-                self._protocol.open_server(self.group, self.server)
+                self._protocol.open_server(self.group, self.server, "")
             )
         if reply.code is not None:
             raise ServerLostError(f"refused: {reply.code.value}")
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_session_protocol.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_session_protocol.py
@@ -2,7 +2,7 @@
 
 import enum
 from abc import ABC, abstractmethod
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from cardamomshunt.fleet import ServerStatus
 from cardamomshunt.position import LogPosition
@@ -48,9 +48,10 @@
 
 @dataclass(slots=True, frozen=True)
 class CallerOpen:
-    """Request to open a session on a database."""
+    """Request to open a session on a database; `key` identifies the caller's team."""
 
     database: str
+    key: str = field(default="", repr=False)
 
 
 @dataclass(slots=True, frozen=True)
@@ -93,6 +94,7 @@
     MALFORMED = "malformed"
     TOO_LARGE = "too_large"
     IN_DOUBT = "in_doubt"
+    DENIED = "denied"
     OTHER = "other"
 
 
@@ -156,8 +158,11 @@
         """Return the line for a refused or failed statement."""
 
     @abstractmethod
-    def open_server(self, group: str, server: str) -> bytes:
-        """Return the line that opens a connection to one incarnation of a server."""
+    def open_server(self, group: str, server: str, team: str) -> bytes:
+        """Return the line that opens a team's connection to one incarnation of a server.
+
+        An empty `team` stands for a connection that any caller may use.
+        """
 
     @abstractmethod
     def statement(
--- a/packages/cardamomshunt/src/cardamomshunt/_fleet/messages.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_fleet/messages.py
@@ -22,6 +22,23 @@
     epoch: int
 
 
+class QuotaDemand(msgspec.Struct, frozen=True, array_like=True):
+    """Operations of a team per second that an entry VM was asked for, and its share."""
+
+    team: str
+    demand_per_s: float
+    held_rate_per_s: float = 0.0
+    held_burst: float = 0.0
+
+
+class QuotaShare(msgspec.Struct, frozen=True, array_like=True):
+    """Part of a team's rate limit that one entry VM may use while leased."""
+
+    team: str
+    rate_per_s: float
+    burst: float
+
+
 class LeaseRequest(Message, kw_only=True, array_like=True):
     """Ask the leader to extend the lease on the use of primaries.
 
@@ -31,6 +48,9 @@
     `bounds` count from the grant with `number` equal to `answered_number`.
     `full_servers` lately refused a connection because they had reached their maximum,
     `overloaded_servers` a statement because of a full queue, or a connection.
+    `incarnation` changes with each start of the entry VM. `watched_groups` are those
+    whose primaries it uses; None stands for all. `quota_number` is that of the newest
+    grant of shares that it applied, and `quota_demands` is None if nothing changed.
     """
 
     sequence: int
@@ -45,6 +65,13 @@
     bounds: list[SharedBound] = []
     full_servers: list[str] = []
     overloaded_servers: list[str] = []
+    zone: str = ""
+    incarnation: int = 0
+    is_draining: bool = False
+    entries_digest: int = 0
+    watched_groups: list[str] | None = None
+    quota_number: int = 0
+    quota_demands: list[QuotaDemand] | None = None
 
 
 class LeaseGrant(Message, kw_only=True, array_like=True):
@@ -56,7 +83,9 @@
     `full_servers` and `overloaded_servers` are of the assigned control node, which may
     not be the leader.
     `version` is the leader's configuration version, so that an entry VM can leave an
-    assigned control node that does not have it.
+    assigned control node that does not have it. `zone_entries` are the peer addresses of
+    the entry VMs of the receiver's zone, or None if it has them. `quota_shares` replace
+    all shares of the receiver if `quota_number` is newer than the one that it applied.
     """
 
     sequence: int
@@ -71,6 +100,9 @@
     bounds: list[SharedBound] = []
     full_servers: list[str] = []
     overloaded_servers: list[str] = []
+    zone_entries: list[str] | None = None
+    quota_number: int = 0
+    quota_shares: list[QuotaShare] | None = None
 
 
 class RelayedRequest(msgspec.Struct, frozen=True, array_like=True):
--- a/packages/cardamomshunt/src/cardamomshunt/_fleet/route_table.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_fleet/route_table.py
@@ -1,8 +1,16 @@
 """Routes from databases to groups of backend servers, as a versioned table."""
 
 import enum
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
+from cardamomshunt._fleet.teams import (
+    Team,
+    TeamInvalidError,
+    TeamTable,
+    build_team_table,
+)
+
 
 class RouteKind(enum.Enum):
     """Consistency that reads of a route require."""
@@ -18,7 +26,10 @@
 
 @dataclass(slots=True, frozen=True)
 class Route:
-    """Route of the sessions of one database to a group of backend servers."""
+    """Route of the sessions of one database to a group of backend servers.
+
+    Sessions of a route that is not public need the key of a team.
+    """
 
     name: str
     database: str
@@ -28,6 +39,7 @@
     objective_ms: float
     priority: int = 0
     max_age_ms: float = 0.0
+    is_public: bool = True
 
 
 @dataclass(slots=True, frozen=True)
@@ -47,17 +59,34 @@
     routes: dict[str, Route] = field(default_factory=dict)
     groups: dict[str, GroupLimits] = field(default_factory=dict)
     transaction_idle_ms: float = 3_000.0
+    teams: TeamTable = field(default_factory=TeamTable)
+
+    @property
+    def has_teams(self) -> bool:
+        """Return whether sessions belong to teams."""
+        return bool(self.teams.teams)
 
     def route_of(self, database: str) -> Route | None:
         """Return the route of a database, or None if it has none."""
         return self.routes.get(database)
 
+    def team_of_session(self, route: Route, digest: bytes) -> str | None:
+        """Return the team of a session by the digest of its key, or None if denied.
+
+        The name is empty for sessions without a team.
+        """
+        team = self.teams.by_digest.get(digest)
+        if team is not None:
+            return team.name
+        return "" if route.is_public else None
+
 
 def build_route_table(
     version: int,
     routes: list[Route],
     groups: list[GroupLimits],
     transaction_idle_ms: float,
+    teams: Iterable[Team] = (),
 ) -> RouteTable:
     """Build a validated table; raise ConfigurationInvalidError at the first error."""
     by_group = {group.name: group for group in groups}
@@ -76,4 +105,8 @@
                 f"route {route.name}: the statement timeout must be above 0"
             )
         by_database[route.database] = route
-    return RouteTable(version, by_database, by_group, transaction_idle_ms)
+    try:
+        team_table = build_team_table(teams)
+    except TeamInvalidError as error:
+        raise ConfigurationInvalidError(str(error)) from error
+    return RouteTable(version, by_database, by_group, transaction_idle_ms, team_table)
--- a/packages/cardamomshunt/src/cardamomshunt/fleet.py
+++ b/packages/cardamomshunt/src/cardamomshunt/fleet.py
@@ -10,6 +10,8 @@
     LeaderHint,
     LeaseGrant,
     LeaseRequest,
+    QuotaDemand,
+    QuotaShare,
     RelayedGrant,
     RelayedGrants,
     RelayedRequest,
@@ -57,6 +59,7 @@
 )
 from cardamomshunt._fleet.shared_bounds import BoundExchange, SharedBound
 from cardamomshunt._fleet.successor import ServerStatus, choose_successor
+from cardamomshunt._fleet.teams import Team, TeamTable, key_digest, key_fingerprint
 
 __all__ = [
     "LEASE_MARGIN_MS",
@@ -84,6 +87,8 @@
     "PrimaryLease",
     "PromoteSuccessor",
     "PutDocument",
+    "QuotaDemand",
+    "QuotaShare",
     "ReadCandidate",
     "RefusalHistory",
     "RelayedGrant",
@@ -103,10 +108,14 @@
     "SharedBound",
     "StopPrimary",
     "Suspicion",
+    "Team",
+    "TeamTable",
     "build_route_table",
     "choose_successor",
     "digest_of",
     "encode_command",
     "full_server_pause_ms",
+    "key_digest",
+    "key_fingerprint",
     "order_of_reads",
 ]
--- a/tests/users_platform/test_fleet_view.py
+++ b/tests/users_platform/test_fleet_view.py
@@ -146,7 +146,7 @@
     _grant_lease(view)
     served = Counter()
 
-    async def acquire(pool, priority, deadline_ms, values):
+    async def acquire(pool, priority, deadline_ms, values, team):
         connection = _AnsweringConnection(pool)
         pool._in_use.add(connection)
         served[pool.server] += 1
--- a/tests/users_platform/test_formats.py
+++ b/tests/users_platform/test_formats.py
@@ -67,7 +67,9 @@
 
 
 def test_messages_of_callers_are_parsed():
-    assert PROTOCOL.parse_caller_line(b"START orders u3f1") == CallerOpen("orders")
+    assert PROTOCOL.parse_caller_line(b"START orders u3f1") == CallerOpen(
+        "orders", "u3f1"
+    )
     assert PROTOCOL.parse_caller_line(b"TERMINATE") == CallerEnd()
     with pytest.raises(ValueError, match="unknown message"):
         PROTOCOL.parse_caller_line(b"GET / HTTP/1.1")
