--- a/tests/users_platform/standin.py
+++ b/tests/users_platform/standin.py
@@ -428,11 +428,11 @@
         self._ids = 0
 
     @classmethod
-    async def open(cls, address: str, database: str) -> "Caller":
+    async def open(cls, address: str, database: str, key: str = "u1") -> "Caller":
         """Open a session; raise ConnectionError if it is refused."""
         host, port = address.split(":")
         caller = cls(*await asyncio.open_connection(host, int(port)))
-        caller._writer.write(f"START {database} u1\r\n".encode())
+        caller._writer.write(f"START {database} {key}\r\n".encode())
         line = (await caller._reader.readline()).decode()
         if not line.startswith("READY"):
             raise ConnectionError(line.strip())
