--- a/packages/cardamomshunt-cli/src/cardamomshunt_cli/main.py
+++ b/packages/cardamomshunt-cli/src/cardamomshunt_cli/main.py
@@ -15,6 +15,7 @@
     timeline,
 )
 from cardamomshunt_cli._operation_commands import drain, handover, member, resume
+from cardamomshunt_cli._team_commands import teams
 
 
 @click.group(context_settings={"auto_envvar_prefix": "CARDAMOMCTL"})
@@ -73,5 +74,6 @@
     member,
     bench,
     schema,
+    teams,
 ):
     main.add_command(command)
--- a/packages/cardamomshunt-cli/tests/test_docs.py
+++ b/packages/cardamomshunt-cli/tests/test_docs.py
@@ -10,6 +10,7 @@
 from typing import Any
 
 import click
+import msgspec
 import pytest
 import yaml
 from cardamomshunt.events import CATALOGUE
@@ -22,9 +23,11 @@
     MemberChangeReply,
     TimelineReply,
 )
+from cardamomshunt_cli import _team_commands
 from cardamomshunt_cli._exit_codes import ExitCode
 from cardamomshunt_cli.main import main
 from cardamomshunt_node.metrics import NodeMetrics
+from cardamomshunt_node.operator_pages import HttpResponse, TeamPage
 from click.testing import CliRunner
 
 _ROOT = Path(__file__).parents[3]
@@ -74,6 +77,10 @@
     return path
 
 
+async def _answer_team_page(*arguments: Any) -> HttpResponse:
+    return HttpResponse(200, msgspec.json.encode(TeamPage(7, [])))
+
+
 def test_docs_contain_commands() -> None:
     assert len(_commands()) > 25
 
@@ -87,6 +94,7 @@
 ) -> None:
     monkeypatch.chdir(_ROOT)
     monkeypatch.setenv("CARDAMOMCTL_SETTINGS", str(daemon_settings))
+    monkeypatch.setattr(_team_commands, "call_http", _answer_team_page)
     line = command.replace("/tmp/", f"{tmp_path}/")
     line = line.replace(_SETTINGS, str(daemon_settings))
     result = CliRunner().invoke(main, shlex.split(line)[1:])
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_daemon.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_daemon.py
@@ -47,7 +47,14 @@
     def _update_metrics(self) -> None:
         """Set the gauges."""
 
+    def _operator_page(self, path: str) -> HttpResponse | None:
+        """Return the page for operators at a path, or None if there is none."""
+        return None
+
     async def _answer_metrics(self, request: HttpRequest) -> HttpResponse:
+        page = self._operator_page(request.path)
+        if page is not None:
+            return page
         self._update_metrics()
         content = self._daemon_metrics.render()
         return HttpResponse(200, content, content_type="text/plain")
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_entry_daemon.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_entry_daemon.py
@@ -14,6 +14,7 @@
 from cardamomshunt_node._fleet_view import FleetView
 from cardamomshunt_node._http import HttpRequest, HttpResponse, HttpServer
 from cardamomshunt_node._line_sessions import StatementRunner
+from cardamomshunt_node._team_page import TEAM_PAGE_PATH, team_page_response
 
 _SWEEP_INTERVAL_S = 0.25
 # Time for statements in flight to complete at a primary that is being replaced.
@@ -183,6 +184,11 @@
         )
         return HttpResponse(200 if is_ready else 503, b"{}")
 
+    def _operator_page(self, path: str) -> HttpResponse | None:
+        if path == TEAM_PAGE_PATH:
+            return team_page_response(self._view.table)
+        return None
+
     def _update_metrics(self) -> None:
         self._metrics.set_state(
             len(self._edge.connections),
--- a/tests/users_platform/test_teams.py
+++ b/tests/users_platform/test_teams.py
@@ -3,6 +3,8 @@
 import asyncio
 
 import pytest
+from cardamomshunt_cli.main import main
+from click.testing import CliRunner
 from standin import Caller, document
 
 _KEYS = {"desk": ["key-of-desk"], "stock": ["key-of-stock", "second-key-of-stock"]}
@@ -57,3 +59,29 @@
     logs = "".join(path.read_text() for path in deployment.folder.glob("*.log"))
     for output in (logs, response.body.decode()):
         assert "key-of" not in output
+
+
+async def run_cardamomctl(arguments, text=""):
+    runner = CliRunner()
+    return await asyncio.to_thread(runner.invoke, main, arguments, input=text)
+
+
+@pytest.mark.parametrize(
+    ("key", "exit_code", "shown"),
+    [("key-of-desk\n", 0, "desk"), ("key-of-nobody", 4, "no team"), ("", 4, "no team")],
+)
+async def test_an_operator_finds_the_team_of_a_key(deployment, key, exit_code, shown):
+    # Guards against a lookup that names the wrong team, and against keys in its output.
+    await apply(deployment, 2, _KEYS)
+    settings = deployment.settings["entry-1"]
+    address = f"{settings.host}:{settings.metrics_port}"
+    result = await run_cardamomctl(["teams", address, "--find-key"], key)
+    assert (result.exit_code, shown in result.output) == (exit_code, True)
+    assert "key-of" not in result.output
+
+
+@pytest.mark.parametrize(("address", "exit_code"), [("x", 2), ("127.0.0.1:1", 3)])
+async def test_a_wrong_address_of_an_entry_vm_is_explained(address, exit_code):
+    # Guards against a traceback where an operator mistyped the address.
+    result = await run_cardamomctl(["teams", address])
+    assert (result.exit_code, address in result.output) == (exit_code, True)
