Store servers in the replicated state of the control nodes

After a restart of all control nodes, the registry of servers was empty until each server had reported, which takes up to its interval of 1,200 ms. The leader now stores changed reports in the replicated state, and a control node merges stored reports into its registry at start and when entries are applied. A server's own report has a higher sequence and replaces a stored one.

--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_control_node.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_control_node.py
@@ -18,6 +18,7 @@
     ReportsReceived,
     ReportsRequest,
     RouteTable,
+    StoreServers,
     encode_command,
 )
 
@@ -48,7 +49,7 @@
 from cardamomshunt_node._stream_transport import StreamMessage, StreamTransport
 
 _FLUSH_INTERVAL_S = 0.25
-_COUNT_INTERVAL_S = 1.0
+_STORE_INTERVAL_S = 1.0
 _LEADER_WAIT_MS = 600.0
 _STOP_TIMEOUT_MS = 1_500.0
 _LINGER_S = 0.15
@@ -146,11 +147,12 @@
         await self._control.start()
         await self._metrics_server.start()
         self._host.start()
+        self._reports.merge_stored(list(self._state.servers.values()))
         tasks = [
             asyncio.create_task(self._primaries.run()),
             asyncio.create_task(self._reports.run()),
             asyncio.create_task(self._flush_log()),
-            asyncio.create_task(self._count_entries()),
+            asyncio.create_task(self._store_fleet()),
         ]
         self._log.write("started", role="control", zone=self._settings.zone)
         await self._stop.wait()
@@ -178,20 +180,24 @@
             await asyncio.sleep(_FLUSH_INTERVAL_S)
             self._log.flush()
 
-    async def _count_entries(self) -> None:
-        """Update the stored number of entry VMs while this node leads."""
+    async def _store_fleet(self) -> None:
+        """Store the number of entry VMs and the servers while this node leads."""
         while True:
-            await asyncio.sleep(_COUNT_INTERVAL_S)
+            await asyncio.sleep(_STORE_INTERVAL_S)
             n_entries = self._entries.count_to_store()
-            if n_entries is None or not self._host.may_act:
-                continue
-            try:
-                await self._host.propose(
-                    encode_command(CountEntries(n_entries=n_entries)),
-                    COMMIT_TIMEOUT_MS,
-                )
-            except (NotLeaderError, TimeoutError):
-                self._log.write("entry_count_unsure", n_entries=n_entries)
+            if n_entries is not None:
+                await self._store(CountEntries(n_entries=n_entries))
+            servers = self._state.servers_to_store(self._reports.registry.all())
+            if servers is not None:
+                await self._store(servers)
+
+    async def _store(self, command: CountEntries | StoreServers) -> None:
+        if not self._host.may_act:
+            return
+        try:
+            await self._host.propose(encode_command(command), COMMIT_TIMEOUT_MS)
+        except (NotLeaderError, TimeoutError):
+            self._log.write("store_unsure", command=type(command).__name__)
 
     def _reload(self) -> None:
         self._log.write("reloaded")
@@ -206,6 +212,7 @@
         if self._state.version != self._table.version:
             self._load_table()
             self._entries.publish_document()
+        self._reports.merge_stored(list(self._state.servers.values()))
         if self._host.may_act and not self._is_announced:
             self._is_announced = True
             self._entries.announce_leadership()
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_report_exchange.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_report_exchange.py
@@ -64,6 +64,15 @@
         if message.receipt:
             self._transport.send(address, ReportsReceived(receipt=message.receipt))
 
+    def merge_stored(self, reports: list[ServerReport]) -> None:
+        """Merge reports from the replicated state, so that they serve after a restart.
+
+        A server's own report replaces a stored one, as its sequence is higher.
+        """
+        changed = [item for item in reports if self.registry.merge(item)]
+        if changed:
+            self._publish(changed)
+
     def _publish(self, changed: list[ServerReport]) -> None:
         for report in changed:
             self._log.write(
--- a/packages/cardamomshunt/src/cardamomshunt/_fleet/primary_assignments.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_fleet/primary_assignments.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from cardamomshunt._fleet.server_registry import ServerReport, ServerState
+
 
 class AssignmentPhase(enum.Enum):
     """Phase of a group: its primary serves, is being stopped or is being replaced."""
@@ -39,6 +41,13 @@
     n_entries: int
 
 
+class StoreServers(FleetCommand, frozen=True, kw_only=True):
+    """Store reports of servers, for use after a restart of all control nodes."""
+
+    reports: list[ServerReport] = []
+    removed: list[str] = []
+
+
 class AssignPrimary(FleetCommand, frozen=True, kw_only=True):
     """Assign the first primary of a group."""
 
@@ -70,7 +79,7 @@
 
 
 AssignmentCommand = StopPrimary | PromoteSuccessor | FinishPromotion
-_Command = PutDocument | CountEntries | AssignPrimary | AssignmentCommand
+_Command = PutDocument | CountEntries | StoreServers | AssignPrimary | AssignmentCommand
 _DECODER = msgspec.msgpack.Decoder(_Command)
 _ENCODER = msgspec.msgpack.Encoder()
 
@@ -87,6 +96,7 @@
     document: bytes = b""
     assignments: dict[str, Assignment] = {}
     n_entries: int = 0
+    servers: dict[str, ServerReport] = {}
 
     def apply(self, index: int, payload: bytes) -> bool:
         """Apply the command of a log entry; return whether it took effect."""
@@ -97,6 +107,9 @@
             case CountEntries():
                 self.n_entries = command.n_entries
                 return True
+            case StoreServers():
+                self._store_servers(command)
+                return True
             case AssignPrimary():
                 if command.group in self.assignments:
                     return False
@@ -113,6 +126,28 @@
         self.document = command.document
         return True
 
+    def _store_servers(self, command: StoreServers) -> None:
+        self.servers.update((report.server, report) for report in command.reports)
+        for server in command.removed:
+            self.servers.pop(server, None)
+
+    def servers_to_store(self, reports: list[ServerReport]) -> StoreServers | None:
+        """Return the command that stores these reports, or None if they are stored.
+
+        Servers that are gone are removed. A higher sequence alone changes nothing.
+        """
+        changed, removed = [], []
+        for report in reports:
+            stored = self.servers.get(report.server)
+            if report.state is ServerState.GONE:
+                if stored is not None:
+                    removed.append(report.server)
+            elif stored is None or report.differs_from(stored):
+                changed.append(report)
+        if not changed and not removed:
+            return None
+        return StoreServers(reports=changed, removed=removed)
+
     def _change_assignment(self, index: int, command: AssignmentCommand) -> bool:
         """Apply a step of a replacement unless the epoch has changed since."""
         known = self.assignments.get(command.group)
--- a/packages/cardamomshunt/src/cardamomshunt/fleet.py
+++ b/packages/cardamomshunt/src/cardamomshunt/fleet.py
@@ -34,6 +34,7 @@
     PromoteSuccessor,
     PutDocument,
     StopPrimary,
+    StoreServers,
     encode_command,
 )
 from cardamomshunt._fleet.primary_lease import (
@@ -107,6 +108,7 @@
     "ServerStatus",
     "SharedBound",
     "StopPrimary",
+    "StoreServers",
     "Suspicion",
     "Team",
     "TeamTable",
--- a/packages/cardamomshunt/tests/test_fleet.py
+++ b/packages/cardamomshunt/tests/test_fleet.py
@@ -1,5 +1,6 @@
 """Tests of routes, server reports, assignments, leases and shared bounds."""
 
+import msgspec
 import pytest
 from cardamomshunt.fleet import (
     LEASE_MARGIN_MS,
@@ -343,3 +344,49 @@
     state = FleetState()
     assert state.apply(1, encode_command(CountEntries(n_entries=67)))
     assert FleetState.decode(state.encode()).n_entries == 67
+
+
+def store(state, index, reports):
+    command = state.servers_to_store(reports)
+    if command is not None:
+        state.apply(index, encode_command(command))
+    return command
+
+
+@pytest.mark.parametrize(
+    ("changes", "is_stored"),
+    [
+        ({}, False),
+        ({"sequence": 9}, False),
+        ({"address": "127.0.0.1:9"}, True),
+        ({"state": ServerState.DRAINING}, True),
+        ({"state": ServerState.GONE}, True),
+    ],
+)
+def test_only_changes_of_servers_are_written_to_the_log(changes, is_stored):
+    # Every server reports each 1,200 ms; a log entry for each report would fill disks.
+    state = FleetState()
+    store(state, 1, [make_report()])
+    changed = make_report(**changes)
+    assert (store(state, 2, [changed]) is not None) is is_stored
+    assert store(state, 3, [changed]) is None
+    is_gone = changed.state is ServerState.GONE
+    assert list(FleetState.decode(state.encode()).servers) == (
+        [] if is_gone else [changed.server]
+    )
+
+
+def test_a_snapshot_without_servers_is_readable():
+    # Snapshots written before servers were stored have no such field.
+    older = {"version": 3, "document": b"d", "assignments": {}, "n_entries": 2}
+    state = FleetState.decode(msgspec.msgpack.encode(older))
+    assert (state.version, state.servers) == (3, {})
+
+
+def test_a_server_s_own_report_replaces_a_stored_one():
+    registry = ServerRegistry()
+    own = make_report(sequence=8, address="127.0.0.1:8")
+    assert registry.merge(make_report(sequence=7))
+    assert registry.merge(own)
+    assert not registry.merge(make_report(sequence=7))
+    assert registry.get(own.server) == own
--- a/tests/users_platform/test_deployment.py
+++ b/tests/users_platform/test_deployment.py
@@ -511,6 +511,21 @@
     )
 
 
+async def test_the_servers_survive_a_restart_of_all_control_nodes(deployment):
+    # Servers report rarely: after a power loss each group waited up to a whole interval
+    # for the report of its primary.
+    servers = {server.name for server in deployment.group.servers}
+    await deployment.until(
+        lambda: all(
+            set(node._state.servers) == servers for node in deployment.controls.values()
+        )
+    )
+    node = deployment.controls["control-1"]
+    node._reports.registry._reports.clear()
+    node._on_applied()
+    assert {item.server for item in node._reports.registry.all()} == servers
+
+
 async def test_a_primary_with_a_long_queue_is_not_replaced(deployment):
     # Under a burst each entry VM had one statement in the queue of a primary, got no
     # answer for 450 ms, and suspected it (site Kiti Bora, enlarged; scenario scale-1).
