--- a/tests/users_platform/conftest.py
+++ b/tests/users_platform/conftest.py
@@ -4,6 +4,7 @@
 import itertools
 import json
 import os
+import socket
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -26,8 +27,27 @@
     report,
 )
 
-_NETWORKS = itertools.count(1)
 _PEER_PORT = 17_440
+_N_NETWORKS = 250
+_NETWORKS = itertools.count(os.getpid())
+_NETWORK_LOCK_PORT = 17_439
+
+
+def reserve_network() -> tuple[int, socket.socket]:
+    """Reserve a loopback network 127.N for one test; close the socket to free it.
+
+    Test runs at the same time on one machine would use the same addresses otherwise.
+    """
+    for number in itertools.islice(_NETWORKS, _N_NETWORKS):
+        network = 1 + number % _N_NETWORKS
+        lock = socket.socket()
+        try:
+            lock.bind((f"127.{network}.0.1", _NETWORK_LOCK_PORT))
+        except OSError:
+            lock.close()
+            continue
+        return network, lock
+    raise AssertionError("all loopback networks are in use")
 
 
 @dataclass
@@ -158,7 +178,7 @@
 @pytest_asyncio.fixture
 async def deployment(tmp_path):
     """Run a deployment whose entry VMs serve statements."""
-    network = next(_NETWORKS)
+    network, lock = reserve_network()
     group = Group("db", 18_143)
     for number in (1, 2, 3):
         host = f"127.{network}.3.{number}"
@@ -186,6 +206,7 @@
     for server in group.servers:
         await server.stop()
     await provider.server.stop()
+    lock.close()
 
 
 @pytest.fixture
