Elect a leader and find it sooner after a restart of all nodes

After a power loss, the control node that started first asked for pre-votes that the others refused, as each refuses them for 400 ms after its own start. It asked again only after a whole election timeout of 400 to 650 ms. A node with a log that has heard of no leader since its start now repeats its pre-votes every 30 to 60 ms for 2 s.

An entry VM whose first requests were refused, as the control nodes did not listen yet, asked them again only after 500 ms, and could give up its assigned control node before any leader existed. It now asks each control node that has not answered since the start every 60 ms, asks its assigned control node as soon as it learns its zone, and does not replace it before the first grant. A connection to a peer that refuses is tried again after 40 ms, and frames queued during the pause are sent by that attempt.

--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_consensus_host.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_consensus_host.py
@@ -35,6 +35,7 @@
     election_min_ms=400.0,
     election_max_ms=650.0,
     heartbeat_ms=100.0,
+    restart_pre_vote_ms=60.0,
     join_interval_ms=150.0,
     n_entries_per_message=16,
     admits_unknown_nodes=True,
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_entry_control_link.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_entry_control_link.py
@@ -30,6 +30,8 @@
 
 _RENEW_INTERVAL_MS = 250.0
 _SEARCH_INTERVAL_MS = 150.0
+# Interval of requests to control nodes that have not answered since the start.
+_FIRST_CONTACT_INTERVAL_MS = 60.0
 # Requests go to all control nodes after this time without a grant.
 _GRANT_LATE_MS = 300.0
 # The assigned control node is replaced after this time without a grant through it.
@@ -89,6 +91,7 @@
         self._connect_started_ms: dict[str, float] = {}
         self._released: dict[str, int] = {}
         self._had_lease = False
+        self._was_granted = False
         self._renew = asyncio.Event()
 
     async def start(self) -> None:
@@ -119,6 +122,8 @@
                 and not self._view.suspicions()
             )
             interval_ms = _RENEW_INTERVAL_MS if is_stable else _SEARCH_INTERVAL_MS
+            if not self._was_granted:
+                interval_ms = _FIRST_CONTACT_INTERVAL_MS
             self._renew.clear()
             try:
                 async with asyncio.timeout(interval_ms / 1_000.0):
@@ -155,6 +160,7 @@
         is_late = since_grant_ms > _GRANT_LATE_MS
         if (
             self._assigned_control_node
+            and self._was_granted
             and now > self._assigned_granted_ms + _ASSIGNED_GRANT_TIMEOUT_MS
         ):
             self._control_node_selector.quarantine(self._assigned_control_node, now)
@@ -162,11 +168,7 @@
         for address in sorted(
             self._control_addresses | {self._assigned_control_node} - {""}
         ):
-            if (
-                is_late
-                or address == self._assigned_control_node
-                or self._is_contact_due(address, now)
-            ):
+            if self._is_request_due(address, now, is_late=is_late):
                 self._reconnect_if_unresponsive(address, now)
                 self._send_request(address, now)
 
@@ -182,6 +184,26 @@
             self._assigned_granted_ms = now
             self._bounds.forget_peer(assigned)
 
+    def _is_request_due(self, address: str, now: float, *, is_late: bool) -> bool:
+        if not self._was_granted:
+            return self._is_first_request_due(address, now)
+        return (
+            is_late
+            or address == self._assigned_control_node
+            or self._is_contact_due(address, now)
+        )
+
+    def _is_first_request_due(self, address: str, now: float) -> bool:
+        """Return whether to ask for the first lease of this process.
+
+        Control nodes that start at the same time may not listen yet. Those that answered
+        send a hint when they lead, and are asked less often.
+        """
+        interval_ms = _FIRST_CONTACT_INTERVAL_MS
+        if address in self._last_heard_ms:
+            interval_ms = _SEARCH_INTERVAL_MS
+        return now >= self._last_contacted_ms.get(address, float("-inf")) + interval_ms
+
     def _is_contact_due(self, address: str, now: float) -> bool:
         interval_ms = _OTHER_ZONE_CONTACT_INTERVAL_MS
         if self._control_node_selector.is_in_same_zone(address):
@@ -252,6 +274,8 @@
 
     def _on_grant(self, address: str, grant: LeaseGrant) -> None:
         self._granted_ms = boot_ms()
+        if not self._was_granted:
+            self._was_granted, self._assigned_granted_ms = True, self._granted_ms
         self._view.record_n_entries(grant.n_entries)
         self._update_control_nodes(address, grant.zone, grant.control_addresses)
         if grant.leader_address and grant.leader_address != self._leader:
@@ -310,6 +334,9 @@
     ) -> None:
         if zone:
             self._control_node_selector.record_zone(address, zone)
+            if zone == self._settings.zone and not self._assigned_control_node:
+                self._choose_control_node(boot_ms())
+                self._send_request(address, boot_ms())
         if addresses:
             self._control_addresses = set(addresses) | set(
                 self._settings.seed_peer_addresses
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_stream_transport.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_stream_transport.py
@@ -21,6 +21,8 @@
 TCP_USER_TIMEOUT_MS = 800
 _CONNECT_TIMEOUT_S = 0.6
 _RECONNECT_INTERVAL_S = 0.1
+# A peer that refuses is reachable but does not listen yet.
+_REFUSED_RECONNECT_INTERVAL_S = 0.04
 _PENDING_SIZE_MAX_BYTES = 2 * 1024 * 1024
 _FRAME_SIZE_MAX_BYTES = 8 * 1024 * 1024
 _LENGTH_SIZE_BYTES = 4
@@ -94,17 +96,28 @@
             self._connect_task = asyncio.get_running_loop().create_task(self._connect())
 
     async def _connect(self) -> None:
+        try:
+            while not await self._try_connect() and self._pending:
+                continue
+        finally:
+            self._connect_task = None
+
+    async def _try_connect(self) -> bool:
+        """Connect, or pause after a failure; return whether it is connected."""
         loop = asyncio.get_running_loop()
         host, port = host_and_port(self._address)
         try:
             async with asyncio.timeout(_CONNECT_TIMEOUT_S):
                 await loop.create_connection(lambda: self, host, port)
-        except (OSError, TimeoutError):
+        except (OSError, TimeoutError) as error:
             # Pending frames would be stale by the next attempt; senders repeat them.
             self._drop_pending()
-            await asyncio.sleep(_RECONNECT_INTERVAL_S)
-        finally:
-            self._connect_task = None
+            is_refused = isinstance(error, ConnectionRefusedError)
+            await asyncio.sleep(
+                _REFUSED_RECONNECT_INTERVAL_S if is_refused else _RECONNECT_INTERVAL_S
+            )
+            return False
+        return True
 
     def _drop_pending(self) -> None:
         self._counters.n_dropped += len(self._pending)
--- a/packages/cardamomshunt/src/cardamomshunt/_consensus/node.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_consensus/node.py
@@ -85,9 +85,10 @@
         self._ready_index = restored.snapshot.index
         # A restart loses the time of the last contact with a leader, whose lease may
         # still be valid, so a contact is assumed now.
+        self._started_ms = now_ms
         self._leader_contact_ms = now_ms
         self._election_deadline_ms = 0.0
-        self._reset_election(now_ms)
+        self._reset_pre_vote(now_ms)
         self._joiner = GroupJoiner(
             node, self.incarnation, initial_members, now_ms, may_form=may_form
         )
@@ -446,11 +447,32 @@
             self.options.election_min_ms, self.options.election_max_ms
         )
 
+    def _reset_pre_vote(self, now_ms: float) -> None:
+        """Schedule the next pre-vote, soon while all nodes may be restarting.
+
+        Each node refuses pre-votes for `election_min_ms` after its own start, so those
+        of the node that starts first are refused until a majority has run for as long.
+        """
+        is_restarting = (
+            self.options.restart_pre_vote_ms > 0.0
+            and self._leader_contact_ms == self._started_ms
+            and now_ms < self._started_ms + self.options.restart_period_ms
+            and self.log.last_index > 0
+        )
+        if not is_restarting:
+            self._reset_election(now_ms)
+            return
+        earliest_ms = self._started_ms + self.options.election_min_ms
+        pause_ms = self.options.restart_pre_vote_ms * self._random.uniform(0.5, 1.0)
+        self._election_deadline_ms = max(now_ms, earliest_ms) + pause_ms
+
     def _become_follower(self, now_ms: float, term: int, leader: str | None) -> None:
         was_leader = self.is_leader
         if term > self.term:
             self._set_vote(term, "")
-        if self.role is not ConsensusRole.FOLLOWER:
+        if self.role is ConsensusRole.PRE_CANDIDATE:
+            self._reset_pre_vote(now_ms)
+        elif self.role is not ConsensusRole.FOLLOWER:
             self._reset_election(now_ms)
         self.role = ConsensusRole.FOLLOWER
         self.leader = leader
@@ -461,7 +483,7 @@
             self._emit(EventNumber.LEADER_STEPPED_DOWN, self.node, str(self.term))
 
     def _start_pre_vote(self, now_ms: float) -> None:
-        self._reset_election(now_ms)
+        self._reset_pre_vote(now_ms)
         self.role = ConsensusRole.PRE_CANDIDATE
         self.leader = None
         self._votes = {self.node}
--- a/packages/cardamomshunt/src/cardamomshunt/_consensus/options.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_consensus/options.py
@@ -20,12 +20,15 @@
     """Times and sizes of the replicated log.
 
     `clock_drift_max` bounds how much faster one node's clock may run than another's, as
-    a fraction.
+    a fraction. For `restart_period_ms` after a start, and until it hears from a leader, a
+    node with a log repeats its pre-votes at intervals of up to `restart_pre_vote_ms`.
     """
 
     election_min_ms: float = 300.0
     election_max_ms: float = 600.0
     heartbeat_ms: float = 100.0
+    restart_pre_vote_ms: float = 0.0
+    restart_period_ms: float = 2_000.0
     join_interval_ms: float = 200.0
     transfer_timeout_ms: float = 500.0
     clock_drift_max: float = 0.05
--- a/packages/cardamomshunt/tests/test_consensus.py
+++ b/packages/cardamomshunt/tests/test_consensus.py
@@ -355,3 +355,47 @@
         cluster.add(name, ["s1", "s2", "s3"], may_form=False)
     cluster.pass_time(3_000.0)
     assert not any(node.is_formed for node in cluster.nodes.values())
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_a_restart_of_all_nodes_elects_a_leader_soon_after_a_majority(seed) -> None:
+    # The node that started first asked too early, was refused, and asked again only
+    # after a whole election timeout.
+    options = ConsensusOptions(
+        election_min_ms=400.0, election_max_ms=650.0, restart_pre_vote_ms=60.0
+    )
+    names = ["s1", "s2", "s3"]
+    cluster = _Cluster(ConsensusNode, {n: [_entry(1, 1)] for n in names}, 1, options)
+    members = _members(names)
+    starts_ms = {"s1": 0.0, "s2": 70.0, "s3": 300.0}
+    cluster.up = set()
+    leader_ms = 0.0
+    while cluster.now_ms < 1_500.0 and not leader_ms:
+        cluster.now_ms += 5.0
+        for member in members:
+            name = member.node
+            if name not in cluster.up and cluster.now_ms >= starts_ms[name]:
+                cluster.up.add(name)
+                cluster.nodes[name] = ConsensusNode(
+                    name,
+                    members,
+                    RestoredState(
+                        incarnation=member.incarnation,
+                        vote=Vote(1, "gone"),
+                        snapshot=Snapshot(members=members),
+                        entries=[_entry(1, 1)],
+                    ),
+                    Random(f"{seed}/{name}"),
+                    cluster.now_ms,
+                    options,
+                )
+        for name in sorted(cluster.up):
+            deadline_ms = cluster.nodes[name].next_deadline_ms()
+            if deadline_ms is not None and cluster.now_ms >= deadline_ms:
+                cluster.run(name, cluster.nodes[name].tick(cluster.now_ms))
+        while cluster.queue:
+            cluster.deliver_one()
+        if any(node.is_leader for node in cluster.nodes.values()):
+            leader_ms = cluster.now_ms
+    # No node votes within `election_min_ms` of its start, as a lease may be valid.
+    assert 470.0 <= leader_ms <= 545.0
