Decide which connection a team's statement gets

Cause: a connection to a server serves one team until it closes, and there are fewer connections than teams. Change: a part without I/O chooses between reuse, opening, eviction and waiting, and decides who gets a released connection.

--- a/packages/cardamomshunt/src/cardamomshunt/fleet.py
+++ b/packages/cardamomshunt/src/cardamomshunt/fleet.py
@@ -60,11 +60,21 @@
 )
 from cardamomshunt._fleet.shared_bounds import BoundExchange, SharedBound
 from cardamomshunt._fleet.successor import ServerStatus, choose_successor
+from cardamomshunt._fleet.team_connections import (
+    AcquireAction,
+    ReleaseAction,
+    ReleaseRule,
+    TeamWaiter,
+    best_uncovered_waiter,
+    choose_acquire_action,
+    choose_evicted,
+)
 from cardamomshunt._fleet.teams import Team, TeamTable, key_digest, key_fingerprint
 
 __all__ = [
     "LEASE_MARGIN_MS",
     "LEASE_MS",
+    "AcquireAction",
     "AssignPrimary",
     "Assignment",
     "AssignmentCommand",
@@ -96,6 +106,8 @@
     "RelayedGrants",
     "RelayedRequest",
     "RelayedRequests",
+    "ReleaseAction",
+    "ReleaseRule",
     "ReportsChanged",
     "ReportsReceived",
     "ReportsRequest",
@@ -112,7 +124,11 @@
     "Suspicion",
     "Team",
     "TeamTable",
+    "TeamWaiter",
+    "best_uncovered_waiter",
     "build_route_table",
+    "choose_acquire_action",
+    "choose_evicted",
     "choose_successor",
     "digest_of",
     "encode_command",
