Keep the connections of a server by team

Cause: the pool opened all connections under no team's name and shared them. Change: the pool opens each connection under its team's name and gives it only to this team. Failures are bounded to the team. A connection is closed if its pool closes while it is being opened; it stayed open at the server before.

--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_backend_connection.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_backend_connection.py
@@ -61,11 +61,17 @@
 
 
 class BackendConnection(asyncio.Protocol):
-    """Send statements on one connection and match the answers, which are in order."""
+    """Send statements on one connection and match the answers, which are in order.
 
-    def __init__(self, protocol: SessionProtocol, pool: ConnectionOwner) -> None:
+    A connection serves only the team that it was opened for.
+    """
+
+    def __init__(
+        self, protocol: SessionProtocol, pool: ConnectionOwner, team: str = ""
+    ) -> None:
         self._protocol = protocol
         self.pool = pool
+        self._team = team
         self.values: dict[str, str] = {}
         self.prepared: dict[str, PreparedStatement] = {}
         self.state = TransactionState.IDLE
@@ -76,6 +82,11 @@
         self._buffer = bytearray()
         self.is_closed = False
 
+    @property
+    def team(self) -> str:
+        """Return the team of the connection, empty for callers without a team."""
+        return self._team
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport and set its timeout for unacknowledged data."""
         assert isinstance(transport, asyncio.Transport)
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_fleet_view.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_fleet_view.py
@@ -100,6 +100,7 @@
             report.server,
             report.address,
             lambda: self._connection_quota(group, report.server),
+            lambda: self.table.has_teams,
         )
         self._pools[report.server] = pool
         return pool
@@ -143,12 +144,20 @@
 
         Each entry VM keeps the connection to the replica that it reads from, as these
         are about equally many for each replica. Reopening them would take up slots.
+        Where there are teams, it keeps one of these, and closes idle ones of all servers
+        in any case, as those of a team that was removed would stay open otherwise. A
+        connection opened in advance would have no team.
         """
-        for pool in self._pools.values():
+        has_teams = self.table.has_teams
+        for pool in list(self._pools.values()):
             pool.probe()
-            if self._is_scarce(pool.group) and pool is not self._usual_replica(pool):
-                pool.close_idle()
-        self._warm_up_one()
+            if not has_teams and not self._is_scarce(pool.group):
+                continue
+            is_usual = pool is self._usual_replica(pool)
+            if has_teams or not is_usual:
+                pool.close_idle(is_newest_kept=is_usual)
+        if not has_teams:
+            self._warm_up_one()
 
     def _usual_replica(self, pool: ServerPool) -> ServerPool | None:
         """Return the pool of the replica that reads of a group prefer, if any."""
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_server_pool.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_server_pool.py
@@ -1,12 +1,23 @@
 """Connection pools for backend servers, with queues of waiting statements."""
 
 import asyncio
-import heapq
 import itertools
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from cardamomshunt.fleet import FailureRate, RefusalHistory, full_server_pause_ms
+from cardamomshunt.fleet import (
+    AcquireAction,
+    FailureRate,
+    RefusalHistory,
+    ReleaseAction,
+    ReleaseRule,
+    TeamWaiter,
+    best_uncovered_waiter,
+    choose_acquire_action,
+    choose_evicted,
+    full_server_pause_ms,
+)
 
 from cardamomshunt_node._backend_connection import (
     BackendConnection,
@@ -41,15 +52,16 @@
 
 
 @dataclass(slots=True, order=True)
-class _Waiter:
-    priority: int
-    order: int
-    deadline_ms: float = field(compare=False)
+class _Waiter(TeamWaiter):
     future: asyncio.Future[BackendConnection] = field(compare=False)
 
 
+def _no_teams() -> bool:
+    return False
+
+
 class ServerPool(ConnectionOwner):
-    """Manage the connections to one incarnation of a backend server."""
+    """Manage the connections to one incarnation of a backend server, by team."""
 
     def __init__(
         self,
@@ -58,16 +70,19 @@
         server: str,
         address: str,
         quota: Callable[[], int],
+        has_teams: Callable[[], bool] = _no_teams,
     ) -> None:
         self._protocol = protocol
         self.group = group
         self.server = server
         self.address = address
         self._quota = quota
+        self._has_teams = has_teams
         self._idle: list[BackendConnection] = []
         self._open: set[BackendConnection] = set()
         self._in_use: set[BackendConnection] = set()
-        self._n_opening = 0
+        self._n_opening: Counter[str] = Counter()
+        self._release_rule = ReleaseRule()
         self._waiters: list[_Waiter] = []
         self._orders = itertools.count()
         self._tasks: set[asyncio.Task[None]] = set()
@@ -76,12 +91,16 @@
         self.connect_after_ms = 0.0
         self.full_until_ms = 0.0
         self._n_full_refusals = 0
-        self._idle_timeout_ms = _IDLE_TIMEOUT_START_MS
+        self._idle_timeout_ms = (
+            _IDLE_TIMEOUT_MAX_MS if has_teams() else _IDLE_TIMEOUT_START_MS
+        )
         self.failure_rate = FailureRate()
         self.refusals = RefusalHistory()
         self._lag_ms = 0.0
         self._lag_recorded_ms = 0.0
         self.n_opened = 0
+        self.n_reused = 0
+        self.n_evicted = 0
 
     @property
     def load(self) -> int:
@@ -120,16 +139,20 @@
     async def acquire(
         self, priority: int, deadline_ms: float, values: dict[str, str], team: str
     ) -> BackendConnection:
-        """Return a connection; raise ServerBusyError or ServerLostError."""
-        connection = self._pop_idle(values)
-        if connection is not None:
+        """Return a team's connection; raise ServerBusyError or ServerLostError."""
+        action = choose_acquire_action(team, self._idle, self._n_free)
+        if action is AcquireAction.REUSE:
+            connection = self._pop_idle(values, team)
             self._in_use.add(connection)
+            self.n_reused += 1
             return connection
         future: asyncio.Future[BackendConnection] = (
             asyncio.get_running_loop().create_future()
         )
-        waiter = _Waiter(priority, next(self._orders), deadline_ms, future)
-        heapq.heappush(self._waiters, waiter)
+        waiter = _Waiter(
+            priority, next(self._orders), team, boot_ms(), deadline_ms, future
+        )
+        self._waiters.append(waiter)
         self._connect_for_waiters()
         try:
             async with asyncio.timeout(max(deadline_ms - boot_ms(), 1.0) / 1_000.0):
@@ -144,49 +167,96 @@
     def _cancel_wait(self, future: asyncio.Future[BackendConnection]) -> None:
         """Stop waiting; release a connection that was assigned at the same moment."""
         self._waiters = [item for item in self._waiters if item.future is not future]
-        heapq.heapify(self._waiters)
         if future.done() and not future.cancelled() and future.exception() is None:
             self.release(future.result())
 
-    def _pop_idle(self, values: dict[str, str]) -> BackendConnection | None:
-        """Pop the idle connection that needs the fewest SETs, else the newest one."""
-        if not self._idle:
-            return None
-        for number in range(len(self._idle) - 1, -1, -1):
-            if self._idle[number].values == values:
-                return self._idle.pop(number)
-        for number in range(len(self._idle) - 1, -1, -1):
-            if self._idle[number].values.keys() <= values.keys():
-                return self._idle.pop(number)
-        return self._idle.pop()
+    def _pop_idle(self, values: dict[str, str], team: str) -> BackendConnection:
+        """Pop the team's connection that needs the fewest SETs, else the newest one."""
+        newest_first = [item for item in reversed(self._idle) if item.team == team]
+        found = next(
+            (item for item in newest_first if item.values == values), None
+        ) or next(
+            (item for item in newest_first if item.values.keys() <= values.keys()),
+            newest_first[0],
+        )
+        self._idle.remove(found)
+        return found
+
+    @property
+    def _waiting(self) -> list[_Waiter]:
+        """Return the waiters without those that are being cancelled."""
+        return [item for item in self._waiters if not item.future.done()]
+
+    def _best_uncovered(self) -> _Waiter | None:
+        return best_uncovered_waiter(self._waiting, self._n_opening)
+
+    @property
+    def _n_free(self) -> int:
+        """Return how many connections may still be opened."""
+        return self._quota() - len(self._open) - self._n_opening.total()
 
     def _connect_for_waiters(self) -> None:
-        n_needed = min(
-            len(self._waiters) - self._n_opening,
-            self._quota() - len(self._open) - self._n_opening,
-        )
-        for _ in range(n_needed):
-            self._start_connect()
+        """Open connections for the waiters, evicting idle ones of other teams."""
+        while self._idle or self._n_free > 0:
+            waiter = self._best_uncovered()
+            if waiter is None:
+                return
+            action = choose_acquire_action(waiter.team, self._idle, self._n_free)
+            if action is AcquireAction.OPEN:
+                self._start_connect(waiter.team)
+            elif action is not AcquireAction.EVICT or not self._evict(waiter.team):
+                return
 
-    async def _connect(self) -> None:
-        connection = BackendConnection(self._protocol, self)
-        pause_ms = self.connect_after_ms - boot_ms()
+    def _evict(self, team: str) -> bool:
+        """Close an idle connection of another team; return whether there was one."""
+        evicted = choose_evicted(team, self._idle)
+        if evicted is None:
+            return False
+        self.n_evicted += 1
+        evicted.close("idle while another team waits")
+        return True
+
+    async def _connect(self, planned_team: str) -> None:
+        team = await self._pause(planned_team)
+        if team is None:
+            return
+        connection = BackendConnection(self._protocol, self, team)
         try:
-            if pause_ms > 0.0:
-                await asyncio.sleep(pause_ms / 1_000.0)
             await self._open_connection(connection)
+        except asyncio.CancelledError:
+            connection.close("the pool was closed")
+            raise
         except (OSError, TimeoutError, ServerLostError) as error:
-            self._n_opening -= 1
+            self._n_opening[team] -= 1
             connection.close(str(error))
-            self._on_connect_failed(str(error) or "no answer", connection.refusal)
+            self._on_connect_failed(team, str(error) or "no answer", connection.refusal)
             return
-        self._n_opening -= 1
+        self._n_opening[team] -= 1
         self.n_opened += 1
         self._n_full_refusals = 0
         self.down_since_ms = None
         self._open.add(connection)
         self._in_use.add(connection)
-        self.release(connection)
+        self._place_opened(connection)
+
+    async def _pause(self, team: str) -> str | None:
+        """Wait until an attempt may be made; return its team, or None to make none.
+
+        Where all waiters of the team have left meanwhile, the attempt is made for another
+        one. Without a team it is made in any case, as a probe or in advance.
+        """
+        pause_ms = self.connect_after_ms - boot_ms()
+        if pause_ms <= 0.0:
+            return team
+        await asyncio.sleep(pause_ms / 1_000.0)
+        if not team or any(waiter.team == team for waiter in self._waiting):
+            return team
+        self._n_opening[team] -= 1
+        waiter = self._best_uncovered()
+        if waiter is None:
+            return None
+        self._n_opening[waiter.team] += 1
+        return waiter.team
 
     async def _open_connection(self, connection: BackendConnection) -> None:
         host, port = host_and_port(self.address)
@@ -195,42 +265,61 @@
             await loop.create_connection(lambda: connection, host, port)
         async with asyncio.timeout(_OPEN_TIMEOUT_S):
             reply = await connection.send(
-                self._protocol.open_server(self.group, self.server, "")
+                self._protocol.open_server(self.group, self.server, connection.team)
             )
         if reply.code is not None:
             raise ServerLostError(f"refused: {reply.code.value}")
+        if connection.is_closed:
+            raise ServerLostError("closed after it was opened")
 
-    def _on_connect_failed(self, reason: str, refusal: ErrorCode | None) -> None:
+    def _on_connect_failed(
+        self, team: str, reason: str, refusal: ErrorCode | None
+    ) -> None:
         now = boot_ms()
         self.connect_after_ms = now + _RECONNECT_PAUSE_MS
         if refusal is not None:
             self.last_reply_ms = now
         if refusal is ErrorCode.TOO_MANY_CONNECTIONS:
-            # Other entry VMs use all connections and will close idle ones soon.
-            pause_ms = full_server_pause_ms(
-                self._n_full_refusals, self._earliest_deadline_ms - now
-            )
-            self._n_full_refusals += 1
-            self.connect_after_ms = now + pause_ms
-            self.full_until_ms = self.connect_after_ms
-            self.refusals.record(now)
-            self.shorten_idle_timeout()
-            self._connect_for_waiters()
+            self._on_full(now)
             return
-        if self._open:
-            return
-        if self.down_since_ms is None:
+        if not self._open and self.down_since_ms is None:
             self.down_since_ms = now
-        self._fail_waiters(reason)
+        if not self._has_open(team):
+            self._fail_waiters(reason, team)
+        if self._has_teams():
+            # Open connections of other teams will not serve those that still wait.
+            self._connect_for_waiters()
+
+    def _on_full(self, now: float) -> None:
+        """Back off, as other entry VMs use all connections and will close idle ones."""
+        pause_ms = full_server_pause_ms(
+            self._n_full_refusals, self._earliest_deadline_ms - now
+        )
+        self._n_full_refusals += 1
+        self.connect_after_ms = now + pause_ms
+        self.full_until_ms = self.connect_after_ms
+        self.refusals.record(now)
+        self.shorten_idle_timeout()
+        waiter = self._best_uncovered()
+        if waiter is not None:
+            # The server has room for the next attempt once one is closed.
+            self._evict(waiter.team)
+        self._connect_for_waiters()
+
+    def _has_open(self, team: str) -> bool:
+        return any(connection.team == team for connection in self._open)
 
     @property
     def _earliest_deadline_ms(self) -> float:
         return min((item.deadline_ms for item in self._waiters), default=float("inf"))
 
-    def _fail_waiters(self, reason: str) -> None:
+    def _fail_waiters(self, reason: str, team: str | None = None) -> None:
+        """Fail the waiters of one team, or of all teams."""
         waiters, self._waiters = self._waiters, []
         for waiter in waiters:
-            if not waiter.future.done():
+            if team is not None and waiter.team != team:
+                self._waiters.append(waiter)
+            elif not waiter.future.done():
                 waiter.future.set_exception(ServerLostError(reason))
 
     def release(self, connection: BackendConnection) -> None:
@@ -244,13 +333,34 @@
         if len(self._open) > self._quota():
             connection.close("more connections than the quota")
             return
-        while self._waiters:
-            waiter = heapq.heappop(self._waiters)
-            if not waiter.future.done():
-                self._in_use.add(connection)
-                waiter.future.set_result(connection)
-                return
-        self._idle.append(connection)
+        action, waiter = self._release_rule.decide(
+            connection.team, self._waiting, self._n_opening, boot_ms()
+        )
+        if waiter is None:
+            self._idle.append(connection)
+        elif action is ReleaseAction.HAND_OVER:
+            self.n_reused += 1
+            self._hand_over(connection, waiter)
+        else:
+            self._start_connect(waiter.team)
+            self.n_evicted += 1
+            connection.close("a statement of another team goes first")
+
+    def _place_opened(self, connection: BackendConnection) -> None:
+        """Give a new connection to its team, whoever else began to wait meanwhile."""
+        own = [item for item in self._waiting if item.team == connection.team]
+        if own and len(self._open) <= self._quota():
+            self._in_use.discard(connection)
+            self._hand_over(connection, min(own))
+        elif not own and not connection.team and self._has_teams():
+            connection.close("opened to probe the server")
+        else:
+            self.release(connection)
+
+    def _hand_over(self, connection: BackendConnection, waiter: _Waiter) -> None:
+        self._waiters.remove(waiter)
+        self._in_use.add(connection)
+        waiter.future.set_result(connection)
 
     def on_reply(self, code: ErrorCode | None) -> None:
         """Record that the server answers, and whether it refused work."""
@@ -270,22 +380,32 @@
 
     def shorten_idle_timeout(self) -> None:
         """Halve the idle timeout, as the server has too many connections."""
-        self._idle_timeout_ms = max(self._idle_timeout_ms / 2.0, _IDLE_TIMEOUT_MIN_MS)
+        shorter_ms = max(self._idle_timeout_ms / 2.0, _IDLE_TIMEOUT_MIN_MS)
+        if self._has_teams():
+            # Halving the long timeout of teams would take several refusals to help.
+            shorter_ms = min(shorter_ms, _IDLE_TIMEOUT_START_MS)
+        self._idle_timeout_ms = shorter_ms
+
+    def close_idle(self, is_newest_kept: bool = False) -> None:
+        """Close connections past the idle timeout, so that others may open some.
 
-    def close_idle(self) -> None:
-        """Close connections past the idle timeout, so that others may open some."""
+        With `is_newest_kept` the most recently used one stays.
+        """
         now = boot_ms()
         self._idle_timeout_ms = min(
             self._idle_timeout_ms * _IDLE_TIMEOUT_GROWTH, _IDLE_TIMEOUT_MAX_MS
         )
-        for connection in list(self._idle):
+        oldest_first = sorted(self._idle, key=lambda item: item.last_used_ms)
+        for connection in oldest_first[:-1] if is_newest_kept else oldest_first:
             if now > connection.last_used_ms + self._idle_timeout_ms:
                 connection.close("idle while connections are scarce")
 
     def probe(self) -> None:
         """Try to connect if the server is down and no attempt is under way."""
-        if self.down_since_ms is not None and not self._n_opening and not self._open:
-            self._start_connect()
+        if self.down_since_ms is None or self._n_opening.total() or self._open:
+            return
+        waiter = self._best_uncovered()
+        self._start_connect(waiter.team if waiter is not None else "")
 
     def warm_up(self) -> bool:
         """Start to open a first connection in advance; return whether it does.
@@ -293,9 +413,9 @@
         Opening a connection occupies a slot of the server. If all entry VMs did so at
         once at a new primary, they would delay its first statements.
         """
-        if self._open or self._n_opening or self.connect_after_ms > boot_ms():
+        if self._open or self._n_opening.total() or self.connect_after_ms > boot_ms():
             return False
-        self._start_connect()
+        self._start_connect("")
         return True
 
     def probe_if_late(self) -> None:
@@ -306,12 +426,12 @@
             default=now,
         )
         is_late = now > max(oldest_ms, self.last_reply_ms) + _LATE_ANSWER_MS
-        if is_late and not self._n_opening:
-            self._start_connect()
+        if is_late and not self._n_opening.total():
+            self._start_connect("")
 
-    def _start_connect(self) -> None:
-        self._n_opening += 1
-        task = asyncio.get_running_loop().create_task(self._connect())
+    def _start_connect(self, team: str) -> None:
+        self._n_opening[team] += 1
+        task = asyncio.get_running_loop().create_task(self._connect(team))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
--- a/tests/users_platform/conftest.py
+++ b/tests/users_platform/conftest.py
@@ -50,6 +50,14 @@
     raise AssertionError("all loopback networks are in use")
 
 
+@pytest.fixture
+def network():
+    """Return the number of a loopback network that only this test uses."""
+    number, lock = reserve_network()
+    yield number
+    lock.close()
+
+
 @dataclass
 class Deployment:
     """Daemons and stand-ins of one test."""
--- a/tests/users_platform/standin.py
+++ b/tests/users_platform/standin.py
@@ -43,6 +43,7 @@
     position: tuple[int, int]
     values: dict[str, str]
     is_primary: bool
+    team: str
 
 
 class LineServer:
@@ -68,6 +69,8 @@
         self.born = 1_000 + len(group.servers)
         self.n_connections = 0
         self.n_connections_max = 100
+        # Teams whose connections are refused.
+        self.denied_teams: set[str] = set()
         self._numbers = 0
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
@@ -86,6 +89,10 @@
         """Abort all connections, as a crash does."""
         if self._server is not None:
             self._server.close()
+        self.abort_connections()
+
+    def abort_connections(self) -> None:
+        """Abort all connections, and go on listening."""
         for writer in list(self._writers):
             writer.transport.abort()
 
@@ -103,7 +110,7 @@
                 answer = await session.handle(line.decode().rstrip("\r\n"))
                 if answer and not self.is_unreachable:
                     writer.write(answer.encode())
-                if answer.startswith("ERROR OVERLOAD"):
+                if answer.startswith(("ERROR OVERLOAD", "ERROR DENIED")):
                     return
         except (ConnectionError, asyncio.CancelledError):
             pass
@@ -117,6 +124,7 @@
     def __init__(self, server: LineServer, number: int) -> None:
         self._server = server
         self._number = number
+        self._team = ""
         self._values: dict[str, str] = {}
         self._prepared: dict[str, str] = {}
         self._pending: list[tuple[str, str, str]] | None = None
@@ -135,11 +143,13 @@
         if word == "START":
             if self._server.open_s:
                 await asyncio.sleep(self._server.open_s)
-            group, _, expected = rest.split(" ")
+            group, self._team, expected = rest.split(" ")
             if (group, expected) != (self._server.group.name, self._server.name):
                 return "ERROR MISROUTED -\r\n"
             if self._server.n_connections_max < self._server.n_connections:
                 return "ERROR OVERLOAD -\r\n"
+            if self._team in self._server.denied_teams:
+                return "ERROR DENIED -\r\n"
             return self._ready()
         request, _, text = rest.partition(" ")
         answer = await self._run(request, text)
@@ -209,6 +219,7 @@
                 server.end,
                 dict(self._values),
                 server.is_primary,
+                self._team,
             )
         )
         rows = ""
--- a/tests/users_platform/test_fleet_view.py
+++ b/tests/users_platform/test_fleet_view.py
@@ -12,6 +12,8 @@
     Route,
     RouteKind,
     RouteTable,
+    Team,
+    TeamTable,
 )
 from cardamomshunt.position import LogPosition
 from cardamomshunt_node._backend_connection import BackendConnection, Reply
@@ -79,6 +81,30 @@
     assert await _servers_kept(view) == kept
 
 
+def _add_team(view):
+    teams = TeamTable({"desk": Team("desk")})
+    view.set_table(RouteTable(version=2, groups=view.table.groups, teams=teams))
+
+
+@pytest.mark.parametrize("n_entries", [9, 40])
+async def test_connections_of_removed_teams_are_closed(n_entries):
+    # Guards against connections that no statement may use, where they are not scarce.
+    view = _make_view(n_entries=n_entries)
+    _add_team(view)
+    assert await _servers_kept(view) == {"i-1"}
+
+
+@pytest.mark.parametrize(("has_teams", "n_opening"), [(False, 1), (True, 0)])
+async def test_no_connection_is_opened_in_advance_for_no_team(has_teams, n_opening):
+    # Guards against scarce connections that no statement may use.
+    view = _make_view(n_entries=9)
+    if has_teams:
+        _add_team(view)
+    view.maintain_pools()
+    opening = [pool._n_opening.total() for pool in view._pools.values()]
+    assert sum(opening) == n_opening
+
+
 async def test_zones_without_a_replica_keep_connections_to_all_replicas():
     found = Counter()
     for number in range(60):
--- a/tests/users_platform/test_teams.py
+++ b/tests/users_platform/test_teams.py
@@ -29,6 +29,34 @@
         await Caller.open(deployment.caller_address("entry-1"), "orders", key)
 
 
+async def test_statements_run_on_connections_of_their_team(deployment):
+    # Guards against a connection that serves a second team, and against one that was
+    # opened before there were teams.
+    await apply(deployment, 2, _KEYS)
+    address = deployment.caller_address("entry-1")
+    sessions = [
+        (team, await Caller.open(address, database, keys[0]))
+        for team, keys in _KEYS.items()
+        for database in ("orders", "stock", "dispatch")
+    ]
+
+    async def call(team, caller, number):
+        for step, text in enumerate(
+            ["READ k", "WRITE k a", "BEGIN", "READ k", "COMMIT"]
+        ):
+            await caller.execute(text, f"{team}-{number}-{step}")
+
+    for _ in range(3):
+        await asyncio.gather(
+            *(call(team, caller, n) for n, (team, caller) in enumerate(sessions))
+        )
+    runs = [run for run in deployment.group.runs if run.request.split("-")[0] in _KEYS]
+    assert len(runs) >= 3 * len(sessions)
+    assert {(run.request.split("-")[0], run.team) for run in runs} == {
+        (team, team) for team in _KEYS
+    }
+
+
 async def test_a_removed_key_ends_idle_and_open_transactions(deployment):
     # Guards against sessions that outlive their key, and against a commit under it.
     await apply(deployment, 2, _KEYS)
