Time the steps of a start and elect without waiting for the imports

After a power loss a control node refused votes for 400 ms from the time its process had loaded its modules, and nodes that started at once asked for votes at the same time. An entry or control VM did not say which step of its start took how long.

Both daemons log each step of a start once (recovery_step). A control node counts the 400 ms from the start of its process, as its predecessor on the disk had ended by then. Nodes that start at once ask one after another, by rank, and one that grants a pre-vote waits with its own.

--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_consensus_host.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_consensus_host.py
@@ -65,6 +65,7 @@
         operator_address: str,
         may_form: bool,
         n_disks_lost_max: int,
+        predecessor_ended_ms: float | None,
     ) -> None:
         self.node = ConsensusNode(
             node,
@@ -75,6 +76,7 @@
             replace(OPTIONS, n_voters=2 * n_disks_lost_max + 1),
             operator_address=operator_address,
             may_form=may_form,
+            predecessor_ended_ms=predecessor_ended_ms,
         )
         self._transport = transport
         self._decision_log = log
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_control_node.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_control_node.py
@@ -44,6 +44,7 @@
 )
 from cardamomshunt_node._log_storage import LogStorage
 from cardamomshunt_node._primary_watch import PrimaryWatch
+from cardamomshunt_node._recovery_steps import RecoveryStep
 from cardamomshunt_node._replacement import COMMIT_TIMEOUT_MS
 from cardamomshunt_node._report_exchange import ReportExchange
 from cardamomshunt_node._stream_transport import StreamMessage, StreamTransport
@@ -57,14 +58,20 @@
 
 
 class ControlNodeDaemon(Daemon):
-    """Run a control VM: its replicated state, its leases and the control calls."""
+    """Run a control VM: its replicated state, its leases and the control calls.
+
+    `predecessor_ended_ms` is a time when the former process on this disk had ended, so
+    that no leader can have been heard later; None stands for now.
+    """
 
     def __init__(
         self,
         platform: Platform,
         settings: DeploymentSettings,
         log: DecisionLog | None = None,
+        predecessor_ended_ms: float | None = None,
     ) -> None:
+        self._predecessor_ended_ms = predecessor_ended_ms
         self._metrics = ControlMetrics()
         super().__init__(platform, settings, log, self._metrics)
         self._state = FleetState()
@@ -100,6 +107,7 @@
             self._metrics,
             lambda: self._state,
             lambda: self._primaries.leases,
+            lambda: self._steps.record(RecoveryStep.FIRST_LEASE),
         )
         self._control = HttpServer(settings.control_address, self._answer)
 
@@ -135,6 +143,7 @@
             settings.control_address,
             settings.is_first_start,
             settings.n_disks_lost_max,
+            self._predecessor_ended_ms,
         )
         host.on_leadership = self._on_leadership
         host.on_applied = self._on_applied
@@ -146,6 +155,7 @@
         await self._transport.start()
         await self._control.start()
         await self._metrics_server.start()
+        self._steps.record(RecoveryStep.LISTENING)
         self._host.start()
         self._reports.merge_stored(list(self._state.servers.values()))
         tasks = [
@@ -213,6 +223,10 @@
             self._load_table()
             self._entries.publish_document()
         self._reports.merge_stored(list(self._state.servers.values()))
+        if self._host.leader_address() is not None:
+            self._steps.record(RecoveryStep.LEADER_KNOWN)
+        if self._state.servers:
+            self._steps.record(RecoveryStep.FIRST_SERVER)
         if self._host.may_act and not self._is_announced:
             self._is_announced = True
             self._entries.announce_leadership()
@@ -229,6 +243,7 @@
             return
         self._table = self._platform.parse_configuration(self._state.document)
         self._log.write("configuration", version=self._state.version)
+        self._steps.record(RecoveryStep.FIRST_CONFIGURATION)
 
     def _peers(self) -> list[str]:
         addresses = {member.peer_address for member in self._host.node.members}
@@ -248,6 +263,7 @@
         address = received.envelope.reply_address
         match received.message:
             case ConsensusMessage():
+                self._steps.record(RecoveryStep.FIRST_CONTACT)
                 self._host.on_message(received, received.message)
             case LeaseRequest():
                 self._entries.on_request(address, received.message)
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_daemon.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_daemon.py
@@ -8,6 +8,7 @@
 from cardamomshunt_node._decision_log import DecisionLog
 from cardamomshunt_node._deployment import DeploymentSettings, Platform
 from cardamomshunt_node._http import HttpRequest, HttpResponse, HttpServer
+from cardamomshunt_node._recovery_steps import RecoveryStep, RecoverySteps
 
 
 class Daemon(ABC):
@@ -23,6 +24,8 @@
         self._platform = platform
         self._settings = settings
         self._log = log or DecisionLog(settings.node)
+        self._steps = RecoverySteps(self._log)
+        self._steps.record(RecoveryStep.IMPORTS)
         self._stop = asyncio.Event()
         self._daemon_metrics = metrics
         self._metrics_server = HttpServer(
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_entry_control_link.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_entry_control_link.py
@@ -26,6 +26,7 @@
 from cardamomshunt_node._decision_log import DecisionLog
 from cardamomshunt_node._deployment import DeploymentSettings
 from cardamomshunt_node._fleet_view import FleetView
+from cardamomshunt_node._recovery_steps import RecoveryStep
 from cardamomshunt_node._stream_transport import StreamMessage, StreamTransport
 
 _RENEW_INTERVAL_MS = 250.0
@@ -63,12 +64,14 @@
         log: DecisionLog,
         parse_configuration: Callable[[bytes], RouteTable],
         on_assignments: Callable[[list[str], dict[str, Assignment]], None],
+        record_step: Callable[[RecoveryStep], None],
     ) -> None:
         self._settings = settings
         self._view = view
         self._log = log
         self._parse_configuration = parse_configuration
         self._on_assignments = on_assignments
+        self._record_step = record_step
         self._transport = StreamTransport(
             settings.node, settings.peer_address, self._on_message
         )
@@ -258,6 +261,7 @@
             now > self._last_heard_ms.get(address, 0.0) + _CONTROL_NODE_TIMEOUT_MS
         )
         self._last_heard_ms[address] = now
+        self._record_step(RecoveryStep.FIRST_CONTACT)
         if was_unresponsive:
             self._transport.send(address, ReportsRequest())
         match received.message:
@@ -281,6 +285,7 @@
         if grant.leader_address and grant.leader_address != self._leader:
             self._log.write("leader", leader=grant.leader_address)
             self._leader = grant.leader_address
+            self._record_step(RecoveryStep.LEADER_KNOWN)
         if address == self._assigned_control_node:
             self._assigned_granted_ms = self._granted_ms
         if address == self._assigned_control_node and grant.number:
@@ -296,6 +301,7 @@
         if not self._had_lease:
             self._had_lease = True
             self._log.write("lease_gained", leader=self._leader)
+            self._record_step(RecoveryStep.FIRST_LEASE)
             self._view.notify()
         self._on_assignments(changed, known)
 
@@ -327,6 +333,7 @@
             is_late = boot_ms() > self._granted_ms + _RENEW_INTERVAL_MS
             if not self._leader or is_late:
                 self._leader = hint.leader_address
+                self._record_step(RecoveryStep.LEADER_KNOWN)
                 self._send_request(hint.leader_address, boot_ms())
 
     def _update_control_nodes(
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_entry_daemon.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_entry_daemon.py
@@ -14,6 +14,7 @@
 from cardamomshunt_node._fleet_view import FleetView
 from cardamomshunt_node._http import HttpRequest, HttpResponse, HttpServer
 from cardamomshunt_node._line_sessions import StatementRunner
+from cardamomshunt_node._recovery_steps import RecoveryStep
 from cardamomshunt_node._team_page import TEAM_PAGE_PATH, team_page_response
 
 _SWEEP_INTERVAL_S = 0.25
@@ -39,8 +40,12 @@
         self._metrics = EntryMetrics()
         super().__init__(platform, settings, log, self._metrics)
         protocol = platform.session_protocol
-        self._view = FleetView(settings.node, settings.zone, protocol)
-        runner = StatementRunner(self._view, protocol, self._log, self._metrics)
+        self._view = FleetView(
+            settings.node, settings.zone, protocol, self._steps.record
+        )
+        runner = StatementRunner(
+            self._view, protocol, self._log, self._metrics, self._steps.record
+        )
         self._edge = LineEdge(
             settings.caller_address, protocol, self._view, runner, self._log
         )
@@ -51,6 +56,7 @@
             self._log,
             platform.parse_configuration,
             self._apply_assignments,
+            self._steps.record,
         )
         self._partitioned_since_ms: float | None = None
         self._stopping: dict[str, asyncio.Task[None]] = {}
@@ -65,6 +71,7 @@
         await self._edge.start()
         await self._health.start()
         await self._metrics_server.start()
+        self._steps.record(RecoveryStep.LISTENING)
         self._log.write("started", role="entry", zone=self._settings.zone)
         self._tasks = [
             asyncio.create_task(self._control_link.renew_lease()),
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_entry_service.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_entry_service.py
@@ -62,6 +62,7 @@
         metrics: ControlMetrics,
         state: Callable[[], FleetState],
         leases: Callable[[], LeaseTable | None],
+        on_granted: Callable[[], None],
     ) -> None:
         self._settings = settings
         self._host = host
@@ -70,6 +71,7 @@
         self._metrics = metrics
         self._state = state
         self._leases = leases
+        self._on_granted = on_granted
         self._leader_since_ms = boot_ms()
         self._last_heard_ms: dict[str, float] = {}
         self._assigned_last_heard_ms: dict[str, float] = {}
@@ -177,6 +179,7 @@
         assert leases is not None
         leases.on_request(entry, request, now)
         self._metrics.count_grant()
+        self._on_granted()
         return LeaseGrant(
             sequence=request.sequence,
             lease_ms=LEASE_MS,
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_fleet_view.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_fleet_view.py
@@ -21,6 +21,7 @@
 from cardamomshunt.position import LogPosition
 
 from cardamomshunt_node._boot_clock import boot_ms
+from cardamomshunt_node._recovery_steps import RecoveryStep
 from cardamomshunt_node._server_pool import ServerPool
 from cardamomshunt_node._session_protocol import SessionProtocol
 
@@ -33,7 +34,14 @@
 class FleetView:
     """Track the servers and primaries of the fleet; choose the pools of statements."""
 
-    def __init__(self, node: str, zone: str, protocol: SessionProtocol) -> None:
+    def __init__(
+        self,
+        node: str,
+        zone: str,
+        protocol: SessionProtocol,
+        record_step: Callable[[RecoveryStep], None] = lambda step: None,
+    ) -> None:
+        self._record_step = record_step
         self._node = node
         self._zone = zone
         self._protocol = protocol
@@ -54,6 +62,7 @@
     def set_table(self, table: RouteTable) -> None:
         """Apply a newer configuration."""
         self.table = table
+        self._record_step(RecoveryStep.FIRST_CONFIGURATION)
         for on_table in self._on_table:
             on_table()
         self.notify()
@@ -79,6 +88,7 @@
         """Merge a report of a server; return whether it changes what is known."""
         if not self.registry.merge(report):
             return False
+        self._record_step(RecoveryStep.FIRST_SERVER)
         if report.state is ServerState.GONE:
             self._drop_pool(report.server, "the server is gone")
         self.notify()
@@ -100,6 +110,7 @@
             report.server,
             report.address,
             lambda: self._connection_quota(group, report.server),
+            lambda: self._record_step(RecoveryStep.FIRST_CONNECTION),
         )
         self._pools[report.server] = pool
         return pool
@@ -264,6 +275,7 @@
         bounds = self._bounds.setdefault(group, BoundHistory())
         newest = bounds.newest()
         bounds.add(position, sent_ms)
+        self._record_step(RecoveryStep.FIRST_BOUND)
         if newest is None or newest.since_ms < sent_ms - _BOUND_USUAL_AGE_MAX_MS:
             self.notify()
 
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_line_sessions.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_line_sessions.py
@@ -1,6 +1,7 @@
 """Dispatch of callers' statements to reads, writes and transactions."""
 
 import asyncio
+from collections.abc import Callable
 
 from cardamomshunt.fleet import Route
 from cardamomshunt.position import LogPosition
@@ -15,6 +16,7 @@
 from cardamomshunt_node._line_transactions import TransactionRunner
 from cardamomshunt_node._line_writes import WriteRunner
 from cardamomshunt_node._read_freshness import ReadFreshness
+from cardamomshunt_node._recovery_steps import RecoveryStep
 from cardamomshunt_node._session_protocol import (
     CallerQuery,
     ErrorCode,
@@ -45,7 +47,9 @@
         protocol: SessionProtocol,
         log: DecisionLog,
         metrics: EntryMetrics,
+        record_step: Callable[[RecoveryStep], None] = lambda step: None,
     ) -> None:
+        self._record_step = record_step
         self._view = view
         self._protocol = protocol
         self._log = log
@@ -91,6 +95,7 @@
     def _answer(self, session: LineSession, reply: Reply | None) -> bytes:
         if reply is None:
             return self._protocol.completed() + self._ready_line(session, None)
+        self._record_step(RecoveryStep.FIRST_ANSWER)
         return b"".join(reply.lines) + self._ready_line(session, reply.position)
 
     def _ready_line(self, session: LineSession, position: LogPosition | None) -> bytes:
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_server_pool.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_server_pool.py
@@ -58,12 +58,14 @@
         server: str,
         address: str,
         quota: Callable[[], int],
+        on_opened: Callable[[], None] = lambda: None,
     ) -> None:
         self._protocol = protocol
         self.group = group
         self.server = server
         self.address = address
         self._quota = quota
+        self._on_opened = on_opened
         self._idle: list[BackendConnection] = []
         self._open: set[BackendConnection] = set()
         self._in_use: set[BackendConnection] = set()
@@ -182,6 +184,7 @@
             return
         self._n_opening -= 1
         self.n_opened += 1
+        self._on_opened()
         self._n_full_refusals = 0
         self.down_since_ms = None
         self._open.add(connection)
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/deployment.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/deployment.py
@@ -13,6 +13,7 @@
     UnknownCall,
 )
 from cardamomshunt_node._http import HttpRequest, HttpResponse
+from cardamomshunt_node._recovery_steps import process_started_ms
 from cardamomshunt_node._session_protocol import (
     CallerEnd,
     CallerMessage,
@@ -53,4 +54,5 @@
     "StatementKind",
     "TransactionState",
     "UnknownCall",
+    "process_started_ms",
 ]
--- a/packages/cardamomshunt/src/cardamomshunt/_consensus/node.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_consensus/node.py
@@ -67,6 +67,7 @@
         *,
         operator_address: str = "",
         may_form: bool = True,
+        predecessor_ended_ms: float | None = None,
     ) -> None:
         self.node = node
         self._operator_address = operator_address
@@ -84,9 +85,12 @@
         self._ready: list[Entry | Snapshot] = []
         self._ready_index = restored.snapshot.index
         # A restart loses the time of the last contact with a leader, whose lease may
-        # still be valid, so a contact is assumed now.
+        # still be valid, so a contact is assumed at the latest time possible: when the
+        # former process of this disk had ended, or now if that is unknown.
+        contact_ms = now_ms if predecessor_ended_ms is None else predecessor_ended_ms
+        self._assumed_contact_ms = min(contact_ms, now_ms)
+        self._leader_contact_ms = self._assumed_contact_ms
         self._started_ms = now_ms
-        self._leader_contact_ms = now_ms
         self._election_deadline_ms = 0.0
         self._reset_pre_vote(now_ms)
         self._joiner = GroupJoiner(
@@ -452,19 +456,30 @@
 
         Each node refuses pre-votes for `election_min_ms` after its own start, so those
         of the node that starts first are refused until a majority has run for as long.
+        Nodes that start at once begin one after another, as votes would be split.
         """
-        is_restarting = (
+        if not self._is_restarting(now_ms):
+            self._reset_election(now_ms)
+            return
+        earliest_ms = self._assumed_contact_ms + self.options.election_min_ms
+        n_pauses = self._random.uniform(0.5, 1.0)
+        if now_ms <= max(earliest_ms, self._started_ms):
+            n_pauses = 0.5 * self._voter_rank + self._random.uniform(0.0, 0.25)
+        pause_ms = self.options.restart_pre_vote_ms * n_pauses
+        self._election_deadline_ms = max(now_ms, earliest_ms) + pause_ms
+
+    def _is_restarting(self, now_ms: float) -> bool:
+        """Return whether this node, and maybe all nodes, started a short time ago."""
+        return (
             self.options.restart_pre_vote_ms > 0.0
-            and self._leader_contact_ms == self._started_ms
+            and self._leader_contact_ms == self._assumed_contact_ms
             and now_ms < self._started_ms + self.options.restart_period_ms
             and self.log.last_index > 0
         )
-        if not is_restarting:
-            self._reset_election(now_ms)
-            return
-        earliest_ms = self._started_ms + self.options.election_min_ms
-        pause_ms = self.options.restart_pre_vote_ms * self._random.uniform(0.5, 1.0)
-        self._election_deadline_ms = max(now_ms, earliest_ms) + pause_ms
+
+    @property
+    def _voter_rank(self) -> int:
+        return sum(member.node < self.node for member in self.voters)
 
     def _become_follower(self, now_ms: float, term: int, leader: str | None) -> None:
         was_leader = self.is_leader
@@ -502,6 +517,9 @@
 
     def _start_election(self, now_ms: float, is_transfer: bool) -> None:
         self._reset_election(now_ms)
+        if self._is_restarting(now_ms):
+            pause_ms = self.options.restart_pre_vote_ms * self._random.uniform(3.0, 5.0)
+            self._election_deadline_ms = now_ms + pause_ms
         self.role = ConsensusRole.CANDIDATE
         self.leader = None
         self._votes = set()
@@ -543,6 +561,12 @@
             and not self._has_live_leader(now_ms)
             and self._is_up_to_date(message.last_index, message.last_term)
         )
+        if is_granted and self._is_restarting(now_ms):
+            # The sender probably stands for election now.
+            pause_ms = 2.0 * self.options.restart_pre_vote_ms
+            self._election_deadline_ms = max(
+                self._election_deadline_ms, now_ms + pause_ms
+            )
         reply = PreVoteReply(
             term=message.term,
             incarnation=self.incarnation,
