--- a/tests/users_platform/daemon_processes.py
+++ b/tests/users_platform/daemon_processes.py
@@ -36,6 +36,16 @@
     settings: dict[str, DeploymentSettings]
     running: dict[str, asyncio.subprocess.Process] = field(default_factory=dict)
 
+    @property
+    def control_addresses(self) -> list[str]:
+        found = (item.control_address for item in self.settings.values())
+        return [address for address in found if address]
+
+    @property
+    def caller_addresses(self) -> list[str]:
+        found = (item.caller_address for item in self.settings.values())
+        return [address for address in found if address]
+
     async def start(self, node: str) -> None:
         settings = self.settings[node]
         role = "control" if settings.control_address else "entry"
