Merge the timed steps of a start

The time at which a process began to load its modules stands for the end of the former process on its disk.

--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_boot_clock.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_boot_clock.py
@@ -15,3 +15,7 @@
     course.
     """
     return int(time.time() * 1_000.0)
+
+
+# When this module was loaded. A former process of the same VM had ended by then.
+LOADED_MS = boot_ms()
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_server_pool.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_server_pool.py
@@ -71,6 +71,7 @@
         address: str,
         quota: Callable[[], int],
         has_teams: Callable[[], bool] = _no_teams,
+        on_opened: Callable[[], None] = lambda: None,
     ) -> None:
         self._protocol = protocol
         self.group = group
@@ -78,6 +79,7 @@
         self.address = address
         self._quota = quota
         self._has_teams = has_teams
+        self._on_opened = on_opened
         self._idle: list[BackendConnection] = []
         self._open: set[BackendConnection] = set()
         self._in_use: set[BackendConnection] = set()
@@ -233,6 +235,7 @@
             return
         self._n_opening[team] -= 1
         self.n_opened += 1
+        self._on_opened()
         self._n_full_refusals = 0
         self.down_since_ms = None
         self._open.add(connection)
