Divide the rate limits of teams among the entry VMs

Cause: a team's rate_per_s and burst had no effect. Change: the control leader keeps a ledger of shares, which lease requests and grants carry; an entry VM takes a token for each operation from its share, or asks the leader for single tokens. The entry VMs that may have shares are stored in the log, so that a new leader knows whose reports it has to await.

--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_control_node.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_control_node.py
@@ -19,6 +19,7 @@
     ReportsRequest,
     RouteTable,
     StoreServers,
+    StoreShareHolders,
     encode_command,
 )
 
@@ -44,12 +45,14 @@
 )
 from cardamomshunt_node._log_storage import LogStorage
 from cardamomshunt_node._primary_watch import PrimaryWatch
+from cardamomshunt_node._quota_service import QuotaService
 from cardamomshunt_node._replacement import COMMIT_TIMEOUT_MS
 from cardamomshunt_node._report_exchange import ReportExchange
 from cardamomshunt_node._stream_transport import StreamMessage, StreamTransport
 
 _FLUSH_INTERVAL_S = 0.25
 _STORE_INTERVAL_S = 1.0
+_HOLDERS_COLLECTION_S = 0.02
 _LEADER_WAIT_MS = 600.0
 _STOP_TIMEOUT_MS = 1_500.0
 _LINGER_S = 0.15
@@ -92,6 +95,12 @@
             lambda: self._state.assignments,
             lambda: self._table.groups,
         )
+        self._quotas = QuotaService(
+            self._log,
+            lambda: self._host.node.term,
+            lambda: self._state,
+            lambda: self._table,
+        )
         self._entries = EntryService(
             settings,
             self._host,
@@ -100,6 +109,7 @@
             self._metrics,
             lambda: self._state,
             lambda: self._primaries.leases,
+            self._quotas,
         )
         self._control = HttpServer(settings.control_address, self._answer)
 
@@ -153,6 +163,7 @@
             asyncio.create_task(self._reports.run()),
             asyncio.create_task(self._flush_log()),
             asyncio.create_task(self._store_fleet()),
+            asyncio.create_task(self._store_share_holders()),
         ]
         self._log.write("started", role="control", zone=self._settings.zone)
         await self._stop.wait()
@@ -191,7 +202,23 @@
             if servers is not None:
                 await self._store(servers)
 
-    async def _store(self, command: CountEntries | StoreServers) -> None:
+    async def _store_share_holders(self) -> None:
+        """Store new entry VMs soon, as their operations wait for a first share."""
+        while True:
+            try:
+                async with asyncio.timeout(_STORE_INTERVAL_S):
+                    await self._quotas.is_store_due.wait()
+            except TimeoutError:
+                pass
+            # Entry VMs that start at the same time are stored together.
+            await asyncio.sleep(_HOLDERS_COLLECTION_S)
+            holders = self._quotas.holders_to_store() if self._host.may_act else None
+            if holders is not None:
+                await self._store(holders)
+
+    async def _store(
+        self, command: CountEntries | StoreServers | StoreShareHolders
+    ) -> None:
         if not self._host.may_act:
             return
         try:
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_entry_control_link.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_entry_control_link.py
@@ -4,6 +4,7 @@
 import random
 import zlib
 from collections.abc import Callable
+from typing import Any
 
 from cardamomshunt.fleet import (
     Assignment,
@@ -27,6 +28,7 @@
 from cardamomshunt_node._deployment import DeploymentSettings
 from cardamomshunt_node._fleet_view import FleetView
 from cardamomshunt_node._stream_transport import StreamMessage, StreamTransport
+from cardamomshunt_node._team_quotas import TeamQuotaWaiter
 
 _RENEW_INTERVAL_MS = 250.0
 _SEARCH_INTERVAL_MS = 150.0
@@ -63,12 +65,17 @@
         log: DecisionLog,
         parse_configuration: Callable[[bytes], RouteTable],
         on_assignments: Callable[[list[str], dict[str, Assignment]], None],
+        quotas: TeamQuotaWaiter,
     ) -> None:
         self._settings = settings
         self._view = view
         self._log = log
         self._parse_configuration = parse_configuration
         self._on_assignments = on_assignments
+        self._quotas = quotas
+        quotas.request_shares = self._request_shares
+        # Distinguishes this process from earlier ones at the same address.
+        self._incarnation = 1 + random.getrandbits(_SEQUENCE_START_BITS)
         self._transport = StreamTransport(
             settings.node, settings.peer_address, self._on_message
         )
@@ -170,7 +177,12 @@
         ):
             if self._is_request_due(address, now, is_late=is_late):
                 self._reconnect_if_unresponsive(address, now)
-                self._send_request(address, now)
+                self._send_request(address, now, has_quotas=is_late)
+
+    def _request_shares(self) -> None:
+        """Ask for tokens of rate limits before the next regular request."""
+        if self._assigned_control_node:
+            self._send_request(self._assigned_control_node, boot_ms())
 
     def _choose_control_node(self, now: float) -> None:
         assigned = self._control_node_selector.choose(
@@ -218,7 +230,7 @@
             self._connect_started_ms[address] = now
             self._transport.reset(address)
 
-    def _send_request(self, address: str, now: float) -> None:
+    def _send_request(self, address: str, now: float, has_quotas: bool = False) -> None:
         self._last_contacted_ms[address] = now
         self._sequence += 1
         self._view.lease.on_request_sent(self._sequence, now)
@@ -229,6 +241,7 @@
             for group, bound in self._view.newest_bounds().items():
                 self._bounds.add(group, bound)
             bounds = self._bounds.bounds_for(address, now)
+        quota_fields = self._quota_fields() if is_assigned or has_quotas else {}
         self._transport.send(
             address,
             LeaseRequest(
@@ -246,9 +259,22 @@
                 overloaded_servers=(
                     self._view.overloaded_servers() if is_assigned else []
                 ),
+                **quota_fields,
             ),
         )
 
+    def _quota_fields(self) -> dict[str, Any]:
+        """Return the fields of a request that report shares and demand."""
+        if not self._quotas.is_active:
+            return {}
+        report = self._quotas.report(self._sequence)
+        return {
+            "incarnation": self._incarnation,
+            "quota_number": report.number,
+            "quota_demands": report.demands,
+            "is_quota_report_complete": report.is_complete,
+        }
+
     # Answers and updates
 
     def _on_message(self, received: StreamMessage) -> None:
@@ -290,6 +316,7 @@
             newer = self._bounds.receive(address, grant.sequence, grant.bounds)
             for group, bound in newer.items():
                 self._view.add_bound(group, bound.position, bound.since_ms)
+        self._quotas.on_grant(grant)
         self._check_version(grant.version)
         known = grant.assignments or {}
         changed = self._view.lease.on_grant(grant)
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_entry_daemon.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_entry_daemon.py
@@ -15,6 +15,7 @@
 from cardamomshunt_node._http import HttpRequest, HttpResponse, HttpServer
 from cardamomshunt_node._line_sessions import StatementRunner
 from cardamomshunt_node._team_page import TEAM_PAGE_PATH, team_page_response
+from cardamomshunt_node._team_quotas import TeamQuotaWaiter
 
 _SWEEP_INTERVAL_S = 0.25
 # Time for statements in flight to complete at a primary that is being replaced.
@@ -40,7 +41,11 @@
         super().__init__(platform, settings, log, self._metrics)
         protocol = platform.session_protocol
         self._view = FleetView(settings.node, settings.zone, protocol)
-        runner = StatementRunner(self._view, protocol, self._log, self._metrics)
+        self._quotas = TeamQuotaWaiter(self._log, self._metrics)
+        self._view.on_table_changed(lambda: self._quotas.set_table(self._view.table))
+        runner = StatementRunner(
+            self._view, protocol, self._log, self._metrics, self._quotas
+        )
         self._edge = LineEdge(
             settings.caller_address, protocol, self._view, runner, self._log
         )
@@ -51,6 +56,7 @@
             self._log,
             platform.parse_configuration,
             self._apply_assignments,
+            self._quotas,
         )
         self._partitioned_since_ms: float | None = None
         self._stopping: dict[str, asyncio.Task[None]] = {}
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_entry_metrics.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_entry_metrics.py
@@ -25,6 +25,11 @@
             "Statements refused or without an outcome, by code.",
             registry=self.registry,
         )
+        self._team_refusals = Counter(
+            "cardamomshunt_team_refusals_total",
+            "Operations refused by a rate limit, by team; later teams as (other).",
+            registry=self.registry,
+        )
         self._reads = Counter(
             "cardamomshunt_reads_total",
             "Reads by the role of the server that ran them.",
@@ -57,6 +62,10 @@
         """Count a refusal."""
         self._refusals.inc({"code": code})
 
+    def count_team_refusal(self, team: str) -> None:
+        """Count an operation refused by the rate limit of its team."""
+        self._team_refusals.inc({"team": team})
+
     def count_read(self, is_primary: bool) -> None:
         """Count a read that a server answered."""
         self._reads.inc({"role": "primary" if is_primary else "replica"})
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_entry_service.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_entry_service.py
@@ -28,6 +28,7 @@
 from cardamomshunt_node._consensus_host import ConsensusHost
 from cardamomshunt_node._control_metrics import ControlMetrics
 from cardamomshunt_node._deployment import DeploymentSettings
+from cardamomshunt_node._quota_service import QuotaService
 from cardamomshunt_node._report_exchange import ReportExchange
 from cardamomshunt_node._stream_transport import StreamTransport
 
@@ -62,7 +63,9 @@
         metrics: ControlMetrics,
         state: Callable[[], FleetState],
         leases: Callable[[], LeaseTable | None],
+        quotas: QuotaService,
     ) -> None:
+        self._quotas = quotas
         self._settings = settings
         self._host = host
         self._transport = transport
@@ -177,6 +180,7 @@
         assert leases is not None
         leases.on_request(entry, request, now)
         self._metrics.count_grant()
+        quota = self._quotas.grant(entry, request)
         return LeaseGrant(
             sequence=request.sequence,
             lease_ms=LEASE_MS,
@@ -184,6 +188,8 @@
             assignments=self._newer_assignments(request.newest_epoch),
             leader_address=self._settings.peer_address,
             version=self._state().version,
+            quota_number=quota.number,
+            quota_shares=quota.shares,
         )
 
     def _n_entries(self, now: float) -> int:
@@ -270,10 +276,12 @@
     def _relay(self, address: str, request: LeaseRequest) -> None:
         """Queue a request for the next message to the leader.
 
-        Suspicions and released epochs are sent at once.
+        Suspicions, released epochs and requests for tokens, for which operations may
+        wait, are sent at once.
         """
         self._pending[address] = request
-        if request.suspicions or request.released:
+        needs_tokens = any(item.n_needed >= 1.0 for item in request.quota_demands or [])
+        if request.suspicions or request.released or needs_tokens:
             self._flush_pending()
         elif self._flush_timer is None:
             loop = asyncio.get_running_loop()
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_line_reads.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_line_reads.py
@@ -28,6 +28,7 @@
     ErrorCode,
 )
 from cardamomshunt_node._statement_sender import StatementSender
+from cardamomshunt_node._team_quotas import TeamQuotaWaiter
 
 _HEDGE_MIN_MS = 120.0
 _HEDGE_LATENCY_FACTOR = 2.5
@@ -94,7 +95,9 @@
         freshness: ReadFreshness,
         log: DecisionLog,
         metrics: EntryMetrics,
+        quotas: TeamQuotaWaiter,
     ) -> None:
+        self._quotas = quotas
         self._view = view
         self._sender = sender
         self._freshness = freshness
@@ -165,6 +168,11 @@
             self._hedge_budget < 1.0 or n_running >= _N_RUNNING_ATTEMPTS_MAX
         ):
             return False
+        # An earlier attempt may run as well, so that this one counts once more.
+        if (n_running or read.may_have_run) and not self._quotas.take_another(
+            read.session.team
+        ):
+            return False
         pools = self._view.read_candidates(read.route.group, read.at_least, read.tried)
         if not pools and n_running:
             # If an answer was lost, the same server may answer on another connection.
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_line_sessions.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_line_sessions.py
@@ -11,7 +11,11 @@
 from cardamomshunt_node._entry_metrics import EntryMetrics
 from cardamomshunt_node._fleet_view import FleetView
 from cardamomshunt_node._line_reads import ReadRunner
-from cardamomshunt_node._line_session_state import LineSession, RefusedError
+from cardamomshunt_node._line_session_state import (
+    LineSession,
+    RefusedError,
+    statement_deadline_ms,
+)
 from cardamomshunt_node._line_transactions import TransactionRunner
 from cardamomshunt_node._line_writes import WriteRunner
 from cardamomshunt_node._read_freshness import ReadFreshness
@@ -23,6 +27,7 @@
     StatementKind,
 )
 from cardamomshunt_node._statement_sender import StatementSender
+from cardamomshunt_node._team_quotas import TeamQuotaWaiter
 
 _BEGIN_KINDS = (StatementKind.BEGIN, StatementKind.BEGIN_READ_ONLY)
 _SESSION_KINDS = (
@@ -45,17 +50,19 @@
         protocol: SessionProtocol,
         log: DecisionLog,
         metrics: EntryMetrics,
+        quotas: TeamQuotaWaiter,
     ) -> None:
         self._view = view
+        self._quotas = quotas
         self._protocol = protocol
         self._log = log
         self._metrics = metrics
         sender = StatementSender(protocol)
         freshness = ReadFreshness(view)
-        self._reads = ReadRunner(view, sender, freshness, log, metrics)
+        self._reads = ReadRunner(view, sender, freshness, log, metrics, quotas)
         self._writes = WriteRunner(view, sender, log)
         self._transactions = TransactionRunner(
-            view, sender, freshness, self._writes, log
+            view, sender, freshness, self._writes, log, quotas
         )
 
     async def run(self, session: LineSession, query: CallerQuery) -> bytes:
@@ -115,9 +122,14 @@
         if kind in _END_KINDS:
             raise RefusedError(ErrorCode.MALFORMED, "no transaction is open")
         route = self._route(session)
-        if self._is_write(session, query.statement):
-            return await self._writes.write(session, query, route, received_ms)
-        return await self._reads.run(session, query, route, received_ms)
+        is_write = self._is_write(session, query.statement)
+        deadline_ms = statement_deadline_ms(
+            route, received_ms, self._view.answer_deadline_ms
+        )
+        async with self._quotas.operation(session, deadline_ms):
+            if is_write:
+                return await self._writes.write(session, query, route, received_ms)
+            return await self._reads.run(session, query, route, received_ms)
 
     async def _run_in_transaction(
         self, session: LineSession, query: CallerQuery
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_line_transactions.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_line_transactions.py
@@ -29,6 +29,7 @@
     TransactionState,
 )
 from cardamomshunt_node._statement_sender import StatementSender
+from cardamomshunt_node._team_quotas import TeamQuotaWaiter
 
 
 class TransactionRunner:
@@ -41,7 +42,9 @@
         freshness: ReadFreshness,
         writes: WriteRunner,
         log: DecisionLog,
+        quotas: TeamQuotaWaiter,
     ) -> None:
+        self._quotas = quotas
         self._log = log
         self._view = view
         self._sender = sender
@@ -68,7 +71,8 @@
         )
         try:
             if transaction.connection is None:
-                await self._open_transaction(session, transaction, deadline_ms)
+                async with self._quotas.operation(session, deadline_ms):
+                    await self._open_transaction(session, transaction, deadline_ms)
             reply, sent_ms = await self._run_on_server(
                 session, transaction, query, deadline_ms
             )
--- a/packages/cardamomshunt/src/cardamomshunt/_fleet/messages.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_fleet/messages.py
@@ -23,20 +23,39 @@
 
 
 class QuotaDemand(msgspec.Struct, frozen=True, array_like=True):
-    """Operations of a team per second that an entry VM was asked for, and its share."""
+    """Operations of a team per second that an entry VM was asked for, and its share.
+
+    `n_held` counts its tokens, with those of running operations, and `n_needed` those
+    that it lacks now. `n_returned_total` counts the tokens that it gave up as its burst
+    was lowered. The held share is a part of `limit_rate_per_s` and `limit_burst`.
+    """
 
     team: str
     demand_per_s: float
     held_rate_per_s: float = 0.0
     held_burst: float = 0.0
+    n_held: float = 0.0
+    n_needed: float = 0.0
+    n_returned_total: float = 0.0
+    limit_rate_per_s: float = 0.0
+    limit_burst: float = 0.0
 
 
 class QuotaShare(msgspec.Struct, frozen=True, array_like=True):
-    """Part of a team's rate limit that one entry VM may use while leased."""
+    """Part of a team's rate limit that one entry VM may use while leased.
+
+    `n_tokens_total` counts the single tokens that the ledger has given to this holder.
+    The share is a part of the limit `limit_rate_per_s` and `limit_burst`. If `wait_ms`
+    is not 0, no further token can be given before that time has passed.
+    """
 
     team: str
     rate_per_s: float
     burst: float
+    n_tokens_total: float = 0.0
+    limit_rate_per_s: float = 0.0
+    limit_burst: float = 0.0
+    wait_ms: float = 0.0
 
 
 class LeaseRequest(Message, kw_only=True, array_like=True):
@@ -50,7 +69,9 @@
     `overloaded_servers` a statement because of a full queue, or a connection.
     `incarnation` changes with each start of the entry VM. `watched_groups` are those
     whose primaries it uses; None stands for all. `quota_number` is that of the newest
-    grant of shares that it applied, and `quota_demands` is None if nothing changed.
+    grant of shares that it applied, and `quota_demands` is None if nothing changed. With
+    `is_quota_report_complete`, the sender has no share of a team that is not listed.
+    An `incarnation` of 0 stands for a request without a report on shares.
     """
 
     sequence: int
@@ -72,6 +93,7 @@
     watched_groups: list[str] | None = None
     quota_number: int = 0
     quota_demands: list[QuotaDemand] | None = None
+    is_quota_report_complete: bool = False
 
 
 class LeaseGrant(Message, kw_only=True, array_like=True):
@@ -85,7 +107,8 @@
     `version` is the leader's configuration version, so that an entry VM can leave an
     assigned control node that does not have it. `zone_entries` are the peer addresses of
     the entry VMs of the receiver's zone, or None if it has them. `quota_shares` replace
-    all shares of the receiver if `quota_number` is newer than the one that it applied.
+    the receiver's shares of these teams if `quota_number` is newer than the one that it
+    applied.
     """
 
     sequence: int
--- a/packages/cardamomshunt/src/cardamomshunt/_fleet/primary_assignments.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_fleet/primary_assignments.py
@@ -48,6 +48,12 @@
     removed: list[str] = []
 
 
+class StoreShareHolders(FleetCommand, frozen=True, kw_only=True):
+    """Store which entry VMs may have shares of rate limits, for the next leader."""
+
+    holders: list[str] = []
+
+
 class AssignPrimary(FleetCommand, frozen=True, kw_only=True):
     """Assign the first primary of a group."""
 
@@ -79,7 +85,14 @@
 
 
 AssignmentCommand = StopPrimary | PromoteSuccessor | FinishPromotion
-_Command = PutDocument | CountEntries | StoreServers | AssignPrimary | AssignmentCommand
+_Command = (
+    PutDocument
+    | CountEntries
+    | StoreServers
+    | StoreShareHolders
+    | AssignPrimary
+    | AssignmentCommand
+)
 _DECODER = msgspec.msgpack.Decoder(_Command)
 _ENCODER = msgspec.msgpack.Encoder()
 
@@ -97,6 +110,7 @@
     assignments: dict[str, Assignment] = {}
     n_entries: int = 0
     servers: dict[str, ServerReport] = {}
+    share_holders: list[str] = []
 
     def apply(self, index: int, payload: bytes) -> bool:
         """Apply the command of a log entry; return whether it took effect."""
@@ -110,6 +124,9 @@
             case StoreServers():
                 self._store_servers(command)
                 return True
+            case StoreShareHolders():
+                self.share_holders = command.holders
+                return True
             case AssignPrimary():
                 if command.group in self.assignments:
                     return False
--- a/packages/cardamomshunt/src/cardamomshunt/fleet.py
+++ b/packages/cardamomshunt/src/cardamomshunt/fleet.py
@@ -35,6 +35,7 @@
     PutDocument,
     StopPrimary,
     StoreServers,
+    StoreShareHolders,
     encode_command,
 )
 from cardamomshunt._fleet.primary_lease import (
@@ -43,6 +44,8 @@
     LeaseTable,
     PrimaryLease,
 )
+from cardamomshunt._fleet.quota_ledger import QuotaGrant, QuotaLedger
+from cardamomshunt._fleet.quota_limit import QuotaLimit, limits_of
 from cardamomshunt._fleet.read_routing import ReadCandidate, order_of_reads
 from cardamomshunt._fleet.refusal_history import RefusalHistory
 from cardamomshunt._fleet.route_table import (
@@ -60,11 +63,19 @@
 )
 from cardamomshunt._fleet.shared_bounds import BoundExchange, SharedBound
 from cardamomshunt._fleet.successor import ServerStatus, choose_successor
+from cardamomshunt._fleet.team_quota import (
+    Admission,
+    QuotaDecision,
+    QuotaReport,
+    QuotaState,
+    TeamQuotas,
+)
 from cardamomshunt._fleet.teams import Team, TeamTable, key_digest, key_fingerprint
 
 __all__ = [
     "LEASE_MARGIN_MS",
     "LEASE_MS",
+    "Admission",
     "AssignPrimary",
     "Assignment",
     "AssignmentCommand",
@@ -88,8 +99,14 @@
     "PrimaryLease",
     "PromoteSuccessor",
     "PutDocument",
+    "QuotaDecision",
     "QuotaDemand",
+    "QuotaGrant",
+    "QuotaLedger",
+    "QuotaLimit",
+    "QuotaReport",
     "QuotaShare",
+    "QuotaState",
     "ReadCandidate",
     "RefusalHistory",
     "RelayedGrant",
@@ -109,8 +126,10 @@
     "SharedBound",
     "StopPrimary",
     "StoreServers",
+    "StoreShareHolders",
     "Suspicion",
     "Team",
+    "TeamQuotas",
     "TeamTable",
     "build_route_table",
     "choose_successor",
@@ -119,5 +138,6 @@
     "full_server_pause_ms",
     "key_digest",
     "key_fingerprint",
+    "limits_of",
     "order_of_reads",
 ]
