Count shares of a lower limit as parts of a raised one

Change: when a limit is raised, the ledger counts unconfirmed older shares in proportion to the new limit.

--- a/packages/cardamomshunt/src/cardamomshunt/_fleet/quota_ledger.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_fleet/quota_ledger.py
@@ -216,7 +216,7 @@
         """Apply the limits of a configuration."""
         for team, account in self._accounts.items():
             account.advance(now_ms, self._is_settled)
-            account.limit = limits.get(team, QuotaLimit())
+            self._change_limit(team, account, limits.get(team, QuotaLimit()))
             account.advance(now_ms, self._is_settled)
         for team, limit in limits.items():
             if team not in self._accounts:
@@ -225,6 +225,25 @@
                 self._accounts[team] = _Account(limit, n_tokens, now_ms)
         self._has_former = False
 
+    def _change_limit(self, team: str, account: _Account, limit: QuotaLimit) -> None:
+        """Change a limit, and count shares of a lower one as parts of the higher one.
+
+        A holder reduces its share in proportion if the limit is lowered again, so that
+        the parts of all shares, not only their sum, have to fit.
+        """
+        rate_factor, burst_factor = _raised(account.limit, limit)
+        account.limit = limit
+        for holder in self._holders.values():
+            share = holder.shares.get(team)
+            if share is not None:
+                account.take_out(share)
+                share.confirmed_rate_per_s *= rate_factor
+                share.confirmed_burst *= burst_factor
+                for item in share.pending:
+                    item.rate_per_s *= rate_factor
+                    item.burst *= burst_factor
+                account.put_back(share)
+
     def usable(self, team: str) -> tuple[float, float]:
         """Return the sums of rate and burst of a team that holders may use."""
         account = self._accounts[team]
@@ -329,7 +348,7 @@
             share.confirm(number)
             demand = demands.get(team)
             if demand is not None:
-                n_returned = self._adopt(holder, share, demand, number)
+                n_returned = self._adopt(holder, account, share, demand)
             elif is_complete:
                 share.confirmed_rate_per_s = share.confirmed_burst = 0.0
                 n_returned = 0.0
@@ -341,15 +360,17 @@
             account.n_tokens = min(account.n_tokens + n_returned, account.free_burst)
 
     def _adopt(
-        self, holder: _Holder, share: _Share, demand: QuotaDemand, number: int
+        self, holder: _Holder, account: _Account, share: _Share, demand: QuotaDemand
     ) -> float:
         """Take over what a holder reports; return the tokens that it gave up."""
-        share.confirmed_rate_per_s = demand.held_rate_per_s
-        share.confirmed_burst = max(demand.held_burst, demand.n_held)
+        limit = QuotaLimit(demand.limit_rate_per_s, demand.limit_burst)
+        rate_factor, burst_factor = _raised(limit, account.limit)
+        share.confirmed_rate_per_s = demand.held_rate_per_s * rate_factor
+        share.confirmed_burst = max(demand.held_burst * burst_factor, demand.n_held)
         if not share.pending:
             share.rate_per_s = demand.held_rate_per_s
             share.burst = demand.held_burst
-            share.limit = QuotaLimit(demand.limit_rate_per_s, demand.limit_burst)
+            share.limit = limit
         share.demand_per_s = demand.demand_per_s
         n_returned = 0.0
         if holder.is_reported:
@@ -498,6 +519,16 @@
             account.take_out(share)
 
 
+def _raised(former: QuotaLimit, limit: QuotaLimit) -> tuple[float, float]:
+    """Return the factors by which rate and burst were raised, 1 if they were not."""
+    if not former.rate_per_s:
+        return 1.0, 1.0
+    return (
+        max(1.0, limit.total_rate_per_s / former.total_rate_per_s),
+        max(1.0, limit.total_burst / former.total_burst),
+    )
+
+
 def _scaled(share: _Share, limit: QuotaLimit) -> tuple[float, float]:
     """Return a share's rate and burst, reduced if the limit was lowered since."""
     rate_per_s, burst = share.rate_per_s, share.burst
