--- a/packages/cardamomshunt-cli/src/cardamomshunt_cli/_explanations.py
+++ b/packages/cardamomshunt-cli/src/cardamomshunt_cli/_explanations.py
@@ -102,11 +102,26 @@
 }
 
 
+# Reasons of the line protocol, as named in the event `team_refused`.
+_TEAM_REASONS = {
+    "team_rate_limit": (
+        "the team reached its rate limit, counted over all entry VMs",
+        "the operation did not run; the error says when a token comes",
+        "raise the team's limit, or find what sends more than usual",
+    ),
+    "team_share_missing": (
+        "the entry VM holds no token and got none from the control leader in time",
+        "the operation did not run and may be retried",
+        "check that the control nodes have a leader that the entry VM reaches",
+    ),
+}
+
+
 def explainable_names() -> list[str]:
     """Return all names that `explain` accepts."""
     reasons = [reason.value for reason in RefusalReason]
     events = [str(int(number)) for number in EventNumber]
-    return [*reasons, *events, *(number.name for number in EventNumber)]
+    return [*reasons, *_TEAM_REASONS, *events, *(number.name for number in EventNumber)]
 
 
 def explain(name: str) -> Explanation:
@@ -115,6 +130,8 @@
     for reason, (meaning, consequence, action) in _REASONS.items():
         if reason.value == requested:
             return Explanation(f"reason {requested}", meaning, consequence, action)
+    if requested in _TEAM_REASONS:
+        return Explanation(f"reason {requested}", *_TEAM_REASONS[requested])
     number = _event_number(requested)
     entry = entry_for(number) if number is not None else None
     if entry is None:
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_quota_service.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_quota_service.py
@@ -88,7 +88,7 @@
                 term=self._ledger_term,
                 n_holders=len(self._state().share_holders),
                 waited_ms=round(ledger.age_ms(boot_ms())),
-                n_unreported=len(ledger.unreported),
+                n_unreported=ledger.n_unreported,
             )
 
     def holders_to_store(self) -> StoreShareHolders | None:
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_team_quotas.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_team_quotas.py
@@ -22,6 +22,12 @@
 
 _RETRY_REQUEST_S = 0.025
 _LOG_INTERVAL_MS = 1_000.0
+# Names and texts of the reasons; `cardamomctl explain` explains the names.
+_OVER_LIMIT = ("team_rate_limit", "the rate limit of the team is reached")
+_NO_SHARE = (
+    "team_share_missing",
+    "no share of the team's rate limit was granted in time",
+)
 # Teams with a metric of their own; the refusals of the others are counted together.
 _N_COUNTED_TEAMS_MAX = 20
 
@@ -112,12 +118,8 @@
     def _refusal(
         self, team: str, is_over_limit: bool, wait_ms: float, now: float
     ) -> RefusedError:
-        reason = (
-            "the rate limit of the team is reached"
-            if is_over_limit
-            else "no share of the team's rate limit was granted in time"
-        )
-        self._count_refusal(team, reason, now)
+        name, reason = _OVER_LIMIT if is_over_limit else _NO_SHARE
+        self._count_refusal(team, name, now)
         retry_after_ms = max(1, round(wait_ms))
         return RefusedError(
             ErrorCode.BUSY, f"{reason}; retry_after_ms={retry_after_ms}"
@@ -148,6 +150,7 @@
             share_rate_per_s=round(state.rate_per_s, 2),
             share_burst=round(state.burst, 2),
             n_tokens=round(state.n_tokens, 2),
+            n_running=state.n_running,
             demand_per_s=round(state.demand_per_s, 2),
             share_age_ms=None if age_ms is None else round(age_ms),
             configuration_version=self._version,
--- a/packages/cardamomshunt/src/cardamomshunt/_fleet/quota_ledger.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_fleet/quota_ledger.py
@@ -208,9 +208,9 @@
         return now_ms - self._since_ms
 
     @property
-    def unreported(self) -> list[str]:
-        """Return the former holders that have not reported their shares yet."""
-        return sorted(self._unreported)
+    def n_unreported(self) -> int:
+        """Return how many former holders had not reported when the wait ended."""
+        return len(self._unreported)
 
     def set_limits(self, limits: Mapping[str, QuotaLimit], now_ms: float) -> None:
         """Apply the limits of a configuration."""
@@ -499,7 +499,6 @@
             return
         for account in self._accounts.values():
             account.advance(now_ms, False)
-        self._unreported.clear()
         self._is_settled = True
 
     def _remove_expired(self, now_ms: float) -> None:
--- a/packages/cardamomshunt/tests/quota_model.py
+++ b/packages/cardamomshunt/tests/quota_model.py
@@ -47,7 +47,6 @@
     n_below_refused: int = 0
     n_refused: int = 0
     run_ms: list[float] = field(default_factory=list)
-    waited_ms: list[float] = field(default_factory=list)
 
     def is_below(self, now_ms: float) -> bool:
         """Return whether one bucket for all entry VMs would allow an operation."""
@@ -132,7 +131,6 @@
         waited_ms = now_ms - operation.since_ms
         if admission.decision is QuotaDecision.ALLOWED:
             counts.run_ms.append(now_ms)
-            counts.waited_ms.append(waited_ms)
             model.at(30.0, lambda: self.quotas.finish(operation.team))
             return True
         is_over = waited_ms >= self.quotas.wait_max_ms(operation.team)
