--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_entry_daemon.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_entry_daemon.py
@@ -16,6 +16,7 @@
 from cardamomshunt_node._line_sessions import StatementRunner
 from cardamomshunt_node._recovery_steps import RecoveryStep
 from cardamomshunt_node._team_page import TEAM_PAGE_PATH, team_page_response
+from cardamomshunt_node._team_quotas import TeamQuotaWaiter
 
 _SWEEP_INTERVAL_S = 0.25
 # Time for statements in flight to complete at a primary that is being replaced.
@@ -43,8 +44,15 @@
         self._view = FleetView(
             settings.node, settings.zone, protocol, self._steps.record
         )
+        self._quotas = TeamQuotaWaiter(self._log, self._metrics)
+        self._view.on_table_changed(lambda: self._quotas.set_table(self._view.table))
         runner = StatementRunner(
-            self._view, protocol, self._log, self._metrics, self._steps.record
+            self._view,
+            protocol,
+            self._log,
+            self._metrics,
+            self._quotas,
+            self._steps.record,
         )
         self._edge = LineEdge(
             settings.caller_address, protocol, self._view, runner, self._log
@@ -57,6 +65,7 @@
             platform.parse_configuration,
             self._apply_assignments,
             self._steps.record,
+            self._quotas,
         )
         self._partitioned_since_ms: float | None = None
         self._stopping: dict[str, asyncio.Task[None]] = {}
