--- a/tests/users_platform/test_fleet_view.py
+++ b/tests/users_platform/test_fleet_view.py
@@ -27,6 +27,7 @@
 from cardamomshunt_node._server_pool import ServerPool
 from cardamomshunt_node._session_protocol import CallerQuery, Statement, StatementKind
 from cardamomshunt_node._statement_sender import StatementSender
+from cardamomshunt_node._team_quotas import TeamQuotaWaiter
 from cardamomshunt_platform._lines import LineProtocol
 from standin import make_server_report
 
@@ -187,6 +188,7 @@
         ReadFreshness(view),
         log,
         EntryMetrics(),
+        TeamQuotaWaiter(log, EntryMetrics()),
     )
     route = Route(
         "r",
