Order incarnations, and grow no share beyond a lowered limit

Cause: with more of the limit leased to few holders, the schedules found two faults. A delayed first request of an ended process replaced the shares of its successor, and a share granted under a higher limit let its holder get more than its part of the lowered one. Change: incarnations grow, and a lower one is ignored; a share counts reduced when it is divided anew. Few holders get larger shares.

--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_boot_clock.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_boot_clock.py
@@ -11,7 +11,7 @@
 def wall_ms() -> int:
     """Return the Unix time in milliseconds, which may be set forward or back.
 
-    It labels what people read and tells two starts apart; no decision depends on its
-    course.
+    It labels what people read and orders two starts of a process; no decision depends on
+    its course in between.
     """
     return int(time.time() * 1_000.0)
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_entry_control_link.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_entry_control_link.py
@@ -23,7 +23,7 @@
     digest_of,
 )
 
-from cardamomshunt_node._boot_clock import boot_ms
+from cardamomshunt_node._boot_clock import boot_ms, wall_ms
 from cardamomshunt_node._decision_log import DecisionLog
 from cardamomshunt_node._deployment import DeploymentSettings
 from cardamomshunt_node._fleet_view import FleetView
@@ -74,8 +74,9 @@
         self._on_assignments = on_assignments
         self._quotas = quotas
         quotas.request_shares = self._request_shares
-        # Distinguishes this process from earlier ones at the same address.
-        self._incarnation = 1 + random.getrandbits(_SEQUENCE_START_BITS)
+        # Higher than that of earlier processes at the same address. If the time of day
+        # was set back, this process gets shares once the leases of those have ended.
+        self._incarnation = wall_ms()
         self._transport = StreamTransport(
             settings.node, settings.peer_address, self._on_message
         )
--- a/packages/cardamomshunt/src/cardamomshunt/_fleet/messages.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_fleet/messages.py
@@ -67,7 +67,7 @@
     `bounds` count from the grant with `number` equal to `answered_number`.
     `full_servers` lately refused a connection because they had reached their maximum,
     `overloaded_servers` a statement because of a full queue, or a connection.
-    `incarnation` changes with each start of the entry VM. `watched_groups` are those
+    `incarnation` grows with each start of the entry VM. `watched_groups` are those
     whose primaries it uses; None stands for all. `quota_number` is that of the newest
     grant of shares that it applied, and `quota_demands` is None if nothing changed. With
     `is_quota_report_complete`, the sender has no share of a team that is not listed.
--- a/packages/cardamomshunt/src/cardamomshunt/_fleet/quota_ledger.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_fleet/quota_ledger.py
@@ -13,18 +13,24 @@
     term_of,
 )
 
-# Parts of the limit that are leased as shares; the rest is given as single tokens.
-_LEASED_RATE_PART = 0.6
-_LEASED_BURST_PART = 0.6
+# Parts of the limit that are leased as shares; the rest is given as single tokens. Few
+# holders get more of it, which they need without a leader. Many holders would leave
+# much of it unused, and the team would be refused below its limit.
+_LEASED_PART = 0.6
+_LEASED_PART_OF_FEW = 0.2
+_N_FEW_HOLDERS = 4
+_N_FULL_BURSTS = 12
+_BURST_FACTOR_MAX = 3.0
 # Surplus of a share over its holder's demand.
 _SURPLUS_FACTOR = 1.1
+_SURPLUS_FACTOR_OF_FEW = 0.2
 _BURST_DEMAND_S = 1.0
 _DEMAND_MIN_PER_S = 0.03
-# A share that differs less from its target is left as it is.
+# A share that differs less from its target is left as it is. A burst that stays large
+# is missing for holders that come later.
 _GROW_FACTOR = 1.2
-_SHRINK_FACTOR = 2.0
+_SHRINK_FACTOR = 1.4
 _N_PENDING_GRANTS_MAX = 8
-_N_FORMER_INCARNATIONS = 4
 _WAIT_MIN_MS = 50.0
 _WAIT_MAX_MS = 5_000.0
 _HOLDER_ABSENT_MS = 20_000.0
@@ -192,7 +198,6 @@
         self._has_former = bool(self._unreported)
         self._accounts: dict[str, _Account] = {}
         self._holders: dict[str, _Holder] = {}
-        self._former_incarnations: dict[str, deque[int]] = {}
         self._last_heard_ms: dict[str, float] = {}
         self._expiry_due_ms = now_ms
 
@@ -297,16 +302,15 @@
     def _holder(
         self, entry: str, request: LeaseRequest, now_ms: float
     ) -> _Holder | None:
-        """Return the state of an entry VM, or None if its process has ended."""
-        former = self._former_incarnations.setdefault(
-            entry, deque(maxlen=_N_FORMER_INCARNATIONS)
-        )
-        if request.incarnation in former:
-            return None
+        """Return the state of an entry VM, or None if its process has ended.
+
+        A request of a former process may be delayed by its relay.
+        """
         holder = self._holders.get(entry)
-        if holder is not None and holder.incarnation != request.incarnation:
+        if holder is not None and request.incarnation < holder.incarnation:
+            return None
+        if holder is not None and request.incarnation > holder.incarnation:
             # The former process has ended, as the new one uses its address.
-            former.append(holder.incarnation)
             self._remove(entry, now_ms)
             holder = None
         if holder is None:
@@ -389,11 +393,13 @@
         account.take_out(share)
         former = (share.rate_per_s, share.burst, share.limit, share.wait_ms)
         target = self._target(account, share)
+        # A share of a higher limit counts reduced, as its holder reduces it.
+        rate_per_s, burst = _scaled(share, account.limit)
         share.limit = account.limit
-        share.rate_per_s = min(
-            target[0], max(share.usable_rate_per_s, account.free_rate_per_s)
-        )
-        n_given = self._give(account, share, demand, n_room, target[1])
+        share.rate_per_s = min(target[0], max(rate_per_s, account.free_rate_per_s))
+        most = max(burst, account.free_burst)
+        n_given = self._give(account, share, demand, n_room, min(target[1], most))
+        share.burst = min(share.burst, most)
         share.n_unsent += n_given
         share.n_given_total += n_given
         share.wait_ms = self._wait_ms(account, share, demand, n_given)
@@ -543,18 +549,23 @@
     demand_per_s = share.demand_per_s
     if demand_per_s < _DEMAND_MIN_PER_S:
         return 0.0, 0.0
-    leased_rate = _LEASED_RATE_PART * account.limit.total_rate_per_s
-    leased_burst = _LEASED_BURST_PART * account.limit.total_burst
+    n_holders = account.n_holders + 1
+    few = min(1.0, _N_FEW_HOLDERS / n_holders)
+    leased_part = _LEASED_PART + _LEASED_PART_OF_FEW * few
+    leased_rate = leased_part * account.limit.total_rate_per_s
+    leased_burst = leased_part * account.limit.total_burst
     demand_of_all = max(account.demand_per_s, 0.0) + demand_per_s
-    burst_of_all = account.n_holders + 1 + demand_of_all * _BURST_DEMAND_S
+    burst_of_all = n_holders + demand_of_all * _BURST_DEMAND_S
+    most = max(1.0, min(_BURST_FACTOR_MAX, _N_FULL_BURSTS / n_holders))
     burst = (1.0 + demand_per_s * _BURST_DEMAND_S) * min(
-        1.0, leased_burst / burst_of_all
+        most, leased_burst / burst_of_all
     )
     if burst < 1.0:
         if account.usable_burst + 1.0 > leased_burst:
             return 0.0, 0.0
         burst = 1.0
-    return demand_per_s * min(_SURPLUS_FACTOR, leased_rate / demand_of_all), burst
+    surplus = _SURPLUS_FACTOR + _SURPLUS_FACTOR_OF_FEW * few
+    return demand_per_s * min(surplus, leased_rate / demand_of_all), burst
 
 
 def _differs(target: float, current: float) -> bool:
