Count connections opened, reused and evicted, and operations by team

Cause: whether the connections of teams suffice could not be seen. Change: three counters of connections and one of operations by team, with a label for each of the 10 largest teams and one for the rest.

--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_entry_daemon.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_entry_daemon.py
@@ -190,6 +190,7 @@
         return None
 
     def _update_metrics(self) -> None:
+        self._metrics.set_connection_counts(self._view.connection_counts())
         self._metrics.set_state(
             len(self._edge.connections),
             self._view.lease.is_valid(boot_ms()),
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_entry_metrics.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_entry_metrics.py
@@ -3,6 +3,8 @@
 from aioprometheus import Counter, Gauge, Histogram
 
 from cardamomshunt_node._daemon_metrics import DaemonMetrics
+from cardamomshunt_node._server_pool import ConnectionCounts
+from cardamomshunt_node._team_operations import TeamOperations
 
 _LATENCY_BUCKETS_MS = [
     2.0, 5.0, 10.0, 20.0, 50.0, 100.0, 200.0, 400.0, 800.0, 1_600.0, 3_200.0
@@ -35,6 +37,22 @@
             "Second attempts of reads whose first one is still without an answer.",
             registry=self.registry,
         )
+        self._connections_opened = Counter(
+            "cardamomshunt_connections_opened_total",
+            "Connections opened to servers.",
+            registry=self.registry,
+        )
+        self._connections_reused = Counter(
+            "cardamomshunt_connections_reused_total",
+            "Uses of a connection that was open already.",
+            registry=self.registry,
+        )
+        self._connections_evicted = Counter(
+            "cardamomshunt_connections_evicted_total",
+            "Connections closed to open one for another team.",
+            registry=self.registry,
+        )
+        self._operations = TeamOperations(self.registry)
         self._sessions = Gauge(
             "cardamomshunt_sessions", "Open sessions.", registry=self.registry
         )
@@ -65,6 +83,21 @@
         """Count a hedged read."""
         self._hedges.inc({})
 
+    def count_operation(self, team: str) -> None:
+        """Count a statement outside a transaction, or the first one of a transaction."""
+        self._operations.count(team)
+
+    def set_connection_counts(self, counts: ConnectionCounts) -> None:
+        """Set the counters of connections to servers."""
+        self._connections_opened.set({}, counts.n_opened)
+        self._connections_reused.set({}, counts.n_reused)
+        self._connections_evicted.set({}, counts.n_evicted)
+
+    def render(self) -> bytes:
+        """Return the metrics in the Prometheus text format."""
+        self._operations.rank()
+        return super().render()
+
     def set_state(self, n_sessions: int, has_lease: bool, version: int) -> None:
         """Set the gauges."""
         self._sessions.set({}, n_sessions)
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_fleet_view.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_fleet_view.py
@@ -4,6 +4,7 @@
 import random
 from collections import deque
 from collections.abc import Callable
+from dataclasses import replace
 
 from cardamomshunt.fleet import (
     AssignmentPhase,
@@ -21,7 +22,7 @@
 from cardamomshunt.position import LogPosition
 
 from cardamomshunt_node._boot_clock import boot_ms
-from cardamomshunt_node._server_pool import ServerPool
+from cardamomshunt_node._server_pool import ConnectionCounts, ServerPool
 from cardamomshunt_node._session_protocol import SessionProtocol
 
 _ENTRY_COUNT_WINDOW_MS = 10_000.0
@@ -43,6 +44,7 @@
         self.registry = ServerRegistry()
         self._entry_counts: deque[tuple[float, int]] = deque()
         self._pools: dict[str, ServerPool] = {}
+        self._dropped_counts = ConnectionCounts()
         self._bounds: dict[str, BoundHistory] = {}
         self._ended_epochs: dict[str, int] = {}
         self._change = asyncio.Event()
@@ -218,9 +220,17 @@
             if pool is not None:
                 pool.shorten_idle_timeout()
 
+    def connection_counts(self) -> ConnectionCounts:
+        """Return the counts of all pools since the start, also of those dropped."""
+        counts = replace(self._dropped_counts)
+        for pool in self._pools.values():
+            counts.add(pool.counts)
+        return counts
+
     def _drop_pool(self, server: str, reason: str) -> None:
         pool = self._pools.pop(server, None)
         if pool is not None:
+            self._dropped_counts.add(pool.counts)
             pool.close(reason)
 
     # Primaries
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_line_sessions.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_line_sessions.py
@@ -115,6 +115,7 @@
         if kind in _END_KINDS:
             raise RefusedError(ErrorCode.MALFORMED, "no transaction is open")
         route = self._route(session)
+        self._metrics.count_operation(session.team)
         if self._is_write(session, query.statement):
             return await self._writes.write(session, query, route, received_ms)
         return await self._reads.run(session, query, route, received_ms)
@@ -128,6 +129,8 @@
         if kind is StatementKind.ROLLBACK:
             return self._transactions.roll_back(session)
         is_write = self._is_write(session, query.statement)
+        if session.transaction is not None and session.transaction.connection is None:
+            self._metrics.count_operation(session.team)
         return await self._transactions.run(session, query, is_write)
 
     def _route(self, session: LineSession) -> Route:
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_server_pool.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_server_pool.py
@@ -56,6 +56,21 @@
     future: asyncio.Future[BackendConnection] = field(compare=False)
 
 
+@dataclass(slots=True)
+class ConnectionCounts:
+    """Connections opened, uses of open ones, and those closed for another team."""
+
+    n_opened: int = 0
+    n_reused: int = 0
+    n_evicted: int = 0
+
+    def add(self, other: "ConnectionCounts") -> None:
+        """Add the counts of another pool."""
+        self.n_opened += other.n_opened
+        self.n_reused += other.n_reused
+        self.n_evicted += other.n_evicted
+
+
 def _no_teams() -> bool:
     return False
 
@@ -98,9 +113,7 @@
         self.refusals = RefusalHistory()
         self._lag_ms = 0.0
         self._lag_recorded_ms = 0.0
-        self.n_opened = 0
-        self.n_reused = 0
-        self.n_evicted = 0
+        self.counts = ConnectionCounts()
 
     @property
     def load(self) -> int:
@@ -144,7 +157,7 @@
         if action is AcquireAction.REUSE:
             connection = self._pop_idle(values, team)
             self._in_use.add(connection)
-            self.n_reused += 1
+            self.counts.n_reused += 1
             return connection
         future: asyncio.Future[BackendConnection] = (
             asyncio.get_running_loop().create_future()
@@ -212,7 +225,7 @@
         evicted = choose_evicted(team, self._idle)
         if evicted is None:
             return False
-        self.n_evicted += 1
+        self.counts.n_evicted += 1
         evicted.close("idle while another team waits")
         return True
 
@@ -232,7 +245,7 @@
             self._on_connect_failed(team, str(error) or "no answer", connection.refusal)
             return
         self._n_opening[team] -= 1
-        self.n_opened += 1
+        self.counts.n_opened += 1
         self._n_full_refusals = 0
         self.down_since_ms = None
         self._open.add(connection)
@@ -339,11 +352,11 @@
         if waiter is None:
             self._idle.append(connection)
         elif action is ReleaseAction.HAND_OVER:
-            self.n_reused += 1
+            self.counts.n_reused += 1
             self._hand_over(connection, waiter)
         else:
             self._start_connect(waiter.team)
-            self.n_evicted += 1
+            self.counts.n_evicted += 1
             connection.close("a statement of another team goes first")
 
     def _place_opened(self, connection: BackendConnection) -> None:
--- a/tests/users_platform/test_team_connections.py
+++ b/tests/users_platform/test_team_connections.py
@@ -5,9 +5,11 @@
 
 import pytest
 import pytest_asyncio
+from aioprometheus import Registry
 from cardamomshunt_node._backend_connection import ServerLostError
 from cardamomshunt_node._boot_clock import boot_ms
 from cardamomshunt_node._server_pool import ServerBusyError, ServerPool
+from cardamomshunt_node._team_operations import TeamOperations
 from cardamomshunt_platform._lines import LineProtocol
 from standin import Group, LineServer
 
@@ -74,6 +76,27 @@
     await server.stop()
 
 
+def _team_series(operations):
+    return {labels["team"]: value for labels, value in operations._counter.get_all()}
+
+
+def test_the_largest_teams_have_a_label_of_their_own():
+    # Guards against one series for each of many teams, and against labels that stay with
+    # teams that are small by now.
+    operations = TeamOperations(Registry())
+    for number in range(30):
+        operations.count(f"t{number}")
+    assert len(_team_series(operations)) == 11
+    for _ in range(40):
+        operations.count("t29")
+    operations.rank()
+    assert len(_team_series(operations)) <= 11
+    operations.count("t29")
+    operations.count("")
+    series = _team_series(operations)
+    assert (series["t29"], series["other teams"]) == (1, 60)
+
+
 def start(work):
     return asyncio.get_running_loop().create_task(work)
 
@@ -137,7 +160,7 @@
         tasks.append(start(pooled.run("", request, priority)))
     await asyncio.gather(*tasks)
     assert pooled.requests == ["a1", "a2", "first", "b", "c"]
-    assert (pooled.pool.n_opened, pooled.pool.n_evicted) == (1, 0)
+    assert (pooled.pool.counts.n_opened, pooled.pool.counts.n_evicted) == (1, 0)
 
 
 async def test_a_full_server_is_tried_again(make_pooled):
@@ -157,7 +180,7 @@
     await pooled.run("a", "a")
     pooled.server.n_connections_max = 1
     assert (await pooled.run("b", "b", timeout_ms=600.0)).is_success
-    assert pooled.pool.n_evicted == 1
+    assert pooled.pool.counts.n_evicted == 1
 
 
 async def test_a_team_waits_at_a_full_server_until_its_deadline(make_pooled):
@@ -177,7 +200,7 @@
     pooled.server.n_connections_max = 1
     assert (await pooled.run("a", "a2", timeout_ms=400.0)).is_success
     await first
-    assert pooled.pool.n_opened == 1
+    assert pooled.pool.counts.n_opened == 1
 
 
 @pytest.mark.parametrize("n_connections", [1, 3])
@@ -200,7 +223,7 @@
     pooled.server.denied_teams.add("a")
     with pytest.raises(ServerLostError):
         await pooled.run("a", "a1")
-    assert (pooled.pool.n_evicted, len(pooled.pool._open)) == (1, 0)
+    assert (pooled.pool.counts.n_evicted, len(pooled.pool._open)) == (1, 0)
     assert (await pooled.run("b", "b2")).is_success
 
 
@@ -241,7 +264,7 @@
     await asyncio.sleep(0.01)
     left.cancel()
     assert (await waits).is_success
-    assert pooled.pool.n_opened == 1
+    assert pooled.pool.counts.n_opened == 1
 
 
 async def test_an_opening_ends_with_its_pool(make_pooled):
@@ -264,7 +287,7 @@
     pooled = make_pooled(has_teams=has_teams)
     pooled.pool.down_since_ms = boot_ms()
     pooled.pool.probe()
-    await pooled.until(lambda: pooled.pool.n_opened)
+    await pooled.until(lambda: pooled.pool.counts.n_opened)
     assert pooled.pool.down_since_ms is None
     assert pooled.idle_teams == idle
 
--- a/tests/users_platform/test_teams.py
+++ b/tests/users_platform/test_teams.py
@@ -41,6 +41,7 @@
     ]
 
     async def call(team, caller, number):
+        # Three operations: one read, one write and one transaction.
         for step, text in enumerate(
             ["READ k", "WRITE k a", "BEGIN", "READ k", "COMMIT"]
         ):
@@ -55,6 +56,21 @@
     assert {(run.request.split("-")[0], run.team) for run in runs} == {
         (team, team) for team in _KEYS
     }
+    settings = deployment.settings["entry-1"]
+    response = await deployment.call(
+        f"{settings.host}:{settings.metrics_port}", "GET", "/metrics"
+    )
+    lines = response.body.decode().splitlines()
+    for team in _KEYS:
+        assert f'cardamomshunt_team_operations_total{{team="{team}"}} 27' in lines
+    opened, reused = (
+        int(line.split()[-1])
+        for name in ("opened", "reused")
+        for line in lines
+        if line.startswith(f"cardamomshunt_connections_{name}_total ")
+    )
+    assert opened >= 2
+    assert reused > opened
 
 
 async def test_a_removed_key_ends_idle_and_open_transactions(deployment):
