--- a/tests/users_platform/test_operations_page.py
+++ b/tests/users_platform/test_operations_page.py
@@ -3,6 +3,8 @@
 import re
 from pathlib import Path
 
+from cardamomshunt_node._entry_metrics import EntryMetrics
+
 _ROOT = Path(__file__).parents[2]
 _SOURCES = _ROOT / "packages/cardamomshunt-node/src/cardamomshunt_node"
 _CALL = re.compile(r'log\.write(?:_request)?\(\s*"([a-z_]+)"')
@@ -38,3 +40,13 @@
         assert call is not None
         written = set(re.findall(r"^\s+(\w+)=", call.group(1), re.MULTILINE))
         assert written == set(re.findall(r"`(\w+)`", row.split("|")[2]))
+
+
+def test_documented_counters_are_served():
+    # Guards against a dashboard that reads a counter under an outdated name.
+    documented = set(re.findall(r"^\| `(cardamomshunt_\w+)`", _PAGE, re.MULTILINE))
+    metrics = EntryMetrics()
+    metrics.count_operation("desk")
+    served = set(re.findall(r"^# HELP (\w+)", metrics.render().decode(), re.MULTILINE))
+    assert len(documented) == 4
+    assert documented <= served
