Keep a useful connection while openings are backed off

Cause: at a full server, a release could close a connection whose own team has waiters, although the opening in its place has to wait for the back-off and the place may be taken by another VM meanwhile. Change: such a connection goes to its own team.

--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_server_pool.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_server_pool.py
@@ -346,8 +346,13 @@
         if len(self._open) > self._quota():
             connection.close("more connections than the quota")
             return
+        now = boot_ms()
         action, waiter = self._release_rule.decide(
-            connection.team, self._waiting, self._n_opening, boot_ms()
+            connection.team,
+            self._waiting,
+            self._n_opening,
+            now,
+            is_backing_off=now < self.connect_after_ms,
         )
         if waiter is None:
             self._idle.append(connection)
--- a/packages/cardamomshunt/src/cardamomshunt/_fleet/team_connections.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_fleet/team_connections.py
@@ -117,8 +117,12 @@
         waiters: Collection[_Waiter],
         n_opening: Mapping[str, int],
         now_ms: float,
+        is_backing_off: bool = False,
     ) -> tuple[ReleaseAction, _Waiter | None]:
-        """Return what to do with a team's connection, and for which waiter."""
+        """Return what to do with a team's connection, and for which waiter.
+
+        While openings are backed off, a connection that is still useful is not closed.
+        """
         own = min((item for item in waiters if item.team == team), default=None)
         others = [item for item in waiters if item.team != team]
         if own is None:
@@ -134,7 +138,8 @@
         ]
         best = best_uncovered_waiter(urgent, n_opening)
         self._n_handed_over += 1
-        if best is None or self._n_handed_over < _N_RELEASES_PER_REPLACEMENT:
+        is_too_soon = self._n_handed_over < _N_RELEASES_PER_REPLACEMENT
+        if best is None or is_too_soon or is_backing_off:
             return ReleaseAction.HAND_OVER, own
         self._n_handed_over = 0
         return ReleaseAction.REPLACE, best
--- a/packages/cardamomshunt/tests/test_team_connections.py
+++ b/packages/cardamomshunt/tests/test_team_connections.py
@@ -98,6 +98,19 @@
     assert (found[1].order if found[1] else None) == order
 
 
+@pytest.mark.parametrize(
+    ("waiters", "action"),
+    [
+        ([("a", 2), ("b", 0)], ReleaseAction.HAND_OVER),
+        ([("b", 0)], ReleaseAction.REPLACE),
+    ],
+)
+def test_a_useful_connection_to_a_full_server_is_kept(waiters, action):
+    # Guards against a connection that is closed although none can be opened now.
+    found, _ = ReleaseRule().decide("a", make_waiters(*waiters), {}, 0.0, True)
+    assert found is action
+
+
 def test_a_busy_team_loses_at_most_one_connection_in_four_releases():
     # Guards against a server that spends its slots on openings when a busy team and
     # urgent statements of many others share few connections.
