Show why the daemons of a test did not start

Cause: with a load of 18 on the machine, the start of a deployment in a test failed in 3 of 7 runs of two files, each time once. In the one run whose output was kept, the control daemons and an entry VM had logged nothing; the reason was not shown. Change: the message names the daemons that ended and their exceptions. Result: 13 further runs passed, so that the reason is still unknown.

--- a/tests/users_platform/conftest.py
+++ b/tests/users_platform/conftest.py
@@ -116,7 +116,12 @@
                 if response.status < 500:
                     return response
             await asyncio.sleep(0.05)
-        raise AssertionError("no control node accepted the configuration")
+        ended = {
+            node: repr(task.exception())
+            for node, task in self.tasks.items()
+            if task.done() and not task.cancelled()
+        }
+        raise AssertionError(f"no control node accepted the configuration: {ended}")
 
     async def report_periodically(self, server: LineServer) -> None:
         addresses = itertools.cycle(self.control_addresses)
