--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_line_sessions.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_line_sessions.py
@@ -128,6 +128,7 @@
             raise RefusedError(ErrorCode.MALFORMED, "no transaction is open")
         route = self._route(session)
         is_write = self._is_write(session, query.statement)
+        self._metrics.count_operation(session.team)
         deadline_ms = statement_deadline_ms(
             route, received_ms, self._view.answer_deadline_ms
         )
@@ -145,6 +146,8 @@
         if kind is StatementKind.ROLLBACK:
             return self._transactions.roll_back(session)
         is_write = self._is_write(session, query.statement)
+        if session.transaction is not None and session.transaction.connection is None:
+            self._metrics.count_operation(session.team)
         return await self._transactions.run(session, query, is_write)
 
     def _route(self, session: LineSession) -> Route:
