Adapt the use of a server to its answers, and order waiting statements

Cause: a server that started or recovered was used in full from its first answer, and waiting statements were served in the order of their arrival. Change: limits of servers (server_pace, server_paces), their exchange in a zone (zone_paces), latencies by class (latency_reference), a queue by priority and team (statement_queue) and admission by both (server_gate); all without I/O and not used yet.

--- a/packages/cardamomshunt/src/cardamomshunt/_data_path/admission.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_data_path/admission.py
@@ -41,6 +41,14 @@
         items = self._by_caller.get(caller)
         return len(items) if items else 0
 
+    def n_before(self, caller: Hashable) -> int:
+        """Return the number of items served before a new one of a caller."""
+        n_own = self.n_of(caller)
+        return sum(
+            len(items) if key == caller else min(len(items), n_own + 1)
+            for key, items in self._by_caller.items()
+        )
+
     def push(self, caller: Hashable, item: T) -> None:
         """Add an item at the end of its caller's queue."""
         items = self._by_caller.get(caller)
--- a/packages/cardamomshunt/src/cardamomshunt/_fleet/server_registry.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_fleet/server_registry.py
@@ -20,7 +20,8 @@
     """Report of a backend server about itself.
 
     `started_ms` is the wall-clock time of the server's start, and `sequence` counts its
-    reports since then; together they order the reports of one server.
+    reports since then; together they order the reports of one server. `warm_up_ms` is
+    the time for which it expects to be slow, from when it sent the report.
     """
 
     server: str
@@ -32,6 +33,7 @@
     started_ms: int
     sequence: int
     n_slots: int = 1
+    warm_up_ms: float = 0.0
 
     @property
     def order_key(self) -> tuple[int, bool, int]:
@@ -42,8 +44,17 @@
         return (self.started_ms, self.state is ServerState.GONE, self.sequence)
 
     def differs_from(self, other: "ServerReport") -> bool:
-        """Return whether the reports differ in more than their sequence."""
-        return msgspec.structs.replace(self, sequence=other.sequence) != other
+        """Return whether the reports differ in more than their sequence.
+
+        The rest of a warm-up changes with each report; only its end is a difference.
+        """
+        is_same_warm_up = (self.warm_up_ms > 0.0) == (other.warm_up_ms > 0.0)
+        return not is_same_warm_up or (
+            msgspec.structs.replace(
+                self, sequence=other.sequence, warm_up_ms=other.warm_up_ms
+            )
+            != other
+        )
 
 
 class ServerRegistry:
--- a/packages/cardamomshunt/src/cardamomshunt/fleet.py
+++ b/packages/cardamomshunt/src/cardamomshunt/fleet.py
@@ -53,24 +53,39 @@
     RouteTable,
     build_route_table,
 )
+from cardamomshunt._fleet.server_gate import ServerGate
+from cardamomshunt._fleet.server_pace import (
+    AnswerKind,
+    PaceChange,
+    PaceReason,
+    PaceSample,
+    ServerPace,
+    ServerUse,
+    merge_samples,
+)
+from cardamomshunt._fleet.server_paces import ServerPaces
 from cardamomshunt._fleet.server_registry import (
     ServerRegistry,
     ServerReport,
     ServerState,
 )
 from cardamomshunt._fleet.shared_bounds import BoundExchange, SharedBound
+from cardamomshunt._fleet.statement_queue import StatementQueue
 from cardamomshunt._fleet.successor import ServerStatus, choose_successor
 from cardamomshunt._fleet.teams import Team, TeamTable, key_digest, key_fingerprint
+from cardamomshunt._fleet.zone_paces import ClassLatency, PaceReport, ZonePaces
 
 __all__ = [
     "LEASE_MARGIN_MS",
     "LEASE_MS",
+    "AnswerKind",
     "AssignPrimary",
     "Assignment",
     "AssignmentCommand",
     "AssignmentPhase",
     "AssignmentsChanged",
     "BoundExchange",
+    "ClassLatency",
     "ConfigurationInvalidError",
     "ConnectionQuota",
     "ControlNodeSelector",
@@ -85,6 +100,10 @@
     "LeaseGrant",
     "LeaseRequest",
     "LeaseTable",
+    "PaceChange",
+    "PaceReason",
+    "PaceReport",
+    "PaceSample",
     "PrimaryLease",
     "PromoteSuccessor",
     "PutDocument",
@@ -102,16 +121,22 @@
     "Route",
     "RouteKind",
     "RouteTable",
+    "ServerGate",
+    "ServerPace",
+    "ServerPaces",
     "ServerRegistry",
     "ServerReport",
     "ServerState",
     "ServerStatus",
+    "ServerUse",
     "SharedBound",
+    "StatementQueue",
     "StopPrimary",
     "StoreServers",
     "Suspicion",
     "Team",
     "TeamTable",
+    "ZonePaces",
     "build_route_table",
     "choose_successor",
     "digest_of",
@@ -119,5 +144,6 @@
     "full_server_pause_ms",
     "key_digest",
     "key_fingerprint",
+    "merge_samples",
     "order_of_reads",
 ]
