Merge connections that belong to teams, and use servers at their pace

Cause: the limits and the queue of waiting statements were not used by entry VMs. Change: with is_load_managed, pools admit statements by the pace of their server, reads prefer servers that may be used now, and what can't be served in time is refused at once. The VMs of a zone exchange samples with their lease requests. Off by default.

--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_backend_connection.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_backend_connection.py
@@ -55,17 +55,34 @@
     def on_closed(self, connection: "BackendConnection") -> None:
         """Remove a closed connection."""
 
+    @abstractmethod
+    def record_answer(
+        self,
+        connection: "BackendConnection",
+        statement_class: str,
+        priority: int,
+        elapsed_ms: float,
+        reply: Reply | None,
+    ) -> None:
+        """Record the answer to a statement, or None if none came in time."""
+
     @abstractmethod
     def release(self, connection: "BackendConnection") -> None:
         """Take a connection back that a statement no longer uses."""
 
 
 class BackendConnection(asyncio.Protocol):
-    """Send statements on one connection and match the answers, which are in order."""
+    """Send statements on one connection and match the answers, which are in order.
+
+    A connection serves only the team that it was opened for.
+    """
 
-    def __init__(self, protocol: SessionProtocol, pool: ConnectionOwner) -> None:
+    def __init__(
+        self, protocol: SessionProtocol, pool: ConnectionOwner, team: str = ""
+    ) -> None:
         self._protocol = protocol
         self.pool = pool
+        self._team = team
         self.values: dict[str, str] = {}
         self.prepared: dict[str, PreparedStatement] = {}
         self.state = TransactionState.IDLE
@@ -76,6 +93,11 @@
         self._buffer = bytearray()
         self.is_closed = False
 
+    @property
+    def team(self) -> str:
+        """Return the team of the connection, empty for callers without a team."""
+        return self._team
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport and set its timeout for unacknowledged data."""
         assert isinstance(transport, asyncio.Transport)
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_entry_daemon.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_entry_daemon.py
@@ -14,6 +14,7 @@
 from cardamomshunt_node._fleet_view import FleetView
 from cardamomshunt_node._http import HttpRequest, HttpResponse, HttpServer
 from cardamomshunt_node._line_sessions import StatementRunner
+from cardamomshunt_node._pace_watch import PaceWatch
 from cardamomshunt_node._team_page import TEAM_PAGE_PATH, team_page_response
 
 _SWEEP_INTERVAL_S = 0.25
@@ -39,7 +40,10 @@
         self._metrics = EntryMetrics()
         super().__init__(platform, settings, log, self._metrics)
         protocol = platform.session_protocol
-        self._view = FleetView(settings.node, settings.zone, protocol)
+        self._view = FleetView(
+            settings.node, settings.zone, protocol, settings.is_load_managed
+        )
+        self._pace_watch = PaceWatch(self._view, self._log, self._metrics)
         runner = StatementRunner(self._view, protocol, self._log, self._metrics)
         self._edge = LineEdge(
             settings.caller_address, protocol, self._view, runner, self._log
@@ -157,6 +161,7 @@
             self._control_link.check_lease(now)
             self._edge.end_idle_transactions()
             self._view.maintain_pools()
+            self._pace_watch.update()
             self._check_partition(now)
             self._log.flush()
 
@@ -195,3 +200,4 @@
             self._view.lease.is_valid(boot_ms()),
             self._view.table.version,
         )
+        self._metrics.set_paces(self._view.pace_levels())
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_entry_metrics.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_entry_metrics.py
@@ -49,6 +49,26 @@
             registry=self.registry,
         )
 
+        self._pace = Gauge(
+            "cardamomshunt_server_pace",
+            "Share of its full limit that a server may be used with, from 0 to 1.",
+            registry=self.registry,
+        )
+        self._pace_changes = Counter(
+            "cardamomshunt_server_pace_changes_total",
+            "Changes of a server's limit, by reason.",
+            registry=self.registry,
+        )
+
+    def count_pace_change(self, server: str, reason: str) -> None:
+        """Count a change of a server's limit."""
+        self._pace_changes.inc({"server": server, "reason": reason})
+
+    def set_paces(self, levels: dict[str, float]) -> None:
+        """Set the share of its full limit for each server."""
+        for server, level in levels.items():
+            self._pace.set({"server": server}, level)
+
     def observe_statement(self, kind: str, elapsed_ms: float) -> None:
         """Record the latency of one statement."""
         self._latency.observe({"kind": kind}, elapsed_ms)
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_entry_service.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_entry_service.py
@@ -19,6 +19,7 @@
     RelayedGrants,
     RelayedRequest,
     RelayedRequests,
+    ZonePaces,
     digest_of,
 )
 from cardamomshunt.messages import Message
@@ -80,6 +81,7 @@
         self._document: DocumentChanged | None = None
         self._full_reported_ms: dict[str, float] = {}
         self._overload_reported_ms: dict[str, float] = {}
+        self._zone_paces = ZonePaces()
         self._bounds = BoundExchange()
         self._number = random.getrandbits(_NUMBER_START_BITS)
         self._pending: dict[str, LeaseRequest] = {}
@@ -157,6 +159,8 @@
                 self._full_reported_ms[server] = now
             for server in request.overloaded_servers:
                 self._overload_reported_ms[server] = now
+            if request.paces is not None:
+                self._zone_paces.receive(address, request.paces, now)
             self._resync(address, request, now)
         if self._may_grant:
             grant = self._grant(address, request, now, self._n_entries(now))
@@ -212,6 +216,7 @@
     ) -> None:
         """Send a grant, completed with the fields that this node knows itself."""
         number, bounds, full_servers, overloaded_servers = 0, [], [], []
+        paces = None
         if request.is_for_assigned_control_node:
             self._number += 1
             number = self._number
@@ -221,6 +226,8 @@
             overloaded_servers = _recent_keys(
                 self._overload_reported_ms, _FULL_SERVER_TIMEOUT_MS
             )
+            if request.paces is not None:
+                paces = self._zone_paces.of_others(address, now)
         self._transport.send(
             address,
             structs.replace(
@@ -231,6 +238,7 @@
                 bounds=bounds,
                 full_servers=full_servers,
                 overloaded_servers=overloaded_servers,
+                paces=paces,
             ),
         )
 
@@ -326,6 +334,7 @@
         bounds=[],
         full_servers=[],
         overloaded_servers=[],
+        paces=None,
     )
 
 
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_fleet_view.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_fleet_view.py
@@ -8,9 +8,12 @@
 from cardamomshunt.fleet import (
     AssignmentPhase,
     ConnectionQuota,
+    PaceChange,
+    PaceReport,
     PrimaryLease,
     ReadCandidate,
     RouteTable,
+    ServerPaces,
     ServerRegistry,
     ServerReport,
     ServerState,
@@ -20,7 +23,8 @@
 from cardamomshunt.freshness import BoundHistory, DatedPosition
 from cardamomshunt.position import LogPosition
 
-from cardamomshunt_node._boot_clock import boot_ms
+from cardamomshunt_node._boot_clock import boot_ms, wall_ms
+from cardamomshunt_node._paced_server_pool import PacedServerPool
 from cardamomshunt_node._server_pool import ServerPool
 from cardamomshunt_node._session_protocol import SessionProtocol
 
@@ -33,7 +37,13 @@
 class FleetView:
     """Track the servers and primaries of the fleet; choose the pools of statements."""
 
-    def __init__(self, node: str, zone: str, protocol: SessionProtocol) -> None:
+    def __init__(
+        self,
+        node: str,
+        zone: str,
+        protocol: SessionProtocol,
+        is_load_managed: bool = False,
+    ) -> None:
         self._node = node
         self._zone = zone
         self._protocol = protocol
@@ -43,6 +53,9 @@
         self.registry = ServerRegistry()
         self._entry_counts: deque[tuple[float, int]] = deque()
         self._pools: dict[str, ServerPool] = {}
+        self._paces = ServerPaces(node) if is_load_managed else None
+        self._pace_changes: list[PaceChange] = []
+        self._servers_down: set[str] = set()
         self._bounds: dict[str, BoundHistory] = {}
         self._ended_epochs: dict[str, int] = {}
         self._change = asyncio.Event()
@@ -81,6 +94,8 @@
             return False
         if report.state is ServerState.GONE:
             self._drop_pool(report.server, "the server is gone")
+        if self._paces is not None:
+            self._update_pace(self._paces, report)
         self.notify()
         return True
 
@@ -93,16 +108,39 @@
             return pool
         if pool is not None:
             self._drop_pool(report.server, "the server moved")
-        group = report.group
-        pool = ServerPool(
+        pool = self._make_pool(report)
+        self._pools[report.server] = pool
+        return pool
+
+    def _make_pool(self, report: ServerReport) -> ServerPool:
+        group, server = report.group, report.server
+
+        def quota() -> int:
+            return self._connection_quota(group, server)
+
+        def has_teams() -> bool:
+            return self.table.has_teams
+
+        pace = self._paces.get(server) if self._paces is not None else None
+        if self._paces is None or pace is None:
+            return ServerPool(
+                self._protocol, group, server, report.address, quota, has_teams
+            )
+        return PacedServerPool(
             self._protocol,
             group,
-            report.server,
+            server,
             report.address,
-            lambda: self._connection_quota(group, report.server),
+            quota,
+            has_teams,
+            pace,
+            self._paces,
+            self._team_priority,
         )
-        self._pools[report.server] = pool
-        return pool
+
+    def _team_priority(self, team: str) -> int:
+        known = self.table.teams.teams.get(team)
+        return known.priority if known is not None else 0
 
     def record_n_entries(self, n_entries: int) -> None:
         """Record how many entry VMs a leader knows of; 0 stands for unknown.
@@ -143,12 +181,20 @@
 
         Each entry VM keeps the connection to the replica that it reads from, as these
         are about equally many for each replica. Reopening them would take up slots.
+        Where there are teams, it keeps one of these, and closes idle ones of all servers
+        in any case, as those of a team that was removed would stay open otherwise. A
+        connection opened in advance would have no team.
         """
-        for pool in self._pools.values():
+        has_teams = self.table.has_teams
+        for pool in list(self._pools.values()):
             pool.probe()
-            if self._is_scarce(pool.group) and pool is not self._usual_replica(pool):
-                pool.close_idle()
-        self._warm_up_one()
+            if not has_teams and not self._is_scarce(pool.group):
+                continue
+            is_usual = pool is self._usual_replica(pool)
+            if has_teams or not is_usual:
+                pool.close_idle(is_newest_kept=is_usual)
+        if not has_teams:
+            self._warm_up_one()
 
     def _usual_replica(self, pool: ServerPool) -> ServerPool | None:
         """Return the pool of the replica that reads of a group prefer, if any."""
@@ -214,6 +260,64 @@
         if pool is not None:
             pool.close(reason)
 
+    # Paces
+
+    def _update_pace(self, paces: ServerPaces, report: ServerReport) -> None:
+        if report.state is ServerState.GONE:
+            paces.remove(report.server)
+            return
+        change = paces.on_report(report, boot_ms(), wall_ms())
+        if change is not None:
+            self._pace_changes.append(change)
+
+    def pace_report(self) -> PaceReport | None:
+        """Return what the other entry VMs of the zone need to know about servers."""
+        return self._paces.report(boot_ms()) if self._paces is not None else None
+
+    def record_paces(self, report: PaceReport) -> None:
+        """Record what the other entry VMs of the zone know about servers."""
+        if self._paces is not None:
+            self._paces.receive(report, boot_ms())
+
+    def adapt_paces(self) -> list[PaceChange]:
+        """Adapt the limits of all servers; return the changes since the last call."""
+        if self._paces is None:
+            return []
+        now = boot_ms()
+        self._find_recovered(self._paces, now)
+        primaries = set()
+        for pace in self._paces.all():
+            report = self.registry.get(pace.server)
+            if report is None:
+                continue
+            assignment = self.lease.latest_assignment(report.group)
+            n_sharers = self._n_entries
+            if assignment is not None and assignment.server == pace.server:
+                primaries.add(pace.server)
+            else:
+                reports = self.registry.of_group(report.group)
+                n_sharers = -(
+                    -n_sharers // len({item.zone for item in reports} or {""})
+                )
+            pace.n_sharers = max(n_sharers, 1)
+        changes = self._pace_changes + self._paces.adapt(now, primaries)
+        self._pace_changes = []
+        return changes
+
+    def _find_recovered(self, paces: ServerPaces, now: float) -> None:
+        """Begin a slow start of the servers that answer again."""
+        down = {name for name, pool in self._pools.items() if pool.is_down(now)}
+        for server in self._servers_down - down:
+            change = paces.on_recovered(server, now)
+            if change is not None:
+                self._pace_changes.append(change)
+        self._servers_down = down
+
+    def pace_levels(self) -> dict[str, float]:
+        """Return the share of its full limit that each server has."""
+        paces = self._paces.all() if self._paces is not None else []
+        return {pace.server: pace.level for pace in paces}
+
     # Primaries
 
     def primary(self, group: str) -> tuple[ServerPool, int] | None:
@@ -278,9 +382,13 @@
         return bounds.first_bound_since(since_ms) if bounds else None
 
     def read_candidates(
-        self, group: str, at_least: DatedPosition | None, tried: set[str]
+        self,
+        group: str,
+        at_least: DatedPosition | None,
+        tried: set[str],
+        priority: int = 0,
     ) -> list[ServerPool]:
-        """Return the servers that may serve a read, best first.
+        """Return the servers that may serve a read of a route's priority, best first.
 
         With `at_least` None only the primary may serve it.
         """
@@ -304,7 +412,7 @@
                     is_primary=is_primary,
                     is_in_zone=report.zone == self._zone,
                     is_unreliable=pool.failure_rate.is_unreliable(now),
-                    is_busy=self._is_busy(pool, now),
+                    is_busy=self._is_busy(pool, now, priority),
                     n_in_flight=pool.load,
                 )
             )
@@ -313,9 +421,10 @@
         return [self._pools[server] for server in order]
 
     @staticmethod
-    def _is_busy(pool: ServerPool, now: float) -> bool:
+    def _is_busy(pool: ServerPool, now: float, priority: int) -> bool:
         return (
             pool.load >= _N_LOCAL_LOAD_MAX
             or now < pool.full_until_ms
             or pool.refusals.should_avoid(now)
+            or not pool.may_send(now, priority)
         )
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_line_writes.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_line_writes.py
@@ -19,6 +19,7 @@
     not_run_error,
     retry_pause_ms,
     seconds_until,
+    statement_class,
     statement_deadline_ms,
 )
 from cardamomshunt_node._server_pool import ServerBusyError
@@ -63,7 +64,9 @@
                 future = self._sender.send(connection, session, query, None)
                 async with asyncio.timeout(seconds_until(deadline_ms)):
                     reply = await future
+                self._record_answer(connection, route, sent_ms, reply)
             except (TimeoutError, ServerLostError) as error:
+                self._record_answer(connection, route, sent_ms, None)
                 raise RefusedError(
                     ErrorCode.IN_DOUBT, f"no answer from {connection.pool.server}"
                 ) from error
@@ -82,6 +85,7 @@
     ) -> tuple[BackendConnection, int]:
         """Return a connection to the current primary, and its epoch."""
         reason = "no primary is available"
+        retry_after_ms: int | None = None
         n_lost = 0
         while (now := boot_ms()) < deadline_ms:
             primary = self._view.primary(route.group)
@@ -94,7 +98,7 @@
                     route.priority, deadline_ms, session.values, session.team
                 )
             except ServerBusyError as error:
-                reason = str(error)
+                reason, retry_after_ms = str(error), error.retry_after_ms
                 break
             except ServerLostError as error:
                 reason = str(error)
@@ -105,7 +109,19 @@
             if current is not None and current[1] == epoch:
                 return connection, epoch
             pool.release(connection)
-        raise not_run_error(ErrorCode.BUSY, reason)
+        raise not_run_error(ErrorCode.BUSY, reason, retry_after_ms)
+
+    @staticmethod
+    def _record_answer(
+        connection: BackendConnection, route: Route, sent_ms: float, reply: Reply | None
+    ) -> None:
+        connection.pool.record_answer(
+            connection,
+            statement_class(route, "write"),
+            route.priority,
+            boot_ms() - sent_ms,
+            reply,
+        )
 
     def acknowledge(
         self,
--- a/packages/cardamomshunt/src/cardamomshunt/_fleet/messages.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_fleet/messages.py
@@ -7,6 +7,7 @@
 from cardamomshunt._fleet.primary_assignments import Assignment
 from cardamomshunt._fleet.server_registry import ServerReport
 from cardamomshunt._fleet.shared_bounds import SharedBound
+from cardamomshunt._fleet.zone_paces import PaceReport
 from cardamomshunt._shared.messages import Message
 
 # The fastest level suffices: routes resemble each other, so that a document shrinks to
@@ -51,6 +52,7 @@
     `incarnation` changes with each start of the entry VM. `watched_groups` are those
     whose primaries it uses; None stands for all. `quota_number` is that of the newest
     grant of shares that it applied, and `quota_demands` is None if nothing changed.
+    `paces` is None unless the entry VM limits its use of servers.
     """
 
     sequence: int
@@ -72,6 +74,7 @@
     watched_groups: list[str] | None = None
     quota_number: int = 0
     quota_demands: list[QuotaDemand] | None = None
+    paces: PaceReport | None = None
 
 
 class LeaseGrant(Message, kw_only=True, array_like=True):
@@ -86,6 +89,7 @@
     assigned control node that does not have it. `zone_entries` are the peer addresses of
     the entry VMs of the receiver's zone, or None if it has them. `quota_shares` replace
     all shares of the receiver if `quota_number` is newer than the one that it applied.
+    `paces` is what the other entry VMs of the zone know, if the receiver sent its own.
     """
 
     sequence: int
@@ -103,6 +107,7 @@
     zone_entries: list[str] | None = None
     quota_number: int = 0
     quota_shares: list[QuotaShare] | None = None
+    paces: PaceReport | None = None
 
 
 class RelayedRequest(msgspec.Struct, frozen=True, array_like=True):
--- a/packages/cardamomshunt/src/cardamomshunt/_fleet/server_pace.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_fleet/server_pace.py
@@ -124,10 +124,15 @@
 
     @property
     def is_notable(self) -> bool:
-        """Return whether the limit fell to its minimum or the full share is back."""
-        return self.level != self.former_level and (
-            self.level >= FULL_LEVEL or self.level <= MIN_LEVEL
+        """Return whether a slow start began, or the limit reached an end of its range."""
+        if self.level == self.former_level:
+            return False
+        is_slow_start = self.reason in (
+            PaceReason.START,
+            PaceReason.WARM_UP,
+            PaceReason.RECOVERY,
         )
+        return is_slow_start or self.level >= FULL_LEVEL or self.level <= MIN_LEVEL
 
 
 @dataclass(slots=True, eq=False)
--- a/packages/cardamomshunt/src/cardamomshunt/fleet.py
+++ b/packages/cardamomshunt/src/cardamomshunt/fleet.py
@@ -72,12 +72,22 @@
 from cardamomshunt._fleet.shared_bounds import BoundExchange, SharedBound
 from cardamomshunt._fleet.statement_queue import StatementQueue
 from cardamomshunt._fleet.successor import ServerStatus, choose_successor
+from cardamomshunt._fleet.team_connections import (
+    AcquireAction,
+    ReleaseAction,
+    ReleaseRule,
+    TeamWaiter,
+    best_uncovered_waiter,
+    choose_acquire_action,
+    choose_evicted,
+)
 from cardamomshunt._fleet.teams import Team, TeamTable, key_digest, key_fingerprint
 from cardamomshunt._fleet.zone_paces import ClassLatency, PaceReport, ZonePaces
 
 __all__ = [
     "LEASE_MARGIN_MS",
     "LEASE_MS",
+    "AcquireAction",
     "AnswerKind",
     "AssignPrimary",
     "Assignment",
@@ -115,6 +125,8 @@
     "RelayedGrants",
     "RelayedRequest",
     "RelayedRequests",
+    "ReleaseAction",
+    "ReleaseRule",
     "ReportsChanged",
     "ReportsReceived",
     "ReportsRequest",
@@ -136,8 +148,12 @@
     "Suspicion",
     "Team",
     "TeamTable",
+    "TeamWaiter",
     "ZonePaces",
+    "best_uncovered_waiter",
     "build_route_table",
+    "choose_acquire_action",
+    "choose_evicted",
     "choose_successor",
     "digest_of",
     "encode_command",
