Divide the limit of a server among the VMs that use it

Cause: a primary's limit was divided among all entry VMs, though few of them use it once teams have owner VMs; and statements that waited for an answer were looked at each 1 ms. Change: samples count the VMs that use a server; only the end of a pause sets a timer.

--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_fleet_view.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_fleet_view.py
@@ -291,17 +291,20 @@
             if report is None:
                 continue
             assignment = self.lease.latest_assignment(report.group)
-            n_sharers = self._n_entries
+            reports = self.registry.of_group(report.group)
+            n_zones = len({item.zone for item in reports} | {report.zone})
+            pace.n_sharers, pace.n_zones = self._n_entries, n_zones
             if assignment is not None and assignment.server == pace.server:
                 primaries.add(pace.server)
             else:
-                reports = self.registry.of_group(report.group)
-                n_sharers = -(
-                    -n_sharers // len({item.zone for item in reports} or {""})
-                )
-            pace.n_sharers = max(n_sharers, 1)
+                # Replicas are mostly read within their zone.
+                pace.n_sharers, pace.n_zones = -(-self._n_entries // n_zones), 1
         changes = self._pace_changes + self._paces.adapt(now, primaries)
         self._pace_changes = []
+        for change in changes:
+            pool = self._pools.get(change.server)
+            if pool is not None:
+                pool.on_pace_changed()
         return changes
 
     def _find_recovered(self, paces: ServerPaces, now: float) -> None:
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_paced_server_pool.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_paced_server_pool.py
@@ -75,6 +75,10 @@
         """Return whether a statement of a route's priority may be sent now."""
         return self._pace.allows(now_ms, priority)
 
+    def on_pace_changed(self) -> None:
+        """Let statements through that may start now."""
+        self._wake()
+
     async def acquire(
         self, priority: int, deadline_ms: float, values: dict[str, str], team: str
     ) -> BackendConnection:
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_server_pool.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_server_pool.py
@@ -120,6 +120,9 @@
         """Return whether a statement of a route's priority may be sent now."""
         return True
 
+    def on_pace_changed(self) -> None:
+        """Let statements through that may start now."""
+
     def record_answer(
         self,
         connection: BackendConnection,
--- a/packages/cardamomshunt/src/cardamomshunt/_fleet/server_gate.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_fleet/server_gate.py
@@ -64,10 +64,12 @@
 
     def wake_after_ms(self, now_ms: float) -> float | None:
         """Return the time until a waiting statement may start without an answer."""
-        priority = self.queue.next_priority()
-        if priority is None:
-            return None
-        return max(self.pace.pause_end_ms(priority[0]) - now_ms, 1.0)
+        ends_ms = [
+            self.pace.pause_end_ms(priority[0])
+            for priority in self.queue.pending()
+            if self.pace.is_pausing(priority[0])
+        ]
+        return max(min(ends_ms) - now_ms, 1.0) if ends_ms else None
 
     def on_answer(
         self, priority: tuple[int, int], now_ms: float, elapsed_ms: float
--- a/packages/cardamomshunt/src/cardamomshunt/_fleet/server_pace.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_fleet/server_pace.py
@@ -49,13 +49,15 @@
 # Pauses between statements are bounded, so that a recovered server is found.
 _PAUSE_MAX_MS = 4_000.0
 _URGENT_BOOST = 4.0
+_USER_TIMEOUT_MS = 5_000.0
+_ACTIVE_SHARE_MIN = 1.0 / 3.0
 
 
 class PaceSample(msgspec.Struct, frozen=True, array_like=True):
     """Recent answers of a server, as one or several entry VMs saw them.
 
     The counts decay. `ratio_sum` adds up the ratios of latencies to their reference,
-    and `level_sum` the levels of `n_entries` VMs.
+    and `level_sum` the levels of `n_entries` VMs. `n_users` of these lately used the server.
     """
 
     server: str
@@ -65,6 +67,7 @@
     ratio_sum: float = 0.0
     level_sum: float = 0.0
     n_entries: int = 1
+    n_users: int = 0
 
 
 def merge_samples(samples: Iterable[PaceSample]) -> list[PaceSample]:
@@ -83,6 +86,7 @@
                 ratio_sum=known.ratio_sum + item.ratio_sum,
                 level_sum=known.level_sum + item.level_sum,
                 n_entries=known.n_entries + item.n_entries,
+                n_users=known.n_users + item.n_users,
             )
     return list(merged.values())
 
@@ -179,9 +183,11 @@
         "_latency_ms",
         "_left_ms",
         "_must_extend_round",
+        "_n_other_users",
         "_round_ms",
         "_start_part",
         "_started_ms",
+        "_used_ms",
         "_uses",
         "_warm_after_ms",
         "_zone",
@@ -189,6 +195,7 @@
         "entry",
         "level",
         "n_sharers",
+        "n_zones",
         "n_slots",
         "server",
         "started_ms",
@@ -201,7 +208,11 @@
         self.server = server
         self.started_ms = started_ms
         self.n_slots = n_slots
+        # Entry VMs that may use the server, and the zones that they are in.
         self.n_sharers = 1
+        self.n_zones = 1
+        self._n_other_users: int | None = None
+        self._used_ms = float("-inf")
         self.level = FULL_LEVEL
         self._changed_ms = float("-inf")
         self._failed_ms = float("-inf")
@@ -268,7 +279,19 @@
         boost = 1.0
         if self.level >= START_LEVEL:
             boost = max(_URGENT_BOOST * 0.5 ** max(priority, 0), 1.0)
-        return self.level * boost * self.n_slots * _N_PER_SLOT / max(self.n_sharers, 1)
+        return self.level * boost * self.n_slots * _N_PER_SLOT / self._n_active_sharers
+
+    @property
+    def _n_active_sharers(self) -> float:
+        """Return among how many VMs the limit is divided.
+
+        Those that do not use the server leave their part to the others, but only some
+        of it, as they may begin to, and nothing of a server that is only probed.
+        """
+        if self._n_other_users is None or self.level < START_LEVEL:
+            return max(self.n_sharers, 1)
+        n_users = (self._n_other_users + 1) * self.n_zones
+        return max(min(n_users, self.n_sharers), self.n_sharers * _ACTIVE_SHARE_MIN, 1)
 
     def allows(self, now_ms: float, priority: int) -> bool:
         """Return whether one more statement may be sent now.
@@ -278,10 +301,16 @@
         limit = self.limit(priority)
         if limit == float("inf"):
             return True
-        n_in_flight = sum(use.priority <= priority for use in self._uses)
         if limit >= 1.0:
-            return n_in_flight + 1 <= limit
-        return not n_in_flight and now_ms >= self.pause_end_ms(priority)
+            return self._n_in_flight(priority) + 1 <= limit
+        return self.is_pausing(priority) and now_ms >= self.pause_end_ms(priority)
+
+    def is_pausing(self, priority: int) -> bool:
+        """Return whether only the end of a pause is awaited, and no answer."""
+        return self.limit(priority) < 1.0 and not self._n_in_flight(priority)
+
+    def _n_in_flight(self, priority: int) -> int:
+        return sum(use.priority <= priority for use in self._uses)
 
     def pause_end_ms(self, priority: int) -> float:
         """Return when the next statement of a priority may be sent if none is there.
@@ -306,6 +335,7 @@
     def leave(self, use: ServerUse, now_ms: float) -> None:
         """End a use of the server."""
         self._uses.discard(use)
+        self._used_ms = now_ms
         self._left_ms[use.priority] = now_ms
 
     def on_answer(
@@ -363,12 +393,14 @@
             n_failures=round(self._answers.n_failures, 2),
             ratio_sum=round(self._answers.ratio_sum, 2),
             level_sum=self.level,
+            n_users=int(bool(self._uses) or now_ms < self._used_ms + _USER_TIMEOUT_MS),
         )
 
     def on_zone_sample(self, sample: PaceSample, now_ms: float) -> None:
         """Record what the other VMs of the zone saw, unless of an earlier start."""
         if sample.started_ms == self.started_ms:
             self._zone, self._zone_ms = sample, now_ms
+            self._n_other_users = sample.n_users
 
     # Adaptation
 
@@ -381,6 +413,8 @@
         """
         self._decay(now_ms)
         self._count_overdue(now_ms)
+        if now_ms > self._zone_ms + _ZONE_SAMPLE_TIMEOUT_MS:
+            self._n_other_users = None
         inputs = self._inputs(now_ms)
         if self.level < floor:
             return self._change(now_ms, floor, PaceReason.FLOOR, inputs)
--- a/packages/cardamomshunt/src/cardamomshunt/_fleet/statement_queue.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_fleet/statement_queue.py
@@ -61,15 +61,15 @@
         self.n_queued -= 1
         return True
 
+    def pending(self) -> list[tuple[int, int]]:
+        """Return the priorities of which statements wait, most urgent first."""
+        return [key for key, item in self._priorities.items() if item.queue]
+
     def next_priority(
         self, may_serve: Callable[[tuple[int, int]], bool] = lambda _: True
     ) -> tuple[int, int] | None:
         """Return the priority that is served next, or None if none may be."""
-        pending = [
-            key
-            for key, item in self._priorities.items()
-            if item.queue and may_serve(key)
-        ]
+        pending = [key for key in self.pending() if may_serve(key)]
         for key in pending:
             entitled_ms = _MIN_SHARE * self._total_ms
             if self._priorities[key].served_ms < entitled_ms:
--- a/packages/cardamomshunt/tests/test_fleet.py
+++ b/packages/cardamomshunt/tests/test_fleet.py
@@ -82,6 +82,7 @@
         ({"started_ms": 50, "sequence": 9, "role": InstanceRole.PRIMARY}, False),
         # After a restart the sequence starts again.
         ({"started_ms": 200, "sequence": 0}, True),
+        ({"sequence": 2, "warm_up_ms": 900.0}, True),
     ],
 )
 def test_reports_are_ordered_by_start_and_sequence(later, is_change):
@@ -90,6 +91,14 @@
     assert registry.merge(make_report(**later)) is is_change
 
 
+def test_the_rest_of_a_warm_up_is_no_change():
+    # Each report of a server that warms up would be sent to all VMs otherwise.
+    registry = ServerRegistry()
+    registry.merge(make_report(warm_up_ms=900.0))
+    assert not registry.merge(make_report(sequence=2, warm_up_ms=700.0))
+    assert registry.merge(make_report(sequence=3))
+
+
 def test_a_draining_server_does_not_become_ready_without_a_restart():
     registry = ServerRegistry()
     registry.merge(make_report(state=ServerState.DRAINING))
--- a/tests/users_platform/test_formats.py
+++ b/tests/users_platform/test_formats.py
@@ -190,6 +190,13 @@
     report = parse_report("i-1", json.dumps(REPORT).encode())
     assert report.state is ServerState.READY
     assert (report.started_ms, report.sequence) == (1768462717284, 4)
+    assert report.warm_up_ms == 0.0
+
+
+def test_the_rest_of_a_warm_up_is_decoded():
+    fields = REPORT | {"warmup_remaining_ms": 2_500}
+    report = parse_report("i-1", json.dumps(fields).encode())
+    assert report.warm_up_ms == 2_500.0
 
 
 @pytest.mark.parametrize(
@@ -231,6 +238,16 @@
     assert settings.seed_peer_addresses == ["10.1.0.11:7440", "10.2.0.9:7440"]
     assert settings.stop_timeout_ms == 6_000.0
     assert settings.is_first_start
+    assert not settings.is_load_managed
+
+
+@pytest.mark.parametrize(
+    ("contracts", "is_load_managed"),
+    [([], False), (["tenancy"], False), (["quota"], True), (["pressure", "x"], True)],
+)
+def test_contracts_switch_load_management_on(contracts, is_load_managed):
+    text = f"contracts = {json.dumps(contracts)}\n{SETTINGS}"
+    assert parse_settings(text).is_load_managed is is_load_managed
 
 
 @pytest.mark.parametrize("text", ["", "zone = ", 'node_name = "x"'])
