Readmit a server that only one entry VM probes

Cause: a lone VM sends one statement in one to four seconds to a server at its minimum, fewer than a round asked for, and its pauses followed statements that had been lost; a VM without statements for the server kept a higher limit than the rest of its zone. Change: two timely answers suffice there, pauses follow faster answers at once, and a VM follows its zone if a third of it reports.

--- a/packages/cardamomshunt/src/cardamomshunt/_fleet/server_pace.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_fleet/server_pace.py
@@ -22,6 +22,8 @@
 _ROUND_MS = 500.0
 _ROUND_MAX_MS = 4_000.0
 _N_ANSWERS_PER_ROUND = 2.5
+# One VM alone sends a statement in one to four seconds to a server that is only probed.
+_N_ANSWERS_PER_PROBE_ROUND = 1.5
 _TIMELY_RATIO = 1.5
 _LATE_RATIO = 2.5
 # One hanging statement does not outweigh ten timely ones.
@@ -32,7 +34,7 @@
 # Growth above one statement for each slot without a peer: more only fill a queue.
 _CAREFUL_GROWTH = 1.0 / 16.0
 _LATE_FACTOR = 0.5
-_FAILURE_FACTOR = 0.25
+_FAILURE_FACTOR = 0.125
 _FAILURE_SHARE_MAX = 0.2
 _N_FAILURES_MIN = 1.5
 # At its full share a server is judged by its newest answers; a restricted one has few.
@@ -46,6 +48,8 @@
 _ZONE_SAMPLE_TIMEOUT_MS = 1_000.0
 _LATENCY_ASSUMED_MS = 20.0
 _LATENCY_SMOOTHING = 0.3
+# After a recovery the pauses must not follow statements that were lost before.
+_FASTER_SMOOTHING = 0.7
 # Pauses between statements are bounded, so that a recovered server is found.
 _PAUSE_MAX_MS = 4_000.0
 _URGENT_BOOST = 4.0
@@ -352,7 +356,9 @@
         """
         # A refusal is fast, but must not make the pauses shorter.
         pace_ms = max(elapsed_ms, _LATENCY_ASSUMED_MS)
-        self._latency_ms += _LATENCY_SMOOTHING * (pace_ms - self._latency_ms)
+        is_faster = pace_ms < self._latency_ms
+        smoothing = _FASTER_SMOOTHING if is_faster else _LATENCY_SMOOTHING
+        self._latency_ms += smoothing * (pace_ms - self._latency_ms)
         self._decay(now_ms)
         is_counted = use is not None and use.is_counted
         if use is not None:
@@ -437,6 +443,8 @@
             return self._change(now_ms, level, PaceReason.ZONE, inputs)
         if self.has_full_share:
             return None
+        if self.level < START_LEVEL:
+            has_answers = inputs.n_answers >= _N_ANSWERS_PER_PROBE_ROUND
         if not has_answers or ratio > _TIMELY_RATIO:
             return None
         if now_ms < self._changed_ms + self._round_ms:
@@ -471,10 +479,15 @@
         self._must_extend_round = False
 
     def _is_above_zone(self) -> bool:
+        """Return whether enough other VMs use the server far less.
+
+        A VM whose own network fails must not lower the limits of all others.
+        """
         zone = self._zone
         if zone is None or self._zone_ms <= self._changed_ms:
             return False
-        return zone.n_entries > 1 and (
+        n_reporting_min = _ACTIVE_SHARE_MIN * self.n_sharers / self.n_zones
+        return zone.n_entries >= max(n_reporting_min, 1.0) and (
             self.level > _FOLLOW_FACTOR * zone.level_sum / zone.n_entries
         )
 
--- a/tests/users_platform/test_paced_server_pool.py
+++ b/tests/users_platform/test_paced_server_pool.py
@@ -195,3 +195,38 @@
     assert change.is_notable
     assert view.pace_levels()["i-1"] < 0.2
     assert isinstance(view.pool(restarted), PacedServerPool)
+
+
+def _level(deployment, node, server="i-1"):
+    return deployment.entries[node]._view.pace_levels()[server]
+
+
+@pytest.mark.parametrize(
+    "deployment", [{"zone": "z1", "is_load_managed": True}], indirect=True
+)
+async def test_a_failing_server_is_known_in_the_zone_and_regains_its_share(deployment):
+    # Guards against a limit that one VM alone learns, and that stays after a recovery.
+    replica = next(item for item in deployment.group.servers if item.name == "i-1")
+    replica.lost_share = 1.0
+
+    async def read():
+        while True:
+            await deployment.execute_until_success("entry-1", "stock", "READ k1")
+            await asyncio.sleep(0.02)
+
+    callers = [asyncio.create_task(read()) for _ in range(6)]
+    try:
+        for node in ("entry-1", "entry-2"):
+            await deployment.until(lambda node=node: _level(deployment, node) < 1.0)
+        replica.lost_share = 0.0
+        for node in ("entry-1", "entry-2"):
+            await deployment.until(
+                lambda node=node: _level(deployment, node) == 1.0, timeout_s=20.0
+            )
+    finally:
+        for task in callers:
+            task.cancel()
+    events = deployment.events("entry-1")
+    found = [item for item in events if item["event"] == "server_pace"]
+    assert found[-1]["server"] == "i-1"
+    assert found[-1]["level"] == 1.0
