--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_boot_clock.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_boot_clock.py
@@ -11,7 +11,7 @@
 def wall_ms() -> int:
     """Return the Unix time in milliseconds, which may be set forward or back.
 
-    It labels what people read, and tells two starts apart and recent ones from others;
-    nothing that has to be correct depends on its course.
+    It labels what people read and tells two starts apart; no decision depends on its
+    course.
     """
     return int(time.time() * 1_000.0)
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_fleet_view.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_fleet_view.py
@@ -23,7 +23,7 @@
 from cardamomshunt.freshness import BoundHistory, DatedPosition
 from cardamomshunt.position import LogPosition
 
-from cardamomshunt_node._boot_clock import boot_ms, wall_ms
+from cardamomshunt_node._boot_clock import boot_ms
 from cardamomshunt_node._paced_server_pool import PacedServerPool
 from cardamomshunt_node._server_pool import ServerPool
 from cardamomshunt_node._session_protocol import SessionProtocol
@@ -266,7 +266,7 @@
         if report.state is ServerState.GONE:
             paces.remove(report.server)
             return
-        change = paces.on_report(report, boot_ms(), wall_ms())
+        change = paces.on_report(report, boot_ms())
         if change is not None:
             self._pace_changes.append(change)
 
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_pace_watch.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_pace_watch.py
@@ -26,6 +26,8 @@
         """Adapt all limits and report the changes."""
         now = boot_ms()
         for change in self._view.adapt_paces():
+            if change.level == change.former_level:
+                continue
             self._metrics.count_pace_change(change.server, change.reason.value)
             if change.is_notable:
                 self._log_change(change, now)
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_paced_server_pool.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_paced_server_pool.py
@@ -29,7 +29,9 @@
     """Return what an answer, or None if none came, says about its server."""
     if reply is None or reply.code in _FAILED_CODES:
         return AnswerKind.FAILED
-    return AnswerKind.REFUSED if reply.code in _REFUSED_CODES else AnswerKind.ANSWERED
+    if reply.is_success:
+        return AnswerKind.ANSWERED
+    return AnswerKind.REFUSED if reply.code in _REFUSED_CODES else AnswerKind.UNCOUNTED
 
 
 @dataclass(slots=True, eq=False)
@@ -189,6 +191,7 @@
         )
         team_priority = self._team_priority(connection.team)
         self._gate.on_answer((priority, team_priority), now, elapsed_ms)
+        self._wake()
 
     def close(self, reason: str) -> None:
         """Close all connections, and fail the statements that wait."""
--- a/packages/cardamomshunt/src/cardamomshunt/_fleet/latency_reference.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_fleet/latency_reference.py
@@ -85,6 +85,11 @@
         latency = by_server.setdefault(server, _ServerLatency())
         latency.record(now_ms, elapsed_ms, is_usual=is_usual)
 
+    def forget(self, server: str) -> None:
+        """Forget the latencies of a server that is gone."""
+        for by_server in self._latencies.values():
+            by_server.pop(server, None)
+
     def ratio(
         self,
         server: str,
--- a/packages/cardamomshunt/src/cardamomshunt/_fleet/server_paces.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_fleet/server_paces.py
@@ -24,8 +24,6 @@
 _LATE_AFTER_MS = 450.0
 _LATE_AFTER_MIN_MS = 100.0
 _LATE_AFTER_FACTOR = 5.0
-# A server that started less than this ago is used slowly by a VM that sees it first.
-_RECENT_START_MS = 5_000.0
 _N_ANSWERS_SHARED_MIN = 0.1
 
 
@@ -52,19 +50,17 @@
         self._is_warming_up: dict[str, bool] = {}
         self._latencies_sent_ms = float("-inf")
 
-    def on_report(
-        self, report: ServerReport, now_ms: float, wall_ms: float
-    ) -> PaceChange | None:
-        """Apply a server's report; begin a slow start if it has started or warms up."""
+    def on_report(self, report: ServerReport, now_ms: float) -> PaceChange | None:
+        """Apply a server's report; begin a slow start if it has started or warms up.
+
+        So does a server that is new to this VM, until its zone knows better.
+        """
         warm_up_ms = report.warm_up_ms
         was_warming_up = self._is_warming_up.get(report.server, False)
         self._is_warming_up[report.server] = warm_up_ms > 0.0
         pace = self._paces.get(report.server)
         if pace is None:
-            pace = self._add(report)
-            if wall_ms - report.started_ms < _RECENT_START_MS or warm_up_ms > 0.0:
-                return pace.restart(now_ms, report.started_ms, warm_up_ms)
-            return None
+            return self._add(report).start_slowly(now_ms, PaceReason.NEW, warm_up_ms)
         pace.n_slots = report.n_slots
         if report.started_ms > pace.started_ms:
             return pace.restart(now_ms, report.started_ms, warm_up_ms)
@@ -83,7 +79,10 @@
     def remove(self, server: str) -> None:
         """Forget a server that is gone."""
         if self._paces.pop(server, None) is not None:
-            self._groups[self._group_of.pop(server)].servers.discard(server)
+            group = self._groups[self._group_of.pop(server)]
+            group.servers.discard(server)
+            group.reference.forget(server)
+            self._is_warming_up.pop(server, None)
 
     def get(self, server: str) -> ServerPace | None:
         """Return the pace of a server, or None if it is not known."""
--- a/packages/cardamomshunt/tests/test_server_pace.py
+++ b/packages/cardamomshunt/tests/test_server_pace.py
@@ -266,6 +266,25 @@
     assert (change.reason, pace.level) == (PaceReason.ZONE, 0.1)
 
 
+@pytest.mark.parametrize(
+    ("n_entries", "level"),
+    [
+        (10, 1.0),
+        # Too few VMs of the zone to trust their level.
+        (2, 1.0 / 8.0),
+    ],
+)
+def test_a_server_new_to_a_vm_gets_the_level_of_its_zone(n_entries, level):
+    # A restarted VM would use all servers slowly although they are warm.
+    pace = ServerPace("vm", "a", started_ms=7)
+    pace.n_sharers = 21
+    pace.start_slowly(1_000.0, PaceReason.NEW)
+    sample = PaceSample("a", 7, level_sum=float(n_entries), n_entries=n_entries)
+    pace.on_zone_sample(sample, 1_100.0)
+    pace.adapt(1_100.0)
+    assert pace.level == level
+
+
 def test_samples_of_an_earlier_start_are_ignored():
     # Answers from before a restart would end the slow start at once.
     zone = ZonePaces()
