--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_backend_connection.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_backend_connection.py
@@ -55,6 +55,17 @@
     def on_closed(self, connection: "BackendConnection") -> None:
         """Remove a closed connection."""
 
+    @abstractmethod
+    def record_answer(
+        self,
+        connection: "BackendConnection",
+        statement_class: str,
+        priority: int,
+        elapsed_ms: float,
+        reply: Reply | None,
+    ) -> None:
+        """Record the answer to a statement, or None if none came in time."""
+
     @abstractmethod
     def release(self, connection: "BackendConnection") -> None:
         """Take a connection back that a statement no longer uses."""
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_deployment.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_deployment.py
@@ -28,6 +28,8 @@
     stop_timeout_ms: float = 6_000.0
     # Number of disks that may fail at once without losing an acknowledged write.
     n_disks_lost_max: int = 1
+    # Limit the use of servers by their answers, and refuse what can't be served in time.
+    is_load_managed: bool = False
 
     @property
     def peer_address(self) -> str:
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_entry_control_link.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_entry_control_link.py
@@ -263,6 +263,7 @@
                 overloaded_servers=(
                     self._view.overloaded_servers() if is_assigned else []
                 ),
+                paces=self._view.pace_report() if is_assigned else None,
                 **quota_fields,
             ),
         )
@@ -319,6 +320,8 @@
             self._answered_number = grant.number
             self._view.record_full_servers(grant.full_servers)
             self._view.record_overloaded_servers(grant.overloaded_servers)
+            if grant.paces is not None:
+                self._view.record_paces(grant.paces)
             newer = self._bounds.receive(address, grant.sequence, grant.bounds)
             for group, bound in newer.items():
                 self._view.add_bound(group, bound.position, bound.since_ms)
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_entry_daemon.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_entry_daemon.py
@@ -14,6 +14,7 @@
 from cardamomshunt_node._fleet_view import FleetView
 from cardamomshunt_node._http import HttpRequest, HttpResponse, HttpServer
 from cardamomshunt_node._line_sessions import StatementRunner
+from cardamomshunt_node._pace_watch import PaceWatch
 from cardamomshunt_node._recovery_steps import RecoveryStep
 from cardamomshunt_node._team_page import TEAM_PAGE_PATH, team_page_response
 from cardamomshunt_node._team_quotas import TeamQuotaWaiter
@@ -42,8 +43,13 @@
         super().__init__(platform, settings, log, self._metrics)
         protocol = platform.session_protocol
         self._view = FleetView(
-            settings.node, settings.zone, protocol, self._steps.record
+            settings.node,
+            settings.zone,
+            protocol,
+            settings.is_load_managed,
+            self._steps.record,
         )
+        self._pace_watch = PaceWatch(self._view, self._log, self._metrics)
         self._quotas = TeamQuotaWaiter(self._log, self._metrics)
         self._view.on_table_changed(lambda: self._quotas.set_table(self._view.table))
         runner = StatementRunner(
@@ -173,6 +179,7 @@
             self._control_link.check_lease(now)
             self._edge.end_idle_transactions()
             self._view.maintain_pools()
+            self._pace_watch.update()
             self._check_partition(now)
             self._log.flush()
 
@@ -212,3 +219,4 @@
             self._view.lease.is_valid(boot_ms()),
             self._view.table.version,
         )
+        self._metrics.set_paces(self._view.pace_levels())
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_fleet_view.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_fleet_view.py
@@ -9,9 +9,12 @@
 from cardamomshunt.fleet import (
     AssignmentPhase,
     ConnectionQuota,
+    PaceChange,
+    PaceReport,
     PrimaryLease,
     ReadCandidate,
     RouteTable,
+    ServerPaces,
     ServerRegistry,
     ServerReport,
     ServerState,
@@ -22,6 +25,7 @@
 from cardamomshunt.position import LogPosition
 
 from cardamomshunt_node._boot_clock import boot_ms
+from cardamomshunt_node._paced_server_pool import PacedServerPool
 from cardamomshunt_node._recovery_steps import RecoveryStep
 from cardamomshunt_node._server_pool import ConnectionCounts, ServerPool
 from cardamomshunt_node._session_protocol import SessionProtocol
@@ -40,6 +44,7 @@
         node: str,
         zone: str,
         protocol: SessionProtocol,
+        is_load_managed: bool = False,
         record_step: Callable[[RecoveryStep], None] = lambda step: None,
     ) -> None:
         self._record_step = record_step
@@ -53,6 +58,9 @@
         self._entry_counts: deque[tuple[float, int]] = deque()
         self._pools: dict[str, ServerPool] = {}
         self._dropped_counts = ConnectionCounts()
+        self._paces = ServerPaces(node) if is_load_managed else None
+        self._pace_changes: list[PaceChange] = []
+        self._servers_down: set[str] = set()
         self._bounds: dict[str, BoundHistory] = {}
         self._ended_epochs: dict[str, int] = {}
         self._change = asyncio.Event()
@@ -93,6 +101,8 @@
         self._record_step(RecoveryStep.FIRST_SERVER)
         if report.state is ServerState.GONE:
             self._drop_pool(report.server, "the server is gone")
+        if self._paces is not None:
+            self._update_pace(self._paces, report)
         self.notify()
         return True
 
@@ -105,18 +115,49 @@
             return pool
         if pool is not None:
             self._drop_pool(report.server, "the server moved")
-        group = report.group
-        pool = ServerPool(
+        pool = self._make_pool(report)
+        self._pools[report.server] = pool
+        return pool
+
+    def _make_pool(self, report: ServerReport) -> ServerPool:
+        group, server = report.group, report.server
+
+        def quota() -> int:
+            return self._connection_quota(group, server)
+
+        def has_teams() -> bool:
+            return self.table.has_teams
+
+        def on_opened() -> None:
+            self._record_step(RecoveryStep.FIRST_CONNECTION)
+
+        pace = self._paces.get(server) if self._paces is not None else None
+        if self._paces is None or pace is None:
+            return ServerPool(
+                self._protocol,
+                group,
+                server,
+                report.address,
+                quota,
+                has_teams,
+                on_opened,
+            )
+        return PacedServerPool(
             self._protocol,
             group,
-            report.server,
+            server,
             report.address,
-            lambda: self._connection_quota(group, report.server),
-            lambda: self.table.has_teams,
-            lambda: self._record_step(RecoveryStep.FIRST_CONNECTION),
+            quota,
+            has_teams,
+            on_opened,
+            pace,
+            self._paces,
+            self._team_priority,
         )
-        self._pools[report.server] = pool
-        return pool
+
+    def _team_priority(self, team: str) -> int:
+        known = self.table.teams.teams.get(team)
+        return known.priority if known is not None else 0
 
     def record_n_entries(self, n_entries: int) -> None:
         """Record how many entry VMs a leader knows of; 0 stands for unknown.
@@ -244,6 +285,67 @@
             self._dropped_counts.add(pool.counts)
             pool.close(reason)
 
+    # Paces
+
+    def _update_pace(self, paces: ServerPaces, report: ServerReport) -> None:
+        if report.state is ServerState.GONE:
+            paces.remove(report.server)
+            return
+        change = paces.on_report(report, boot_ms())
+        if change is not None:
+            self._pace_changes.append(change)
+
+    def pace_report(self) -> PaceReport | None:
+        """Return what the other entry VMs of the zone need to know about servers."""
+        return self._paces.report(boot_ms()) if self._paces is not None else None
+
+    def record_paces(self, report: PaceReport) -> None:
+        """Record what the other entry VMs of the zone know about servers."""
+        if self._paces is not None:
+            self._paces.receive(report, boot_ms())
+
+    def adapt_paces(self) -> list[PaceChange]:
+        """Adapt the limits of all servers; return the changes since the last call."""
+        if self._paces is None:
+            return []
+        now = boot_ms()
+        self._find_recovered(self._paces, now)
+        primaries = set()
+        for pace in self._paces.all():
+            report = self.registry.get(pace.server)
+            if report is None:
+                continue
+            assignment = self.lease.latest_assignment(report.group)
+            reports = self.registry.of_group(report.group)
+            n_zones = len({item.zone for item in reports} | {report.zone})
+            pace.n_sharers, pace.n_zones = self._n_entries, n_zones
+            if assignment is not None and assignment.server == pace.server:
+                primaries.add(pace.server)
+            else:
+                # Replicas are mostly read within their zone.
+                pace.n_sharers, pace.n_zones = -(-self._n_entries // n_zones), 1
+        changes = self._pace_changes + self._paces.adapt(now, primaries)
+        self._pace_changes = []
+        for change in changes:
+            pool = self._pools.get(change.server)
+            if pool is not None:
+                pool.on_pace_changed()
+        return changes
+
+    def _find_recovered(self, paces: ServerPaces, now: float) -> None:
+        """Begin a slow start of the servers that answer again."""
+        down = {name for name, pool in self._pools.items() if pool.is_down(now)}
+        for server in self._servers_down - down:
+            change = paces.on_recovered(server, now)
+            if change is not None:
+                self._pace_changes.append(change)
+        self._servers_down = down
+
+    def pace_levels(self) -> dict[str, float]:
+        """Return the share of its full limit that each server has."""
+        paces = self._paces.all() if self._paces is not None else []
+        return {pace.server: pace.level for pace in paces}
+
     # Primaries
 
     def primary(self, group: str) -> tuple[ServerPool, int] | None:
@@ -309,9 +411,13 @@
         return bounds.first_bound_since(since_ms) if bounds else None
 
     def read_candidates(
-        self, group: str, at_least: DatedPosition | None, tried: set[str]
+        self,
+        group: str,
+        at_least: DatedPosition | None,
+        tried: set[str],
+        priority: int = 0,
     ) -> list[ServerPool]:
-        """Return the servers that may serve a read, best first.
+        """Return the servers that may serve a read of a route's priority, best first.
 
         With `at_least` None only the primary may serve it.
         """
@@ -335,7 +441,7 @@
                     is_primary=is_primary,
                     is_in_zone=report.zone == self._zone,
                     is_unreliable=pool.failure_rate.is_unreliable(now),
-                    is_busy=self._is_busy(pool, now),
+                    is_busy=self._is_busy(pool, now, priority),
                     n_in_flight=pool.load,
                 )
             )
@@ -344,9 +450,10 @@
         return [self._pools[server] for server in order]
 
     @staticmethod
-    def _is_busy(pool: ServerPool, now: float) -> bool:
+    def _is_busy(pool: ServerPool, now: float, priority: int) -> bool:
         return (
             pool.load >= _N_LOCAL_LOAD_MAX
             or now < pool.full_until_ms
             or pool.refusals.should_avoid(now)
+            or not pool.may_send(now, priority)
         )
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_line_reads.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_line_reads.py
@@ -7,7 +7,11 @@
 from cardamomshunt.fleet import Route, RouteKind
 from cardamomshunt.freshness import DatedPosition
 
-from cardamomshunt_node._backend_connection import Reply, ServerLostError
+from cardamomshunt_node._backend_connection import (
+    BackendConnection,
+    Reply,
+    ServerLostError,
+)
 from cardamomshunt_node._boot_clock import boot_ms
 from cardamomshunt_node._decision_log import DecisionLog
 from cardamomshunt_node._entry_metrics import EntryMetrics
@@ -18,6 +22,7 @@
     not_run_error,
     retry_pause_ms,
     seconds_until,
+    statement_class,
     statement_deadline_ms,
 )
 from cardamomshunt_node._read_freshness import ReadFreshness
@@ -59,13 +64,18 @@
     code: ErrorCode = ErrorCode.BUSY
     may_have_run: bool = False
     n_refused: int = 0
+    # Time until a server has room, if one refused the read at once for want of it.
+    retry_after_ms: int | None = None
     is_finished: bool = False
 
     def record_attempt(self, task: asyncio.Task[Reply]) -> Reply | None:
         """Record the result of an attempt; return the answer if it succeeded."""
         error = task.exception()
         if error is not None:
-            self.may_have_run |= not isinstance(error, ServerBusyError)
+            if isinstance(error, ServerBusyError):
+                self._record_busy(error)
+            else:
+                self.may_have_run = True
             self.reason = str(error)
             return None
         reply = task.result()
@@ -78,11 +88,21 @@
             self.may_have_run = True
         return None
 
+    def _record_busy(self, error: ServerBusyError) -> None:
+        if error.retry_after_ms is not None:
+            known_ms = self.retry_after_ms or error.retry_after_ms
+            self.retry_after_ms = min(known_ms, error.retry_after_ms)
+
+    @property
+    def is_unservable(self) -> bool:
+        """Return whether a server refused the read at once and none is asked now."""
+        return self.retry_after_ms is not None and not self.running
+
     def refusal(self) -> RefusedError:
         """Return the error of a read without an answer."""
         if self.may_have_run or self.running:
             return RefusedError(ErrorCode.FAILED, f"no answer in time: {self.reason}")
-        return not_run_error(self.code, self.reason)
+        return not_run_error(self.code, self.reason, self.retry_after_ms)
 
 
 class ReadRunner:
@@ -138,6 +158,8 @@
                 await self._view.wait_for_change(_BOUND_WAIT_MS)
                 continue
             may_hedge = self._start_attempt(read)
+            if read.is_unservable:
+                raise read.refusal()
             if not read.running:
                 read.tried.clear()
                 await self._pause(read)
@@ -173,10 +195,15 @@
             read.session.team
         ):
             return False
-        pools = self._view.read_candidates(read.route.group, read.at_least, read.tried)
+        priority = read.route.priority
+        pools = self._view.read_candidates(
+            read.route.group, read.at_least, read.tried, priority
+        )
         if not pools and n_running:
             # If an answer was lost, the same server may answer on another connection.
-            pools = self._view.read_candidates(read.route.group, read.at_least, set())
+            pools = self._view.read_candidates(
+                read.route.group, read.at_least, set(), priority
+            )
         if not pools:
             return bool(n_running)
         if n_running:
@@ -197,6 +224,9 @@
         for reply in replies:
             if reply is not None:
                 return reply
+        if read.retry_after_ms is not None:
+            # Another server may have room, and waiting would not give this one any.
+            return None
         if done and read.code is not ErrorCode.LAGGING:
             await self._pause(read)
         return None
@@ -264,8 +294,10 @@
             # Set before the release, which may start an attempt that waits for this
             # connection.
             read.is_finished |= reply.is_success
+            self._record_answer(connection, route, sent_ms, reply)
         except (TimeoutError, ServerLostError) as error:
             pool.failure_rate.record(boot_ms(), is_failure=True)
+            self._record_answer(connection, route, sent_ms, None)
             raise ServerLostError(f"{pool.server}: {error or 'no answer'}") from error
         finally:
             pool.release(connection)
@@ -276,6 +308,18 @@
         self._log_attempt(pool, read, required, reply, sent_ms)
         return reply
 
+    @staticmethod
+    def _record_answer(
+        connection: BackendConnection, route: Route, sent_ms: float, reply: Reply | None
+    ) -> None:
+        connection.pool.record_answer(
+            connection,
+            statement_class(route, "read"),
+            route.priority,
+            boot_ms() - sent_ms,
+            reply,
+        )
+
     def _log_attempt(
         self,
         pool: ServerPool,
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_line_session_state.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_line_session_state.py
@@ -29,9 +29,17 @@
         self.code = code
 
 
-def not_run_error(code: ErrorCode, reason: str) -> RefusedError:
+def not_run_error(
+    code: ErrorCode, reason: str, retry_after_ms: int | None = None
+) -> RefusedError:
     """Return the error of a statement that did not run and may be retried."""
-    return RefusedError(code, f"{reason}; retry_after_ms={RETRY_AFTER_MS}")
+    after_ms = RETRY_AFTER_MS if retry_after_ms is None else retry_after_ms
+    return RefusedError(code, f"{reason}; retry_after_ms={after_ms}")
+
+
+def statement_class(route: Route, kind: str) -> str:
+    """Return the class of a statement, whose answers take a similar time."""
+    return f"{route.database}/{kind}"
 
 
 def retry_pause_ms(n_refused: int) -> float:
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_line_transactions.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_line_transactions.py
@@ -5,7 +5,11 @@
 from cardamomshunt.fleet import Route
 from cardamomshunt.freshness import DatedPosition
 
-from cardamomshunt_node._backend_connection import Reply, ServerLostError
+from cardamomshunt_node._backend_connection import (
+    BackendConnection,
+    Reply,
+    ServerLostError,
+)
 from cardamomshunt_node._boot_clock import boot_ms
 from cardamomshunt_node._decision_log import DecisionLog
 from cardamomshunt_node._fleet_view import FleetView
@@ -16,6 +20,7 @@
     not_run_error,
     retry_pause_ms,
     seconds_until,
+    statement_class,
     statement_deadline_ms,
 )
 from cardamomshunt_node._line_writes import WriteRunner
@@ -129,20 +134,29 @@
         at_least: DatedPosition | None = None
         tried: set[str] = set()
         n_refused = 0
+        busy: ServerBusyError | None = None
         while boot_ms() < deadline_ms:
             if transaction.is_read_only and at_least is None:
                 at_least = self._freshness.requirement(
                     session, route, transaction.received_ms
                 )
-            pools = self._view.read_candidates(route.group, at_least, tried)
+            pools = self._view.read_candidates(
+                route.group, at_least, tried, route.priority
+            )
+            if not pools and busy is not None:
+                raise not_run_error(ErrorCode.BUSY, str(busy), busy.retry_after_ms)
             if not pools:
                 tried.clear()
                 await self._view.wait_for_change(retry_pause_ms(n_refused))
                 n_refused += 1
                 continue
-            if await self._begin_on(
-                pools[0], session, transaction, at_least, deadline_ms
-            ):
+            try:
+                has_begun = await self._begin_on(
+                    pools[0], session, transaction, at_least, deadline_ms
+                )
+            except ServerBusyError as error:
+                busy, has_begun = error, False
+            if has_begun:
                 return
             tried.add(pools[0].server)
         raise not_run_error(ErrorCode.BUSY, "no server for the transaction")
@@ -155,13 +169,18 @@
         at_least: DatedPosition | None,
         deadline_ms: float,
     ) -> bool:
+        """Return whether the transaction has begun; raise ServerBusyError without room."""
         route = transaction.route
         session.may_cancel = True
         try:
             connection = await pool.acquire(
                 route.priority, deadline_ms, session.values, session.team
             )
-        except (ServerBusyError, ServerLostError):
+        except ServerLostError:
+            return False
+        except ServerBusyError as error:
+            if error.retry_after_ms is not None:
+                raise
             return False
         finally:
             session.may_cancel = False
@@ -180,8 +199,10 @@
             async with asyncio.timeout(seconds_until(deadline_ms)):
                 reply = await connection.send(begin)
         except (TimeoutError, ServerLostError):
+            self._record_answer(connection, route, "begin", sent_ms, None)
             pool.release(connection)
             return False
+        self._record_answer(connection, route, "begin", sent_ms, reply)
         self._freshness.record_reply(pool, route, reply, required, sent_ms)
         if not reply.is_success or reply.state is not TransactionState.OPEN:
             pool.release(connection)
@@ -208,11 +229,11 @@
     ) -> tuple[Reply, float]:
         connection = transaction.connection
         assert connection is not None
-        group = transaction.route.group
+        route = transaction.route
         n_refused = 0
         while True:
             if transaction.epoch >= 0 and not self._view.may_acknowledge(
-                group, transaction.epoch
+                route.group, transaction.epoch
             ):
                 raise RefusedError(
                     ErrorCode.ABORTED, "the primary of the transaction was replaced"
@@ -222,7 +243,9 @@
                 future = self._sender.send(connection, session, query, None)
                 async with asyncio.timeout(seconds_until(deadline_ms)):
                     reply = await future
+                self._record_answer(connection, route, "transaction", sent_ms, reply)
             except (TimeoutError, ServerLostError) as error:
+                self._record_answer(connection, route, "transaction", sent_ms, None)
                 raise self._lost_answer_error(transaction, query) from error
             is_retried = (
                 reply.code is ErrorCode.BUSY
@@ -234,6 +257,22 @@
             await asyncio.sleep(retry_pause_ms(n_refused) / 1_000.0)
             n_refused += 1
 
+    @staticmethod
+    def _record_answer(
+        connection: BackendConnection,
+        route: Route,
+        kind: str,
+        sent_ms: float,
+        reply: Reply | None,
+    ) -> None:
+        connection.pool.record_answer(
+            connection,
+            statement_class(route, kind),
+            route.priority,
+            boot_ms() - sent_ms,
+            reply,
+        )
+
     def _lost_answer_error(
         self, transaction: Transaction, query: CallerQuery
     ) -> RefusedError:
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_server_pool.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_server_pool.py
@@ -22,6 +22,7 @@
 from cardamomshunt_node._backend_connection import (
     BackendConnection,
     ConnectionOwner,
+    Reply,
     ServerLostError,
 )
 from cardamomshunt_node._boot_clock import boot_ms
@@ -48,7 +49,15 @@
 
 
 class ServerBusyError(Exception):
-    """Raised when no connection became free in time; nothing was sent."""
+    """Raised when no connection became free in time; nothing was sent.
+
+    `retry_after_ms` is the time until there is room, if it is known because the
+    statement was refused at once.
+    """
+
+    def __init__(self, reason: str, retry_after_ms: int | None = None) -> None:
+        super().__init__(reason)
+        self.retry_after_ms = retry_after_ms
 
 
 @dataclass(slots=True, order=True)
@@ -122,6 +131,23 @@
         """Return how many statements use a connection or wait for one."""
         return len(self._in_use) + len(self._waiters)
 
+    def may_send(self, now_ms: float, priority: int) -> bool:
+        """Return whether a statement of a route's priority may be sent now."""
+        return True
+
+    def on_pace_changed(self) -> None:
+        """Let statements through that may start now."""
+
+    def record_answer(
+        self,
+        connection: BackendConnection,
+        statement_class: str,
+        priority: int,
+        elapsed_ms: float,
+        reply: Reply | None,
+    ) -> None:
+        """Record the answer to a statement, or None if none came."""
+
     def is_down(self, now_ms: float) -> bool:
         """Return whether the server refuses connections or does not answer."""
         return self.down_since_ms is not None or self.is_unresponsive(now_ms)
--- a/packages/cardamomshunt/src/cardamomshunt/_fleet/messages.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_fleet/messages.py
@@ -7,6 +7,7 @@
 from cardamomshunt._fleet.primary_assignments import Assignment
 from cardamomshunt._fleet.server_registry import ServerReport
 from cardamomshunt._fleet.shared_bounds import SharedBound
+from cardamomshunt._fleet.zone_paces import PaceReport
 from cardamomshunt._shared.messages import Message
 
 # The fastest level suffices: routes resemble each other, so that a document shrinks to
@@ -71,7 +72,8 @@
     whose primaries it uses; None stands for all. `quota_number` is that of the newest
     grant of shares that it applied, and `quota_demands` is None if nothing changed. With
     `is_quota_report_complete`, the sender has no share of a team that is not listed.
-    An `incarnation` of 0 stands for a request without a report on shares.
+    An `incarnation` of 0 stands for a request without a report on shares. `paces` is
+    None unless the entry VM limits its use of servers.
     """
 
     sequence: int
@@ -94,6 +96,7 @@
     quota_number: int = 0
     quota_demands: list[QuotaDemand] | None = None
     is_quota_report_complete: bool = False
+    paces: PaceReport | None = None
 
 
 class LeaseGrant(Message, kw_only=True, array_like=True):
@@ -108,7 +111,8 @@
     assigned control node that does not have it. `zone_entries` are the peer addresses of
     the entry VMs of the receiver's zone, or None if it has them. `quota_shares` replace
     the receiver's shares of these teams if `quota_number` is newer than the one that it
-    applied.
+    applied. `paces` is what the other entry VMs of the zone know, if the receiver sent
+    its own.
     """
 
     sequence: int
@@ -126,6 +130,7 @@
     zone_entries: list[str] | None = None
     quota_number: int = 0
     quota_shares: list[QuotaShare] | None = None
+    paces: PaceReport | None = None
 
 
 class RelayedRequest(msgspec.Struct, frozen=True, array_like=True):
--- a/packages/cardamomshunt/src/cardamomshunt/fleet.py
+++ b/packages/cardamomshunt/src/cardamomshunt/fleet.py
@@ -56,12 +56,24 @@
     RouteTable,
     build_route_table,
 )
+from cardamomshunt._fleet.server_gate import ServerGate
+from cardamomshunt._fleet.server_pace import (
+    AnswerKind,
+    PaceChange,
+    PaceReason,
+    PaceSample,
+    ServerPace,
+    ServerUse,
+    merge_samples,
+)
+from cardamomshunt._fleet.server_paces import ServerPaces
 from cardamomshunt._fleet.server_registry import (
     ServerRegistry,
     ServerReport,
     ServerState,
 )
 from cardamomshunt._fleet.shared_bounds import BoundExchange, SharedBound
+from cardamomshunt._fleet.statement_queue import StatementQueue
 from cardamomshunt._fleet.successor import ServerStatus, choose_successor
 from cardamomshunt._fleet.team_connections import (
     AcquireAction,
@@ -80,18 +92,21 @@
     TeamQuotas,
 )
 from cardamomshunt._fleet.teams import Team, TeamTable, key_digest, key_fingerprint
+from cardamomshunt._fleet.zone_paces import ClassLatency, PaceReport, ZonePaces
 
 __all__ = [
     "LEASE_MARGIN_MS",
     "LEASE_MS",
     "AcquireAction",
     "Admission",
+    "AnswerKind",
     "AssignPrimary",
     "Assignment",
     "AssignmentCommand",
     "AssignmentPhase",
     "AssignmentsChanged",
     "BoundExchange",
+    "ClassLatency",
     "ConfigurationInvalidError",
     "ConnectionQuota",
     "ControlNodeSelector",
@@ -106,6 +121,10 @@
     "LeaseGrant",
     "LeaseRequest",
     "LeaseTable",
+    "PaceChange",
+    "PaceReason",
+    "PaceReport",
+    "PaceSample",
     "PrimaryLease",
     "PromoteSuccessor",
     "PutDocument",
@@ -131,11 +150,16 @@
     "Route",
     "RouteKind",
     "RouteTable",
+    "ServerGate",
+    "ServerPace",
+    "ServerPaces",
     "ServerRegistry",
     "ServerReport",
     "ServerState",
     "ServerStatus",
+    "ServerUse",
     "SharedBound",
+    "StatementQueue",
     "StopPrimary",
     "StoreServers",
     "StoreShareHolders",
@@ -144,6 +168,7 @@
     "TeamQuotas",
     "TeamTable",
     "TeamWaiter",
+    "ZonePaces",
     "best_uncovered_waiter",
     "build_route_table",
     "choose_acquire_action",
@@ -155,5 +180,6 @@
     "key_digest",
     "key_fingerprint",
     "limits_of",
+    "merge_samples",
     "order_of_reads",
 ]
--- a/tests/users_platform/conftest.py
+++ b/tests/users_platform/conftest.py
@@ -5,7 +5,7 @@
 import json
 import os
 import socket
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from pathlib import Path
 
 import pytest
@@ -28,6 +28,7 @@
 )
 
 _PEER_PORT = 17_440
+_PROVIDER_PORT = 18_083
 _N_NETWORKS = 250
 _NETWORKS = itertools.count(os.getpid())
 _NETWORK_LOCK_PORT = 17_439
@@ -43,6 +44,7 @@
         lock = socket.socket()
         try:
             lock.bind((f"127.{network}.0.1", _NETWORK_LOCK_PORT))
+            _check_unused(network)
         except OSError:
             lock.close()
             continue
@@ -50,6 +52,16 @@
     raise AssertionError("all loopback networks are in use")
 
 
+def _check_unused(network: int) -> None:
+    """Raise OSError if a process still listens at an address of a freed network."""
+    addresses = [(f"127.{network}.9.9", _PROVIDER_PORT)]
+    addresses += [(f"127.{network}.1.{n}", _PEER_PORT) for n in (1, 2, 3)]
+    addresses += [(f"127.{network}.2.{n}", _PEER_PORT) for n in (1, 2, 3)]
+    for address in addresses:
+        with socket.create_server(address):
+            pass
+
+
 @pytest.fixture
 def network():
     """Return the number of a loopback network that only this test uses."""
@@ -161,7 +173,7 @@
         "metrics_port": 19_464,
         "control_addresses": seeds,
         "is_first_start": True,
-        "promotion_address": f"127.{network}.9.9:18083",
+        "promotion_address": f"127.{network}.9.9:{_PROVIDER_PORT}",
         "stop_timeout_ms": 4_000.0,
     }
     found = {
@@ -189,17 +201,24 @@
 
 
 @pytest_asyncio.fixture
-async def deployment(tmp_path):
-    """Run a deployment whose entry VMs serve statements."""
+async def deployment(request, tmp_path):
+    """Run a deployment whose entry VMs serve statements.
+
+    An indirect parameter holds changes to the settings of the entry VMs.
+    """
     network, lock = reserve_network()
     group = Group("db", 18_143)
     for number in (1, 2, 3):
         host = f"127.{network}.3.{number}"
         group.servers.append(LineServer(group, f"i-{number}", host, f"z{number}"))
     group.servers[2].is_primary = True
-    provider = Provider(f"127.{network}.9.9:18083", [group])
+    provider = Provider(f"127.{network}.9.9:{_PROVIDER_PORT}", [group])
     running = Deployment(tmp_path, group, provider)
     running.settings = make_settings(network, tmp_path)
+    for node in ("entry-1", "entry-2"):
+        running.settings[node] = replace(
+            running.settings[node], **getattr(request, "param", {})
+        )
     await provider.server.start()
     for server in group.servers:
         await server.start()
