--- a/tests/users_platform/test_paced_server_pool.py
+++ b/tests/users_platform/test_paced_server_pool.py
@@ -122,7 +122,7 @@
     await asyncio.gather(*(paced.run(f"r{number}", 2) for number in range(4)))
     # 10 statements at full level, an eighth of it, for 20 VMs: a pause of 15 answers.
     assert boot_ms() - started_ms > 3 * 15 * 15.0
-    assert paced.pool.n_opened == 1
+    assert paced.pool.counts.n_opened == 1
 
 
 async def test_an_idle_transaction_does_not_hold_back_other_statements(make_paced):
