Choose owners of sessions, and list the members of a zone

A zone has fewer connections to a server than entry VMs times teams, so that each entry VM would close and reopen connections for its teams.

A primary is also suspected if half of the entry VMs that watch its group suspect it, at least two of different zones; the former condition still suffices.

--- a/packages/cardamomshunt/src/cardamomshunt/_fleet/connection_quota.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_fleet/connection_quota.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 
 # Not part of any quota: for control nodes and for entry VMs that reconnect.
-_N_RESERVED = 3
+N_RESERVED = 3
 _N_PER_ENTRY_MIN = 2
 
 
@@ -19,7 +19,7 @@
 
     @property
     def _n_usable(self) -> int:
-        return self.n_connections_max - _N_RESERVED
+        return self.n_connections_max - N_RESERVED
 
     @property
     def is_scarce(self) -> bool:
--- a/packages/cardamomshunt/src/cardamomshunt/_fleet/primary_lease.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_fleet/primary_lease.py
@@ -14,6 +14,7 @@
 _EXPIRY_INTERVAL_MS = 1_000.0
 # Entry VMs unresponsive for this long don't count when a primary is suspected.
 ENTRY_LIVENESS_TIMEOUT_MS = 700.0
+_N_SUSPECTING_MIN = 2
 
 
 class PrimaryLease:
@@ -79,6 +80,20 @@
     last_heard_ms: float = float("-inf")
     released: dict[str, int] = field(default_factory=dict)
     suspicions: dict[Suspicion, float] = field(default_factory=dict)
+    zone: str = ""
+    # None stands for all groups.
+    watched_groups: frozenset[str] | None = None
+
+    def watches(self, suspicion: Suspicion, now_ms: float) -> bool:
+        """Return whether the entry VM would notice a failure of this primary."""
+        if self.watched_groups is None or suspicion.group in self.watched_groups:
+            return True
+        return self.suspects(suspicion, now_ms)
+
+    def suspects(self, suspicion: Suspicion, now_ms: float) -> bool:
+        """Return whether the entry VM suspected this primary recently."""
+        reported_ms = self.suspicions.get(suspicion, float("-inf"))
+        return now_ms <= reported_ms + SUSPICION_RETENTION_MS
 
 
 class LeaseTable:
@@ -95,6 +110,9 @@
         holder = self._holders.setdefault(entry, _Holder())
         holder.last_heard_ms = now_ms
         holder.granted_until_ms = now_ms + LEASE_MS
+        holder.zone = request.zone
+        watched = request.watched_groups
+        holder.watched_groups = None if watched is None else frozenset(watched)
         holder.released.update(request.released)
         for suspicion in request.suspicions:
             holder.suspicions[suspicion] = now_ms
@@ -123,15 +141,26 @@
         )
 
     def is_suspected(self, suspicion: Suspicion, now_ms: float) -> bool:
-        """Return whether half of the live entry VMs or more suspect a primary."""
+        """Return whether half of the live entry VMs or more suspect a primary.
+
+        Half of those that watch its group are enough if they are at least two, of
+        different zones unless all live entry VMs are of one zone.
+        """
         live_holders = [
             holder
             for holder in self._holders.values()
             if now_ms <= holder.last_heard_ms + ENTRY_LIVENESS_TIMEOUT_MS
         ]
-        n_suspecting = sum(
-            now_ms
-            <= holder.suspicions.get(suspicion, float("-inf")) + SUSPICION_RETENTION_MS
-            for holder in live_holders
+        suspecting = [item for item in live_holders if item.suspects(suspicion, now_ms)]
+        if 2 * len(suspecting) >= len(live_holders):
+            return bool(suspecting)
+        watching = [item for item in live_holders if item.watches(suspicion, now_ms)]
+        # A fault of one entry VM or of its zone's network must not be enough where few
+        # entry VMs watch.
+        n_zones = len({item.zone for item in live_holders})
+        n_zones_suspecting = len({item.zone for item in suspecting})
+        return (
+            2 * len(suspecting) >= len(watching)
+            and len(suspecting) >= _N_SUSPECTING_MIN
+            and n_zones_suspecting >= min(n_zones, _N_SUSPECTING_MIN)
         )
-        return n_suspecting > 0 and 2 * n_suspecting >= len(live_holders)
--- a/packages/cardamomshunt/src/cardamomshunt/fleet.py
+++ b/packages/cardamomshunt/src/cardamomshunt/fleet.py
@@ -58,9 +58,18 @@
     ServerReport,
     ServerState,
 )
+from cardamomshunt._fleet.session_owners import (
+    SessionOwners,
+    ZoneSize,
+    count_holders,
+    needs_owners,
+    rendezvous_order,
+    zone_size,
+)
 from cardamomshunt._fleet.shared_bounds import BoundExchange, SharedBound
 from cardamomshunt._fleet.successor import ServerStatus, choose_successor
 from cardamomshunt._fleet.teams import Team, TeamTable, key_digest, key_fingerprint
+from cardamomshunt._fleet.zone_members import ZoneMembers
 
 __all__ = [
     "LEASE_MARGIN_MS",
@@ -106,18 +115,25 @@
     "ServerReport",
     "ServerState",
     "ServerStatus",
+    "SessionOwners",
     "SharedBound",
     "StopPrimary",
     "StoreServers",
     "Suspicion",
     "Team",
     "TeamTable",
+    "ZoneMembers",
+    "ZoneSize",
     "build_route_table",
     "choose_successor",
+    "count_holders",
     "digest_of",
     "encode_command",
     "full_server_pause_ms",
     "key_digest",
     "key_fingerprint",
+    "needs_owners",
     "order_of_reads",
+    "rendezvous_order",
+    "zone_size",
 ]
