Forward sessions to the entry VMs that own their teams

Entry VMs send their zone, drain state and watched groups with lease requests, and get the members of their zone with grants. A session whose team another VM owns is forwarded over one connection for each pair of VMs. The owner runs it with the same StatementRunner; the forwarding VM reports a statement without an answer as FAILED, ABORTED or INDOUBT.

Without teams, or with enough connections, nothing is forwarded.

--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_caller_edge_lines.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_caller_edge_lines.py
@@ -21,6 +21,7 @@
     SessionProtocol,
     TransactionState,
 )
+from cardamomshunt_node._session_relay import ForwardedSession, SessionRelay
 from cardamomshunt_node._stream_transport import host_and_port
 
 _N_PENDING_LINES_MAX = 64
@@ -33,6 +34,8 @@
         self._edge = edge
         self._session_id = session_id
         self.session: LineSession | None = None
+        # None where this entry VM runs the statements itself.
+        self._forwarded: ForwardedSession | None = None
         self._transport: asyncio.Transport | None = None
         self._buffer = bytearray()
         self._lines: deque[bytes] = deque()
@@ -56,10 +59,15 @@
         if self.session is None:
             return
         if self._worker is None:
-            self._edge.runner.abandon(self.session)
-        elif self.session.may_cancel:
+            self._abandon(self.session)
+        elif self.session.may_cancel or self._forwarded is not None:
             self._worker.cancel()
 
+    def _abandon(self, session: LineSession) -> None:
+        self._edge.runner.abandon(session)
+        if self._forwarded is not None:
+            self._forwarded.close()
+
     def data_received(self, data: bytes) -> None:
         """Split the data into lines and start to process them."""
         self._buffer += data
@@ -83,6 +91,7 @@
             self._worker is None
             and not self._buffer
             and (self.session is None or self.session.transaction is None)
+            and (self._forwarded is None or self._forwarded.is_idle)
         )
 
     async def _process_lines(self) -> None:
@@ -94,10 +103,14 @@
             self.last_used_ms = boot_ms()
             is_over = self._transport is None or self._is_denied
             if is_over and self.session is not None:
-                self._edge.runner.abandon(self.session)
-            if self._is_denied:
+                self._abandon(self.session)
+            if self._is_denied or self._is_owner_gone:
                 self.close()
 
+    @property
+    def _is_owner_gone(self) -> bool:
+        return self._forwarded is not None and self._forwarded.is_closed
+
     async def _handle(self, line: bytes) -> None:
         try:
             message: CallerMessage = self._edge.protocol.parse_caller_line(line)
@@ -108,7 +121,7 @@
             case CallerOpen():
                 await self._open(message)
             case CallerQuery():
-                await self._run(message)
+                await self._run(line, message)
             case CallerEnd():
                 self.close()
 
@@ -132,6 +145,9 @@
             self._refuse_session(message, ErrorCode.DENIED, "the key is not known")
             return
         self.session = LineSession(self._session_id, message.database, team, digest)
+        self._forwarded = await self._edge.relay.open(
+            self.session, route.group, self._on_owner_closed
+        )
         self._write(self._edge.protocol.ready(TransactionState.IDLE, None))
 
     def _refuse_session(self, message: CallerOpen, code: ErrorCode, text: str) -> None:
@@ -143,11 +159,21 @@
         )
         self._close_with_error(code, text)
 
-    async def _run(self, message: CallerQuery) -> None:
+    async def _run(self, line: bytes, message: CallerQuery) -> None:
         if self.session is None:
             self._close_with_error(ErrorCode.MALFORMED, "no session is open")
             return
-        self._write(await self._edge.runner.run(self.session, message))
+        if self._forwarded is None:
+            self._write(await self._edge.runner.run(self.session, message))
+            return
+        self._write(await self._forwarded.run(line, message))
+        if self._is_owner_gone:
+            self.close()
+
+    def _on_owner_closed(self) -> None:
+        """Close the connection, unless a statement is still to be answered."""
+        if self._worker is None:
+            self.close()
 
     def end_if_denied(self) -> bool:
         """Close the session if its key is no longer valid; return whether it is not.
@@ -157,7 +183,7 @@
         if self.session is None or self._edge.is_allowed(self.session):
             return False
         if self._worker is None:
-            self._edge.runner.abandon(self.session)
+            self._abandon(self.session)
             self.close()
         else:
             self._is_denied = True
@@ -187,7 +213,9 @@
         view: FleetView,
         runner: StatementRunner,
         log: DecisionLog,
+        relay: SessionRelay,
     ) -> None:
+        self.relay = relay
         self._address = address
         self.protocol = protocol
         self.view = view
@@ -201,12 +229,16 @@
         """Start listening; raise OSError if the address is in use."""
         host, port = host_and_port(self._address)
         self._server = await asyncio.get_running_loop().create_server(
-            lambda: _CallerConnection(self, next(self._session_ids)),
+            lambda: _CallerConnection(self, self.next_session_id()),
             host,
             port,
             backlog=1_024,
         )
 
+    def next_session_id(self) -> int:
+        """Return an id that no other session of this process has."""
+        return next(self._session_ids)
+
     async def wait_until_configured(self) -> bool:
         """Wait up to 1.5 s for the first configuration; return whether there is one."""
         for _ in range(5):
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_entry_control_link.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_entry_control_link.py
@@ -26,6 +26,7 @@
 from cardamomshunt_node._decision_log import DecisionLog
 from cardamomshunt_node._deployment import DeploymentSettings
 from cardamomshunt_node._fleet_view import FleetView
+from cardamomshunt_node._owner_directory import OwnerDirectory
 from cardamomshunt_node._stream_transport import StreamMessage, StreamTransport
 
 _RENEW_INTERVAL_MS = 250.0
@@ -63,7 +64,9 @@
         log: DecisionLog,
         parse_configuration: Callable[[bytes], RouteTable],
         on_assignments: Callable[[list[str], dict[str, Assignment]], None],
+        directory: OwnerDirectory,
     ) -> None:
+        self._directory = directory
         self._settings = settings
         self._view = view
         self._log = log
@@ -111,6 +114,11 @@
         self._released[group] = epoch
         self._renew.set()
 
+    def start_draining(self) -> None:
+        """Notify the leader at once that this entry VM opens no more sessions."""
+        self._directory.is_draining = True
+        self._renew.set()
+
     # Requests
 
     async def renew_lease(self) -> None:
@@ -246,6 +254,11 @@
                 overloaded_servers=(
                     self._view.overloaded_servers() if is_assigned else []
                 ),
+                # Without teams there are no owners, and no list is needed.
+                zone=self._settings.zone if self._view.table.has_teams else "",
+                is_draining=self._directory.is_draining,
+                entries_digest=self._directory.digest,
+                watched_groups=self._directory.watched_groups(),
             ),
         )
 
@@ -290,6 +303,8 @@
             newer = self._bounds.receive(address, grant.sequence, grant.bounds)
             for group, bound in newer.items():
                 self._view.add_bound(group, bound.position, bound.since_ms)
+        if grant.zone_entries is not None:
+            self._directory.record_entries(grant.zone_entries)
         self._check_version(grant.version)
         known = grant.assignments or {}
         changed = self._view.lease.on_grant(grant)
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_entry_daemon.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_entry_daemon.py
@@ -14,6 +14,10 @@
 from cardamomshunt_node._fleet_view import FleetView
 from cardamomshunt_node._http import HttpRequest, HttpResponse, HttpServer
 from cardamomshunt_node._line_sessions import StatementRunner
+from cardamomshunt_node._owner_directory import OwnerDirectory
+from cardamomshunt_node._relay_link import relay_address
+from cardamomshunt_node._relay_owner import RelayOwner
+from cardamomshunt_node._session_relay import SessionRelay
 from cardamomshunt_node._team_page import TEAM_PAGE_PATH, team_page_response
 
 _SWEEP_INTERVAL_S = 0.25
@@ -41,16 +45,37 @@
         protocol = platform.session_protocol
         self._view = FleetView(settings.node, settings.zone, protocol)
         runner = StatementRunner(self._view, protocol, self._log, self._metrics)
+        self._directory = OwnerDirectory(settings.peer_address, self._view)
+        self._relay = SessionRelay(
+            self._directory, self._view, protocol, self._log, self._metrics
+        )
         self._edge = LineEdge(
-            settings.caller_address, protocol, self._view, runner, self._log
+            settings.caller_address,
+            protocol,
+            self._view,
+            runner,
+            self._log,
+            self._relay,
+        )
+        self._relay_owner = RelayOwner(
+            relay_address(settings.peer_address),
+            protocol,
+            self._view,
+            runner,
+            self._log,
+            self._metrics,
+            self._edge.next_session_id,
+            self._edge.is_allowed,
         )
         self._view.on_table_changed(self._edge.end_denied_sessions)
+        self._view.on_table_changed(self._relay_owner.end_denied_sessions)
         self._control_link = EntryControlLink(
             settings,
             self._view,
             self._log,
             platform.parse_configuration,
             self._apply_assignments,
+            self._directory,
         )
         self._partitioned_since_ms: float | None = None
         self._stopping: dict[str, asyncio.Task[None]] = {}
@@ -62,6 +87,7 @@
         """Run until SIGTERM, then drain the sessions."""
         self._install_signals()
         await self._control_link.start()
+        await self._relay_owner.start()
         await self._edge.start()
         await self._health.start()
         await self._metrics_server.start()
@@ -75,6 +101,8 @@
         await self._drain()
         for task in self._tasks:
             task.cancel()
+        await self._relay.stop()
+        await self._relay_owner.stop()
         await self._control_link.stop()
         self._log.write("stopped", role="entry")
 
@@ -99,11 +127,14 @@
         started_ms = boot_ms()
         end_ms = started_ms + self._settings.stop_timeout_ms - _EXIT_MARGIN_MS
         self._view.answer_deadline_ms = end_ms - _LAST_ANSWER_MARGIN_MS
-        self._log.write("stopping", n_busy=self._edge.n_busy)
+        n_busy = self._edge.n_busy + self._relay_owner.n_busy
+        self._log.write("stopping", n_busy=n_busy)
+        self._control_link.start_draining()
+        self._relay_owner.start_draining()
         await asyncio.sleep(_HEALTH_CHECK_REMOVAL_MS / 1_000.0)
         while boot_ms() < end_ms:
             self._edge.close_idle(0.0)
-            if not self._edge.connections:
+            if not self._edge.connections and not self._relay_owner.n_sessions:
                 break
             await asyncio.sleep(0.02)
         self._edge.stop_listening()
@@ -156,6 +187,7 @@
             now = boot_ms()
             self._control_link.check_lease(now)
             self._edge.end_idle_transactions()
+            self._relay_owner.end_idle_transactions()
             self._view.maintain_pools()
             self._check_partition(now)
             self._log.flush()
@@ -173,6 +205,7 @@
             self._log.write("cut_off")
         if now > self._partitioned_since_ms + _HEALTH_CHECK_REMOVAL_MS:
             self._edge.close_idle(_PARTITIONED_IDLE_MS)
+            self._relay_owner.close_idle(_PARTITIONED_IDLE_MS)
 
     async def _answer_health(self, request: HttpRequest) -> HttpResponse:
         if not self._platform.is_health_check(request):
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_entry_metrics.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_entry_metrics.py
@@ -38,6 +38,21 @@
         self._sessions = Gauge(
             "cardamomshunt_sessions", "Open sessions.", registry=self.registry
         )
+        self._forwarded = Counter(
+            "cardamomshunt_forwarded_sessions_total",
+            "Sessions opened at the entry VM that owns their team.",
+            registry=self.registry,
+        )
+        self._served = Counter(
+            "cardamomshunt_served_sessions_total",
+            "Sessions that other entry VMs opened here.",
+            registry=self.registry,
+        )
+        self._fallbacks = Counter(
+            "cardamomshunt_owner_fallbacks_total",
+            "Attempts to open a session at an owner that failed.",
+            registry=self.registry,
+        )
         self._has_lease = Gauge(
             "cardamomshunt_has_lease",
             "1 while primaries may be used.",
@@ -65,6 +80,18 @@
         """Count a hedged read."""
         self._hedges.inc({})
 
+    def count_forwarded_session(self) -> None:
+        """Count a session that its owner runs."""
+        self._forwarded.inc({})
+
+    def count_served_session(self) -> None:
+        """Count a session that is run for another entry VM."""
+        self._served.inc({})
+
+    def count_owner_fallback(self) -> None:
+        """Count an owner that could not open a session."""
+        self._fallbacks.inc({})
+
     def set_state(self, n_sessions: int, has_lease: bool, version: int) -> None:
         """Set the gauges."""
         self._sessions.set({}, n_sessions)
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_entry_service.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_entry_service.py
@@ -19,6 +19,7 @@
     RelayedGrants,
     RelayedRequest,
     RelayedRequests,
+    ZoneMembers,
     digest_of,
 )
 from cardamomshunt.messages import Message
@@ -72,6 +73,7 @@
         self._leases = leases
         self._leader_since_ms = boot_ms()
         self._last_heard_ms: dict[str, float] = {}
+        self._members = ZoneMembers()
         self._assigned_last_heard_ms: dict[str, float] = {}
         self._resynced_ms: dict[str, float] = {}
         # Version and time of the last configuration sent to each entry VM, until the
@@ -132,6 +134,7 @@
     def announce_leadership(self) -> None:
         """Notify all entry VMs that this node leads now."""
         self._leader_since_ms = boot_ms()
+        self._members.on_leadership(self._leader_since_ms)
         hint = LeaderHint(
             leader_address=self._settings.peer_address,
             control_addresses=self.control_addresses(),
@@ -150,6 +153,7 @@
         """Grant a request, relay it to the leader, or answer with a leader hint."""
         now = boot_ms()
         self._last_heard_ms[address] = now
+        self._members.record(address, request, now)
         if request.is_for_assigned_control_node:
             self._assigned_last_heard_ms[address] = now
             self._bounds.receive(address, request.answered_number, request.bounds)
@@ -184,8 +188,18 @@
             assignments=self._newer_assignments(request.newest_epoch),
             leader_address=self._settings.peer_address,
             version=self._state().version,
+            zone_entries=self._changed_zone_entries(request, now),
         )
 
+    def _changed_zone_entries(
+        self, request: LeaseRequest, now: float
+    ) -> list[str] | None:
+        """Return the entry VMs of the sender's zone, or None if it has the same list."""
+        entries = self._members.entries_of(request.zone, self._state().n_entries, now)
+        if entries is None or digest_of(entries) == request.entries_digest:
+            return None
+        return entries
+
     def _n_entries(self, now: float) -> int:
         """Return the number of entry VMs, or 0 if it is not known yet."""
         n_stored = self._state().n_entries
@@ -299,7 +313,9 @@
         if not self._may_grant:
             return
         now = boot_ms()
-        self._last_heard_ms.update((item.entry, now) for item in message.requests)
+        for item in message.requests:
+            self._last_heard_ms[item.entry] = now
+            self._members.record(item.entry, item.request, now)
         n_entries = self._n_entries(now)
         grants = [
             RelayedGrant(
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_fleet_view.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_fleet_view.py
@@ -48,6 +48,9 @@
         self._change = asyncio.Event()
         # The process exits soon after this time, so every statement is answered by it.
         self.answer_deadline_ms = float("inf")
+        # Returns the connections to a primary or replica that this entry VM may open as
+        # an owner of teams, or 0 if it owns none.
+        self.owned_quota: Callable[[bool], int] = lambda is_primary: 0
 
     # Changes
 
@@ -125,7 +128,10 @@
         """Return how many connections this entry VM may open to one server."""
         quota = self._quota(group)
         assignment = self.lease.latest_assignment(group)
-        if assignment is None or assignment.server == server:
+        is_primary = assignment is None or assignment.server == server
+        if n_owned := self.owned_quota(is_primary):
+            return n_owned
+        if is_primary:
             return quota.of_primary()
         zones = {report.zone for report in self.registry.of_group(group)}
         return quota.of_replica(len(zones))
@@ -244,6 +250,16 @@
         if pool is not None:
             self._drop_pool(assignment.server, "the primary is being replaced")
 
+    def groups_in_use(self) -> list[str]:
+        """Return the groups to whose primaries there are connections."""
+        found = []
+        for pool in self._pools.values():
+            assignment = self.lease.latest_assignment(pool.group)
+            is_primary = assignment is not None and assignment.server == pool.server
+            if is_primary and pool.has_connections:
+                found.append(pool.group)
+        return sorted(found)
+
     def suspicions(self) -> list[Suspicion]:
         """Return the primaries that do not answer, and probe those that are late."""
         now = boot_ms()
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_line_sessions.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_line_sessions.py
@@ -58,9 +58,14 @@
             view, sender, freshness, self._writes, log
         )
 
-    async def run(self, session: LineSession, query: CallerQuery) -> bytes:
+    async def run(
+        self,
+        session: LineSession,
+        query: CallerQuery,
+        received_ms: float | None = None,
+    ) -> bytes:
         """Run a statement; return its encoded answer."""
-        received_ms = boot_ms()
+        received_ms = boot_ms() if received_ms is None else received_ms
         try:
             reply = await self._dispatch(session, query, received_ms)
         except RefusedError as error:
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_server_pool.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_server_pool.py
@@ -88,6 +88,11 @@
         """Return how many statements use a connection or wait for one."""
         return len(self._in_use) + len(self._waiters)
 
+    @property
+    def has_connections(self) -> bool:
+        """Return whether a connection is open or being opened."""
+        return bool(self._open) or self._n_opening > 0
+
     def is_down(self, now_ms: float) -> bool:
         """Return whether the server refuses connections or does not answer."""
         return self.down_since_ms is not None or self.is_unresponsive(now_ms)
--- a/tests/users_platform/conftest.py
+++ b/tests/users_platform/conftest.py
@@ -1,6 +1,7 @@
-"""Fixtures of a deployment on loopback: 3 control nodes, 2 entry VMs, 1 group."""
+"""Fixtures of a deployment on loopback: 3 control nodes, 2 or 3 entry VMs, 1 group."""
 
 import asyncio
+import contextlib
 import itertools
 import json
 import os
@@ -139,8 +140,10 @@
                 await asyncio.sleep(0.05)
 
 
-def make_settings(network: int, folder: Path) -> dict[str, DeploymentSettings]:
-    """Return the settings of three control nodes and two entry VMs."""
+def make_settings(
+    network: int, folder: Path, entry_zones: tuple[str, ...]
+) -> dict[str, DeploymentSettings]:
+    """Return the settings of three control nodes, and of an entry VM for each zone."""
     hosts = {f"control-{n}": f"127.{network}.1.{n}" for n in (1, 2, 3)}
     seeds = [f"{host}:18080" for host in hosts.values()]
     common = {
@@ -162,11 +165,11 @@
         )
         for number, (name, host) in enumerate(hosts.items(), start=1)
     }
-    for number in (1, 2):
+    for number, zone in enumerate(entry_zones, start=1):
         host = f"127.{network}.2.{number}"
         found[f"entry-{number}"] = DeploymentSettings(
             node=f"entry-{number}",
-            zone=f"z{number}",
+            zone=zone,
             host=host,
             caller_address=f"{host}:18784",
             health_address=f"{host}:18785",
@@ -175,8 +178,8 @@
     return found
 
 
-@pytest_asyncio.fixture
-async def deployment(tmp_path):
+@contextlib.asynccontextmanager
+async def run_deployment(tmp_path, entry_zones):
     """Run a deployment whose entry VMs serve statements."""
     network, lock = reserve_network()
     group = Group("db", 18_143)
@@ -186,7 +189,7 @@
     group.servers[2].is_primary = True
     provider = Provider(f"127.{network}.9.9:18083", [group])
     running = Deployment(tmp_path, group, provider)
-    running.settings = make_settings(network, tmp_path)
+    running.settings = make_settings(network, tmp_path, entry_zones)
     await provider.server.start()
     for server in group.servers:
         await server.start()
@@ -209,6 +212,20 @@
     lock.close()
 
 
+@pytest_asyncio.fixture
+async def deployment(tmp_path):
+    """Run a deployment with an entry VM in each of two zones."""
+    async with run_deployment(tmp_path, ("z1", "z2")) as running:
+        yield running
+
+
+@pytest_asyncio.fixture
+async def zone_deployment(tmp_path):
+    """Run a deployment with three entry VMs in one zone."""
+    async with run_deployment(tmp_path, ("z1", "z1", "z1")) as running:
+        yield running
+
+
 @pytest.fixture
 def make_document():
     """Return the function that builds configurations."""
