--- a/packages/cardamomshunt/src/cardamomshunt/_fleet/primary_lease.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_fleet/primary_lease.py
@@ -158,7 +158,7 @@
         # A fault of one entry VM or of its zone's network must not be enough where few
         # entry VMs watch.
         n_zones = len({item.zone for item in live_holders})
-        n_zones_suspecting = len({item.zone for item in suspecting})
+        n_zones_suspecting = len({item.zone for item in suspecting if item.zone})
         return (
             2 * len(suspecting) >= len(watching)
             and len(suspecting) >= _N_SUSPECTING_MIN
--- a/tests/users_platform/test_session_relay.py
+++ b/tests/users_platform/test_session_relay.py
@@ -3,6 +3,8 @@
 import asyncio
 
 import pytest
+from cardamomshunt.fleet import LeaseRequest
+from cardamomshunt_node._entry_service import _without_relay_fields
 from cardamomshunt_node._relay_frames import (
     ANSWER_SIZE_MAX_BYTES,
     FrameBuffer,
@@ -11,6 +13,7 @@
     RelayOpen,
     encode_frame,
 )
+from cardamomshunt_node._relay_owner import _EntryLink
 from cardamomshunt_node._session_protocol import (
     ErrorCode,
     StatementKind,
@@ -163,6 +166,29 @@
     assert len(pair.events(pair.entry, "owner_avoided")) == 1
 
 
+async def test_an_owner_that_opens_no_session_is_replaced(pair, monkeypatch):
+    # Guards against callers that wait for an owner that listens but does not run.
+    monkeypatch.setattr(_EntryLink, "on_frame", lambda link, frame: None)
+    caller = await pair.open()
+    assert pair.n_served == 0
+    events = pair.events(pair.entry, "owner_avoided")
+    assert events[0]["reason"] == "the session was not opened"
+    assert (await caller.execute("READ k1"))[-1].startswith("COMPLETE")
+
+
+async def test_a_vm_that_does_not_own_a_team_serves_what_it_gets(pair, monkeypatch):
+    # Guards against sessions that are refused or forwarded on while lists differ.
+    settings = pair.deployment.settings[pair.other]
+    directory = pair.deployment.entries[pair.entry]._directory
+    monkeypatch.setattr(
+        directory, "candidates", lambda team, group: [settings.peer_address]
+    )
+    caller = await pair.open()
+    assert pair.deployment.entries[pair.other]._relay_owner.n_sessions == 1
+    assert (await caller.execute("WRITE k1 a"))[-1].startswith("COMPLETE")
+    assert pair.events(pair.other, "session_forwarded") == []
+
+
 async def freeze_statement(pair, caller, text, request):
     """Send a statement whose answer the primary withholds; return its task."""
     for server in pair.deployment.group.servers:
@@ -240,6 +266,50 @@
     await stopping
 
 
+async def test_a_draining_entry_vm_finishes_forwarded_work(pair):
+    # Guards against a planned stop that cuts statements on their way to the owner.
+    idle, busy = await pair.open(), await pair.open()
+    await busy.execute("BEGIN")
+    await busy.execute("WRITE k1 a", "w1")
+    stopping = asyncio.create_task(pair.deployment.stop(pair.entry))
+    assert await idle.is_closed()
+    assert (await busy.execute("COMMIT", "w2"))[-1].startswith("COMPLETE")
+    await stopping
+    assert pair.n_served == 0
+    assert pair.deployment.group.requests_committed() == ["w1"]
+
+
+async def test_a_vm_that_stops_leaves_the_list(pair):
+    # Guards against sessions that all VMs of a zone open at a VM that is not there.
+    pair.owner_daemon._control_link.start_draining()
+    entry = pair.deployment.entries[pair.entry]
+    await pair.deployment.until(lambda: entry._directory._owners.n_entries == 2, 1.0)
+    other = pair.deployment.entries[pair.other]
+    pair.deployment.tasks[pair.other].cancel()
+    other._tasks[0].cancel()
+    await pair.deployment.until(lambda: entry._directory._owners.n_entries == 1, 4.0)
+    caller = await pair.open()
+    assert (await caller.execute("READ k1"))[-1].startswith("COMPLETE")
+    assert pair.events(pair.entry, "session_forwarded") == []
+
+
+def test_the_fields_of_members_survive_the_relay():
+    # Guards against a leader that knows only the members of its own zone.
+    request = LeaseRequest(
+        sequence=1,
+        version=2,
+        zone="z1",
+        is_draining=True,
+        entries_digest=7,
+        watched_groups=["db"],
+        full_servers=["s"],
+    )
+    relayed = _without_relay_fields(request)
+    assert (relayed.zone, relayed.is_draining) == ("z1", True)
+    assert (relayed.entries_digest, relayed.watched_groups) == (7, ["db"])
+    assert relayed.full_servers == []
+
+
 async def test_a_lost_entry_vm_rolls_back(pair):
     # Guards against transactions that hold a connection after their caller's VM died.
     caller = await pair.open()
