End a forwarded session whose caller leaves before its statement starts

A worker that is cancelled before its first step runs no clean-up, so that the owner kept the session until the connection between the VMs closed. The session is now ended when the caller's connection is lost. The number of zones is counted again only when the reports of servers change.

--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_caller_edge_lines.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_caller_edge_lines.py
@@ -60,7 +60,11 @@
             return
         if self._worker is None:
             self._abandon(self.session)
-        elif self.session.may_cancel or self._forwarded is not None:
+        elif self._forwarded is not None:
+            # A worker that is cancelled before its first step ends nothing itself.
+            self._forwarded.close()
+            self._worker.cancel()
+        elif self.session.may_cancel:
             self._worker.cancel()
 
     def _abandon(self, session: LineSession) -> None:
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_owner_directory.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_owner_directory.py
@@ -14,6 +14,8 @@
         self._view = view
         self._owners = SessionOwners(own_address)
         self.is_draining = False
+        self._zones_digest: int | None = None
+        self._n_known_zones = 1
         view.owned_quota = self._owned_quota
 
     @property
@@ -27,9 +29,18 @@
 
     @property
     def _n_zones(self) -> int:
-        reports = self._view.registry.all()
-        zones = {item.zone for item in reports if item.state is not ServerState.GONE}
-        return max(len(zones), 1)
+        registry = self._view.registry
+        digest = registry.digest()
+        if digest != self._zones_digest:
+            self._zones_digest = digest
+            self._n_known_zones = len(
+                {
+                    report.zone
+                    for report in registry.all()
+                    if report.state is not ServerState.GONE
+                }
+            )
+        return max(self._n_known_zones, 1)
 
     def holders(self) -> list[str]:
         """Return the entry VMs that own teams, or none if each serves its sessions."""
