--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_entry_control_link.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_entry_control_link.py
@@ -27,6 +27,7 @@
 from cardamomshunt_node._decision_log import DecisionLog
 from cardamomshunt_node._deployment import DeploymentSettings
 from cardamomshunt_node._fleet_view import FleetView
+from cardamomshunt_node._owner_directory import OwnerDirectory
 from cardamomshunt_node._recovery_steps import RecoveryStep
 from cardamomshunt_node._stream_transport import StreamMessage, StreamTransport
 from cardamomshunt_node._team_quotas import TeamQuotaWaiter
@@ -68,7 +69,9 @@
         on_assignments: Callable[[list[str], dict[str, Assignment]], None],
         record_step: Callable[[RecoveryStep], None],
         quotas: TeamQuotaWaiter,
+        directory: OwnerDirectory,
     ) -> None:
+        self._directory = directory
         self._settings = settings
         self._view = view
         self._log = log
@@ -122,6 +125,11 @@
         self._released[group] = epoch
         self._renew.set()
 
+    def start_draining(self) -> None:
+        """Notify the leader at once that this entry VM opens no more sessions."""
+        self._directory.is_draining = True
+        self._renew.set()
+
     # Requests
 
     async def renew_lease(self) -> None:
@@ -263,6 +271,11 @@
                 overloaded_servers=(
                     self._view.overloaded_servers() if is_assigned else []
                 ),
+                # Without teams there are no owners, and no list is needed.
+                zone=self._settings.zone if self._view.table.has_teams else "",
+                is_draining=self._directory.is_draining,
+                entries_digest=self._directory.digest,
+                watched_groups=self._directory.watched_groups(),
                 paces=self._view.pace_report() if is_assigned else None,
                 **quota_fields,
             ),
@@ -326,6 +339,8 @@
             for group, bound in newer.items():
                 self._view.add_bound(group, bound.position, bound.since_ms)
         self._quotas.on_grant(grant)
+        if grant.zone_entries is not None:
+            self._directory.record_entries(grant.zone_entries)
         self._check_version(grant.version)
         known = grant.assignments or {}
         changed = self._view.lease.on_grant(grant)
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_server_pool.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_server_pool.py
@@ -131,6 +131,11 @@
         """Return how many statements use a connection or wait for one."""
         return len(self._in_use) + len(self._waiters)
 
+    @property
+    def has_connections(self) -> bool:
+        """Return whether a connection is open or being opened."""
+        return bool(self._open) or self._n_opening.total() > 0
+
     def may_send(self, now_ms: float, priority: int) -> bool:
         """Return whether a statement of a route's priority may be sent now."""
         return True
--- a/packages/cardamomshunt/src/cardamomshunt/fleet.py
+++ b/packages/cardamomshunt/src/cardamomshunt/fleet.py
@@ -72,6 +72,14 @@
     ServerReport,
     ServerState,
 )
+from cardamomshunt._fleet.session_owners import (
+    SessionOwners,
+    ZoneSize,
+    count_holders,
+    needs_owners,
+    rendezvous_order,
+    zone_size,
+)
 from cardamomshunt._fleet.shared_bounds import BoundExchange, SharedBound
 from cardamomshunt._fleet.statement_queue import StatementQueue
 from cardamomshunt._fleet.successor import ServerStatus, choose_successor
@@ -92,6 +100,7 @@
     TeamQuotas,
 )
 from cardamomshunt._fleet.teams import Team, TeamTable, key_digest, key_fingerprint
+from cardamomshunt._fleet.zone_members import ZoneMembers
 from cardamomshunt._fleet.zone_paces import ClassLatency, PaceReport, ZonePaces
 
 __all__ = [
@@ -158,6 +167,7 @@
     "ServerState",
     "ServerStatus",
     "ServerUse",
+    "SessionOwners",
     "SharedBound",
     "StatementQueue",
     "StopPrimary",
@@ -168,12 +178,15 @@
     "TeamQuotas",
     "TeamTable",
     "TeamWaiter",
+    "ZoneMembers",
     "ZonePaces",
+    "ZoneSize",
     "best_uncovered_waiter",
     "build_route_table",
     "choose_acquire_action",
     "choose_evicted",
     "choose_successor",
+    "count_holders",
     "digest_of",
     "encode_command",
     "full_server_pause_ms",
@@ -181,5 +194,8 @@
     "key_fingerprint",
     "limits_of",
     "merge_samples",
+    "needs_owners",
     "order_of_reads",
+    "rendezvous_order",
+    "zone_size",
 ]
--- a/tests/users_platform/test_restart.py
+++ b/tests/users_platform/test_restart.py
@@ -38,7 +38,7 @@
         group.servers.append(LineServer(group, f"i-{number}", host, f"z{number}"))
     group.servers[2].is_primary = True
     provider = Provider(f"127.{network}.9.9:18083", [group])
-    daemons = DaemonProcesses(tmp_path, make_settings(network, tmp_path))
+    daemons = DaemonProcesses(tmp_path, make_settings(network, tmp_path, ("z1", "z2")))
     await provider.server.start()
     for server in group.servers:
         await server.start()
