--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_line_reads.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_line_reads.py
@@ -168,17 +168,16 @@
             self._hedge_budget < 1.0 or n_running >= _N_RUNNING_ATTEMPTS_MAX
         ):
             return False
-        # An earlier attempt may run as well, so that this one counts once more.
-        if (n_running or read.may_have_run) and not self._quotas.take_another(
-            read.session.team
-        ):
-            return False
         pools = self._view.read_candidates(read.route.group, read.at_least, read.tried)
         if not pools and n_running:
             # If an answer was lost, the same server may answer on another connection.
             pools = self._view.read_candidates(read.route.group, read.at_least, set())
         if not pools:
             return bool(n_running)
+        # An earlier attempt may run as well, so that this one counts once more.
+        is_repeated = bool(n_running) or read.may_have_run
+        if is_repeated and not self._quotas.take_another(read.session.team):
+            return False
         if n_running:
             self._hedge_budget -= 1.0
             self._metrics.count_hedge()
