Open connections to a server at the pace of its answers

After a power loss each entry VM opened its whole quota of connections to a server at once, so that the first connection of one VM waited for the second and third of others, and statements that could not be served any more had connections opened for them.

Each entry VM opens one connection to a server, then one more at a time with each fast opening; slow or failed openings halve that. Statements wait in the order of priority, then deadline. Those for which a connection would come too late are refused at once if there is none at all.

--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_server_pool.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_server_pool.py
@@ -6,7 +6,13 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from cardamomshunt.fleet import FailureRate, RefusalHistory, full_server_pause_ms
+from cardamomshunt.fleet import (
+    FailureRate,
+    ReconnectOrder,
+    RefusalHistory,
+    WaitingOrder,
+    full_server_pause_ms,
+)
 
 from cardamomshunt_node._backend_connection import (
     BackendConnection,
@@ -42,9 +48,7 @@
 
 @dataclass(slots=True, order=True)
 class _Waiter:
-    priority: int
-    order: int
-    deadline_ms: float = field(compare=False)
+    order: WaitingOrder
     future: asyncio.Future[BackendConnection] = field(compare=False)
 
 
@@ -70,6 +74,7 @@
         self._open: set[BackendConnection] = set()
         self._in_use: set[BackendConnection] = set()
         self._n_opening = 0
+        self._reconnect = ReconnectOrder()
         self._waiters: list[_Waiter] = []
         self._orders = itertools.count()
         self._tasks: set[asyncio.Task[None]] = set()
@@ -130,7 +135,8 @@
         future: asyncio.Future[BackendConnection] = (
             asyncio.get_running_loop().create_future()
         )
-        waiter = _Waiter(priority, next(self._orders), deadline_ms, future)
+        order = WaitingOrder(priority, deadline_ms, next(self._orders))
+        waiter = _Waiter(order, future)
         heapq.heappush(self._waiters, waiter)
         self._connect_for_waiters()
         try:
@@ -163,33 +169,57 @@
         return self._idle.pop()
 
     def _connect_for_waiters(self) -> None:
-        n_needed = min(
-            len(self._waiters) - self._n_opening,
-            self._quota() - len(self._open) - self._n_opening,
+        now = boot_ms()
+        n_to_start = self._reconnect.n_to_start(
+            now,
+            [item.order.deadline_ms for item in self._waiters],
+            len(self._open),
+            self._n_opening,
+            self._quota(),
         )
-        for _ in range(n_needed):
+        if not self._open:
+            self._refuse_unservable(now)
+        for _ in range(n_to_start):
             self._start_connect()
 
+    def _refuse_unservable(self, now_ms: float) -> None:
+        """Refuse the statements that no connection can be opened for in time."""
+        for waiter in self._waiters:
+            if not (
+                waiter.future.done()
+                or self._reconnect.is_servable(waiter.order.deadline_ms, now_ms)
+            ):
+                waiter.future.set_exception(
+                    ServerBusyError(f"{self.server}: no connection opens in time")
+                )
+        self._waiters = [item for item in self._waiters if not item.future.done()]
+        heapq.heapify(self._waiters)
+
     async def _connect(self) -> None:
         connection = BackendConnection(self._protocol, self)
-        pause_ms = self.connect_after_ms - boot_ms()
+        connect_ms = max(self.connect_after_ms, self._reconnect.next_opening_ms)
+        pause_ms = connect_ms - boot_ms()
         try:
             if pause_ms > 0.0:
                 await asyncio.sleep(pause_ms / 1_000.0)
+            started_ms = boot_ms()
             await self._open_connection(connection)
         except (OSError, TimeoutError, ServerLostError) as error:
             self._n_opening -= 1
+            self._reconnect.record_failed()
             connection.close(str(error))
             self._on_connect_failed(str(error) or "no answer", connection.refusal)
             return
         self._n_opening -= 1
         self.n_opened += 1
         self._on_opened()
+        self._reconnect.record_opened(boot_ms(), boot_ms() - started_ms)
         self._n_full_refusals = 0
         self.down_since_ms = None
         self._open.add(connection)
         self._in_use.add(connection)
         self.release(connection)
+        self._connect_for_waiters()
 
     async def _open_connection(self, connection: BackendConnection) -> None:
         host, port = host_and_port(self.address)
@@ -221,6 +251,7 @@
             self._connect_for_waiters()
             return
         if self._open:
+            self._connect_for_waiters()
             return
         if self.down_since_ms is None:
             self.down_since_ms = now
@@ -228,7 +259,9 @@
 
     @property
     def _earliest_deadline_ms(self) -> float:
-        return min((item.deadline_ms for item in self._waiters), default=float("inf"))
+        return min(
+            (item.order.deadline_ms for item in self._waiters), default=float("inf")
+        )
 
     def _fail_waiters(self, reason: str) -> None:
         waiters, self._waiters = self._waiters, []
@@ -268,6 +301,8 @@
         self._in_use.discard(connection)
         if connection in self._idle:
             self._idle.remove(connection)
+        if not self._open:
+            self._reconnect.record_all_lost()
         if self._waiters:
             self._connect_for_waiters()
 
--- /dev/null
+++ b/packages/cardamomshunt/src/cardamomshunt/_fleet/reconnect_order.py
@@ -0,0 +1,91 @@
+"""Openings of connections to one server, at a pace that the server keeps up with.
+
+After a start or a loss of connections all entry VMs open connections at the same time,
+and each opening takes up a slot of the server.
+"""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+# An opening is slow if it takes this many times as long as the fastest one.
+_SLOW_FACTOR = 4.0
+_SLOW_MIN_MS = 60.0
+# Lets the fastest time follow a server that has become slower for good.
+_FASTEST_GROWTH = 1.05
+_EXPECTED_WEIGHT = 0.3
+_PAUSE_MAX_MS = 200.0
+
+
+@dataclass(slots=True, frozen=True, order=True)
+class WaitingOrder:
+    """Sort key of a waiting statement: the lowest one is served first.
+
+    `priority` is that of the route, `number` the order of arrival.
+    """
+
+    priority: int
+    deadline_ms: float
+    number: int
+
+
+@dataclass(slots=True)
+class ReconnectOrder:
+    """Decide how many openings an entry VM has under way at one server, and for whom.
+
+    While there is no connection only one is opened, so that each entry VM gets its
+    first before any gets a second. Each fast opening then allows one more at a time;
+    a slow or failed one halves the number, and a slow one defers the next.
+    """
+
+    n_openings_max: int = 1
+    next_opening_ms: float = float("-inf")
+    _fastest_ms: float = float("inf")
+    _expected_ms: float = 0.0
+
+    def n_to_start(
+        self,
+        now_ms: float,
+        deadlines_ms: Sequence[float],
+        n_open: int,
+        n_opening: int,
+        quota: int,
+    ) -> int:
+        """Return how many openings to start for statements with these deadlines.
+
+        Without any connection one is opened even if it comes too late for all of them,
+        as nothing else shows when the server has become fast again.
+        """
+        n_servable = sum(
+            self.is_servable(deadline_ms, now_ms) for deadline_ms in deadlines_ms
+        )
+        n_allowed = self.n_openings_max if n_open else 1
+        n_missing = min(n_servable, n_allowed, quota - n_open) - n_opening
+        is_cut_off = bool(deadlines_ms) and not n_open and not n_opening
+        return max(n_missing, int(is_cut_off and quota > 0))
+
+    def is_servable(self, deadline_ms: float, now_ms: float) -> bool:
+        """Return whether a new connection can be expected before a deadline."""
+        start_ms = max(now_ms, self.next_opening_ms)
+        return start_ms + self._expected_ms < deadline_ms
+
+    def record_opened(self, now_ms: float, elapsed_ms: float) -> None:
+        """Record an opening, and how long the server took."""
+        self._fastest_ms = min(self._fastest_ms * _FASTEST_GROWTH, elapsed_ms)
+        weight = _EXPECTED_WEIGHT if self._expected_ms else 1.0
+        self._expected_ms += weight * (elapsed_ms - self._expected_ms)
+        if elapsed_ms <= max(_SLOW_FACTOR * self._fastest_ms, _SLOW_MIN_MS):
+            self.n_openings_max += 1
+            return
+        self._halve()
+        self.next_opening_ms = now_ms + min(elapsed_ms, _PAUSE_MAX_MS)
+
+    def record_failed(self) -> None:
+        """Record an opening that the server refused or did not answer."""
+        self._halve()
+
+    def record_all_lost(self) -> None:
+        """Record that no connection is left, probably at other entry VMs neither."""
+        self.n_openings_max = 1
+
+    def _halve(self) -> None:
+        self.n_openings_max = max(self.n_openings_max // 2, 1)
--- a/packages/cardamomshunt/src/cardamomshunt/fleet.py
+++ b/packages/cardamomshunt/src/cardamomshunt/fleet.py
@@ -44,6 +44,7 @@
     PrimaryLease,
 )
 from cardamomshunt._fleet.read_routing import ReadCandidate, order_of_reads
+from cardamomshunt._fleet.reconnect_order import ReconnectOrder, WaitingOrder
 from cardamomshunt._fleet.refusal_history import RefusalHistory
 from cardamomshunt._fleet.route_table import (
     ConfigurationInvalidError,
@@ -91,6 +92,7 @@
     "QuotaDemand",
     "QuotaShare",
     "ReadCandidate",
+    "ReconnectOrder",
     "RefusalHistory",
     "RelayedGrant",
     "RelayedGrants",
@@ -112,6 +114,7 @@
     "Suspicion",
     "Team",
     "TeamTable",
+    "WaitingOrder",
     "build_route_table",
     "choose_successor",
     "digest_of",
