Refuse at once what cannot be served by its deadline

Statements that needed a primary waited until their deadline during a replacement that could not end before it, and at a partitioned entry VM whose lease had expired.

An entry VM learns how long replacements take by phase. It refuses a statement at once with BUSY if the fastest of at least two earlier ones would still end after its deadline, or if it is partitioned after its lease expired. retry_after_ms is the expected end with a random part. Without an expected end statements wait as before.

Tables of tests name the loads.

--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_entry_daemon.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_entry_daemon.py
@@ -58,6 +58,7 @@
             self._apply_assignments,
             self._steps.record,
         )
+        self._view.on_partition_asked(self._control_link.is_partitioned)
         self._partitioned_since_ms: float | None = None
         self._stopping: dict[str, asyncio.Task[None]] = {}
         self._is_stopping = False
@@ -123,6 +124,7 @@
     ) -> None:
         for group in changed:
             assignment = assignments[group]
+            self._view.servability.record_phase(group, assignment.phase, boot_ms())
             self._log.write(
                 "primary",
                 group=group,
@@ -162,6 +164,8 @@
             await asyncio.sleep(_SWEEP_INTERVAL_S)
             now = boot_ms()
             self._control_link.check_lease(now)
+            if not self._view.lease.is_valid(now):
+                self._view.servability.forget_running()
             self._edge.end_idle_transactions()
             self._view.maintain_pools()
             self._check_partition(now)
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_fleet_view.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_fleet_view.py
@@ -11,6 +11,7 @@
     PrimaryLease,
     ReadCandidate,
     RouteTable,
+    Servability,
     ServerRegistry,
     ServerReport,
     ServerState,
@@ -56,6 +57,8 @@
         self._change = asyncio.Event()
         # The process exits soon after this time, so every statement is answered by it.
         self.answer_deadline_ms = float("inf")
+        self.servability = Servability()
+        self._is_partitioned: Callable[[float], bool] = lambda now_ms: False
 
     # Changes
 
@@ -268,6 +271,28 @@
                 found.append(Suspicion(pool.group, pool.server, assignment.epoch))
         return found
 
+    def on_partition_asked(self, is_partitioned: Callable[[float], bool]) -> None:
+        """Ask `is_partitioned` whether too few control nodes answer."""
+        self._is_partitioned = is_partitioned
+
+    def retry_after_ms(self, group: str, deadline_ms: float) -> float | None:
+        """Return when to retry a statement that needs the primary, or None to wait.
+
+        Only what cannot be served by its deadline is to be refused. An entry VM that
+        has had no lease since its start waits for its first one.
+        """
+        now = boot_ms()
+        if self.primary(group) is not None:
+            return None
+        is_partitioned = (
+            self.lease.was_granted
+            and not self.lease.is_valid(now)
+            and self._is_partitioned(now)
+        )
+        return self.servability.retry_after_ms(
+            group, deadline_ms, now, is_partitioned=is_partitioned
+        )
+
     # Reads
 
     def add_bound(self, group: str, position: LogPosition, sent_ms: float) -> None:
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_line_reads.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_line_reads.py
@@ -136,6 +136,7 @@
                 continue
             may_hedge = self._start_attempt(read)
             if not read.running:
+                self._refuse_if_unservable(read)
                 read.tried.clear()
                 await self._pause(read)
                 continue
@@ -155,6 +156,21 @@
             return False
         return self._n_without_bound[read.route.group] >= _N_READS_WITHOUT_BOUND_MAX
 
+    def _refuse_if_unservable(self, read: _Read) -> None:
+        """Refuse a read that no replica may serve and that the primary serves too late.
+
+        Replicas that are behind do not catch up while there is no primary.
+        """
+        is_behind = read.at_least is None or read.code is ErrorCode.LAGGING
+        if read.may_have_run or not is_behind:
+            return
+        group = read.route.group
+        pause_ms = self._view.retry_after_ms(group, read.deadline_ms)
+        if pause_ms is not None and not self._view.read_candidates(
+            group, read.at_least, set()
+        ):
+            raise not_run_error(ErrorCode.BUSY, read.reason, pause_ms)
+
     def _start_attempt(self, read: _Read) -> bool:
         """Start an attempt if the limits allow it; return whether one more may start.
 
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_line_session_state.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_line_session_state.py
@@ -16,7 +16,10 @@
 
 _RETRY_PAUSE_MIN_MS = 30.0
 _RETRY_PAUSE_MAX_MS = 200.0
-RETRY_AFTER_MS = 250
+# Callers that are refused together retry over a range, not all at once.
+_RETRY_AFTER_RANGE_MS = (200.0, 350.0)
+# Waiting statements check this often whether they can still be served.
+SERVABILITY_CHECK_MS = 100.0
 # The answer has to reach the caller before the caller's own timeout.
 _ANSWER_MARGIN_MS = 30.0
 
@@ -29,9 +32,13 @@
         self.code = code
 
 
-def not_run_error(code: ErrorCode, reason: str) -> RefusedError:
+def not_run_error(
+    code: ErrorCode, reason: str, retry_after_ms: float | None = None
+) -> RefusedError:
     """Return the error of a statement that did not run and may be retried."""
-    return RefusedError(code, f"{reason}; retry_after_ms={RETRY_AFTER_MS}")
+    if retry_after_ms is None:
+        retry_after_ms = random.uniform(*_RETRY_AFTER_RANGE_MS)
+    return RefusedError(code, f"{reason}; retry_after_ms={round(retry_after_ms)}")
 
 
 def retry_pause_ms(n_refused: int) -> float:
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_line_transactions.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_line_transactions.py
@@ -132,6 +132,11 @@
                 )
             pools = self._view.read_candidates(route.group, at_least, tried)
             if not pools:
+                pause_ms = self._view.retry_after_ms(route.group, deadline_ms)
+                if pause_ms is not None and at_least is None:
+                    raise not_run_error(
+                        ErrorCode.BUSY, "no server for the transaction", pause_ms
+                    )
                 tried.clear()
                 await self._view.wait_for_change(retry_pause_ms(n_refused))
                 n_refused += 1
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_line_writes.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_line_writes.py
@@ -14,6 +14,7 @@
 from cardamomshunt_node._decision_log import DecisionLog
 from cardamomshunt_node._fleet_view import FleetView
 from cardamomshunt_node._line_session_state import (
+    SERVABILITY_CHECK_MS,
     LineSession,
     RefusedError,
     not_run_error,
@@ -86,7 +87,12 @@
         while (now := boot_ms()) < deadline_ms:
             primary = self._view.primary(route.group)
             if primary is None:
-                await self._view.wait_for_change(deadline_ms - now)
+                pause_ms = self._view.retry_after_ms(route.group, deadline_ms)
+                if pause_ms is not None:
+                    raise not_run_error(ErrorCode.BUSY, reason, pause_ms)
+                await self._view.wait_for_change(
+                    min(deadline_ms - now, SERVABILITY_CHECK_MS)
+                )
                 continue
             pool, epoch = primary
             try:
--- a/packages/cardamomshunt/src/cardamomshunt/_fleet/primary_lease.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_fleet/primary_lease.py
@@ -57,6 +57,11 @@
         """Return the newest known epoch, which identifies the set of assignments."""
         return max((item.epoch for item in self._assignments.values()), default=-1)
 
+    @property
+    def was_granted(self) -> bool:
+        """Return whether there was a lease since the start of this process."""
+        return self._valid_until_ms > float("-inf")
+
     def is_valid(self, now_ms: float) -> bool:
         """Return whether the lease is valid, so that primaries may be used."""
         return now_ms < self._valid_until_ms
--- a/packages/cardamomshunt/src/cardamomshunt/fleet.py
+++ b/packages/cardamomshunt/src/cardamomshunt/fleet.py
@@ -54,6 +54,7 @@
     RouteTable,
     build_route_table,
 )
+from cardamomshunt._fleet.servability import Servability
 from cardamomshunt._fleet.server_registry import (
     ServerRegistry,
     ServerReport,
@@ -104,6 +105,7 @@
     "Route",
     "RouteKind",
     "RouteTable",
+    "Servability",
     "ServerRegistry",
     "ServerReport",
     "ServerState",
--- a/packages/cardamomshunt/tests/test_consensus.py
+++ b/packages/cardamomshunt/tests/test_consensus.py
@@ -399,3 +399,45 @@
             leader_ms = cluster.now_ms
     # No node votes within `election_min_ms` of its start, as a lease may be valid.
     assert 470.0 <= leader_ms <= 545.0
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_nodes_that_start_at_once_elect_one_in_the_first_term(seed) -> None:
+    # After a power loss of all VMs the nodes asked for votes at the same time, which
+    # split the votes, and counted the time in which they refuse votes only from the
+    # end of their imports.
+    options = ConsensusOptions(
+        election_min_ms=400.0, election_max_ms=650.0, restart_pre_vote_ms=60.0
+    )
+    names = ["s1", "s2", "s3"]
+    members = _members(names)
+    cluster = _Cluster(ConsensusNode, {n: [_entry(1, 1)] for n in names}, 1, options)
+    cluster.now_ms = 390.0
+    for member in members:
+        cluster.nodes[member.node] = ConsensusNode(
+            member.node,
+            members,
+            RestoredState(
+                incarnation=member.incarnation,
+                vote=Vote(1, "gone"),
+                snapshot=Snapshot(members=members),
+                entries=[_entry(1, 1)],
+            ),
+            Random(f"{seed}/{member.node}"),
+            cluster.now_ms,
+            options,
+            predecessor_ended_ms=0.0,
+        )
+    while not any(node.is_leader for node in cluster.nodes.values()):
+        cluster.now_ms += 3.0
+        # Messages of one round arrive in the next one.
+        for _ in range(len(cluster.queue)):
+            cluster.deliver_one()
+        for name in names:
+            deadline_ms = cluster.nodes[name].next_deadline_ms()
+            if deadline_ms is not None and cluster.now_ms >= deadline_ms:
+                cluster.run(name, cluster.nodes[name].tick(cluster.now_ms))
+        assert cluster.now_ms < 480.0
+    # A lease granted until the former process ended may be valid before.
+    assert cluster.now_ms >= 400.0
+    assert max(node.term for node in cluster.nodes.values()) == 2
--- a/tests/users_platform/test_fleet_view.py
+++ b/tests/users_platform/test_fleet_view.py
@@ -20,7 +20,8 @@
 from cardamomshunt_node._entry_metrics import EntryMetrics
 from cardamomshunt_node._fleet_view import FleetView
 from cardamomshunt_node._line_reads import ReadRunner
-from cardamomshunt_node._line_session_state import LineSession
+from cardamomshunt_node._line_session_state import LineSession, RefusedError
+from cardamomshunt_node._line_writes import WriteRunner
 from cardamomshunt_node._read_freshness import ReadFreshness
 from cardamomshunt_node._server_pool import ServerPool
 from cardamomshunt_node._session_protocol import CallerQuery, Statement, StatementKind
@@ -183,3 +184,33 @@
     replies = await asyncio.gather(*reads)
     assert all(reply.is_success for reply in replies)
     assert served[_PRIMARY] <= 3
+
+
+@pytest.mark.parametrize(
+    ("load", "was_granted", "is_partitioned", "is_early"),
+    [
+        ("partitioned zone, expired lease", True, True, True),
+        ("election of a leader, expired lease", True, False, False),
+        ("power loss of all VMs, no lease yet", False, True, False),
+    ],
+)
+async def test_writes_of_a_partitioned_entry_vm_are_refused_at_once(
+    load, was_granted, is_partitioned, is_early
+):
+    # Writes at a partitioned entry VM waited until their deadline for nothing. An entry
+    # VM that has just started waits for its first lease, which may come in time.
+    view = _make_view()
+    if was_granted:
+        view.lease.on_request_sent(1, boot_ms() - 9_000.0)
+        view.lease.on_grant(
+            LeaseGrant(sequence=1, lease_ms=1_300.0, n_entries=1, assignments=None)
+        )
+    view.on_partition_asked(lambda now_ms: is_partitioned)
+    log = DecisionLog("entry-1", os.open(os.devnull, os.O_WRONLY))
+    writes = WriteRunner(view, StatementSender(LineProtocol()), log)
+    route = Route("r", "orders", "db", RouteKind.PRIMARY, 300.0, 200.0)
+    query = CallerQuery("w1", Statement(StatementKind.WRITE, "WRITE k v"))
+    started_ms = boot_ms()
+    with pytest.raises(RefusedError, match="retry_after_ms=[0-9]+$"):
+        await writes.write(LineSession(1, "orders"), query, route, started_ms)
+    assert (boot_ms() - started_ms < 150.0) is is_early
