Open one more connection beside an overdue opening

With one opening at a time, a lost packet of the first one held up all statements that waited for a connection to the server, which may be 200 ms or more; earlier several openings ran beside each other. An opening that has taken 150 ms no longer counts.

--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_server_pool.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_server_pool.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass, field
 
 from cardamomshunt.fleet import (
+    OVERDUE_OPENING_MS,
     FailureRate,
     ReconnectOrder,
     RefusalHistory,
@@ -199,21 +200,25 @@
         connection = BackendConnection(self._protocol, self)
         connect_ms = max(self.connect_after_ms, self._reconnect.next_opening_ms)
         pause_ms = connect_ms - boot_ms()
+        if pause_ms > 0.0:
+            await asyncio.sleep(pause_ms / 1_000.0)
+        started_ms = boot_ms()
+        self._reconnect.record_started(started_ms)
+        asyncio.get_running_loop().call_later(
+            OVERDUE_OPENING_MS / 1_000.0, self._connect_for_waiters
+        )
         try:
-            if pause_ms > 0.0:
-                await asyncio.sleep(pause_ms / 1_000.0)
-            started_ms = boot_ms()
             await self._open_connection(connection)
         except (OSError, TimeoutError, ServerLostError) as error:
             self._n_opening -= 1
-            self._reconnect.record_failed()
+            self._reconnect.record_failed(started_ms)
             connection.close(str(error))
             self._on_connect_failed(str(error) or "no answer", connection.refusal)
             return
         self._n_opening -= 1
         self.n_opened += 1
         self._on_opened()
-        self._reconnect.record_opened(boot_ms(), boot_ms() - started_ms)
+        self._reconnect.record_opened(boot_ms(), started_ms)
         self._n_full_refusals = 0
         self.down_since_ms = None
         self._open.add(connection)
--- a/packages/cardamomshunt/src/cardamomshunt/_fleet/reconnect_order.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_fleet/reconnect_order.py
@@ -5,7 +5,7 @@
 """
 
 from collections.abc import Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 # An opening is slow if it takes this many times as long as the fastest one.
 _SLOW_FACTOR = 4.0
@@ -14,6 +14,8 @@
 _FASTEST_GROWTH = 1.05
 _EXPECTED_WEIGHT = 0.3
 _PAUSE_MAX_MS = 200.0
+# A lost packet delays an opening by 200 ms; another one probably takes less.
+OVERDUE_OPENING_MS = 150.0
 
 
 @dataclass(slots=True, frozen=True, order=True)
@@ -34,13 +36,15 @@
 
     While there is no connection only one is opened, so that each entry VM gets its
     first before any gets a second. Each fast opening then allows one more at a time;
-    a slow or failed one halves the number, and a slow one defers the next.
+    a slow or failed one halves the number, and a slow one defers the next. One more is
+    opened beside an opening that is overdue.
     """
 
     n_openings_max: int = 1
     next_opening_ms: float = float("-inf")
     _fastest_ms: float = float("inf")
     _expected_ms: float = 0.0
+    _started_ms: list[float] = field(default_factory=list)
 
     def n_to_start(
         self,
@@ -58,7 +62,8 @@
         n_servable = sum(
             self.is_servable(deadline_ms, now_ms) for deadline_ms in deadlines_ms
         )
-        n_allowed = self.n_openings_max if n_open else 1
+        is_overdue = any(now_ms >= x + OVERDUE_OPENING_MS for x in self._started_ms)
+        n_allowed = (self.n_openings_max if n_open else 1) + is_overdue
         n_missing = min(n_servable, n_allowed, quota - n_open) - n_opening
         is_cut_off = bool(deadlines_ms) and not n_open and not n_opening
         return max(n_missing, int(is_cut_off and quota > 0))
@@ -68,8 +73,14 @@
         start_ms = max(now_ms, self.next_opening_ms)
         return start_ms + self._expected_ms < deadline_ms
 
-    def record_opened(self, now_ms: float, elapsed_ms: float) -> None:
-        """Record an opening, and how long the server took."""
+    def record_started(self, now_ms: float) -> None:
+        """Record the start of an opening."""
+        self._started_ms.append(now_ms)
+
+    def record_opened(self, now_ms: float, started_ms: float) -> None:
+        """Record that the opening started at a time has succeeded."""
+        self._started_ms.remove(started_ms)
+        elapsed_ms = now_ms - started_ms
         self._fastest_ms = min(self._fastest_ms * _FASTEST_GROWTH, elapsed_ms)
         weight = _EXPECTED_WEIGHT if self._expected_ms else 1.0
         self._expected_ms += weight * (elapsed_ms - self._expected_ms)
@@ -79,8 +90,9 @@
         self._halve()
         self.next_opening_ms = now_ms + min(elapsed_ms, _PAUSE_MAX_MS)
 
-    def record_failed(self) -> None:
-        """Record an opening that the server refused or did not answer."""
+    def record_failed(self, started_ms: float) -> None:
+        """Record that the server refused an opening or did not answer it."""
+        self._started_ms.remove(started_ms)
         self._halve()
 
     def record_all_lost(self) -> None:
--- a/packages/cardamomshunt/src/cardamomshunt/fleet.py
+++ b/packages/cardamomshunt/src/cardamomshunt/fleet.py
@@ -44,7 +44,11 @@
     PrimaryLease,
 )
 from cardamomshunt._fleet.read_routing import ReadCandidate, order_of_reads
-from cardamomshunt._fleet.reconnect_order import ReconnectOrder, WaitingOrder
+from cardamomshunt._fleet.reconnect_order import (
+    OVERDUE_OPENING_MS,
+    ReconnectOrder,
+    WaitingOrder,
+)
 from cardamomshunt._fleet.refusal_history import RefusalHistory
 from cardamomshunt._fleet.route_table import (
     ConfigurationInvalidError,
@@ -67,6 +71,7 @@
 __all__ = [
     "LEASE_MARGIN_MS",
     "LEASE_MS",
+    "OVERDUE_OPENING_MS",
     "AssignPrimary",
     "Assignment",
     "AssignmentCommand",
--- a/packages/cardamomshunt/tests/test_reconnect_order.py
+++ b/packages/cardamomshunt/tests/test_reconnect_order.py
@@ -10,6 +10,11 @@
 _LATER_MS = 10_000.0
 
 
+def _open(order, elapsed_ms):
+    order.record_started(-elapsed_ms)
+    order.record_opened(0.0, -elapsed_ms)
+
+
 def _first_connections_ms(n_entries, n_waiting, quota, n_at_once=None):
     """Return when each entry VM has its first connection to one server.
 
@@ -28,6 +33,7 @@
             heapq.heappush(slots_ms, end_ms)
             heapq.heappush(done, (end_ms, number, now_ms))
             n_opening[number] += 1
+            orders[number].record_started(now_ms)
 
     def open_more(number, now_ms):
         deadlines_ms = [_LATER_MS] * max(n_waiting - n_open[number], 0)
@@ -45,7 +51,7 @@
         n_opening[number] -= 1
         n_open[number] += 1
         first_ms.setdefault(number, now_ms)
-        orders[number].record_opened(now_ms, now_ms - started_ms)
+        orders[number].record_opened(now_ms, started_ms)
         open_more(number, now_ms)
     assert all(count == min(quota, n_waiting) for count in n_open) or n_at_once
     return max(first_ms.values())
@@ -83,7 +89,7 @@
     # Guards against all entry VMs opening more at a server that is already late.
     order = ReconnectOrder()
     for elapsed_ms in openings_ms:
-        order.record_opened(0.0, elapsed_ms)
+        _open(order, elapsed_ms)
     assert order.n_to_start(1_000.0, [_LATER_MS] * 20, n_open, 0, 30) == n_started
 
 
@@ -91,7 +97,7 @@
     # Half of the entry VMs lose a server's connections at the same moment.
     order = ReconnectOrder()
     for _ in range(5):
-        order.record_opened(0.0, 12.0)
+        _open(order, 12.0)
     order.record_all_lost()
     assert order.n_to_start(1.0, [_LATER_MS] * 20, 0, 0, 30) == 1
     assert order.n_to_start(1.0, [_LATER_MS] * 20, 0, 1, 30) == 0
@@ -106,7 +112,7 @@
     # All sessions reopen at once: openings for statements that had to be refused took
     # up the slots of those that could be served.
     order = ReconnectOrder()
-    order.record_opened(0.0, 200.0)
+    _open(order, 200.0)
     assert order.is_servable(deadline_ms, 100.0) is is_servable
     assert order.n_to_start(100.0, [deadline_ms], 1, 0, 30) == int(is_servable)
     # Without any connection the next opening shows whether the server is fast again.
@@ -123,3 +129,13 @@
         WaitingOrder(1, 800.0, 1),
     )
     assert sorted([late, early, urgent]) == [urgent, early, late]
+
+
+@pytest.mark.parametrize(("now_ms", "n_started"), [(100.0, 0), (150.0, 1)])
+def test_one_more_is_opened_beside_an_overdue_opening(now_ms, n_started):
+    # All sessions reopen while packets are lost: one lost packet would hold up all
+    # statements that wait for the first connection.
+    order = ReconnectOrder()
+    order.record_started(0.0)
+    assert order.n_to_start(now_ms, [_LATER_MS] * 20, 0, 1, 30) == n_started
+    assert order.n_to_start(now_ms, [_LATER_MS] * 20, 0, 2, 30) == 0
