--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_fleet_view.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_fleet_view.py
@@ -14,6 +14,7 @@
     PrimaryLease,
     ReadCandidate,
     RouteTable,
+    Servability,
     ServerPaces,
     ServerRegistry,
     ServerReport,
@@ -69,6 +70,8 @@
         # Returns the connections to a primary or replica that this entry VM may open as
         # an owner of teams, or 0 if it owns none.
         self.owned_quota: Callable[[bool], int] = lambda is_primary: 0
+        self.servability = Servability()
+        self._is_partitioned: Callable[[float], bool] = lambda now_ms: False
 
     # Changes
 
@@ -405,6 +408,28 @@
                 found.append(Suspicion(pool.group, pool.server, assignment.epoch))
         return found
 
+    def on_partition_asked(self, is_partitioned: Callable[[float], bool]) -> None:
+        """Ask `is_partitioned` whether too few control nodes answer."""
+        self._is_partitioned = is_partitioned
+
+    def retry_after_ms(self, group: str, deadline_ms: float) -> float | None:
+        """Return when to retry a statement that needs the primary, or None to wait.
+
+        Only what cannot be served by its deadline is to be refused. An entry VM that
+        has had no lease since its start waits for its first one.
+        """
+        now = boot_ms()
+        if self.primary(group) is not None:
+            return None
+        is_partitioned = (
+            self.lease.was_granted
+            and not self.lease.is_valid(now)
+            and self._is_partitioned(now)
+        )
+        return self.servability.retry_after_ms(
+            group, deadline_ms, now, is_partitioned=is_partitioned
+        )
+
     # Reads
 
     def add_bound(self, group: str, position: LogPosition, sent_ms: float) -> None:
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_server_pool.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_server_pool.py
@@ -7,8 +7,10 @@
 from dataclasses import dataclass, field
 
 from cardamomshunt.fleet import (
+    OVERDUE_OPENING_MS,
     AcquireAction,
     FailureRate,
+    ReconnectOrder,
     RefusalHistory,
     ReleaseAction,
     ReleaseRule,
@@ -109,6 +111,7 @@
         self._in_use: set[BackendConnection] = set()
         self._n_opening: Counter[str] = Counter()
         self._release_rule = ReleaseRule()
+        self._reconnect = ReconnectOrder()
         self._waiters: list[_Waiter] = []
         self._orders = itertools.count()
         self._tasks: set[asyncio.Task[None]] = set()
@@ -196,7 +199,7 @@
             asyncio.get_running_loop().create_future()
         )
         waiter = _Waiter(
-            priority, next(self._orders), team, boot_ms(), deadline_ms, future
+            priority, deadline_ms, next(self._orders), team, boot_ms(), future
         )
         self._waiters.append(waiter)
         self._connect_for_waiters()
@@ -243,7 +246,10 @@
 
     def _connect_for_waiters(self) -> None:
         """Open connections for the waiters, evicting idle ones of other teams."""
-        while self._idle or self._n_free > 0:
+        now = boot_ms()
+        if not self._open:
+            self._refuse_unservable(now)
+        while self._may_open(now):
             waiter = self._best_uncovered()
             if waiter is None:
                 return
@@ -253,6 +259,27 @@
             elif action is not AcquireAction.EVICT or not self._evict(waiter.team):
                 return
 
+    def _may_open(self, now_ms: float) -> bool:
+        """Return whether the server keeps up with one more opening."""
+        n_open, n_opening = len(self._open), self._n_opening.total()
+        n_to_start = self._reconnect.n_to_start(
+            now_ms,
+            [waiter.deadline_ms for waiter in self._waiting],
+            n_open,
+            n_opening,
+            n_open + n_opening + 1,
+        )
+        return n_to_start > 0
+
+    def _refuse_unservable(self, now_ms: float) -> None:
+        """Refuse the statements that no connection can be opened for in time."""
+        for waiter in self._waiting:
+            if not self._reconnect.is_servable(waiter.deadline_ms, now_ms):
+                waiter.future.set_exception(
+                    ServerBusyError(f"{self.server}: no connection opens in time")
+                )
+        self._waiters = self._waiting
+
     def _evict(self, team: str) -> bool:
         """Close an idle connection of another team; return whether there was one."""
         evicted = choose_evicted(team, self._idle)
@@ -267,6 +294,11 @@
         if team is None:
             return
         connection = BackendConnection(self._protocol, self, team)
+        started_ms = boot_ms()
+        self._reconnect.record_started(started_ms)
+        asyncio.get_running_loop().call_later(
+            OVERDUE_OPENING_MS / 1_000.0, self._connect_for_waiters
+        )
         try:
             await self._open_connection(connection)
         except asyncio.CancelledError:
@@ -274,17 +306,20 @@
             raise
         except (OSError, TimeoutError, ServerLostError) as error:
             self._n_opening[team] -= 1
+            self._reconnect.record_failed(started_ms)
             connection.close(str(error))
             self._on_connect_failed(team, str(error) or "no answer", connection.refusal)
             return
         self._n_opening[team] -= 1
         self.counts.n_opened += 1
         self._on_opened()
+        self._reconnect.record_opened(boot_ms(), started_ms)
         self._n_full_refusals = 0
         self.down_since_ms = None
         self._open.add(connection)
         self._in_use.add(connection)
         self._place_opened(connection)
+        self._connect_for_waiters()
 
     async def _pause(self, team: str) -> str | None:
         """Wait until an attempt may be made; return its team, or None to make none.
@@ -292,7 +327,8 @@
         Where all waiters of the team have left meanwhile, the attempt is made for another
         one. Without a team it is made in any case, as a probe or in advance.
         """
-        pause_ms = self.connect_after_ms - boot_ms()
+        connect_ms = max(self.connect_after_ms, self._reconnect.next_opening_ms)
+        pause_ms = connect_ms - boot_ms()
         if pause_ms <= 0.0:
             return team
         await asyncio.sleep(pause_ms / 1_000.0)
@@ -333,7 +369,7 @@
             self.down_since_ms = now
         if not self._has_open(team):
             self._fail_waiters(reason, team)
-        if self._has_teams():
+        if self._open or self._has_teams():
             # Open connections of other teams will not serve those that still wait.
             self._connect_for_waiters()
 
@@ -427,6 +463,8 @@
         self._in_use.discard(connection)
         if connection in self._idle:
             self._idle.remove(connection)
+        if not self._open:
+            self._reconnect.record_all_lost()
         if self._waiters:
             self._connect_for_waiters()
 
--- a/packages/cardamomshunt/src/cardamomshunt/_fleet/team_connections.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_fleet/team_connections.py
@@ -15,13 +15,16 @@
 
 @dataclass(slots=True, order=True)
 class TeamWaiter:
-    """Statement that waits for a connection, ordered by priority, then by arrival."""
+    """Statement that waits for a connection; the lowest one is served first.
+
+    `priority` is that of the route, `order` the order of arrival.
+    """
 
     priority: int
+    deadline_ms: float
     order: int
     team: str = field(compare=False)
     since_ms: float = field(compare=False)
-    deadline_ms: float = field(compare=False)
 
     def is_late(self, now_ms: float) -> bool:
         """Return whether half of the time until the deadline is over."""
--- a/packages/cardamomshunt/src/cardamomshunt/fleet.py
+++ b/packages/cardamomshunt/src/cardamomshunt/fleet.py
@@ -47,6 +47,10 @@
 from cardamomshunt._fleet.quota_ledger import QuotaGrant, QuotaLedger
 from cardamomshunt._fleet.quota_limit import QuotaLimit, limits_of
 from cardamomshunt._fleet.read_routing import ReadCandidate, order_of_reads
+from cardamomshunt._fleet.reconnect_order import (
+    OVERDUE_OPENING_MS,
+    ReconnectOrder,
+)
 from cardamomshunt._fleet.refusal_history import RefusalHistory
 from cardamomshunt._fleet.route_table import (
     ConfigurationInvalidError,
@@ -56,6 +60,7 @@
     RouteTable,
     build_route_table,
 )
+from cardamomshunt._fleet.servability import Servability
 from cardamomshunt._fleet.server_gate import ServerGate
 from cardamomshunt._fleet.server_pace import (
     AnswerKind,
@@ -106,6 +111,7 @@
 __all__ = [
     "LEASE_MARGIN_MS",
     "LEASE_MS",
+    "OVERDUE_OPENING_MS",
     "AcquireAction",
     "Admission",
     "AnswerKind",
@@ -146,6 +152,7 @@
     "QuotaShare",
     "QuotaState",
     "ReadCandidate",
+    "ReconnectOrder",
     "RefusalHistory",
     "RelayedGrant",
     "RelayedGrants",
@@ -159,6 +166,7 @@
     "Route",
     "RouteKind",
     "RouteTable",
+    "Servability",
     "ServerGate",
     "ServerPace",
     "ServerPaces",
--- a/packages/cardamomshunt/tests/test_team_connections.py
+++ b/packages/cardamomshunt/tests/test_team_connections.py
@@ -24,7 +24,7 @@
 
 def make_waiters(*teams_and_priorities, since_ms=0.0):
     return [
-        TeamWaiter(priority, order, team, since_ms, since_ms + _TIMEOUT_MS)
+        TeamWaiter(priority, since_ms + _TIMEOUT_MS, order, team, since_ms)
         for order, (team, priority) in enumerate(teams_and_priorities)
     ]
 
