Apply the settings of a test's entry VMs, and check the events of the failing server

Cause: the fixture changed the settings of entry VMs that had not started, and none was listed then. The check of the last pace event failed if another server changed after the failing one, as happens on a busy machine. Change: the fixture goes by the settings; the check names the server, and also asks that its level had fallen.

--- a/tests/users_platform/conftest.py
+++ b/tests/users_platform/conftest.py
@@ -218,8 +218,9 @@
     provider = Provider(f"127.{network}.9.9:{_PROVIDER_PORT}", [group])
     running = Deployment(tmp_path, group, provider)
     running.settings = make_settings(network, tmp_path, entry_zones)
-    for node in running.entries:
-        running.settings[node] = replace(running.settings[node], **entry_settings)
+    for node, settings in running.settings.items():
+        if settings.caller_address:
+            running.settings[node] = replace(settings, **entry_settings)
     await provider.server.start()
     for server in group.servers:
         await server.start()
--- a/tests/users_platform/test_paced_server_pool.py
+++ b/tests/users_platform/test_paced_server_pool.py
@@ -245,6 +245,10 @@
         for task in callers:
             task.cancel()
     events = deployment.events("entry-1")
-    found = [item for item in events if item["event"] == "server_pace"]
-    assert found[-1]["server"] == "i-1"
-    assert found[-1]["level"] == 1.0
+    found = [
+        item["level"]
+        for item in events
+        if item["event"] == "server_pace" and item["server"] == "i-1"
+    ]
+    assert min(found) < 1.0
+    assert found[-1] == 1.0
