Exchange requests more often in the schedules of the rate limits

Cause: 39 of the first 200 schedules filled 0.6 of a window, and the check asks for more than 40, since shares no longer grow beyond a lowered limit. Change: more schedules' steps exchange requests; the check is the same.

--- a/packages/cardamomshunt/tests/test_quota_schedules.py
+++ b/packages/cardamomshunt/tests/test_quota_schedules.py
@@ -123,7 +123,7 @@
 
     def run(self):
         actions = {
-            self.exchange_all: 12,
+            self.exchange_all: 16,
             self.send_request: 6,
             self.deliver_request: 6,
             self.deliver_grant: 6,
