--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_stream_transport.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_stream_transport.py
@@ -19,7 +19,9 @@
 )
 
 TCP_USER_TIMEOUT_MS = 800
-_CONNECT_TIMEOUT_S = 0.6
+# A peer that starts at the same time may not be reachable yet, and the kernel repeats
+# a lost first packet only after 1 s.
+_CONNECT_TIMEOUT_S = 0.2
 _RECONNECT_INTERVAL_S = 0.1
 # A peer that refuses is reachable but does not listen yet.
 _REFUSED_RECONNECT_INTERVAL_S = 0.04
