Give reasons of lost links, log refusals of owners, and name the paces' times

Cause: a reader of the whole change could not tell why a link between entry VMs was closed, found no log line for what an owner refuses, and two times of one name.

--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_relay_link.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_relay_link.py
@@ -39,6 +39,7 @@
         self._buffer = FrameBuffer()
         self._unsent: list[bytearray] = []
         self.last_received_ms = boot_ms()
+        self.lost_reason = ""
 
     @property
     def is_open(self) -> bool:
@@ -55,6 +56,7 @@
         """Notify the owner of this link."""
         self._transport = None
         self._unsent.clear()
+        self.lost_reason = self.lost_reason or str(exc or "closed by the peer")
         self.on_lost()
 
     def data_received(self, data: bytes) -> None:
@@ -62,8 +64,8 @@
         self.last_received_ms = boot_ms()
         try:
             frames = self._buffer.feed(data)
-        except ValueError:
-            self.abort()
+        except ValueError as error:
+            self.abort(f"malformed frame: {error}")
             return
         for frame in frames:
             self.on_frame(frame)
@@ -82,8 +84,9 @@
             self._transport.write(b"".join(self._unsent))
             self._unsent.clear()
 
-    def abort(self) -> None:
-        """Close the connection at once."""
+    def abort(self, reason: str) -> None:
+        """Close the connection at once, for a reason that the log gives."""
+        self.lost_reason = self.lost_reason or reason
         if self._transport is not None:
             self._transport.abort()
 
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_relay_owner.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_relay_owner.py
@@ -59,7 +59,7 @@
     def run(self, frame: RelayStatement) -> None:
         """Start to run a statement; the entry VM sends one at a time."""
         if self._task is not None:
-            self._link.abort()
+            self._link.abort("a second statement in a session")
             return
         loop = asyncio.get_running_loop()
         self._task = loop.create_task(self._run(frame))
@@ -93,7 +93,8 @@
             message = owner.protocol.parse_caller_line(frame.line)
         except ValueError as error:
             return self._refuse(ErrorCode.MALFORMED, str(error))
-        assert isinstance(message, CallerQuery)
+        if not isinstance(message, CallerQuery):
+            return self._refuse(ErrorCode.MALFORMED, "not a statement")
         return await owner.runner.run(self.session, message, received_ms)
 
     def _refuse(self, code: ErrorCode, reason: str) -> bytes:
@@ -101,6 +102,14 @@
             reason = str(not_run_error(code, reason))
         protocol = self._owner.protocol
         self._owner.metrics.count_refusal(code.value)
+        self._owner.log.write_request(
+            "refused",
+            session=self.session.session_id,
+            database=self.session.database,
+            code=code.value,
+            reason=reason,
+            configuration_version=self._owner.version,
+        )
         return protocol.error(code, reason) + protocol.ready(self.session.state, None)
 
     def _send_answer(self, data: bytes) -> None:
@@ -185,7 +194,9 @@
         self._owner.links.discard(self)
         sessions, self.sessions = self.sessions, {}
         if sessions:
-            self._owner.log.write("relay_lost", n_sessions=len(sessions))
+            self._owner.log.write(
+                "relay_lost", reason=self.lost_reason, n_sessions=len(sessions)
+            )
         for session in sessions.values():
             session.end()
 
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_server_pool.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_server_pool.py
@@ -261,15 +261,10 @@
 
     def _may_open(self, now_ms: float) -> bool:
         """Return whether the server keeps up with one more opening."""
-        n_open, n_opening = len(self._open), self._n_opening.total()
-        n_to_start = self._reconnect.n_to_start(
-            now_ms,
-            [waiter.deadline_ms for waiter in self._waiting],
-            n_open,
-            n_opening,
-            n_open + n_opening + 1,
+        deadlines_ms = [waiter.deadline_ms for waiter in self._waiting]
+        return self._reconnect.may_start(
+            now_ms, deadlines_ms, len(self._open), self._n_opening.total()
         )
-        return n_to_start > 0
 
     def _refuse_unservable(self, now_ms: float) -> None:
         """Refuse the statements that no connection can be opened for in time."""
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_session_relay.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_session_relay.py
@@ -258,7 +258,7 @@
             return
         silent_ms = boot_ms() - max(oldest_ms, self.last_received_ms)
         if silent_ms > UNRESPONSIVE_AFTER_MS:
-            self.abort()
+            self.abort("no frame in time")
             return
         if silent_ms > _PING_AFTER_MS:
             self.send(RelayPing())
@@ -288,6 +288,7 @@
             self._log.write(
                 "owner_lost",
                 owner=self._address,
+                reason=self.lost_reason,
                 n_sessions=len(sessions),
                 n_running=sum(item.is_running for item in sessions.values()),
             )
--- a/packages/cardamomshunt/src/cardamomshunt/_fleet/reconnect_order.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_fleet/reconnect_order.py
@@ -34,27 +34,28 @@
     _expected_ms: float = 0.0
     _started_ms: list[float] = field(default_factory=list)
 
-    def n_to_start(
+    def may_start(
         self,
         now_ms: float,
         deadlines_ms: Sequence[float],
         n_open: int,
         n_opening: int,
-        quota: int,
-    ) -> int:
-        """Return how many openings to start for statements with these deadlines.
+    ) -> bool:
+        """Return whether the server keeps up with one more opening.
 
-        Without any connection one is opened even if it comes too late for all of them,
-        as nothing else shows when the server has become fast again.
+        `deadlines_ms` are those of the statements that wait. Without any connection one
+        is opened even if it comes too late for all of them, as nothing else shows when
+        the server has become fast again.
         """
         n_servable = sum(
             self.is_servable(deadline_ms, now_ms) for deadline_ms in deadlines_ms
         )
-        is_overdue = any(now_ms >= x + OVERDUE_OPENING_MS for x in self._started_ms)
+        is_overdue = any(
+            now_ms >= started_ms + OVERDUE_OPENING_MS for started_ms in self._started_ms
+        )
         n_allowed = (self.n_openings_max if n_open else 1) + is_overdue
-        n_missing = min(n_servable, n_allowed, quota - n_open) - n_opening
         is_cut_off = bool(deadlines_ms) and not n_open and not n_opening
-        return max(n_missing, int(is_cut_off and quota > 0))
+        return is_cut_off or n_opening < min(n_servable, n_allowed)
 
     def is_servable(self, deadline_ms: float, now_ms: float) -> bool:
         """Return whether a new connection can be expected before a deadline."""
--- a/packages/cardamomshunt/src/cardamomshunt/_fleet/server_pace.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_fleet/server_pace.py
@@ -42,9 +42,9 @@
 _RESTRICTED_HALF_LIFE_MS = 4_000.0
 _STABLE_MS = 10_000.0
 # In an overload of a whole group each server has its full share for a short time only.
-_WARM_AFTER_MS = 2_000.0
+_FULL_SHARE_UNTIL_WARM_MS = 2_000.0
 # A server may need work to get warm, so late answers do not reduce it to probes at first.
-_START_MS = 10_000.0
+_SLOW_START_FLOOR_MS = 10_000.0
 _ZONE_SAMPLE_TIMEOUT_MS = 1_000.0
 _LATENCY_ASSUMED_MS = 20.0
 _LATENCY_SMOOTHING = 0.3
@@ -191,15 +191,15 @@
         "_changed_ms",
         "_failed_ms",
         "_latency_ms",
-        "_left_ms",
+        "_ended_ms",
         "_must_extend_round",
         "_n_other_users",
         "_round_ms",
         "_start_part",
-        "_started_ms",
+        "_slow_start_ms",
         "_used_ms",
         "_uses",
-        "_warm_after_ms",
+        "_warm_up_end_ms",
         "_zone",
         "_zone_ms",
         "_is_new",
@@ -230,15 +230,15 @@
         self._round_ms = _ROUND_MS
         self._must_extend_round = False
         self._is_new = False
-        self._warm_after_ms = float("-inf")
-        self._started_ms = float("-inf")
+        self._warm_up_end_ms = float("-inf")
+        self._slow_start_ms = float("-inf")
         self._answers = _Answers()
         self._zone: PaceSample | None = None
         self._zone_ms = float("-inf")
         self._latency_ms = _LATENCY_ASSUMED_MS
         # The VMs send their first statements to a starting server at different times.
         self._start_part = zlib.crc32(f"{entry} {server}".encode()) / 2.0**32
-        self._left_ms: dict[int, float] = {}
+        self._ended_ms: dict[int, float] = {}
         self._uses: set[ServerUse] = set()
 
     # Starts
@@ -248,12 +248,12 @@
     ) -> PaceChange | None:
         """Begin a slow start, as the server started, recovered or warms up."""
         self._is_new = reason is PaceReason.NEW
-        self._warm_after_ms = now_ms + warm_up_ms
-        self._started_ms = now_ms
+        self._warm_up_end_ms = now_ms + warm_up_ms
+        self._slow_start_ms = now_ms
         level = _WARM_UP_LEVEL if warm_up_ms > 0.0 else START_LEVEL
         if self.level <= level:
             return None
-        self._left_ms.clear()
+        self._ended_ms.clear()
         return self._change(now_ms, level, reason, PaceSample("", 0))
 
     def restart(
@@ -275,7 +275,10 @@
 
     def is_warm(self, now_ms: float) -> bool:
         """Return whether the server has had its full share for some time."""
-        return self.has_full_share and now_ms >= self._changed_ms + _WARM_AFTER_MS
+        return (
+            self.has_full_share
+            and now_ms >= self._changed_ms + _FULL_SHARE_UNTIL_WARM_MS
+        )
 
     def has_failed_lately(self, now_ms: float) -> bool:
         """Return whether the level fell because of failures a short time ago."""
@@ -332,10 +335,10 @@
         """
         limit = min(self.limit(priority), 1.0)
         pause_ms = min(self._latency_ms * (1.0 / limit - 1.0), _PAUSE_MAX_MS)
-        left_ms = self._left_ms.get(priority)
-        if left_ms is None:
-            return self._started_ms + self._start_part * pause_ms
-        return left_ms + pause_ms
+        ended_ms = self._ended_ms.get(priority)
+        if ended_ms is None:
+            return self._slow_start_ms + self._start_part * pause_ms
+        return ended_ms + pause_ms
 
     # Answers
 
@@ -349,7 +352,7 @@
         """End a use of the server."""
         self._uses.discard(use)
         self._used_ms = now_ms
-        self._left_ms[use.priority] = now_ms
+        self._ended_ms[use.priority] = now_ms
 
     def on_answer(
         self,
@@ -367,7 +370,7 @@
         if use is not None:
             use.late_after_ms, use.is_counted = float("inf"), False
             use.is_running = False
-            self._left_ms[use.priority] = now_ms
+            self._ended_ms[use.priority] = now_ms
         if kind is AnswerKind.UNCOUNTED:
             return
         # A refusal is fast, but must not make the pauses shorter.
@@ -435,7 +438,7 @@
         if now_ms > self._zone_ms + _ZONE_SAMPLE_TIMEOUT_MS:
             self._n_other_users = None
         inputs = self._inputs(now_ms)
-        known_level = self._level_known_in_zone()
+        known_level = self._take_zone_level()
         if known_level is not None:
             return self._change(
                 now_ms, max(known_level, floor), PaceReason.ZONE, inputs
@@ -451,7 +454,7 @@
         ratio = _mean_ratio(inputs)
         has_answers = inputs.n_answers >= _N_ANSWERS_PER_ROUND
         if has_answers and ratio > _LATE_RATIO:
-            if now_ms < self._started_ms + _START_MS:
+            if now_ms < self._slow_start_ms + _SLOW_START_FLOOR_MS:
                 floor = max(floor, min(START_LEVEL, self.level))
             level = max(self.level * _LATE_FACTOR, floor)
             return self._change(now_ms, level, PaceReason.LATE, inputs)
@@ -467,7 +470,7 @@
             return None
         if now_ms < self._changed_ms + self._round_ms:
             return None
-        is_capped = has_warm_peer and now_ms < self._warm_after_ms
+        is_capped = has_warm_peer and now_ms < self._warm_up_end_ms
         level = min(
             self._grown_level(has_warm_peer=has_warm_peer),
             START_LEVEL if is_capped else FULL_LEVEL,
@@ -510,8 +513,8 @@
             return None
         return zone.level_sum / zone.n_entries
 
-    def _level_known_in_zone(self) -> float | None:
-        """Return the level of the zone, once, for a server that is new to this VM.
+    def _take_zone_level(self) -> float | None:
+        """Adopt the level of the zone once, if the server is new to this VM.
 
         The VM does not know whether the server started or it has started itself.
         """
--- a/packages/cardamomshunt/src/cardamomshunt/_fleet/zone_paces.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_fleet/zone_paces.py
@@ -76,10 +76,10 @@
             if now_ms > received_ms + _REPORT_TIMEOUT_MS
         ]:
             del self._samples[name]
+            self._latencies_sent_ms.pop(name, None)
         for name in [
             name
             for name, (received_ms, _) in self._latencies.items()
             if now_ms > received_ms + _LATENCY_TIMEOUT_MS
         ]:
             del self._latencies[name]
-            self._latencies_sent_ms.pop(name, None)
--- a/packages/cardamomshunt/tests/test_reconnect_order.py
+++ b/packages/cardamomshunt/tests/test_reconnect_order.py
@@ -15,6 +15,16 @@
     order.record_opened(0.0, -elapsed_ms)
 
 
+def _n_started(order, now_ms, deadlines_ms, n_open, n_opening, quota):
+    """Return how many openings may start at once within a quota of connections."""
+    n_started = 0
+    while n_open + n_opening + n_started < quota and order.may_start(
+        now_ms, deadlines_ms, n_open, n_opening + n_started
+    ):
+        n_started += 1
+    return n_started
+
+
 def _first_connections_ms(n_entries, n_waiting, quota, n_at_once=None):
     """Return when each entry VM has its first connection to one server.
 
@@ -37,8 +47,13 @@
 
     def open_more(number, now_ms):
         deadlines_ms = [_LATER_MS] * max(n_waiting - n_open[number], 0)
-        n_openings = orders[number].n_to_start(
-            now_ms, deadlines_ms, n_open[number], n_opening[number], quota
+        n_openings = _n_started(
+            orders[number],
+            now_ms,
+            deadlines_ms,
+            n_open[number],
+            n_opening[number],
+            quota,
         )
         if n_at_once is not None:
             n_openings = n_at_once if now_ms == 0.0 else 0
@@ -90,7 +105,7 @@
     order = ReconnectOrder()
     for elapsed_ms in openings_ms:
         _open(order, elapsed_ms)
-    assert order.n_to_start(1_000.0, [_LATER_MS] * 20, n_open, 0, 30) == n_started
+    assert _n_started(order, 1_000.0, [_LATER_MS] * 20, n_open, 0, 30) == n_started
 
 
 def test_after_the_loss_of_all_connections_one_is_opened_first():
@@ -99,8 +114,8 @@
     for _ in range(5):
         _open(order, 12.0)
     order.record_all_lost()
-    assert order.n_to_start(1.0, [_LATER_MS] * 20, 0, 0, 30) == 1
-    assert order.n_to_start(1.0, [_LATER_MS] * 20, 0, 1, 30) == 0
+    assert _n_started(order, 1.0, [_LATER_MS] * 20, 0, 0, 30) == 1
+    assert _n_started(order, 1.0, [_LATER_MS] * 20, 0, 1, 30) == 0
 
 
 @pytest.mark.parametrize(
@@ -114,10 +129,10 @@
     order = ReconnectOrder()
     _open(order, 200.0)
     assert order.is_servable(deadline_ms, 100.0) is is_servable
-    assert order.n_to_start(100.0, [deadline_ms], 1, 0, 30) == int(is_servable)
+    assert _n_started(order, 100.0, [deadline_ms], 1, 0, 30) == int(is_servable)
     # Without any connection the next opening shows whether the server is fast again.
-    assert order.n_to_start(100.0, [deadline_ms], 0, 0, 30) == 1
-    assert order.n_to_start(100.0, [], 0, 0, 30) == 0
+    assert _n_started(order, 100.0, [deadline_ms], 0, 0, 30) == 1
+    assert _n_started(order, 100.0, [], 0, 0, 30) == 0
 
 
 def test_statements_wait_in_the_order_of_priority_and_deadline():
@@ -137,5 +152,5 @@
     # statements that wait for the first connection.
     order = ReconnectOrder()
     order.record_started(0.0)
-    assert order.n_to_start(now_ms, [_LATER_MS] * 20, 0, 1, 30) == n_started
-    assert order.n_to_start(now_ms, [_LATER_MS] * 20, 0, 2, 30) == 0
+    assert _n_started(order, now_ms, [_LATER_MS] * 20, 0, 1, 30) == n_started
+    assert _n_started(order, now_ms, [_LATER_MS] * 20, 0, 2, 30) == 0
--- a/tests/users_platform/test_session_relay.py
+++ b/tests/users_platform/test_session_relay.py
@@ -215,7 +215,7 @@
         await caller.execute(line)
     task = await freeze_statement(pair, caller, text, "lost")
     for link in list(pair.owner_daemon._relay_owner.links):
-        link.abort()
+        link.abort("the test ends it")
     assert (await task)[-1].startswith(f"ERROR {word}")
     assert await caller.is_closed()
     # An idle session has nothing to report.
@@ -318,7 +318,7 @@
     await caller.execute("WRITE k1 a", "w1")
     pair.deployment.tasks[pair.entry].cancel()
     for task in pair.deployment.entries[pair.entry]._relay._links.values():
-        task.result().abort()
+        task.result().abort("the test ends it")
     await pair.deployment.until(lambda: pair.n_served == 0)
     assert pair.deployment.group.requests_committed() == []
 
