Record the answers of statements in one function

Cause: reads, writes and transactions each had the same method that records an answer for the pace of its server; two values were set in several branches. Change: one function; no behaviour changes.

--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_fleet_view.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_fleet_view.py
@@ -327,9 +327,9 @@
             assignment = self.lease.latest_assignment(report.group)
             reports = self.registry.of_group(report.group)
             n_zones = len({item.zone for item in reports} | {report.zone})
-            pace.n_sharers, pace.n_zones = self._n_entries, n_zones
             if assignment is not None and assignment.server == pace.server:
                 primaries.add(pace.server)
+                pace.n_sharers, pace.n_zones = self._n_entries, n_zones
             else:
                 # Replicas are mostly read within their zone.
                 pace.n_sharers, pace.n_zones = -(-self._n_entries // n_zones), 1
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_line_reads.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_line_reads.py
@@ -8,7 +8,6 @@
 from cardamomshunt.freshness import DatedPosition
 
 from cardamomshunt_node._backend_connection import (
-    BackendConnection,
     Reply,
     ServerLostError,
 )
@@ -20,9 +19,9 @@
     LineSession,
     RefusedError,
     not_run_error,
+    record_answer,
     retry_pause_ms,
     seconds_until,
-    statement_class,
     statement_deadline_ms,
 )
 from cardamomshunt_node._read_freshness import ReadFreshness
@@ -309,10 +308,10 @@
             # Set before the release, which may start an attempt that waits for this
             # connection.
             read.is_finished |= reply.is_success
-            self._record_answer(connection, route, sent_ms, reply)
+            record_answer(connection, route, "read", sent_ms, reply)
         except (TimeoutError, ServerLostError) as error:
             pool.failure_rate.record(boot_ms(), is_failure=True)
-            self._record_answer(connection, route, sent_ms, None)
+            record_answer(connection, route, "read", sent_ms, None)
             raise ServerLostError(f"{pool.server}: {error or 'no answer'}") from error
         finally:
             pool.release(connection)
@@ -323,18 +322,6 @@
         self._log_attempt(pool, read, required, reply, sent_ms)
         return reply
 
-    @staticmethod
-    def _record_answer(
-        connection: BackendConnection, route: Route, sent_ms: float, reply: Reply | None
-    ) -> None:
-        connection.pool.record_answer(
-            connection,
-            statement_class(route, "read"),
-            route.priority,
-            boot_ms() - sent_ms,
-            reply,
-        )
-
     def _log_attempt(
         self,
         pool: ServerPool,
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_line_session_state.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_line_session_state.py
@@ -6,7 +6,7 @@
 from cardamomshunt.fleet import Route
 from cardamomshunt.freshness import DatedPosition
 
-from cardamomshunt_node._backend_connection import BackendConnection
+from cardamomshunt_node._backend_connection import BackendConnection, Reply
 from cardamomshunt_node._boot_clock import boot_ms
 from cardamomshunt_node._session_protocol import (
     ErrorCode,
@@ -41,9 +41,24 @@
     return RefusedError(code, f"{reason}; retry_after_ms={round(retry_after_ms)}")
 
 
-def statement_class(route: Route, kind: str) -> str:
-    """Return the class of a statement, whose answers take a similar time."""
-    return f"{route.database}/{kind}"
+def record_answer(
+    connection: BackendConnection,
+    route: Route,
+    kind: str,
+    sent_ms: float,
+    reply: Reply | None,
+) -> None:
+    """Record the answer to a statement at its server, or None if none came in time.
+
+    Answers to statements of one route and kind take a similar time.
+    """
+    connection.pool.record_answer(
+        connection,
+        f"{route.database}/{kind}",
+        route.priority,
+        boot_ms() - sent_ms,
+        reply,
+    )
 
 
 def retry_pause_ms(n_refused: int) -> float:
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_line_transactions.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_line_transactions.py
@@ -6,7 +6,6 @@
 from cardamomshunt.freshness import DatedPosition
 
 from cardamomshunt_node._backend_connection import (
-    BackendConnection,
     Reply,
     ServerLostError,
 )
@@ -18,9 +17,9 @@
     RefusedError,
     Transaction,
     not_run_error,
+    record_answer,
     retry_pause_ms,
     seconds_until,
-    statement_class,
     statement_deadline_ms,
 )
 from cardamomshunt_node._line_writes import WriteRunner
@@ -204,10 +203,10 @@
             async with asyncio.timeout(seconds_until(deadline_ms)):
                 reply = await connection.send(begin)
         except (TimeoutError, ServerLostError):
-            self._record_answer(connection, route, "begin", sent_ms, None)
+            record_answer(connection, route, "begin", sent_ms, None)
             pool.release(connection)
             return False
-        self._record_answer(connection, route, "begin", sent_ms, reply)
+        record_answer(connection, route, "begin", sent_ms, reply)
         self._freshness.record_reply(pool, route, reply, required, sent_ms)
         if not reply.is_success or reply.state is not TransactionState.OPEN:
             pool.release(connection)
@@ -248,9 +247,9 @@
                 future = self._sender.send(connection, session, query, None)
                 async with asyncio.timeout(seconds_until(deadline_ms)):
                     reply = await future
-                self._record_answer(connection, route, "transaction", sent_ms, reply)
+                record_answer(connection, route, "transaction", sent_ms, reply)
             except (TimeoutError, ServerLostError) as error:
-                self._record_answer(connection, route, "transaction", sent_ms, None)
+                record_answer(connection, route, "transaction", sent_ms, None)
                 raise self._lost_answer_error(transaction, query) from error
             is_retried = (
                 reply.code is ErrorCode.BUSY
@@ -262,22 +261,6 @@
             await asyncio.sleep(retry_pause_ms(n_refused) / 1_000.0)
             n_refused += 1
 
-    @staticmethod
-    def _record_answer(
-        connection: BackendConnection,
-        route: Route,
-        kind: str,
-        sent_ms: float,
-        reply: Reply | None,
-    ) -> None:
-        connection.pool.record_answer(
-            connection,
-            statement_class(route, kind),
-            route.priority,
-            boot_ms() - sent_ms,
-            reply,
-        )
-
     def _lost_answer_error(
         self, transaction: Transaction, query: CallerQuery
     ) -> RefusedError:
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_line_writes.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_line_writes.py
@@ -18,9 +18,9 @@
     LineSession,
     RefusedError,
     not_run_error,
+    record_answer,
     retry_pause_ms,
     seconds_until,
-    statement_class,
     statement_deadline_ms,
 )
 from cardamomshunt_node._server_pool import ServerBusyError
@@ -65,9 +65,9 @@
                 future = self._sender.send(connection, session, query, None)
                 async with asyncio.timeout(seconds_until(deadline_ms)):
                     reply = await future
-                self._record_answer(connection, route, sent_ms, reply)
+                record_answer(connection, route, "write", sent_ms, reply)
             except (TimeoutError, ServerLostError) as error:
-                self._record_answer(connection, route, sent_ms, None)
+                record_answer(connection, route, "write", sent_ms, None)
                 raise RefusedError(
                     ErrorCode.IN_DOUBT, f"no answer from {connection.pool.server}"
                 ) from error
@@ -117,18 +117,6 @@
             pool.release(connection)
         raise not_run_error(ErrorCode.BUSY, reason, retry_after_ms)
 
-    @staticmethod
-    def _record_answer(
-        connection: BackendConnection, route: Route, sent_ms: float, reply: Reply | None
-    ) -> None:
-        connection.pool.record_answer(
-            connection,
-            statement_class(route, "write"),
-            route.priority,
-            boot_ms() - sent_ms,
-            reply,
-        )
-
     def acknowledge(
         self,
         request_id: str,
--- a/packages/cardamomshunt/src/cardamomshunt/_fleet/quota_ledger.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_fleet/quota_ledger.py
@@ -346,15 +346,13 @@
             account.take_out(share)
             share.confirm(number)
             demand = demands.get(team)
+            n_returned = 0.0
             if demand is not None:
                 n_returned = self._adopt(holder, account, share, demand)
             elif is_complete:
                 share.confirmed_rate_per_s = share.confirmed_burst = 0.0
-                n_returned = 0.0
                 if not share.pending:
                     share.rate_per_s = share.burst = share.demand_per_s = 0.0
-            else:
-                n_returned = 0.0
             account.put_back(share)
             account.n_tokens = min(account.n_tokens + n_returned, account.free_burst)
 
