--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -576,7 +576,7 @@
         writer: asyncio.StreamWriter,
     ) -> None:
         self._name = name
-        self._record = deployment.record
+        self.record = deployment.record
         self._reader = reader
         self._writer = writer
 
@@ -601,12 +601,12 @@
     ) -> Answer:
         """Send a statement; return its answer."""
         if is_logged:
-            self._record.write(self._name, f"sends {request} {text!r}")
+            self.record.write(self._name, f"sends {request} {text!r}")
         self._writer.write(f"QUERY {request} {text}\r\n".encode())
         async with asyncio.timeout(timeout_s):
             answer = await self.read_answer()
         if is_logged:
-            self._record.write(
+            self.record.write(
                 self._name,
                 f"gets {answer.code or 'COMPLETE'} {answer.text} rows={answer.rows} "
                 f"state={answer.state} for {request}",
