--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -5,6 +5,7 @@
 import json
 import os
 import shutil
+import signal
 import socket
 import sys
 import tempfile
@@ -262,13 +263,22 @@
     record = Record(folder / "record.txt")
 
     async def run() -> bool:
+        task = asyncio.current_task()
+        assert task is not None
+        # A case that is stopped ends its processes, too.
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         async with asyncio.timeout(time_limit_s):
             return await case(record)
 
     record.write("case", f"trouble={has_trouble()}")
     try:
         held = asyncio.run(run())
-    except (CannotRunError, TimeoutError, OSError) as error:
+    except (
+        CannotRunError,
+        TimeoutError,
+        OSError,
+        asyncio.CancelledError,
+    ) as error:
         record.write("case", f"could not run: {type(error).__name__} {error}")
         print(f"could not run: {type(error).__name__} {error}")
         return COULD_NOT_RUN
