Divide lines of callers only at carriage return and line feed together

What callers saw: the rest of a value after a line feed ran as a statement of its own, under an id that nobody sent, or was lost with a success.

Cause: the caller edge ended a line at each line feed and removed carriage returns before it, while connections to servers ended it at both together, as the protocol says. The stand-in server of the tests had the same fault.

Change: one LineBuffer divides the streams of both edges.

--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_backend_connection.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_backend_connection.py
@@ -8,6 +8,7 @@
 from cardamomshunt.position import LogPosition
 
 from cardamomshunt_node._boot_clock import boot_ms
+from cardamomshunt_node._line_buffer import LINE_END, LineBuffer, LineTooLongError
 from cardamomshunt_node._session_protocol import (
     MESSAGE_SIZE_MAX_BYTES,
     ErrorCode,
@@ -90,7 +91,7 @@
         self._transport: asyncio.Transport | None = None
         self._outstanding: deque[tuple[float, asyncio.Future[Reply]]] = deque()
         self._reply = Reply()
-        self._buffer = bytearray()
+        self._buffer = LineBuffer(MESSAGE_SIZE_MAX_BYTES)
         self.is_closed = False
 
     @property
@@ -153,34 +154,32 @@
 
     def data_received(self, data: bytes) -> None:
         """Split the received bytes into lines and collect them into answers."""
-        buffer = self._buffer
-        buffer += data
-        while not self.is_closed:
-            end = buffer.find(b"\r\n")
-            if end < 0:
-                if len(buffer) > MESSAGE_SIZE_MAX_BYTES:
-                    self.close("a line is too long")
+        try:
+            lines = self._buffer.feed(data)
+        except LineTooLongError as error:
+            self.close(str(error))
+            return
+        for line in lines:
+            if self.is_closed:
                 return
-            line = bytes(buffer[: end + 2])
-            del buffer[: end + 2]
             self._handle_line(line)
 
     def _handle_line(self, line: bytes) -> None:
         try:
-            parsed = self._protocol.parse_server_line(line[:-2])
+            parsed = self._protocol.parse_server_line(line)
         except ValueError as error:
             self.close(f"malformed answer: {error}")
             return
         reply = self._reply
         match parsed.kind:
             case LineKind.ROW:
-                reply.lines.append(line)
+                reply.lines.append(line + LINE_END)
                 reply.rows.append(parsed.text)
             case LineKind.COMPLETE:
-                reply.lines.append(line)
+                reply.lines.append(line + LINE_END)
                 reply.is_complete = True
             case LineKind.ERROR:
-                reply.lines.append(line)
+                reply.lines.append(line + LINE_END)
                 reply.code = parsed.code
             case LineKind.READY:
                 reply.state = self.state = parsed.state
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_caller_edge_lines.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_caller_edge_lines.py
@@ -9,6 +9,7 @@
 from cardamomshunt_node._boot_clock import boot_ms
 from cardamomshunt_node._decision_log import DecisionLog
 from cardamomshunt_node._fleet_view import FleetView
+from cardamomshunt_node._line_buffer import LineBuffer, LineTooLongError
 from cardamomshunt_node._line_session_state import LineSession
 from cardamomshunt_node._line_sessions import StatementRunner
 from cardamomshunt_node._session_protocol import (
@@ -37,7 +38,7 @@
         # None where this entry VM runs the statements itself.
         self._forwarded: ForwardedSession | None = None
         self._transport: asyncio.Transport | None = None
-        self._buffer = bytearray()
+        self._buffer = LineBuffer(MESSAGE_SIZE_MAX_BYTES)
         self._lines: deque[bytes] = deque()
         self._worker: asyncio.Task[None] | None = None
         self._is_denied = False
@@ -74,16 +75,13 @@
 
     def data_received(self, data: bytes) -> None:
         """Split the data into lines and start to process them."""
-        self._buffer += data
-        while (end := self._buffer.find(b"\n")) >= 0:
-            line = bytes(self._buffer[:end]).rstrip(b"\r")
-            del self._buffer[: end + 1]
-            self._lines.append(line)
-        if (
-            len(self._buffer) > MESSAGE_SIZE_MAX_BYTES
-            or len(self._lines) > _N_PENDING_LINES_MAX
-        ):
-            self._close_with_error(ErrorCode.TOO_LARGE, "the message is too large")
+        try:
+            self._lines += self._buffer.feed(data)
+        except LineTooLongError as error:
+            self._close_with_error(ErrorCode.TOO_LARGE, str(error))
+            return
+        if len(self._lines) > _N_PENDING_LINES_MAX:
+            self._close_with_error(ErrorCode.TOO_LARGE, "too many messages wait")
             return
         if self._lines and self._worker is None:
             self._worker = asyncio.get_running_loop().create_task(self._process_lines())
@@ -93,7 +91,7 @@
         """Return whether no statement runs and no transaction is open."""
         return (
             self._worker is None
-            and not self._buffer
+            and self._buffer.is_empty
             and (self.session is None or self.session.transaction is None)
             and (self._forwarded is None or self._forwarded.is_idle)
         )
--- /dev/null
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_line_buffer.py
@@ -0,0 +1,32 @@
+"""Division of a stream of bytes into the lines of the session protocol."""
+
+LINE_END = b"\r\n"
+
+
+class LineTooLongError(ValueError):
+    """Raised when a line exceeds the size limit before its end is received."""
+
+
+class LineBuffer:
+    """Collect received bytes, and split off the lines that are complete.
+
+    A carriage return or a line feed alone is part of the last field of a line.
+    """
+
+    def __init__(self, size_max_bytes: int) -> None:
+        self._size_max_bytes = size_max_bytes
+        self._rest = b""
+
+    @property
+    def is_empty(self) -> bool:
+        """Return whether no part of a line waits for its end."""
+        return not self._rest
+
+    def feed(self, data: bytes) -> list[bytes]:
+        """Return the complete lines without their ends; raise LineTooLongError."""
+        if self._rest:
+            data = self._rest + data
+        *lines, self._rest = data.split(LINE_END)
+        if len(self._rest) > self._size_max_bytes:
+            raise LineTooLongError(f"a line exceeds {self._size_max_bytes} bytes")
+        return lines
--- a/tests/users_platform/standin.py
+++ b/tests/users_platform/standin.py
@@ -19,6 +19,16 @@
 # A former primary that reaches the new one rejoins as a replica after this time.
 FORMER_PRIMARY_REJOIN_S = 1.0
 REPORT_INTERVAL_S = 0.2
+LINE_END = b"\r\n"
+
+
+async def read_line(reader: asyncio.StreamReader) -> str | None:
+    """Return the next line without its end, or None at the end of the stream."""
+    try:
+        line = await reader.readuntil(LINE_END)
+    except asyncio.IncompleteReadError:
+        return None
+    return line.removesuffix(LINE_END).decode()
 
 
 @dataclass
@@ -104,10 +114,10 @@
         session = _ServerSession(self, self._numbers)
         self.n_connections += 1
         try:
-            while line := await reader.readline():
+            while (line := await read_line(reader)) is not None:
                 if self.is_unreachable:
                     continue
-                answer = await session.handle(line.decode().rstrip("\r\n"))
+                answer = await session.handle(line)
                 if answer and not self.is_unreachable:
                     writer.write(answer.encode())
                 if answer.startswith(("ERROR OVERLOAD", "ERROR DENIED")):
@@ -444,9 +454,9 @@
         host, port = address.split(":")
         caller = cls(*await asyncio.open_connection(host, int(port)))
         caller._writer.write(f"START {database} {key}\r\n".encode())
-        line = (await caller._reader.readline()).decode()
-        if not line.startswith("READY"):
-            raise ConnectionError(line.strip())
+        line = await read_line(caller._reader)
+        if line is None or not line.startswith("READY"):
+            raise ConnectionError(line or "closed")
         return caller
 
     async def execute(self, text: str, request: str = "") -> list[str]:
@@ -457,18 +467,18 @@
         lines = []
         async with asyncio.timeout(8.0):
             while True:
-                line = (await self._reader.readline()).decode()
-                if not line:
+                line = await read_line(self._reader)
+                if line is None:
                     raise ConnectionError("closed")
                 if line.startswith("READY"):
                     self.state = line.split()[1]
                     return lines
-                lines.append(line.strip())
+                lines.append(line)
 
     async def is_closed(self) -> bool:
         """Wait until the other side closes."""
         async with asyncio.timeout(8.0):
-            return await self._reader.readline() == b""
+            return await read_line(self._reader) is None
 
     def close(self) -> None:
         """Abort the connection without ending the session."""
--- a/tests/users_platform/test_deployment.py
+++ b/tests/users_platform/test_deployment.py
@@ -58,6 +58,38 @@
     assert run.server == "i-1"
 
 
+# Data that a line of text may hold, as only CR LF ends a line.
+DATA_WITH_CONTROL_CHARACTERS = {
+    "line_feed": "two stools\nQUERY other WRITE x9 gift",
+    "end_of_the_message": "two stools\nTERMINATE",
+    "carriage_return": "two stools\rQUERY other WRITE x9 gift",
+    "line_feed_at_the_end": "two stools\n",
+    "carriage_returns_at_the_end": "two stools\r\r",
+    "line_feed_before_carriage_return": "two\n\rstools",
+    "other_separators": "two\x0b\x0c\x1c\x85\u2028stools\t\0",
+}
+
+
+@pytest.mark.parametrize(
+    "data",
+    DATA_WITH_CONTROL_CHARACTERS.values(),
+    ids=DATA_WITH_CONTROL_CHARACTERS.keys(),
+)
+async def test_data_with_control_characters_is_one_statement(deployment, data):
+    # Guards against the rest of a value being run as a statement that nobody sent.
+    caller = await open_session(deployment)
+    runs_before = len(deployment.group.runs)
+    assert (await caller.execute(f"WRITE k1 {data}", "w1"))[-1] == (
+        "COMPLETE proof-i-3-w1"
+    )
+    assert (await caller.execute("READ k1", "r1"))[0] == f"ROW {data}"
+    runs = deployment.group.runs[runs_before:]
+    assert [(run.request, run.text) for run in runs] == [
+        ("w1", f"WRITE k1 {data}"),
+        ("r1", "READ k1"),
+    ]
+
+
 @pytest.mark.parametrize(
     ("texts", "last", "state"),
     [
--- a/tests/users_platform/test_session_relay.py
+++ b/tests/users_platform/test_session_relay.py
@@ -124,6 +124,15 @@
     assert found == frames
 
 
+async def test_data_with_a_line_feed_is_one_statement_over_the_hop(pair):
+    # Guards against an owner that divides a statement in other places than its caller.
+    caller = await pair.open()
+    text = "WRITE k1 two stools\nQUERY other WRITE x9 gift\r"
+    assert (await caller.execute(text, "w1"))[-1].startswith("COMPLETE")
+    runs = pair.deployment.group.runs
+    assert [run.text for run in runs if run.request in ("w1", "other")] == [text]
+
+
 async def test_a_session_keeps_its_state_over_the_hop(pair):
     # Guards against values, prepared names, positions and transactions that are lost.
     caller = await pair.open()
