Count a transaction as idle only while none of its statements runs

What callers saw: after others had rested inside transactions, every statement was refused as busy for good, while the idle primary had all its connections open.

Cause: idle time was counted from the arrival of the last statement. A transaction whose statement waited longer than transaction_idle_ms for a connection was failed, then given the connection, and dropped with it once its caller rolled back. A statement that ran for longer at the server lost its connection in the same way, and a caller that only set session values counted as idle.

Change: a session knows that a statement runs, idle time is counted from its last answer, and the end of a failed transaction closes its connection.

Before the change 3 of 4 new tests failed (waits for a connection, runs for long, needs no server); the fourth keeps that idle ones end. With it all pass.

--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_line_session_state.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_line_session_state.py
@@ -99,12 +99,19 @@
     is_failed: bool = False
     last_used_ms: float = 0.0
 
+    def close_connection(self, reason: str) -> None:
+        """Roll back on the server by closing the connection, if there is one."""
+        connection, self.connection = self.connection, None
+        if connection is not None:
+            connection.close(reason)
+
 
 @dataclass(slots=True)
 class LineSession:
     """State of one caller's session; `team` is empty where callers have no teams.
 
     `key_digest` is the digest of the key that the session was opened with.
+    `is_running` says that a statement of the caller has no answer yet.
     `may_cancel` says that the running statement has sent nothing that a server would
     have to undo, so that it may end when its caller disconnects.
     """
@@ -117,8 +124,19 @@
     prepared: dict[str, PreparedStatement] = field(default_factory=dict)
     positions: dict[str, DatedPosition] = field(default_factory=dict)
     transaction: Transaction | None = None
+    is_running: bool = False
     may_cancel: bool = False
 
+    def is_transaction_idle(self, idle_ms: float, now_ms: float) -> bool:
+        """Return whether an open transaction has been unused for some time.
+
+        It is in use while a statement runs, also while that waits for a connection.
+        """
+        transaction = self.transaction
+        if transaction is None or transaction.is_failed or self.is_running:
+            return False
+        return now_ms > transaction.last_used_ms + idle_ms
+
     @property
     def state(self) -> TransactionState:
         """Return the transaction state that is reported to the caller."""
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_line_sessions.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_line_sessions.py
@@ -77,6 +77,7 @@
     ) -> bytes:
         """Run a statement; return its encoded answer."""
         received_ms = boot_ms() if received_ms is None else received_ms
+        session.is_running = True
         try:
             reply = await self._dispatch(session, query, received_ms)
         except RefusedError as error:
@@ -86,6 +87,10 @@
             raise
         else:
             answer = self._answer(session, reply)
+        finally:
+            session.is_running = False
+            if session.transaction is not None:
+                session.transaction.last_used_ms = boot_ms()
         self._metrics.observe_statement(
             query.statement.kind.value, boot_ms() - received_ms
         )
@@ -206,13 +211,11 @@
     def _run_in_failed_transaction(
         self, session: LineSession, kind: StatementKind
     ) -> None:
-        if kind is StatementKind.ROLLBACK:
-            session.transaction = None
-            return
+        if kind not in _END_KINDS:
+            raise RefusedError(ErrorCode.MALFORMED, "the transaction has failed")
+        self._transactions.fail(session, True)
         if kind is StatementKind.COMMIT:
-            session.transaction = None
             raise RefusedError(ErrorCode.ABORTED, "the transaction has failed")
-        raise RefusedError(ErrorCode.MALFORMED, "the transaction has failed")
 
     def abandon(self, session: LineSession) -> None:
         """Roll back the open transaction of a caller that disconnected."""
@@ -221,9 +224,7 @@
 
     def end_idle_transaction(self, session: LineSession, now_ms: float) -> None:
         """Fail a transaction that has been idle for longer than the limit."""
-        transaction = session.transaction
-        if transaction is None or transaction.is_failed:
-            return
-        if now_ms > transaction.last_used_ms + self._view.table.transaction_idle_ms:
+        idle_ms = self._view.table.transaction_idle_ms
+        if session.is_transaction_idle(idle_ms, now_ms):
             self._log.write("transaction_idle", session=session.session_id)
             self._transactions.fail(session, False)
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_line_transactions.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_line_transactions.py
@@ -66,12 +66,11 @@
         """Run a statement or a commit in the transaction; raise RefusedError."""
         transaction = session.transaction
         assert transaction is not None
-        transaction.last_used_ms = boot_ms()
         is_commit = query.statement.kind is StatementKind.COMMIT
         if is_write and transaction.is_read_only:
             raise RefusedError(ErrorCode.READ_ONLY, "the transaction is read-only")
         deadline_ms = statement_deadline_ms(
-            transaction.route, transaction.last_used_ms, self._view.answer_deadline_ms
+            transaction.route, boot_ms(), self._view.answer_deadline_ms
         )
         try:
             if transaction.connection is None:
@@ -98,9 +97,7 @@
         """
         transaction = session.transaction
         assert transaction is not None
-        if transaction.connection is not None:
-            transaction.connection.close("the transaction failed")
-            transaction.connection = None
+        transaction.close_connection("the transaction failed")
         transaction.is_failed = True
         if is_ended:
             session.transaction = None
