Refuse reports and configurations that no message between nodes can carry

What operators saw elsewhere: one odd entry among those of the servers, and the machines that read them stopped following the list.

Cause: whole numbers of any size and any text as an address were accepted. With a number above 64 bits no message that holds the report can be encoded: connections between nodes ended again and again, and the task that stores the servers ended for good. A deeply nested body ended its call without an answer. An address that can't be parsed left a connection counted as being opened, so that statements waited until their deadline.

--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_server_pool.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_server_pool.py
@@ -299,7 +299,7 @@
         except asyncio.CancelledError:
             connection.close("the pool was closed")
             raise
-        except (OSError, TimeoutError, ServerLostError) as error:
+        except (OSError, TimeoutError, ServerLostError, ValueError) as error:
             self._n_opening[team] -= 1
             self._reconnect.record_failed(started_ms)
             connection.close(str(error))
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_stream_transport.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_stream_transport.py
@@ -28,6 +28,7 @@
 _PENDING_SIZE_MAX_BYTES = 2 * 1024 * 1024
 _FRAME_SIZE_MAX_BYTES = 8 * 1024 * 1024
 _LENGTH_SIZE_BYTES = 4
+_PORT_MAX = 65_535
 
 
 def set_tcp_user_timeout(sock: socket.socket, timeout_ms: int) -> None:
@@ -45,8 +46,11 @@
     >>> host_and_port("10.0.0.1:80")
     ('10.0.0.1', 80)
     """
-    host, _, port = address.rpartition(":")
-    return host, int(port)
+    host, _, port_text = address.rpartition(":")
+    port = int(port_text)
+    if not 0 <= port <= _PORT_MAX:
+        raise ValueError(f"{address}: the port is out of range")
+    return host, port
 
 
 @dataclass(slots=True, frozen=True)
--- a/tests/users_platform/test_deployment.py
+++ b/tests/users_platform/test_deployment.py
@@ -1,11 +1,10 @@
 """Tests of the entry and control daemons against the stand-in of the platform."""
 
 import asyncio
+import json
 
 import pytest
-from cardamomshunt.fleet import (
-    DocumentChanged,
-)
+from cardamomshunt.fleet import DocumentChanged, ServerState
 from cardamomshunt_node._boot_clock import boot_ms
 from cardamomshunt_node._http import HttpRequest, call_http
 from msgspec import structs
@@ -374,6 +373,57 @@
     )
 
 
+ODD_REPORT_FIELDS = {
+    "sequence": 10**21,
+    "born": 10**29,
+    "slots": 2**64,
+    "address": "127.0.0.1:99999",
+}
+
+
+@pytest.mark.parametrize("field", [*ODD_REPORT_FIELDS, "nested"])
+async def test_an_odd_report_changes_nothing_for_the_others(
+    deployment, make_document, field
+):
+    # Guards against one entry that ends the tasks which follow all others: the leader
+    # stored no server any more, and connections between nodes ended again and again.
+    fields = {
+        "service": "db",
+        "address": "127.0.0.1:1",
+        "zone": "z1",
+        "state": "ready",
+        "database_role": "replica",
+        "sequence": 1,
+        "born": 1,
+    }
+    if field in ODD_REPORT_FIELDS:
+        fields[field] = ODD_REPORT_FIELDS[field]
+    body = json.dumps(fields).encode()
+    if field == "nested":
+        body = body[:-1] + b', "x": ' + b"[" * 9_999 + b"]" * 9_999 + b"}"
+    for address in deployment.control_addresses:
+        path = "/Instances.Heartbeat/i-odd"
+        response = await deployment.call(address, "POST", path, body)
+        assert response.status == 400
+    assert (await deployment.put(make_document(9))).status == 200
+    entries = deployment.entries.values()
+    await deployment.until(lambda: all(e._view.table.version == 9 for e in entries))
+    former = server_named(deployment, "i-3")
+    former.state = "draining"
+    assert await report(former, deployment.control_addresses[0]) == 200
+    await deployment.until(lambda: deployment.provider.calls)
+    for node in deployment.entries:
+        await deployment.execute_until_success(node, "orders", "WRITE k9 b")
+    # The leader still stores what servers report.
+    await deployment.until(
+        lambda: all(
+            node._state.servers["i-3"].state is ServerState.DRAINING
+            for node in deployment.controls.values()
+        )
+    )
+    assert not any(task.done() for task in deployment.tasks.values())
+
+
 async def test_idle_connections_are_closed_while_they_are_scarce(deployment):
     # With 67 entry VMs and 60 connections per server, those that connected first never
     # closed idle connections, and the others got none.
--- a/tests/users_platform/test_fleet_view.py
+++ b/tests/users_platform/test_fleet_view.py
@@ -4,6 +4,7 @@
 import os
 from collections import Counter
 
+import msgspec
 import pytest
 from cardamomshunt.fleet import (
     Assignment,
@@ -16,7 +17,11 @@
     TeamTable,
 )
 from cardamomshunt.position import LogPosition
-from cardamomshunt_node._backend_connection import BackendConnection, Reply
+from cardamomshunt_node._backend_connection import (
+    BackendConnection,
+    Reply,
+    ServerLostError,
+)
 from cardamomshunt_node._boot_clock import boot_ms
 from cardamomshunt_node._decision_log import DecisionLog
 from cardamomshunt_node._entry_metrics import EntryMetrics
@@ -107,6 +112,21 @@
     assert sum(opening) == n_opening
 
 
+@pytest.mark.parametrize("address", ["127.0.0.1:99999", "127.0.0.1", "", "a:b:c"])
+async def test_a_server_at_an_unusable_address_counts_as_down(address):
+    # Guards against a connection that counts as being opened for good, so that the
+    # statements for such a server wait until their deadline.
+    view = _make_empty_view()
+    report = msgspec.structs.replace(make_server_report(1), address=address)
+    pool = view.pool(report)
+    async with asyncio.timeout(1.0):
+        with pytest.raises(ServerLostError):
+            await pool.acquire(1, boot_ms() + 2_000.0, {}, "")
+        while pool._n_opening.total():
+            await asyncio.sleep(0.02)
+    assert pool.is_down(boot_ms())
+
+
 async def test_zones_without_a_replica_keep_connections_to_all_replicas():
     found = Counter()
     for number in range(60):
--- a/tests/users_platform/test_formats.py
+++ b/tests/users_platform/test_formats.py
@@ -22,7 +22,7 @@
     TransactionState,
     UnknownCall,
 )
-from cardamomshunt_platform import _lines
+from cardamomshunt_platform import _documents, _lines
 from cardamomshunt_platform.__main__ import make_parser
 from cardamomshunt_platform._documents import parse_configuration, parse_report
 from cardamomshunt_platform._lines import LineProtocol, parse_statement
@@ -109,7 +109,17 @@
     )
 
 
-@pytest.mark.parametrize("line", [b"READY X 1.2", b"READY I 1.x", b"HELLO", b""])
+@pytest.mark.parametrize(
+    "line",
+    [
+        b"READY X 1.2",
+        b"READY I 1.x",
+        b"READY I 1.9223372036854775808",
+        b"READY I -1.2",
+        b"HELLO",
+        b"",
+    ],
+)
 def test_malformed_lines_of_servers_are_refused(line):
     with pytest.raises(ValueError):
         PROTOCOL.parse_server_line(line)
@@ -165,8 +175,13 @@
         make_document(version="7"),
         make_document(routes=None),
         make_document(services=[]),
+        make_document(version=10**30),
+        make_document(version=2**63),
+        make_document(note=1)[:-2] + b"[" * 100_000,
+        make_document()[:-1] + b', "note": ' + b"[" * 9_999 + b"]" * 9_999 + b"}",
         b"\xff\xfe",
     ],
+    ids=lambda document: f"{len(document)}-bytes",
 )
 def test_malformed_configurations_are_invalid(document):
     with pytest.raises(ConfigurationInvalidError):
@@ -208,11 +223,45 @@
         {"database_role": "witness"},
         {"born": None},
         {"address": 7},
+        # Numbers that no message between nodes can carry.
+        {"sequence": 10**30},
+        {"sequence": -1},
+        {"born": 2**63},
+        {"born": -(10**30)},
+        {"slots": 2**64},
+        {"address": "10.0.0.9:65536"},
+        {"address": "10.0.0.9:0"},
+        {"address": "10.0.0.9:-1"},
+        {"address": "10.0.0.9:" + "9" * 5_000},
+        {"address": "10.0.0.9"},
+        {"address": "10.0.0.999:8080"},
+        {"address": "server:8080"},
+        {"address": ""},
     ],
 )
 def test_malformed_reports_are_ignored(changes):
+    # Guards against an entry that ends what the nodes do with all other entries.
     assert parse_report("i-1", json.dumps(REPORT | changes).encode()) is None
-    assert parse_report("i-1", b"\x00not json") is None
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"",
+        b"\x00not json",
+        b"\xff\xfe",
+        b"[" * 100_000,
+        json.dumps(REPORT).encode()[:-1] + b', "x": ' + b"[" * 9_999 + b"]" * 9_999,
+        json.dumps(REPORT)[:-1].encode() + b', "warmup_remaining_ms": 1e999}',
+    ],
+    ids=["empty", "text", "bytes", "nested", "nested_in_report", "infinite"],
+)
+def test_unreadable_reports_are_ignored(body):
+    assert parse_report("i-1", body) is None
+
+
+def test_a_report_without_an_id_is_ignored():
+    assert parse_report("", json.dumps(REPORT).encode()) is None
 
 
 SETTINGS = """
@@ -287,4 +336,5 @@
 
 def test_doctests_pass():
     # pytest can't collect a folder whose name is that of a standard module.
-    assert doctest.testmod(_lines).failed == 0
+    for module in (_documents, _lines):
+        assert doctest.testmod(module).failed == 0
