Count the silence of a member from when it could have answered

What callers saw: some seconds after a core machine had lost its disk or had been replaced, another one was lost, and from then on no leader was elected: reads of the configuration got 503 and statements busy for good, though all machines ran.

Cause: a new learner counted as unresponsive until its first answer, so that the leader removed it within milliseconds where it answered later than the commit of its addition. It had learnt that it was a member, and announced itself again only 2.5 to 3.75 s later, to be removed again. Besides, each new leader waited 2.5 s before it replaced a lost voter, and with a voter too many it made the newest one a learner, which was the one that ran.

Change: silence counts from when the leader tracks a member; a voter that has never answered the present leader is unresponsive after 1.3 s; a surplus voter is not removed before all have answered; a node without a leader announces itself after 650 ms, each 150 ms.

--- a/packages/cardamomshunt/src/cardamomshunt/_consensus/followers.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_consensus/followers.py
@@ -18,15 +18,25 @@
 
 @dataclass(slots=True)
 class Progress:
-    """Replication progress of one follower."""
+    """Replication progress of one follower, tracked since a time."""
 
     next_index: int
+    since_ms: float
     match_index: int = 0
     in_flight_until_ms: float = NEVER_MS
     heartbeat_due_ms: float = NEVER_MS
     last_acked_sent_ms: float = NEVER_MS
     snapshot_offset: int = 0
 
+    @property
+    def has_answered(self) -> bool:
+        """Return whether the follower has acknowledged a message of this leader."""
+        return self.last_acked_sent_ms > NEVER_MS
+
+    def silent_ms(self, now_ms: float) -> float:
+        """Return for how long the follower has acknowledged nothing."""
+        return now_ms - max(self.last_acked_sent_ms, self.since_ms)
+
     def may_send(self, now_ms: float) -> bool:
         """Return whether no entries are in flight."""
         return now_ms >= self.in_flight_until_ms
@@ -48,7 +58,7 @@
         """Discard all progress, at a change of role."""
         self._progress = {}
 
-    def update(self, members: list[Member], last_index: int) -> None:
+    def update(self, now_ms: float, members: list[Member], last_index: int) -> None:
         """Track exactly these members; reset the progress of a new incarnation."""
         known = self._progress
         others = [member for member in members if member.node != self._node]
@@ -57,7 +67,7 @@
             old = known.get(member.node)
             is_same = self._incarnations.get(member.node) == member.incarnation
             self._progress[member.node] = (
-                old if old and is_same else Progress(next_index=last_index)
+                old if old and is_same else Progress(last_index, since_ms=now_ms)
             )
         self._incarnations = {member.node: member.incarnation for member in others}
 
--- a/packages/cardamomshunt/src/cardamomshunt/_consensus/node.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_consensus/node.py
@@ -171,7 +171,7 @@
         if not self.is_leader:
             if not self._is_voter:
                 return (
-                    self._joiner.due_ms if self.options.admits_unknown_nodes else None
+                    self._rejoin_due_ms if self.options.admits_unknown_nodes else None
                 )
             return self._election_deadline_ms
         due = self._followers.heartbeats_due_ms()
@@ -339,12 +339,17 @@
         for address in self._joiner.addresses:
             self._send(address, hello)
 
+    @property
+    def _rejoin_due_ms(self) -> float:
+        """Return when to announce this node, unless a leader contacts it before."""
+        without_leader_ms = self._leader_contact_ms + self.options.election_max_ms
+        return max(self._joiner.due_ms, without_leader_ms)
+
     def _rejoin_if_removed(self, now_ms: float) -> None:
         """Announce this node if no leader contacts it, as it may have been removed."""
-        if not self._joiner.advance_if_due(now_ms, self.options.retire_after_ms / 2.0):
-            return
-        if now_ms < self._leader_contact_ms + self.options.retire_after_ms:
+        if now_ms < self._rejoin_due_ms:
             return
+        self._joiner.advance_if_due(now_ms, self.options.join_interval_ms)
         self._joiner.add_addresses(self.members)
         self._send_hello()
 
@@ -403,15 +408,23 @@
                 return
 
     def _unresponsive_members(self, now_ms: float) -> set[str]:
-        limit_ms = now_ms - self.options.retire_after_ms
-        if self._leader_since_ms > limit_ms:
-            return set()
         return {
             member.node
             for member in self._other_members()
-            if self._followers.of(member.node).last_acked_sent_ms < limit_ms
+            if self._is_unresponsive(now_ms, member)
         }
 
+    def _is_unresponsive(self, now_ms: float, member: Member) -> bool:
+        """Return whether a member has been silent since it could have answered.
+
+        A new learner may take long for its first answer; a voter has a log already.
+        """
+        progress = self._followers.of(member.node)
+        limit_ms = self.options.retire_after_ms
+        if member.is_voter and not progress.has_answered:
+            limit_ms = min(limit_ms, self.options.first_answer_ms)
+        return progress.silent_ms(now_ms) > limit_ms
+
     def _remove_voter(self, now_ms: float, unresponsive: set[str]) -> None:
         """Remove an unresponsive voter, or demote a surplus one to a learner."""
         others = [member.node for member in self._other_voters()]
@@ -421,6 +434,9 @@
         if unresponsive_voter is not None:
             self._remove(now_ms, unresponsive_voter)
             return
+        if not all(self._followers.of(node).has_answered for node in others):
+            # One of them may be lost, and the group cannot do without the others.
+            return
         members = with_voter_status(self.members, others[-1], is_voter=False)
         if self.propose_members(now_ms, members):
             self._emit(EventNumber.MEMBER_CATCHING_UP, others[-1], "demoted to learner")
@@ -666,7 +682,7 @@
         self.log.append([entry])
         self._persist_entries([entry])
         if kind is EntryKind.MEMBERS:
-            self._followers.update(self.members, self.log.last_index)
+            self._followers.update(now_ms, self.members, self.log.last_index)
         for member in self._other_members():
             progress = self._followers.of(member.node)
             if progress.may_send(now_ms):
--- a/packages/cardamomshunt/src/cardamomshunt/_consensus/options.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_consensus/options.py
@@ -38,10 +38,12 @@
     n_entries_behind_max: int = 10
     # Lets nodes that are not members join by themselves. Only `n_voters` of the members
     # vote: an odd number, so that one side of a partitioned group has a majority. The
-    # others are learners that replace a voter unresponsive for `retire_after_ms`.
+    # others are learners that replace a voter unresponsive for `retire_after_ms`, or for
+    # `first_answer_ms` if it has never answered the present leader.
     admits_unknown_nodes: bool = False
     n_voters: int = 3
     retire_after_ms: float = 2_500.0
+    first_answer_ms: float = 1_300.0
 
 
 @dataclass(slots=True)
--- a/packages/cardamomshunt/tests/test_consensus.py
+++ b/packages/cardamomshunt/tests/test_consensus.py
@@ -267,6 +267,36 @@
         return {member.node for member in self.leader.voters}
 
 
+class _DelayedCluster(_OpenCluster):
+    """Nodes whose messages take time to some of them, and from them."""
+
+    def __init__(self, names: list[str], options: ConsensusOptions) -> None:
+        super().__init__(names, options)
+        self.delay_ms: dict[str, float] = {}
+        self._in_flight: list[tuple[float, str, SendMessage]] = []
+
+    def pass_time(self, duration_ms: float) -> None:
+        end_ms = self.now_ms + duration_ms
+        while self.now_ms < end_ms:
+            self.now_ms += 5.0
+            for name in sorted(self.up):
+                deadline_ms = self.nodes[name].next_deadline_ms()
+                if deadline_ms is not None and self.now_ms >= deadline_ms:
+                    self.run(name, self.nodes[name].tick(self.now_ms))
+            self._deliver_due()
+
+    def _deliver_due(self) -> None:
+        for sender, effect in self.queue:
+            ends = (sender, effect.address)
+            delay_ms = max(self.delay_ms.get(name, 1.0) for name in ends)
+            self._in_flight.append((self.now_ms + delay_ms, sender, effect))
+        due = [item for item in self._in_flight if item[0] <= self.now_ms]
+        self._in_flight = [item for item in self._in_flight if item[0] > self.now_ms]
+        self.queue = [(sender, effect) for _, sender, effect in due]
+        for _ in due:
+            self.deliver_one()
+
+
 _OPEN = ConsensusOptions(admits_unknown_nodes=True, retire_after_ms=1_000.0)
 
 
@@ -286,6 +316,82 @@
     assert cluster.nodes["s9"].commit_index == cluster.leader.commit_index
 
 
+# Time by which a machine with an empty disk has to count again.
+_CATCH_UP_MS = 4_000.0
+_PRODUCT = replace(
+    ConsensusOptions(admits_unknown_nodes=True),
+    election_min_ms=400.0,
+    election_max_ms=650.0,
+    join_interval_ms=150.0,
+)
+
+
+@pytest.mark.parametrize("delay_ms", [20.0, 60.0, 120.0, 200.0])
+@pytest.mark.parametrize("is_same_address", [True, False])
+def test_a_slow_node_with_an_empty_disk_becomes_a_voter_in_time(
+    is_same_address: bool, delay_ms: float
+) -> None:
+    # Guards against a learner that is removed before it could answer: the loss of a
+    # second disk after that left the group without a majority for good.
+    cluster = _DelayedCluster(["s1", "s2", "s3"], _PRODUCT)
+    cluster.pass_time(2_000.0)
+    lost = next(name for name in sorted(cluster.up) if name != cluster.leader.node)
+    joining = lost if is_same_address else "s9"
+    cluster.up.discard(lost)
+    cluster.pass_time(1_000.0)
+    cluster.delay_ms[joining] = delay_ms
+    cluster.add(joining, ["s1", "s2", "s3"], may_form=False)
+    cluster.pass_time(_CATCH_UP_MS)
+    assert cluster.voters() == cluster.up
+    incarnation = cluster.nodes[joining].incarnation
+    assert cluster.leader.member(joining, incarnation) is not None
+
+
+def test_a_removed_learner_announces_itself_soon() -> None:
+    # Guards against a node that takes itself for a member and is silent for seconds.
+    cluster = _DelayedCluster(["s1", "s2", "s3"], _PRODUCT)
+    cluster.pass_time(2_000.0)
+    cluster.add("s9", ["s1", "s2", "s3"], may_form=False)
+    cluster.pass_time(1_000.0)
+    leader = cluster.leader
+    remaining = [member for member in leader.members if member.node != "s9"]
+    assert leader.propose_members(cluster.now_ms, remaining)
+    cluster.run(leader.node, leader.pop_effects())
+    cluster.pass_time(2.0 * _PRODUCT.election_max_ms)
+    assert leader.member("s9") is not None
+
+
+def test_a_new_leader_removes_the_lost_voter_and_no_other() -> None:
+    # Guards against a surplus of voters that is reduced by one that still runs, while
+    # the new leader does not know yet which of them is lost.
+    names = ["s1", "s2", "s3", "s4"]
+    logs = {name: [_entry(1, 1)] for name in names}
+    cluster = _Cluster(ConsensusNode, logs, 1, _PRODUCT)
+    cluster.elect("s1", 1_000.0)
+    cluster.up.discard("s2")
+    leader = cluster.nodes["s1"]
+    for _ in range(400):
+        cluster.now_ms += 10.0
+        cluster.run("s1", leader.tick(cluster.now_ms))
+        while cluster.queue:
+            cluster.deliver_one()
+        assert {member.node for member in leader.voters} >= {"s1", "s3", "s4"}
+    assert {member.node for member in leader.voters} == {"s1", "s3", "s4"}
+
+
+def test_a_lost_leader_is_replaced_in_time() -> None:
+    # Guards against a replacement for which the next leader waits as long as for any
+    # silent member, although its voters have a log and answer at once.
+    cluster = _DelayedCluster(["s1", "s2", "s3"], _PRODUCT)
+    cluster.pass_time(2_000.0)
+    cluster.up.discard(cluster.leader.node)
+    cluster.pass_time(1_000.0)
+    cluster.add("s9", ["s1", "s2", "s3"], may_form=False)
+    # The other half of the time is for the start of the process.
+    cluster.pass_time(_CATCH_UP_MS / 2.0)
+    assert cluster.voters() == cluster.up
+
+
 def test_an_unresponsive_voter_is_not_removed_without_a_replacement() -> None:
     cluster = _OpenCluster(["s1", "s2", "s3"], _OPEN)
     cluster.pass_time(2_000.0)
