Retry whatever fails on a full disk, also the repair of a torn write

What operators saw elsewhere: disks were full in turn, and changes were refused long after the last had room again, while all processes ran.

Cause: after a write that a full disk cut short, the file is shortened to its last record. Where the file system refuses that for want of room, the error counted as a damaged disk, after which a node neither votes nor acknowledges until a restart. Besides, a new segment whose folder could not be synced was used without that sync afterwards.

Change: the torn part is removed before the next write, which is retried like any write on a full disk; a segment is opened again if the sync of its folder failed.

That the operators' file systems refuse to shorten files is only suspected.

--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_log_storage.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_log_storage.py
@@ -143,6 +143,7 @@
         self._segments: list[_Segment] = []
         self._descriptor: int | None = None
         self._size_bytes = 0
+        self._has_torn_append = False
         self._lock: int | None = None
 
     def open(self, new_incarnation: int) -> OpenedStorage:
@@ -297,22 +298,26 @@
         OSError, after which nothing more may be written.
         """
         try:
-            entries: list[Entry] = []
-            for effect in effects:
-                if isinstance(effect, PersistEntries):
-                    entries.extend(effect.entries)
-                    continue
-                self._append(entries)
-                entries = []
-                self._write_file(effect)
-            self._append(entries)
+            self._remove_torn_append()
+            self._write_effects(effects)
         except OSError as error:
             if error.errno not in _FULL_ERRORS:
                 raise
-            self._truncate_failed_append()
+            self._has_torn_append = True
             raise StorageFullError(str(error)) from error
         return effects[-1].sequence
 
+    def _write_effects(self, effects: list[PersistEffect]) -> None:
+        entries: list[Entry] = []
+        for effect in effects:
+            if isinstance(effect, PersistEntries):
+                entries.extend(effect.entries)
+                continue
+            self._append(entries)
+            entries = []
+            self._write_file(effect)
+        self._append(entries)
+
     def _write_file(self, effect: PersistEffect) -> None:
         if isinstance(effect, PersistVote):
             _replace_file(self._folder / "vote", msgspec.msgpack.encode(effect.vote))
@@ -333,10 +338,14 @@
         segment = self._segments[-1]
         segment.last_index = max(segment.last_index, entries[-1].index)
 
-    def _truncate_failed_append(self) -> None:
-        """Remove the part of a failed write that follows the last durable record."""
-        if self._descriptor is not None:
+    def _remove_torn_append(self) -> None:
+        """Remove the part of a failed write that follows the last durable record.
+
+        Some file systems need room to shorten a file, so this may fail as well.
+        """
+        if self._has_torn_append and self._descriptor is not None:
             os.ftruncate(self._descriptor, self._size_bytes)
+        self._has_torn_append = False
 
     def _start_segment(self, first_index: int) -> None:
         number = 0
@@ -344,8 +353,13 @@
             number = int(self._segments[-1].path.stem.split("-")[1]) + 1
         path = self._folder / f"{self._generation:08}-{number:08}-{first_index}.segment"
         self._open_segment(path)
+        try:
+            _sync_folder(self._folder)
+        except OSError:
+            # A power loss could remove the file, so it must not be appended to yet.
+            self._close_segment()
+            raise
         self._segments.append(_Segment(path))
-        _sync_folder(self._folder)
 
     def _open_segment(self, path: Path) -> None:
         if self._descriptor is not None:
--- a/packages/cardamomshunt-node/tests/test_log_storage.py
+++ b/packages/cardamomshunt-node/tests/test_log_storage.py
@@ -2,6 +2,7 @@
 
 import errno
 import os
+import stat
 import time
 from pathlib import Path
 
@@ -154,6 +155,102 @@
     storage.close()
 
 
+class _FullDisk:
+    """Fail one kind of system call as a full disk does, until there is room.
+
+    A write of more than one byte stores a part before it fails.
+    """
+
+    def __init__(self, call: str, patch: pytest.MonkeyPatch) -> None:
+        self._call = call
+        self._patch = patch
+        self.n_synced_folders = 0
+
+    def fill(self) -> None:
+        real_write, real_ftruncate, real_open = os.write, os.ftruncate, os.open
+
+        def write(descriptor: int, data: bytes) -> int:
+            if len(data) > 1:
+                return real_write(descriptor, data[: len(data) // 2])
+            raise OSError(errno.ENOSPC, "no space left")
+
+        def ftruncate(descriptor: int, size_bytes: int) -> None:
+            if self._call == "ftruncate":
+                raise OSError(errno.ENOSPC, "no space left")
+            real_ftruncate(descriptor, size_bytes)
+
+        def open_file(path: object, flags: int, *arguments: int) -> int:
+            if flags & os.O_CREAT:
+                raise OSError(errno.ENOSPC, "no space left")
+            return real_open(path, flags, *arguments)  # type: ignore[arg-type]
+
+        def sync(descriptor: int) -> None:
+            raise OSError(errno.ENOSPC, "no space left")
+
+        match self._call:
+            case "write" | "ftruncate":
+                self._patch.setattr(os, "write", write)
+                self._patch.setattr(os, "ftruncate", ftruncate)
+            case "open":
+                self._patch.setattr(os, "open", open_file)
+            case "fdatasync" | "fsync":
+                self._patch.setattr(os, self._call, sync)
+
+    def free(self) -> None:
+        self._patch.undo()
+        real_fsync = os.fsync
+
+        def count(descriptor: int) -> None:
+            self.n_synced_folders += stat.S_ISDIR(os.fstat(descriptor).st_mode)
+            real_fsync(descriptor)
+
+        self._patch.setattr(os, "fsync", count)
+
+
+@pytest.mark.parametrize("is_new_segment", [False, True])
+@pytest.mark.parametrize("call", ["write", "ftruncate", "open", "fdatasync", "fsync"])
+def test_storage_recovers_from_a_full_disk_at_each_call(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, call: str, is_new_segment: bool
+) -> None:
+    """Guards against a node that stays out of the group once its disk has room."""
+    storage = _written_storage(tmp_path)
+    if is_new_segment:
+        storage._close_segment()
+    disk = _FullDisk(call, monkeypatch)
+    effect = PersistEntries(sequence=9, entries=_entries(10, 11))
+    disk.fill()
+    is_called = is_new_segment or call not in ("open", "fsync")
+    for _ in range(3 if is_called else 0):
+        with pytest.raises(StorageFullError):
+            storage.write([effect])
+    disk.free()
+    assert storage.write([effect]) == 9
+    storage.write([PersistEntries(sequence=10, entries=_entries(12, 12))])
+    monkeypatch.undo()
+    storage.close()
+    storage, opened = _open(tmp_path)
+    assert opened.restored.entries == _entries(1, 12)
+    assert not opened.truncated_tail
+    storage.close()
+
+
+def test_a_new_segment_is_not_used_before_its_folder_is_synced(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against acknowledged entries in a file that a power loss removes."""
+    storage = _written_storage(tmp_path)
+    storage._close_segment()
+    disk = _FullDisk("fsync", monkeypatch)
+    effect = PersistEntries(sequence=9, entries=_entries(10, 11))
+    disk.fill()
+    with pytest.raises(StorageFullError):
+        storage.write([effect])
+    disk.free()
+    storage.write([effect])
+    assert disk.n_synced_folders == 1
+    storage.close()
+
+
 def test_folder_is_locked(tmp_path: Path) -> None:
     """Guards against two processes that vote with the same data folder."""
     storage = _written_storage(tmp_path)
