Let only a learner vote that has answered its leader

Cause: since silence counts from when a member is tracked, a learner that has not answered yet is not unresponsive. With a log of ten entries or fewer it is behind by as few as one that has caught up, and was made a voter though it may hold nothing.

Change: the next change of the members is chosen by one function from what the leader knows of each of them, without the log and the outbox; a learner has to have answered.

test_a_learner_that_never_answers_does_not_vote failed before the change.

--- a/packages/cardamomshunt/src/cardamomshunt/_consensus/node.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_consensus/node.py
@@ -18,6 +18,13 @@
     with_voter_status,
     without_member,
 )
+from cardamomshunt._consensus.member_choice import (
+    ChangeKind,
+    MemberChange,
+    MemberState,
+    choose_change,
+    choose_promotion,
+)
 from cardamomshunt._consensus.messages import (
     AppendEntries,
     AppendReply,
@@ -393,72 +400,56 @@
 
     def _maintain_members(self, now_ms: float) -> None:
         """Maintain the configured number of voters, one change at a time."""
-        if not self.options.admits_unknown_nodes:
-            self._promote_learner(now_ms, set())
-            return
-        unresponsive = self._unresponsive_members(now_ms)
-        n_extra = len(self.voters) - self.options.n_voters
-        if n_extra > 0:
-            self._remove_voter(now_ms, unresponsive)
-        elif n_extra < 0 or any(member.node in unresponsive for member in self.voters):
-            self._promote_learner(now_ms, unresponsive)
-        for member in self.members:
-            if member.node in unresponsive and not member.is_voter:
-                self._remove(now_ms, member.node)
-                return
+        if not self.can_change_members():
+            return
+        members = [self._state_of(now_ms, item) for item in self._other_members()]
+        if self.options.admits_unknown_nodes:
+            n_extra = len(self.voters) - self.options.n_voters
+            change = choose_change(members, n_extra)
+        else:
+            change = choose_promotion(members)
+        if change is not None:
+            self._change_member(now_ms, change)
 
-    def _unresponsive_members(self, now_ms: float) -> set[str]:
-        return {
-            member.node
-            for member in self._other_members()
-            if self._is_unresponsive(now_ms, member)
-        }
+    def _state_of(self, now_ms: float, member: Member) -> MemberState:
+        progress = self._followers.of(member.node)
+        n_entries_behind = self.log.last_index - progress.match_index
+        is_known = member.incarnation != 0
+        return MemberState(
+            node=member.node,
+            is_voter=member.is_voter,
+            has_answered=progress.has_answered,
+            is_unresponsive=self._is_unresponsive(now_ms, member, progress),
+            is_caught_up=is_known
+            and n_entries_behind <= self.options.n_entries_behind_max,
+        )
 
-    def _is_unresponsive(self, now_ms: float, member: Member) -> bool:
+    def _is_unresponsive(
+        self, now_ms: float, member: Member, progress: Progress
+    ) -> bool:
         """Return whether a member has been silent since it could have answered.
 
         A new learner may take long for its first answer; a voter has a log already.
         """
-        progress = self._followers.of(member.node)
         limit_ms = self.options.retire_after_ms
         if member.is_voter and not progress.has_answered:
             limit_ms = min(limit_ms, self.options.first_answer_ms)
         return progress.silent_ms(now_ms) > limit_ms
 
-    def _remove_voter(self, now_ms: float, unresponsive: set[str]) -> None:
-        """Remove an unresponsive voter, or demote a surplus one to a learner."""
-        others = [member.node for member in self._other_voters()]
-        unresponsive_voter = next(
-            (node for node in others if node in unresponsive), None
-        )
-        if unresponsive_voter is not None:
-            self._remove(now_ms, unresponsive_voter)
-            return
-        if not all(self._followers.of(node).has_answered for node in others):
-            # One of them may be lost, and the group cannot do without the others.
-            return
-        members = with_voter_status(self.members, others[-1], is_voter=False)
+    def _change_member(self, now_ms: float, change: MemberChange) -> None:
+        node = change.node
+        match change.kind:
+            case ChangeKind.PROMOTE:
+                members = with_voter_status(self.members, node, is_voter=True)
+                number, detail = EventNumber.MEMBER_ADDED, ""
+            case ChangeKind.DEMOTE:
+                members = with_voter_status(self.members, node, is_voter=False)
+                number, detail = EventNumber.MEMBER_CATCHING_UP, "demoted to learner"
+            case ChangeKind.REMOVE:
+                members = without_member(self.members, node)
+                number, detail = EventNumber.MEMBER_REMOVED, ""
         if self.propose_members(now_ms, members):
-            self._emit(EventNumber.MEMBER_CATCHING_UP, others[-1], "demoted to learner")
-
-    def _remove(self, now_ms: float, node: str) -> None:
-        if self.propose_members(now_ms, without_member(self.members, node)):
-            self._emit(EventNumber.MEMBER_REMOVED, node)
-
-    def _promote_learner(self, now_ms: float, unresponsive: set[str]) -> None:
-        if not self.can_change_members():
-            return
-        for member in self._other_members():
-            n_entries_behind = self.log.last_index - self.match_index(member.node)
-            is_caught_up = n_entries_behind <= self.options.n_entries_behind_max
-            if member.is_voter or not member.incarnation or not is_caught_up:
-                continue
-            if member.node in unresponsive:
-                continue
-            members = with_voter_status(self.members, member.node, is_voter=True)
-            if self.propose_members(now_ms, members):
-                self._emit(EventNumber.MEMBER_ADDED, member.node)
-            return
+            self._emit(number, node, detail)
 
     # Elections
 
--- a/packages/cardamomshunt/tests/test_consensus.py
+++ b/packages/cardamomshunt/tests/test_consensus.py
@@ -347,6 +347,23 @@
     assert cluster.leader.member(joining, incarnation) is not None
 
 
+def test_a_learner_that_never_answers_does_not_vote() -> None:
+    # Guards against a voter that holds nothing: with a short log it is behind by as few
+    # entries as one that has caught up.
+    cluster = _DelayedCluster(["s1", "s2", "s3"], _PRODUCT)
+    cluster.pass_time(2_000.0)
+    cluster.up.discard(next(name for name in cluster.up if name != cluster.leader.node))
+    leader = cluster.leader
+    absent = msgspec.structs.replace(
+        leader.members[0], node="s9", peer_address="s9", incarnation=9, is_voter=False
+    )
+    assert leader.propose_members(cluster.now_ms, [*leader.members, absent])
+    cluster.run(leader.node, leader.pop_effects())
+    for _ in range(40):
+        cluster.pass_time(100.0)
+        assert "s9" not in cluster.voters()
+
+
 def test_a_removed_learner_announces_itself_soon() -> None:
     # Guards against a node that takes itself for a member and is silent for seconds.
     cluster = _DelayedCluster(["s1", "s2", "s3"], _PRODUCT)
