Open a connection for a message of any size

Cause: a message above the bound of the queue was dropped before the connection to its peer was begun. A leader sends nothing but such messages to a follower that lacks 16 entries of 131 KB or more, so a lost connection to it stayed closed until the follower announced itself.

Change: one message waits for the connection whatever its size; more of them are bounded as before.

The case of 3 MB of test_the_first_message_opens_the_connection failed before the change; all pass with it. Found by reading; no run showed it.

--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_stream_transport.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_stream_transport.py
@@ -93,7 +93,9 @@
                 return
             self._transport.write(frame)
             return
-        if self._pending_size_bytes + len(frame) > _PENDING_SIZE_MAX_BYTES:
+        # One frame waits in any case, as the connection is opened for it.
+        size_bytes = self._pending_size_bytes + len(frame)
+        if self._pending and size_bytes > _PENDING_SIZE_MAX_BYTES:
             self._counters.n_dropped += 1
             return
         self._pending.append(frame)
