Replace control nodes in the fault soak, and lose disks 4 s apart

The soak left 6 s between two lost disks and replaced no control node, so it could not show a learner that is removed before it answers. It now replaces control nodes by empty ones at another address, and leaves the time in which a node has to count again (catch_up_s, 4 s) after a lost disk, a replacement or a kill of all. The draws of the replacements are their own.

The tests of tests/fault_soak pass.

--- a/tests/fault_soak/soak.py
+++ b/tests/fault_soak/soak.py
@@ -46,9 +46,10 @@
 _RECOVERY_TIMEOUT_S = 12.0
 _FAULT_INTERVAL_S = (0.15, 1.1)
 _FAULT_DURATION_S = (0.2, 2.5)
-# Minimum time between lost disks, so that a control node can catch up before another
-# one loses its disk.
-_CATCH_UP_S = 6.0
+# Time in which a control node counts again after a start, whatever its disk holds.
+# Another disk is lost only after that.
+_CATCH_UP_S = 4.0
+_REPLACEMENT_INTERVAL_S = (2.0, 6.0)
 _SERVER_PORT, _LINK_PORT = 18_143, 18_144
 _N_ENTRIES_MIN = 1
 
@@ -86,11 +87,16 @@
         self._callers: list[SoakCaller] = []
         self._pending: set[asyncio.Task[None]] = set()
         self._disk_lost_s = float("-inf")
+        self._all_killed_s = float("-inf")
+        self._n_controls = N_CONTROLS
+        self._control_addresses: list[str] = []
         self._stops: list[tuple[str, float]] = []
         self._started_s = time.monotonic()
         self._create_deployment()
-        controls = [item.control_address for item in self._controls]
-        self._operator = SoakOperator(self._history, self._random, controls)
+        self._update_control_addresses()
+        self._operator = SoakOperator(
+            self._history, self._random, self._control_addresses
+        )
 
     def _create_deployment(self) -> None:
         network = self._network
@@ -109,16 +115,28 @@
             ("entry", 2, N_ENTRIES),
         ):
             for number in range(1, n_nodes + 1):
-                name = f"{role}-{number}"
-                self._daemons[name] = DaemonProcess(
-                    name=name,
-                    role=role,
-                    host=f"127.{network}.{block}.{number}",
-                    zone=f"z{number}",
-                    folder=self._folder,
-                    seeds=seeds,
-                    promotion_address=self._provider_link.listen_address,
-                )
+                self._add_daemon(role, f"127.{network}.{block}.{number}", number, seeds)
+
+    def _add_daemon(
+        self, role: str, host: str, number: int, seeds: list[str], zone: str = ""
+    ) -> DaemonProcess:
+        daemon = DaemonProcess(
+            name=f"{role}-{number}",
+            role=role,
+            host=host,
+            zone=zone or f"z{number}",
+            folder=self._folder,
+            seeds=seeds,
+            promotion_address=self._provider_link.listen_address,
+        )
+        self._daemons[daemon.name] = daemon
+        return daemon
+
+    def _update_control_addresses(self) -> None:
+        """Let operator, servers and later starts know the present control nodes."""
+        self._control_addresses[:] = [item.control_address for item in self._controls]
+        for daemon in self._daemons.values():
+            daemon.seeds = self._control_addresses[:N_CONTROLS]
 
     @property
     def _controls(self) -> list[DaemonProcess]:
@@ -199,12 +217,14 @@
         return entry.name, entry.caller_address
 
     async def _send_reports(self, server: LineServer) -> None:
-        controls = itertools.cycle(item.control_address for item in self._controls)
+        numbers = itertools.count()
         while True:
             if not server.is_unreachable:
+                addresses = self._control_addresses
                 try:
                     link = self._links[server.name].listen_address
-                    await report(server, next(controls), link)
+                    address = addresses[next(numbers) % len(addresses)]
+                    await report(server, address, link)
                 except (OSError, TimeoutError):
                     continue
                 finally:
@@ -250,12 +270,15 @@
             self._fault_lost_answers,
             self._fault_provider,
         ]
+        self._start_fault(self._replace_controls(end_s))
         while time.monotonic() < end_s:
             await asyncio.sleep(self._random.uniform(*_FAULT_INTERVAL_S))
-            fault = self._random.choice(faults)
-            task = asyncio.create_task(fault())
-            self._pending.add(task)
-            task.add_done_callback(self._pending.discard)
+            self._start_fault(self._random.choice(faults)())
+
+    def _start_fault(self, fault: Coroutine[None, None, None]) -> None:
+        task = asyncio.create_task(fault)
+        self._pending.add(task)
+        task.add_done_callback(self._pending.discard)
 
     def _record_fault(self, text: str) -> None:
         elapsed_s = time.monotonic() - self._started_s
@@ -327,15 +350,54 @@
         self._record_fault("kill all control nodes")
         for daemon in self._controls:
             daemon.kill()
+        self._all_killed_s = float("inf")
         await asyncio.sleep(self._random.uniform(0.1, 1.0))
         for daemon in self._controls:
             daemon.start()
+        self._all_killed_s = time.monotonic()
+
+    def _may_lose_disk(self) -> bool:
+        """Return whether all control nodes have had the time to count again."""
+        lost_s = max(self._disk_lost_s, self._all_killed_s)
+        if time.monotonic() < lost_s + _CATCH_UP_S:
+            return False
+        return all(item.is_running and not item.is_paused for item in self._controls)
+
+    async def _replace_controls(self, end_s: float) -> None:
+        """Replace control nodes by empty ones until a time on the monotonic clock.
+
+        The draws are its own, so that the other faults of a seed stay the same.
+        """
+        draws = random.Random(f"{self.result.seed}/replacements")
+        while time.monotonic() < end_s:
+            await asyncio.sleep(draws.uniform(*_REPLACEMENT_INTERVAL_S))
+            if self._may_lose_disk():
+                await self._replace_control(draws)
+
+    async def _replace_control(self, draws: random.Random) -> None:
+        self._disk_lost_s = float("inf")
+        lost = draws.choice(self._controls)
+        self._n_controls += 1
+        self._record_fault(f"replace {lost.name} by control-{self._n_controls}")
+        lost.is_removed = True
+        lost.kill()
+        del self._daemons[lost.name]
+        self._update_control_addresses()
+        await asyncio.sleep(draws.uniform(0.1, 2.0))
+        host = f"127.{self._network}.1.{self._n_controls}"
+        seeds = list(self._control_addresses)
+        successor = self._add_daemon(
+            "control", host, self._n_controls, seeds, lost.zone
+        )
+        # Only the first nodes may form a group.
+        successor.n_starts = 1
+        successor.start()
+        self._update_control_addresses()
+        self._disk_lost_s = time.monotonic()
 
     async def _fault_lost_disk(self) -> None:
         """Remove the data of one control node, unless another may be catching up."""
-        if time.monotonic() < self._disk_lost_s + _CATCH_UP_S:
-            return
-        if not all(item.is_running and not item.is_paused for item in self._controls):
+        if not self._may_lose_disk():
             return
         self._disk_lost_s = float("inf")
         daemon = self._random.choice(self._controls)
--- a/tests/fault_soak/soak_processes.py
+++ b/tests/fault_soak/soak_processes.py
@@ -30,6 +30,8 @@
     promotion_address: str
     process: subprocess.Popen[bytes] | None = None
     is_paused: bool = False
+    # A removed machine never starts again.
+    is_removed: bool = False
     # Start of a planned stop, and end of the last kill or pause (inf while it lasts), on
     # the monotonic clock.
     stopping_since_s: float | None = None
@@ -89,8 +91,8 @@
         path.write_text(text, encoding="utf-8")
 
     def start(self) -> None:
-        """Start the process unless it is running."""
-        if self.is_running:
+        """Start the process unless it is running or its machine is removed."""
+        if self.is_running or self.is_removed:
             return
         self.data_folder.mkdir(exist_ok=True)
         self.write_settings()
