--- a/tests/fault_soak/soak_processes.py
+++ b/tests/fault_soak/soak_processes.py
@@ -6,6 +6,7 @@
 import signal
 import subprocess
 import sys
+import time
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -36,8 +37,16 @@
     # the monotonic clock.
     stopping_since_s: float | None = None
     disrupted_until_s: float = 0.0
+    started_s: float = 0.0
     n_starts: int = field(default=0)
 
+    @property
+    def undisturbed_since_s(self) -> float:
+        """Return since when the process has run without a kill, pause or full disk."""
+        is_disturbed = not self.is_running or self.is_paused or self.stopping_since_s
+        since_s = max(self.started_s, self.disrupted_until_s)
+        return float("inf") if is_disturbed else since_s
+
     @property
     def data_folder(self) -> Path:
         """Return the data folder, which stands for the daemon's disk."""
@@ -97,6 +106,7 @@
         self.data_folder.mkdir(exist_ok=True)
         self.write_settings()
         self.n_starts += 1
+        self.started_s = time.monotonic()
         self.is_paused, self.stopping_since_s = False, None
         settings = self.folder / f"{self.name}.toml"
         with self.log_path.open("ab") as log:
