--- a/tests/users_platform/conftest.py
+++ b/tests/users_platform/conftest.py
@@ -111,6 +111,12 @@
     def caller_address(self, node: str) -> str:
         return self.settings[node].caller_address
 
+    def server(self, name: str) -> LineServer:
+        return next(item for item in self.group.servers if item.name == name)
+
+    async def open_session(self, database="orders", node="entry-1") -> Caller:
+        return await Caller.open(self.caller_address(node), database)
+
     async def call(self, address: str, method: str, path: str, body: bytes = b""):
         request = HttpRequest(method, path, body)
         response = await call_control(address, request, 2_000.0)
