Close the callers of a test before its event loop ends

Cause: tests opened callers and did not close them; a refused caller was never closed either. Their streams were finalized after the loop of the test had closed, each with "RuntimeError: Event loop is closed".

Change: a refused caller closes its connection, and the deployment of a test aborts the connections that are still open before it stops.

--- a/tests/users_platform/conftest.py
+++ b/tests/users_platform/conftest.py
@@ -240,6 +240,7 @@
     for node in running.entries:
         (await running.execute_until_success(node, "orders", "READ none")).close()
     yield running
+    Caller.close_all()
     for task in reporters + list(running.tasks.values()):
         task.cancel()
     await asyncio.gather(*reporters, *running.tasks.values(), return_exceptions=True)
--- a/tests/users_platform/standin.py
+++ b/tests/users_platform/standin.py
@@ -4,6 +4,7 @@
 import json
 import os
 import random
+import weakref
 from dataclasses import dataclass, field
 
 from cardamomshunt.fleet import ServerReport, ServerState
@@ -443,10 +444,13 @@
 class Caller:
     """Client of the line protocol."""
 
+    _all_open: "weakref.WeakSet[Caller]" = weakref.WeakSet()
+
     def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter):
         self._reader = reader
         self._writer = writer
         self._ids = 0
+        self._all_open.add(self)
 
     @classmethod
     async def open(cls, address: str, database: str, key: str = "u1") -> "Caller":
@@ -456,9 +460,16 @@
         caller._writer.write(f"START {database} {key}\r\n".encode())
         line = await read_line(caller._reader)
         if line is None or not line.startswith("READY"):
+            caller.close()
             raise ConnectionError(line or "closed")
         return caller
 
+    @classmethod
+    def close_all(cls) -> None:
+        """Abort the connections that are open, which needs the loop that opened them."""
+        for caller in list(cls._all_open):
+            caller.close()
+
     async def execute(self, text: str, request: str = "") -> list[str]:
         """Run a statement; return the lines of its answer but READY."""
         self._ids += 1
@@ -482,4 +493,5 @@
 
     def close(self) -> None:
         """Abort the connection without ending the session."""
+        self._all_open.discard(self)
         self._writer.transport.abort()
