Start the duration of `cardamomctl bench` with its connections open

Cause: the duration counted from before the connections were opened, so that a slow opening took it away. The new test opens each connection 0.7 s late for a run of 0.5 s; before, the report shows 0 statements and no error.

Change: each worker tries to connect first, and then the duration starts. A worker without further due times waits for the end; it opened another connection before.

--- a/packages/cardamomshunt-cli/src/cardamomshunt_cli/_bench.py
+++ b/packages/cardamomshunt-cli/src/cardamomshunt_cli/_bench.py
@@ -15,6 +15,7 @@
 _PERCENTILES = (50.0, 90.0, 99.0, 99.9)
 _HISTOGRAM_MAX_US = 60_000_000
 _CONNECT_TIMEOUT_S = 5
+_RECONNECT_PAUSE_S = 0.1
 # A route query costs a round trip, so it follows only one in this many statements.
 _ROUTE_SAMPLE_EVERY = 10
 _N_ERROR_KINDS_MAX = 20
@@ -85,41 +86,57 @@
 
 
 async def run_bench(options: BenchOptions) -> BenchReport:
-    """Run the load for its duration and report the results."""
+    """Run the load for its duration and report the results.
+
+    The duration starts once each worker has tried to open its connection.
+    """
     tally = _Tally()
+    attempts = [_try_connect(options, tally) for _ in range(options.n_connections)]
+    connections = await asyncio.gather(*attempts)
     started_s = time.monotonic()
     interval_s = 1.0 / options.rate if options.rate else 0.0
     pace = _Pacer(started_s, interval_s)
     end_s = started_s + options.duration_s
     workers = [
-        _worker(options, tally, pace, end_s) for _ in range(options.n_connections)
+        _worker(connection, options, tally, pace, end_s) for connection in connections
     ]
     await asyncio.gather(*workers)
     return _report(tally, time.monotonic() - started_s)
 
 
+async def _try_connect(options: BenchOptions, tally: _Tally) -> Any:
+    """Open a connection; return None if it fails."""
+    try:
+        return await asyncmy.connect(
+            host=options.host,
+            port=options.port,
+            user=options.user,
+            password=options.password,
+            database=options.database,
+            autocommit=True,
+            connect_timeout=_CONNECT_TIMEOUT_S,
+        )
+    except Exception as error:
+        tally.add_error(error)
+        return None
+
+
 async def _worker(
-    options: BenchOptions, tally: _Tally, pace: _Pacer, end_s: float
+    connection: Any, options: BenchOptions, tally: _Tally, pace: _Pacer, end_s: float
 ) -> None:
+    """Run statements until the end time; replace a connection that fails."""
     while time.monotonic() < end_s:
-        try:
-            connection = await asyncmy.connect(
-                host=options.host,
-                port=options.port,
-                user=options.user,
-                password=options.password,
-                database=options.database,
-                autocommit=True,
-                connect_timeout=_CONNECT_TIMEOUT_S,
-            )
-        except Exception as error:
-            tally.add_error(error)
-            await asyncio.sleep(0.1)
+        if connection is None:
+            await asyncio.sleep(_RECONNECT_PAUSE_S)
+            connection = await _try_connect(options, tally)
             continue
         try:
             await _run_statements(connection, options, tally, pace, end_s)
         finally:
             connection.close()
+            connection = None
+    if connection is not None:
+        connection.close()
 
 
 async def _run_statements(
@@ -130,8 +147,8 @@
         n_run = 0
         while True:
             due_s = pace.next_due_s()
-            if due_s is not None and due_s < end_s:
-                await asyncio.sleep(max(0.0, due_s - time.monotonic()))
+            if due_s is not None:
+                await asyncio.sleep(min(due_s, end_s) - time.monotonic())
             start_s = due_s if due_s is not None else time.monotonic()
             if max(start_s, time.monotonic()) >= end_s:
                 return
--- a/packages/cardamomshunt-cli/tests/test_bench.py
+++ b/packages/cardamomshunt-cli/tests/test_bench.py
@@ -1,8 +1,10 @@
 """`bench` ends after its duration and counts failures separately from answers."""
 
+import asyncio
 import json
 from typing import Any
 
+import asyncmy
 import pytest
 from cardamomshunt_cli._bench import BenchOptions, BenchReport, run_bench
 from cardamomshunt_cli.main import main
@@ -53,6 +55,22 @@
     assert report.latency_ms["p50"] <= report.latency_ms["max"] < 2_000
 
 
+async def test_the_duration_starts_with_open_connections(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a report without statements where connections open slowly."""
+    connect = asyncmy.connect
+
+    async def connect_slowly(**options: Any) -> Any:
+        await asyncio.sleep(0.7)
+        return await connect(**options)
+
+    monkeypatch.setattr(asyncmy, "connect", connect_slowly)
+    report = await _run(("SELECT 1 FROM t",), 100.0)
+    assert 30 <= report.n_answered <= 52 and not report.n_failed
+    assert 0.4 <= report.elapsed_s < 0.7
+
+
 async def test_failures_are_not_answers() -> None:
     report = await _run(("SELECT refused FROM t",), None)
     assert not report.n_answered and report.n_failed
