Measure how control nodes recover, with real processes

`make core-recovery` starts three control nodes, fills their logs with large configurations, and prints bytes on disk by change, bytes written by byte of configuration, and the times until an empty node votes, until a change is acknowledged after all disks were full, and after all processes were killed. With the interpreter of another checkout it prints the same figures for that one.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 PACKAGES := cardamomshunt cardamomshunt-node cardamomshunt-cli cardamomshunt-testing
 INSTALLED := $(VENV)/installed
 
-.PHONY: install demo test lint format types measure soak fault-soak capacity clean
+.PHONY: install demo test lint format types measure soak fault-soak core-recovery capacity clean
 
 install: $(INSTALLED)
 
@@ -40,6 +40,10 @@
 fault-soak: install
 	$(BIN)/python tests/fault_soak/soak.py --seeds 50 --first-seed 1 --at-once 2
 
+# BASELINE is the interpreter of another checkout, whose figures are printed as well.
+core-recovery: install
+	@$(BIN)/python -m cardamomshunt_testing.core_recovery $(if $(BASELINE),--baseline-python $(BASELINE))
+
 capacity: install
 	@$(BIN)/python -m cardamomshunt_testing.capacity
 
