--- a/packages/cardamomshunt/src/cardamomshunt/_consensus/log_bounds.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_consensus/log_bounds.py
@@ -51,8 +51,9 @@
         `entries` are in the order of the log and end at the index of the snapshot.
         """
         room_bytes = self._retained_bytes(snapshot_bytes)
+        n_max = min(len(entries), self._options.n_entries_retained_max)
         n_retained = 0
-        for entry in reversed(entries[-self._options.n_entries_retained_max :]):
+        for entry in reversed(entries[len(entries) - n_max :]):
             room_bytes -= entry_bytes(entry)
             if room_bytes < 0:
                 break
--- a/packages/cardamomshunt/tests/test_log_bounds.py
+++ b/packages/cardamomshunt/tests/test_log_bounds.py
@@ -96,3 +96,9 @@
 def test_an_entry_above_the_bound_is_not_retained():
     """Guards against one record that outgrows what may stay behind a snapshot."""
     assert LogBounds().n_retained([_entry(1, 300_000)], 1_000) == 0
+
+
+def test_nothing_is_retained_if_so_configured():
+    """Guards against a bound of no entries that is taken for no bound."""
+    bounds = LogBounds(LogBoundOptions(n_entries_retained_max=0))
+    assert bounds.n_retained([_entry(1, 100)], 1_000) == 0
