Count a lost message by the size of the first one in flight

Cause: the whole window counted, so that a copy whose first window was lost on a fast link waited 3 s. Each answer is progress, so only the first message has to arrive in time. Nodes do not use the window yet.

--- a/packages/cardamomshunt/src/cardamomshunt/_consensus/replication_window.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_consensus/replication_window.py
@@ -9,7 +9,7 @@
     """Sizes and times of a window.
 
     What is in flight counts as lost `loss_timeout_ms` after the last progress, plus the
-    time that it takes at `rate_min_bytes_per_ms`. The timeout doubles with each loss in
+    time of its first message at `rate_min_bytes_per_ms`. The timeout doubles with each loss in
     a row. An answer after `slow_answer_ms` halves the window.
     """
 
@@ -90,7 +90,7 @@
         options = self._options
         timeout_ms = options.loss_timeout_ms * 2.0**self._n_losses_in_row
         timeout_ms = min(timeout_ms, options.loss_timeout_max_ms)
-        transfer_ms = self._in_flight_bytes / options.rate_min_bytes_per_ms
+        transfer_ms = self._in_flight[0].size_bytes / options.rate_min_bytes_per_ms
         return self._progress_ms + timeout_ms + transfer_ms
 
     def expire(self, now_ms: float) -> bool:
