Close only the callers of the running event loop

Cause: the deployment of a test aborts callers that are still open, those of an earlier test, whose loop has closed, too; that raised "Event loop is closed" in its teardown.

--- a/tests/users_platform/standin.py
+++ b/tests/users_platform/standin.py
@@ -450,6 +450,7 @@
         self._reader = reader
         self._writer = writer
         self._ids = 0
+        self._loop = asyncio.get_running_loop()
         self._all_open.add(self)
 
     @classmethod
@@ -466,9 +467,11 @@
 
     @classmethod
     def close_all(cls) -> None:
-        """Abort the connections that are open, which needs the loop that opened them."""
+        """Abort the connections that the running event loop has opened."""
+        loop = asyncio.get_running_loop()
         for caller in list(cls._all_open):
-            caller.close()
+            if caller._loop is loop:
+                caller.close()
 
     async def execute(self, text: str, request: str = "") -> list[str]:
         """Run a statement; return the lines of its answer but READY."""
