Let a foreign report wait until its group is configured

Cause: reports were merged by name and start alone, whatever their group.

Change: reports of groups that the configuration does not name wait at the control nodes, and are used once a configuration names them.

Two groups that are both configured can still claim one name; then each has a server that refuses its connections.

--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_control_node.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_control_node.py
@@ -90,6 +90,7 @@
             self._log,
             self._peers,
             lambda: self._entries.assigned_entries(),
+            self._is_configured,
         )
         self._storage = LogStorage(Path(settings.data_folder) / "log")
         self._host = self._open_host()
@@ -271,9 +272,14 @@
         if not self._state.document:
             return
         self._table = self._platform.parse_configuration(self._state.document)
+        self._reports.on_configuration()
         self._log.write("configuration", version=self._state.version)
         self._steps.record(RecoveryStep.FIRST_CONFIGURATION)
 
+    def _is_configured(self, group: str) -> bool:
+        """Return whether a group is in use; before a configuration any may be."""
+        return not self._state.document or group in self._table.groups
+
     def _peers(self) -> list[str]:
         addresses = {member.peer_address for member in self._host.node.members}
         addresses |= set(self._settings.seed_peer_addresses)
