--- a/tests/users_platform/test_unusual_input.py
+++ b/tests/users_platform/test_unusual_input.py
@@ -137,3 +137,16 @@
     await deployment.until(
         lambda: all(item.of_group("archive") for item in registries), timeout_s=0.5
     )
+
+
+@pytest.mark.parametrize("data", ["label 0   ", " two", "a  b ", "\t\n ", "end\r "])
+@pytest.mark.parametrize("is_prepared", [False, True])
+async def test_data_keeps_its_blanks(deployment, data, is_prepared):
+    # Guards against a write that is confirmed and stored without its last blanks.
+    caller = await deployment.open_session()
+    text = f"WRITE k1 {data}"
+    if is_prepared:
+        await caller.execute("PREPARE s1 WRITE k1")
+        text = f"EXECUTE s1 {data}"
+    assert (await caller.execute(text, "w1"))[-1].startswith("COMPLETE")
+    assert deployment.group.runs[-1].text.endswith(f" {data}")
