Sync the data folder when the folder of the log is created

Cause: after a power loss a new folder, with all that it holds, may be gone, though its files were synced.

--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_log_storage.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_log_storage.py
@@ -159,7 +159,9 @@
         An empty folder gets `new_incarnation`, by which the other nodes recognise that
         earlier votes and acknowledgements of this node are lost.
         """
-        self._folder.mkdir(parents=True, exist_ok=True)
+        if not self._folder.exists():
+            self._folder.mkdir(parents=True)
+            _sync_folder(self._folder.parent)
         self._lock = os.open(self._folder / "lock", os.O_RDWR | os.O_CREAT, 0o600)
         try:
             fcntl.flock(self._lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
