--- a/tests/users_platform/test_unusual_input.py
+++ b/tests/users_platform/test_unusual_input.py
@@ -5,8 +5,9 @@
 
 import pytest
 from cardamomshunt.fleet import ServerState
+from cardamomshunt_node._disk_room import DiskRoom
 from cardamomshunt_node._http import HttpRequest, call_http
-from standin import KINDS, report
+from standin import KINDS, call_control, report
 
 # Data that a line of text may hold, as only CR LF ends a line.
 DATA_WITH_CONTROL_CHARACTERS = {
@@ -139,6 +140,20 @@
     )
 
 
+async def test_a_change_without_room_is_refused_at_once(deployment, make_document):
+    # Guards against a disk that is filled until no vote can be written any more.
+    for control in deployment.controls.values():
+        control._host._room = DiskRoom(deployment.folder, 1_000)
+    for address in deployment.control_addresses:
+        request = HttpRequest("POST", "/Configuration.Replace", make_document(2))
+        response = await call_control(address, request, 1_000.0)
+        assert response.status == 503
+        assert response.headers["retry-after"] == "2"
+        assert b"no room" in response.body
+    caller = await deployment.open_session()
+    assert (await caller.execute("WRITE k1 a", "w1"))[-1].startswith("COMPLETE")
+
+
 @pytest.mark.parametrize("data", ["label 0   ", " two", "a  b ", "\t\n ", "end\r "])
 @pytest.mark.parametrize("is_prepared", [False, True])
 async def test_data_keeps_its_blanks(deployment, data, is_prepared):
