--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_consensus_host.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_consensus_host.py
@@ -25,7 +25,6 @@
 
 from cardamomshunt_node._boot_clock import boot_ms
 from cardamomshunt_node._decision_log import DecisionLog
-from cardamomshunt_node._disk_room import DiskRoom
 from cardamomshunt_node._log_storage import LogStorage, OpenedStorage
 from cardamomshunt_node._storage_task import StorageDone, StorageFailed, StorageTask
 from cardamomshunt_node._stream_transport import StreamMessage, StreamTransport
@@ -40,8 +39,8 @@
     join_interval_ms=150.0,
     n_entries_per_message=16,
     admits_unknown_nodes=True,
-    forms_with_majority=True,
 )
+_N_ENTRIES_BETWEEN_SNAPSHOTS = 200
 _PEER_RESET_MS = 500.0
 
 
@@ -64,7 +63,6 @@
         install: Callable[[bytes], None],
         encode_state: Callable[[], bytes],
         operator_address: str,
-        room: DiskRoom,
         may_form: bool,
         n_disks_lost_max: int,
         predecessor_ended_ms: float | None,
@@ -85,11 +83,10 @@
         self._apply = apply
         self._install = install
         self._encode_state = encode_state
-        self._room = room
-        self.free_bytes: int | None = None
         self._storage = StorageTask(storage, self._on_storage)
         self._pending_commands: dict[int, tuple[int, asyncio.Future[bool]]] = {}
         self.applied_index = 0
+        self._snapshot_index = 0
         self._wake_up = asyncio.Event()
         self._was_leader = False
         self._last_heard_ms: dict[str, float] = {}
@@ -99,6 +96,7 @@
         if opened.restored.snapshot.index:
             self._install(opened.restored.snapshot.state)
             self.applied_index = opened.restored.snapshot.index
+            self._snapshot_index = self.applied_index
 
     def start(self) -> None:
         """Start the timers and the storage task."""
@@ -151,15 +149,6 @@
         finally:
             self._pending_commands.pop(index, None)
 
-    async def refusal(self, record_bytes: int) -> str:
-        """Return why a record cannot be stored now, or an empty text."""
-        if self.node.disk_full_reason:
-            return self.node.disk_full_reason
-        self.free_bytes = await asyncio.to_thread(self._room.free_bytes)
-        if self.free_bytes is None or self.node.has_room(self.free_bytes, record_bytes):
-            return ""
-        return f"{self.free_bytes} bytes are left on the disk"
-
     def transfer_leadership(self) -> None:
         """Transfer leadership to another node before a stop."""
         self.node.transfer_leadership(boot_ms())
@@ -221,9 +210,7 @@
         for effect in effects:
             match effect:
                 case SendMessage():
-                    self._transport.send(
-                        effect.address, effect.message, is_bulk=effect.is_bulk
-                    )
+                    self._transport.send(effect.address, effect.message)
                 case PersistEffect():
                     self._storage.put(effect)
                 case EmitEvent():
@@ -240,12 +227,13 @@
         for item in ready:
             if isinstance(item, Snapshot):
                 self._install(item.state)
-                self.applied_index = item.index
+                self.applied_index = self._snapshot_index = item.index
             else:
                 self._apply_entry(item)
         if ready:
             self.on_applied()
-        if self.node.is_snapshot_due(self.applied_index):
+        if self.applied_index >= self._snapshot_index + _N_ENTRIES_BETWEEN_SNAPSHOTS:
+            self._snapshot_index = self.applied_index
             self.node.compact(self._encode_state(), self.applied_index)
             self._run_effects(self.node.pop_effects())
         if self.node.is_leader != self._was_leader:
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_control_node.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_control_node.py
@@ -38,7 +38,6 @@
     ServerLeft,
     ServerReported,
 )
-from cardamomshunt_node._disk_room import DiskRoom
 from cardamomshunt_node._entry_service import EntryService
 from cardamomshunt_node._http import (
     HttpRequest,
@@ -59,7 +58,6 @@
 _LEADER_WAIT_MS = 600.0
 _STOP_TIMEOUT_MS = 1_500.0
 _LINGER_S = 0.15
-_NO_ROOM_RETRY_S = "2"
 _INCARNATION_BITS = 62
 
 
@@ -92,7 +90,6 @@
             self._log,
             self._peers,
             lambda: self._entries.assigned_entries(),
-            self._is_configured,
         )
         self._storage = LogStorage(Path(settings.data_folder) / "log")
         self._host = self._open_host()
@@ -155,7 +152,6 @@
             self._install_snapshot,
             lambda: self._state.encode(),
             settings.control_address,
-            DiskRoom(Path(settings.data_folder), settings.disk_size_bytes),
             settings.is_first_start,
             settings.n_disks_lost_max,
             self._predecessor_ended_ms,
@@ -275,14 +271,9 @@
         if not self._state.document:
             return
         self._table = self._platform.parse_configuration(self._state.document)
-        self._reports.on_configuration()
         self._log.write("configuration", version=self._state.version)
         self._steps.record(RecoveryStep.FIRST_CONFIGURATION)
 
-    def _is_configured(self, group: str) -> bool:
-        """Return whether a group is in use; before a configuration any may be."""
-        return not self._state.document or group in self._table.groups
-
     def _peers(self) -> list[str]:
         addresses = {member.peer_address for member in self._host.node.members}
         addresses |= set(self._settings.seed_peer_addresses)
@@ -373,11 +364,6 @@
                 newest=self._state.version,
             )
             return ControlReply(200, b"{}")
-        reason = await self._host.refusal(len(document))
-        if reason:
-            self._log.write("no_room", version=table.version, reason=reason)
-            body = msgspec.json.encode({"error": f"no room: {reason}"})
-            return ControlReply(503, body, headers={"Retry-After": _NO_ROOM_RETRY_S})
         try:
             command = PutDocument(version=table.version, document=document)
             await self._host.propose(encode_command(command), COMMIT_TIMEOUT_MS)
@@ -405,5 +391,3 @@
             self._state.version,
             len(self._entries.live_entries()),
         )
-        if self._host.free_bytes is not None:
-            self._metrics.set_free_bytes(self._host.free_bytes)
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_log_storage.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_log_storage.py
@@ -9,17 +9,10 @@
 from pathlib import Path
 
 import msgspec
-from cardamomshunt.consensus import (
-    Entry,
-    FormationRecord,
-    RestoredState,
-    Snapshot,
-    Vote,
-)
+from cardamomshunt.consensus import Entry, RestoredState, Snapshot, Vote
 from cardamomshunt.control_effects import (
     PersistEffect,
     PersistEntries,
-    PersistFormation,
     PersistSnapshot,
     PersistVote,
 )
@@ -159,9 +152,7 @@
         An empty folder gets `new_incarnation`, by which the other nodes recognise that
         earlier votes and acknowledgements of this node are lost.
         """
-        if not self._folder.exists():
-            self._folder.mkdir(parents=True)
-            _sync_folder(self._folder.parent)
+        self._folder.mkdir(parents=True, exist_ok=True)
         self._lock = os.open(self._folder / "lock", os.O_RDWR | os.O_CREAT, 0o600)
         try:
             fcntl.flock(self._lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
@@ -188,8 +179,7 @@
                 0,
                 f"term {vote.term} is older than term {last_term} of the log",
             )
-        formation = self._read_formation()
-        restored = RestoredState(incarnation, vote, snapshot, entries, formation)
+        restored = RestoredState(incarnation, vote, snapshot, entries)
         return OpenedStorage(restored, truncated_tail, is_blank, self._segments)
 
     def close(self) -> None:
@@ -202,8 +192,7 @@
     def _has_state(self) -> bool:
         names = {path.name for path in self._folder.iterdir()}
         return any(
-            name in ("identity", "vote", "snapshot", "formation")
-            or name.endswith(".segment")
+            name in ("identity", "vote", "snapshot") or name.endswith(".segment")
             for name in names
         )
 
@@ -221,12 +210,6 @@
         payload = _read_file(self._folder / "vote")
         return Vote() if payload is None else msgspec.msgpack.decode(payload, type=Vote)
 
-    def _read_formation(self) -> FormationRecord | None:
-        payload = _read_file(self._folder / "formation")
-        if payload is None:
-            return None
-        return msgspec.msgpack.decode(payload, type=FormationRecord)
-
     def _read_snapshot(self) -> Snapshot:
         payload = _read_file(self._folder / "snapshot")
         if payload is None:
@@ -338,9 +321,6 @@
     def _write_file(self, effect: PersistEffect) -> None:
         if isinstance(effect, PersistVote):
             _replace_file(self._folder / "vote", msgspec.msgpack.encode(effect.vote))
-        elif isinstance(effect, PersistFormation):
-            payload = msgspec.msgpack.encode(effect.record)
-            _replace_file(self._folder / "formation", payload)
         elif isinstance(effect, PersistSnapshot):
             self._write_snapshot(effect)
 
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_replacement.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_replacement.py
@@ -34,7 +34,6 @@
 _DEMOTE_TIMEOUT_MS = 6_000.0
 _PROMOTION_EFFECT_TIMEOUT_MS = 1_500.0
 _LEADERSHIP_POLL_S = 0.05
-_NO_ANSWER = 0
 
 
 class ReplacementContext(ABC):
@@ -223,7 +222,7 @@
             status=status,
             elapsed_ms=round(boot_ms() - self._started_ms),
         )
-        if await self._is_promoted(assignment.successor, status):
+        if status == 200 and await self._await_leadership(assignment.successor):
             return await self._finish(assignment)
         if status == 409:
             self._rejected_servers.add(assignment.successor)
@@ -234,12 +233,6 @@
         await asyncio.sleep(_RETRY_S)
         return False
 
-    async def _is_promoted(self, server: str, status: int) -> bool:
-        """Return whether the server leads, though the answer may have been late."""
-        if status == _NO_ANSWER:
-            return await self._is_leading(server)
-        return status == 200 and await self._await_leadership(server)
-
     async def _await_leadership(self, server: str) -> bool:
         """Return whether a promoted server becomes primary in time.
 
@@ -248,19 +241,18 @@
         """
         end_ms = boot_ms() + _PROMOTION_EFFECT_TIMEOUT_MS
         while boot_ms() < end_ms:
-            if await self._is_leading(server):
+            report = next(
+                (x for x in self._context.servers(self._group) if x.server == server),
+                None,
+            )
+            if report is None:
+                return False
+            status = await self._admin.status(report)
+            if status is not None and status.is_primary:
                 return True
             await asyncio.sleep(_LEADERSHIP_POLL_S)
         return False
 
-    async def _is_leading(self, server: str) -> bool:
-        """Return whether a server answers that it is primary."""
-        for report in self._context.servers(self._group):
-            if report.server == server:
-                status = await self._admin.status(report)
-                return status is not None and status.is_primary
-        return False
-
     async def _finish(self, assignment: Assignment) -> bool:
         await self._context.commit(
             FinishPromotion(
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_report_exchange.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_report_exchange.py
@@ -22,11 +22,7 @@
 
 
 class ReportExchange:
-    """Synchronize the registry of a control node with the others and the entry VMs.
-
-    Reports of groups that the configuration does not name wait until one does. They may
-    come from another writer, under the name of a server that has its own reports.
-    """
+    """Synchronize the registry of a control node with the others and the entry VMs."""
 
     def __init__(
         self,
@@ -34,11 +30,8 @@
         log: DecisionLog,
         peers: Callable[[], list[str]],
         entries: Callable[[], list[str]],
-        is_configured: Callable[[str], bool],
     ) -> None:
         self.registry = ServerRegistry()
-        self._is_configured = is_configured
-        self._unconfigured: dict[str, ServerRegistry] = {}
         self._transport = transport
         self._log = log
         self._peers = peers
@@ -65,7 +58,7 @@
 
     def on_reports(self, address: str, message: ReportsChanged) -> None:
         """Merge reports of another control node, and confirm them if requested."""
-        changed = [item for item in message.reports if self._merge(item)]
+        changed = [item for item in message.reports if self.registry.merge(item)]
         if changed:
             self._publish(changed)
         if message.receipt:
@@ -76,35 +69,10 @@
 
         A server's own report replaces a stored one, as its sequence is higher.
         """
-        changed = [item for item in reports if self._merge(item)]
-        if changed:
-            self._publish(changed)
-
-    def on_configuration(self) -> None:
-        """Use the reports of groups that are named now, and no others."""
-        for report in self.registry.all():
-            if not self._is_configured(report.group):
-                self.registry.remove(report.server)
-                self._keep_unconfigured(report)
-        changed = []
-        for group in [name for name in self._unconfigured if self._is_configured(name)]:
-            waiting = self._unconfigured.pop(group).all()
-            changed += [item for item in waiting if self.registry.merge(item)]
+        changed = [item for item in reports if self.registry.merge(item)]
         if changed:
             self._publish(changed)
 
-    def _merge(self, report: ServerReport) -> bool:
-        """Merge a report; return whether it changes what is known of a group in use."""
-        if self._is_configured(report.group):
-            return self.registry.merge(report)
-        self._keep_unconfigured(report)
-        return False
-
-    def _keep_unconfigured(self, report: ServerReport) -> bool:
-        """Keep a report until its group is named; return whether it is news."""
-        waiting = self._unconfigured.setdefault(report.group, ServerRegistry())
-        return waiting.merge(report)
-
     def _publish(self, changed: list[ServerReport]) -> None:
         for report in changed:
             self._log.write(
@@ -150,13 +118,6 @@
 
     async def accept_report(self, report: ServerReport) -> None:
         """Merge and replicate a server's report; return when it may be confirmed."""
-        if not self._is_configured(report.group):
-            if self._keep_unconfigured(report):
-                self._log.write(
-                    "report_of_unknown_group", server=report.server, group=report.group
-                )
-                await self._replicate([report], is_awaited=False)
-            return
         if self.registry.merge(report):
             self._publish([report])
             await self._replicate(
@@ -165,25 +126,18 @@
 
     async def deregister(self, server: str) -> None:
         """Record that a server is gone; return when that may be confirmed."""
-        for registry in [self.registry, *self._unconfigured.values()]:
-            report = registry.get(server)
-            if report is None or report.state is ServerState.GONE:
-                continue
-            gone = _gone_report(report)
-            registry.merge(gone)
-            if registry is self.registry:
-                self._publish([gone])
+        report = self.registry.get(server)
+        if report is not None and report.state is not ServerState.GONE:
+            gone = ServerReport(
+                server=report.server,
+                group=report.group,
+                address=report.address,
+                zone=report.zone,
+                state=ServerState.GONE,
+                role=InstanceRole.REPLICA,
+                started_ms=report.started_ms,
+                sequence=report.sequence + 1,
+            )
+            self.registry.merge(gone)
+            self._publish([gone])
             await self._replicate([gone], is_awaited=True)
-
-
-def _gone_report(report: ServerReport) -> ServerReport:
-    return ServerReport(
-        server=report.server,
-        group=report.group,
-        address=report.address,
-        zone=report.zone,
-        state=ServerState.GONE,
-        role=InstanceRole.REPLICA,
-        started_ms=report.started_ms,
-        sequence=report.sequence + 1,
-    )
--- a/packages/cardamomshunt/src/cardamomshunt/_consensus/formation_messages.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_consensus/formation_messages.py
@@ -20,17 +20,13 @@
     members: list[Member] = []
 
 
-class FormationMessage(ConsensusMessage, kw_only=True):
-    """Base class of the messages of the agreement; `term` has no meaning in them."""
-
-
-class FormationPrepare(FormationMessage, kw_only=True):
+class FormationPrepare(ConsensusMessage, kw_only=True):
     """Ask for the promise to accept no proposal below `ballot`."""
 
     ballot: Ballot
 
 
-class FormationPromise(FormationMessage, kw_only=True):
+class FormationPromise(ConsensusMessage, kw_only=True):
     """Reply to FormationPrepare, sent once the promise is durable.
 
     `promised` is the highest ballot that was promised; the promise is refused if it is
@@ -43,14 +39,14 @@
     members: list[Member] = []
 
 
-class FormationAccept(FormationMessage, kw_only=True):
+class FormationAccept(ConsensusMessage, kw_only=True):
     """Ask to accept these first members."""
 
     ballot: Ballot
     members: list[Member]
 
 
-class FormationAccepted(FormationMessage, kw_only=True):
+class FormationAccepted(ConsensusMessage, kw_only=True):
     """Reply to FormationAccept, sent once the acceptance is durable.
 
     The proposal is refused if `promised` is above `ballot`.
--- a/packages/cardamomshunt/src/cardamomshunt/_consensus/node.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_consensus/node.py
@@ -5,18 +5,13 @@
 import msgspec
 
 from cardamomshunt._consensus.followers import (
+    NEVER_MS,
     Followers,
     Progress,
     majority,
 )
-from cardamomshunt._consensus.formation import GroupFormation
-from cardamomshunt._consensus.formation_messages import (
-    FormationMessage,
-    FormationRecord,
-)
 from cardamomshunt._consensus.joining import GroupJoiner
 from cardamomshunt._consensus.log import ReplicatedLog
-from cardamomshunt._consensus.log_bounds import LogBounds
 from cardamomshunt._consensus.member_changes import (
     is_single_change,
     with_learner,
@@ -56,7 +51,6 @@
     RestoredState,
 )
 from cardamomshunt._consensus.outbox import Outbox
-from cardamomshunt._consensus.replication import Lead, Replication
 from cardamomshunt._consensus.snapshot_transfer import SnapshotSink, SnapshotSource
 from cardamomshunt._control.effects import ControlEffect
 from cardamomshunt._shared.events import EventNumber
@@ -109,8 +103,6 @@
         self._joiner = GroupJoiner(
             node, self.incarnation, initial_members, now_ms, may_form=may_form
         )
-        self._formation: GroupFormation | None = None
-        self._start_formation(initial_members, restored, now_ms, may_form=may_form)
         self._votes: set[str] = set()
         self._followers = Followers(node)
         self._leader_since_ms = 0.0
@@ -119,15 +111,6 @@
         self._transfer_until_ms = 0.0
         self._snapshot_sink = SnapshotSink()
         self._snapshot_source = SnapshotSource()
-        self._log_bounds = LogBounds(self.options.log_bounds)
-        self._replication = Replication(
-            self.incarnation,
-            self.log,
-            self._followers,
-            self._snapshot_source,
-            self._outbox,
-            self.options,
-        )
 
     # State
 
@@ -250,15 +233,10 @@
         return self._outbox.pop_effects()
 
     def on_storage_full(self, now_ms: float, reason: str) -> list[ControlEffect]:
-        """Stop campaigning and accepting proposals until the pending writes are durable.
-
-        A leader goes on, as heartbeats need no write and the others commit what is
-        pending, until it can hand over to a voter that has room.
-        """
+        """Stop campaigning and leading until the pending writes are durable."""
         if not self.failure and not self.disk_full_reason:
             self.disk_full_reason = reason
-            if not self.is_leader:
-                self._become_follower(now_ms, self.term, None)
+            self._become_follower(now_ms, self.term, None)
             self._emit(EventNumber.DISK_FULL, self.node, reason)
         return self._outbox.pop_effects()
 
@@ -266,8 +244,6 @@
         """Append a command; return its index, or None if proposals are refused."""
         if not self.is_leader or self._transfer_to is not None:
             return None
-        if self.disk_full_reason:
-            return None
         return self._append_entry(now_ms, EntryKind.COMMAND, payload)
 
     def propose_members(self, now_ms: float, members: list[Member]) -> bool:
@@ -283,7 +259,6 @@
         return (
             self.is_leader
             and self._transfer_to is None
-            and not self.disk_full_reason
             and self.commit_index >= self.first_index_of_term
             and self.commit_index >= self.log.members_index
         )
@@ -292,11 +267,7 @@
         """Transfer leadership to the most advanced other voter, if there is one."""
         if not self.is_leader:
             return False
-        others = [
-            member
-            for member in self._other_voters()
-            if not self._followers.of(member.node).is_disk_full
-        ]
+        others = [member for member in self.voters if member.node != self.node]
         if not others:
             return False
         best = max(others, key=lambda member: self.match_index(member.node))
@@ -305,20 +276,6 @@
         self._continue_transfer(now_ms)
         return True
 
-    def has_room(self, free_bytes: int, record_bytes: int) -> bool:
-        """Return whether a record leaves the reserve that recovery needs."""
-        snapshot_bytes = len(self.log.snapshot.state)
-        reserve_bytes = self._log_bounds.reserve_bytes(snapshot_bytes, record_bytes)
-        return free_bytes - record_bytes >= reserve_bytes
-
-    def is_snapshot_due(self, index: int) -> bool:
-        """Return whether to replace the log up to an applied index by a snapshot."""
-        return index > self.log.snapshot.index and self._log_bounds.is_snapshot_due(
-            index - self.log.snapshot.index,
-            self.log.bytes_after_snapshot,
-            len(self.log.snapshot.state),
-        )
-
     def compact(self, state: bytes, index: int) -> None:
         """Replace the log up to an applied index by a snapshot of the state."""
         term = self.log.term_at(index)
@@ -326,8 +283,7 @@
             return
         members = self.log.members_at(index)
         snapshot = Snapshot(index=index, term=term, members=members, state=state)
-        covered = self.log.entries_up_to(index)
-        self.log.compact(snapshot, self._log_bounds.n_retained(covered, len(state)))
+        self.log.compact(snapshot, self.options.n_entries_kept)
         self._persist_snapshot(snapshot, is_reset=False)
 
     def pop_ready(self) -> list[Entry | Snapshot]:
@@ -372,85 +328,7 @@
 
     # Joining
 
-    def _start_formation(
-        self,
-        seeds: list[Member],
-        restored: RestoredState,
-        now_ms: float,
-        *,
-        may_form: bool,
-    ) -> None:
-        """Take part in the formation of the first group if this node is a seed.
-
-        A disk takes part if it did before, or if it is that of the first start. Which
-        of them it is must be on disk, as a later start may not be told.
-        """
-        is_seed = any(seed.node == self.node for seed in seeds)
-        has_log = self.log.last_index > 0 or bool(self.members)
-        if has_log or not is_seed or not (may_form or restored.formation):
-            return
-        n_required = len(seeds)
-        if self.options.forms_with_majority:
-            n_required = majority(len(seeds))
-        self._formation = GroupFormation(
-            self.node,
-            self.incarnation,
-            seeds,
-            restored.formation or FormationRecord(),
-            self._random,
-            now_ms,
-            n_required,
-        )
-        if restored.formation is None:
-            self._outbox.persist_formation(self._formation.record)
-
-    def _run_formation(self, now_ms: float) -> None:
-        if self._formation is not None and not self.is_formed:
-            message = self._formation.tick(now_ms)
-            if message is not None:
-                self._propose_members_to_seeds(message)
-
-    def _propose_members_to_seeds(self, message: FormationMessage) -> None:
-        for address in self._joiner.seed_addresses:
-            self._send(address, message)
-
-    def _on_formation_message(
-        self, now_ms: float, sender: Peer, message: FormationMessage
-    ) -> None:
-        if self.is_formed or self.log.last_index > 0:
-            self._send_durable(sender.address, self._join_reply())
-            return
-        formation = self._formation
-        if formation is None:
-            return
-        record = formation.record
-        step = formation.on_message(now_ms, sender.node, message)
-        if formation.record != record:
-            self._outbox.persist_formation(formation.record)
-        if step.reply is not None:
-            self._send_durable(sender.address, step.reply)
-        if step.proposal is not None:
-            self._propose_members_to_seeds(step.proposal)
-        if step.members is not None:
-            self._on_agreed(step.members)
-
-    def _on_agreed(self, members: list[Member]) -> None:
-        """Start with the agreed members, and let the others know them."""
-        own = self._joiner.start_with(members)
-        if own is not None:
-            self._form(own)
-        reply = JoinReply(
-            term=self.term,
-            incarnation=self.incarnation,
-            is_formed=True,
-            members=members,
-        )
-        for member in members:
-            if member.node != self.node:
-                self._send_durable(member.peer_address, reply)
-
     def _tick_joining(self, now_ms: float) -> None:
-        self._run_formation(now_ms)
         if not self._joiner.advance_if_due(now_ms, self.options.join_interval_ms):
             return
         if self._joiner.may_form_single_node_group:
@@ -483,7 +361,16 @@
         self._send_hello()
 
     def _on_join_hello(self, now_ms: float, sender: Peer, message: JoinHello) -> None:
-        self._send_durable(sender.address, self._join_reply())
+        has_log = self.log.last_index > 0
+        self._send_durable(
+            sender.address,
+            JoinReply(
+                term=self.term,
+                incarnation=self.incarnation,
+                is_formed=self.is_formed or has_log,
+                members=self.members,
+            ),
+        )
         member = self.member(message.node)
         if member is not None and member.incarnation == message.incarnation:
             return
@@ -495,24 +382,13 @@
                 EventNumber.MEMBER_CATCHING_UP, message.node, str(message.incarnation)
             )
 
-    def _join_reply(self) -> JoinReply:
-        return JoinReply(
-            term=self.term,
-            incarnation=self.incarnation,
-            is_formed=self.is_formed or self.log.last_index > 0,
-            members=self.members,
-        )
-
-    def _on_join_reply(self, now_ms: float, sender: Peer, message: JoinReply) -> None:
+    def _on_join_reply(self, sender: Peer, message: JoinReply) -> None:
         if self.is_formed:
             return
         has_log = self.log.last_index > 0
-        members = self._joiner.on_reply(message, has_log=has_log)
+        members = self._joiner.on_reply(sender, message, has_log=has_log)
         if members is not None:
             self._form(members)
-        elif self._formation is not None and not message.is_formed:
-            self._formation.on_empty_seed(sender.node)
-            self._run_formation(now_ms)
 
     def _form(self, members: list[Member]) -> None:
         snapshot = Snapshot(members=members)
@@ -537,23 +413,17 @@
 
     def _state_of(self, now_ms: float, member: Member) -> MemberState:
         progress = self._followers.of(member.node)
+        n_entries_behind = self.log.last_index - progress.match_index
         is_known = member.incarnation != 0
         return MemberState(
             node=member.node,
             is_voter=member.is_voter,
             has_answered=progress.has_answered,
             is_unresponsive=self._is_unresponsive(now_ms, member, progress),
-            is_caught_up=is_known and self._is_caught_up(progress),
+            is_caught_up=is_known
+            and n_entries_behind <= self.options.n_entries_behind_max,
         )
 
-    def _is_caught_up(self, progress: Progress) -> bool:
-        """Return whether a follower lacks little of the log."""
-        n_behind = self.log.last_index - progress.match_index
-        if n_behind > self.options.n_entries_behind_max:
-            return False
-        bytes_behind = self.log.bytes_from(progress.match_index + 1)
-        return n_behind <= 1 or bytes_behind <= self.options.bytes_behind_max
-
     def _is_unresponsive(
         self, now_ms: float, member: Member, progress: Progress
     ) -> bool:
@@ -805,12 +675,11 @@
         if kind is EntryKind.MEMBERS:
             self._followers.update(now_ms, self.members, self.log.last_index)
         for member in self._other_members():
-            self._replication.send_pending(self._lead(now_ms), member)
+            progress = self._followers.of(member.node)
+            if progress.may_send(now_ms):
+                self._send_append(now_ms, member, progress)
         return entry.index
 
-    def _lead(self, now_ms: float) -> Lead:
-        return Lead(now_ms, self.term, self.commit_index)
-
     def _other_members(self) -> list[Member]:
         return [member for member in self.members if member.node != self.node]
 
@@ -826,22 +695,11 @@
             self._continue_transfer(now_ms)
             if not self.is_leader:
                 return
-        if self.disk_full_reason and self._has_caught_up_voter():
-            self.transfer_leadership(now_ms)
-            if not self.is_leader:
-                return
         self._maintain_members(now_ms)
         for member in self._other_members():
-            self._replication.run_due(self._lead(now_ms), member)
-
-    def _has_caught_up_voter(self) -> bool:
-        """Return whether a voter that has room for its vote has the whole log."""
-        for member in self._other_voters():
             progress = self._followers.of(member.node)
-            is_complete = progress.match_index == self.log.last_index
-            if is_complete and not progress.is_disk_full:
-                return True
-        return False
+            if now_ms >= progress.heartbeat_due_ms:
+                self._send_append(now_ms, member, progress)
 
     def _continue_transfer(self, now_ms: float) -> None:
         target = self.member(self._transfer_to or "")
@@ -857,11 +715,55 @@
         )
         self._become_follower(now_ms, self.term, None)
 
-    def _follower_of(self, sender: Peer, message: ConsensusMessage) -> Member | None:
-        """Return the member that sent a reply, if the reply counts in this term."""
+    def _send_append(self, now_ms: float, member: Member, progress: Progress) -> None:
+        progress.heartbeat_due_ms = now_ms + self.options.heartbeat_ms
+        prev_index = progress.next_index - 1
+        prev_term = self.log.term_at(prev_index)
+        if prev_term is None or prev_index < self.log.base_index:
+            self._send_chunk(now_ms, member, progress)
+            return
+        entries = self.log.entries_from(
+            progress.next_index, self.options.n_entries_per_message
+        )
+        if entries:
+            progress.in_flight_until_ms = now_ms + self.options.heartbeat_ms
+        message = AppendEntries(
+            term=self.term,
+            incarnation=self.incarnation,
+            prev_index=prev_index,
+            prev_term=prev_term,
+            commit_index=self.commit_index,
+            sent_ms=now_ms,
+            entries=entries,
+        )
+        self._send(member.peer_address, message)
+
+    def _send_chunk(self, now_ms: float, member: Member, progress: Progress) -> None:
+        snapshot = self.log.snapshot
+        data = self._snapshot_source.encode(snapshot)
+        offset = min(progress.snapshot_offset, len(data))
+        chunk = SnapshotChunk(
+            term=self.term,
+            incarnation=self.incarnation,
+            snapshot_index=snapshot.index,
+            snapshot_term=snapshot.term,
+            offset=offset,
+            size_bytes=len(data),
+            data=data[offset : offset + self.options.chunk_size_bytes],
+            sent_ms=now_ms,
+        )
+        progress.in_flight_until_ms = now_ms + self.options.heartbeat_ms
+        self._send(member.peer_address, chunk)
+
+    def _progress_of(
+        self, sender: Peer, message: ConsensusMessage
+    ) -> tuple[Member, Progress] | None:
+        """Return the member and its progress if its reply counts in this term."""
         if not self.is_leader or message.term != self.term:
             return None
-        return self.member(sender.node, message.incarnation)
+        member = self.member(sender.node, message.incarnation)
+        progress = self._followers.get(sender.node)
+        return (member, progress) if member and progress else None
 
     def _on_append_reply(
         self, now_ms: float, sender: Peer, message: AppendReply
@@ -869,43 +771,57 @@
         if message.term > self.term:
             self._become_follower(now_ms, message.term, None)
             return
-        member = self._follower_of(sender, message)
-        if member is None:
-            return
-        lead = self._lead(now_ms)
-        has_advanced = self._replication.on_append_reply(lead, member, message)
-        if has_advanced and not self._advance_commit(now_ms):
-            self._notify_commit(now_ms, member)
+        found = self._progress_of(sender, message)
+        if found is None:
+            return
+        member, progress = found
+        progress.last_acked_sent_ms = max(progress.last_acked_sent_ms, message.sent_ms)
+        if message.is_success:
+            has_advanced = message.match_index > progress.match_index
+            progress.match_index = max(progress.match_index, message.match_index)
+            progress.next_index = max(progress.next_index, progress.match_index + 1)
+            if has_advanced:
+                progress.in_flight_until_ms = NEVER_MS
+                self._advance_commit(now_ms)
+        elif message.prev_index == progress.next_index - 1:
+            progress.next_index = max(
+                progress.match_index + 1,
+                min(message.match_index + 1, message.prev_index),
+            )
+            progress.in_flight_until_ms = NEVER_MS
         if not self.is_leader:
             return
-        self._replication.send_pending(self._lead(now_ms), member)
+        has_more = progress.next_index <= self.log.last_index
+        if has_more and progress.may_send(now_ms):
+            self._send_append(now_ms, member, progress)
         if self._transfer_to is not None:
             self._continue_transfer(now_ms)
 
     def _on_snapshot_reply(
         self, now_ms: float, sender: Peer, message: SnapshotReply
     ) -> None:
-        member = self._follower_of(sender, message)
-        if member is not None:
-            lead = self._lead(now_ms)
-            self._replication.on_snapshot_reply(lead, member, message)
+        found = self._progress_of(sender, message)
+        if found is None:
+            return
+        member, progress = found
+        progress.last_acked_sent_ms = max(progress.last_acked_sent_ms, message.sent_ms)
+        if message.snapshot_index != self.log.snapshot.index:
+            progress.snapshot_offset = 0
+            return
+        has_moved = message.next_offset != progress.snapshot_offset
+        progress.snapshot_offset = message.next_offset
+        if has_moved and progress.next_index <= self.log.base_index:
+            self._send_chunk(now_ms, member, progress)
 
-    def _advance_commit(self, now_ms: float) -> bool:
-        """Commit what a majority has; return whether there was more of it."""
+    def _advance_commit(self, now_ms: float) -> None:
         replicated_index = self._followers.majority_match_index(
             self.voters, self._outbox.durable_index
         )
         index = min(replicated_index, self.log.last_index)
         if index <= self.commit_index or not self._may_commit(index):
-            return False
+            return
         self.commit_index = index
         self._after_commit(now_ms)
-        return True
-
-    def _notify_commit(self, now_ms: float, member: Member) -> None:
-        """Send the commit index to a follower that has the entry it names."""
-        if self._followers.match_index(member.node) >= self.commit_index:
-            self._replication.send_heartbeat(self._lead(now_ms), member)
 
     def _may_commit(self, index: int) -> bool:
         """Return whether an entry is of the current term.
@@ -917,7 +833,9 @@
     def _after_commit(self, now_ms: float) -> None:
         """Notify followers at once, and step down if this node was removed."""
         for member in self._other_members():
-            self._notify_commit(now_ms, member)
+            progress = self._followers.of(member.node)
+            if progress.may_send(now_ms):
+                self._send_append(now_ms, member, progress)
         is_change_committed = self.commit_index >= self.log.members_index
         if is_change_committed and self.member(self.node) is None:
             self._become_follower(now_ms, self.term, None)
@@ -1001,14 +919,8 @@
             prev_index=prev_index,
             match_index=match_index,
             sent_ms=message.sent_ms,
-            is_disk_full=bool(self.disk_full_reason),
         )
-        promised_index = match_index if is_success else 0
-        if self._outbox.is_durable_up_to(promised_index):
-            # Heartbeats are answered also while the disk hangs or is full.
-            self._send(sender.address, reply)
-        else:
-            self._send_durable(sender.address, reply)
+        self._send_durable(sender.address, reply)
 
     def _on_snapshot_chunk(
         self, now_ms: float, sender: Peer, message: SnapshotChunk
@@ -1069,6 +981,4 @@
             case JoinHello():
                 self._on_join_hello(now_ms, sender, message)
             case JoinReply():
-                self._on_join_reply(now_ms, sender, message)
-            case FormationMessage():
-                self._on_formation_message(now_ms, sender, message)
+                self._on_join_reply(sender, message)
--- a/packages/cardamomshunt/src/cardamomshunt/_consensus/options.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_consensus/options.py
@@ -3,8 +3,6 @@
 import enum
 from dataclasses import dataclass, field
 
-from cardamomshunt._consensus.formation_messages import FormationRecord
-from cardamomshunt._consensus.log_bounds import LogBoundOptions
 from cardamomshunt._consensus.messages import Entry, Snapshot, Vote
 
 
@@ -36,17 +34,13 @@
     clock_drift_max: float = 0.05
     n_entries_per_message: int = 64
     chunk_size_bytes: int = 65_536
-    log_bounds: LogBoundOptions = field(default_factory=LogBoundOptions)
+    n_entries_kept: int = 500
     n_entries_behind_max: int = 10
-    bytes_behind_max: int = 262_144
     # Lets nodes that are not members join by themselves. Only `n_voters` of the members
     # vote: an odd number, so that one side of a partitioned group has a majority. The
     # others are learners that replace a voter unresponsive for `retire_after_ms`, or for
     # `first_answer_ms` if it has never answered the present leader.
     admits_unknown_nodes: bool = False
-    # A majority of the seeds forms the first group. For deployments whose nodes know
-    # whether their disk is that of the first start; elsewhere it takes all seeds.
-    forms_with_majority: bool = False
     n_voters: int = 3
     retire_after_ms: float = 2_500.0
     first_answer_ms: float = 1_300.0
@@ -60,5 +54,3 @@
     vote: Vote = field(default_factory=Vote)
     snapshot: Snapshot = field(default_factory=Snapshot)
     entries: list[Entry] = field(default_factory=list)
-    # None on a disk that has not taken part in the formation of a group.
-    formation: FormationRecord | None = None
--- a/packages/cardamomshunt/src/cardamomshunt/_consensus/outbox.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_consensus/outbox.py
@@ -2,7 +2,6 @@
 
 from collections import deque
 
-from cardamomshunt._consensus.formation_messages import FormationRecord
 from cardamomshunt._consensus.messages import (
     ConsensusMessage,
     Entry,
@@ -13,7 +12,6 @@
     ControlEffect,
     EmitEvent,
     PersistEntries,
-    PersistFormation,
     PersistSnapshot,
     PersistVote,
     SendMessage,
@@ -32,7 +30,6 @@
         self._effects: list[ControlEffect] = []
         self._sequence = 0
         self._durable_sequence = 0
-        self._vote_sequence = 0
         self._persisting: deque[list[int]] = deque()
         self._deferred: deque[tuple[int, SendMessage]] = deque()
 
@@ -41,11 +38,6 @@
         """Return whether all writes issued so far are durable."""
         return self._durable_sequence >= self._sequence
 
-    def is_durable_up_to(self, index: int) -> bool:
-        """Return whether the term, the vote and the log up to an index are durable."""
-        is_vote_durable = self._durable_sequence >= self._vote_sequence
-        return is_vote_durable and index <= self.durable_index
-
     def pop_effects(self) -> list[ControlEffect]:
         """Return and remove the effects collected since the last call."""
         effects, self._effects = self._effects, []
@@ -57,13 +49,9 @@
             EmitEvent(number=number.value, subject=subject, detail=detail)
         )
 
-    def send(
-        self, address: str, message: ConsensusMessage, *, is_bulk: bool = False
-    ) -> None:
-        """Send a message at once; a bulk one does not delay others."""
-        self._effects.append(
-            SendMessage(address=address, message=message, is_bulk=is_bulk)
-        )
+    def send(self, address: str, message: ConsensusMessage) -> None:
+        """Send a message at once."""
+        self._effects.append(SendMessage(address=address, message=message))
 
     def send_durable(self, address: str, message: ConsensusMessage) -> None:
         """Send a message once all writes issued so far are durable."""
@@ -79,13 +67,7 @@
 
     def persist_vote(self, vote: Vote) -> None:
         """Persist the term and the vote."""
-        self._vote_sequence = self._next_sequence()
-        self._effects.append(PersistVote(sequence=self._vote_sequence, vote=vote))
-
-    def persist_formation(self, record: FormationRecord) -> None:
-        """Persist what was promised and accepted in the formation of a group."""
-        sequence = self._next_sequence()
-        self._effects.append(PersistFormation(sequence=sequence, record=record))
+        self._effects.append(PersistVote(sequence=self._next_sequence(), vote=vote))
 
     def persist_entries(self, entries: list[Entry], last_index: int) -> None:
         """Persist entries of a log that now ends at `last_index`."""
--- a/packages/cardamomshunt/src/cardamomshunt/_control/effects.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_control/effects.py
@@ -4,7 +4,6 @@
 
 import msgspec
 
-from cardamomshunt._consensus.formation_messages import FormationRecord
 from cardamomshunt._consensus.messages import Entry, Vote
 from cardamomshunt._shared.messages import InstanceAddress, Message
 from cardamomshunt._shared.position import ZERO, LogPosition
@@ -15,14 +14,10 @@
 
 
 class SendMessage(ControlEffect, kw_only=True):
-    """Send a message to a listener address, without a guarantee of delivery.
-
-    A bulk message may be large, and must not delay others to the same address.
-    """
+    """Send a message to a listener address, without a guarantee of delivery."""
 
     address: str
     message: Message
-    is_bulk: bool = False
 
 
 class PersistEffect(ControlEffect, kw_only=True):
@@ -41,12 +36,6 @@
     vote: Vote
 
 
-class PersistFormation(PersistEffect, kw_only=True):
-    """Write the record of the formation of a group durably."""
-
-    record: FormationRecord
-
-
 class PersistEntries(PersistEffect, kw_only=True):
     """Write entries durably, replacing all entries from the first one's index on."""
 
--- a/packages/cardamomshunt/src/cardamomshunt/_fleet/route_table.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_fleet/route_table.py
@@ -28,8 +28,7 @@
 class Route:
     """Route of the sessions of one database to a group of backend servers.
 
-    Sessions of a route that is not public need the key of a team. They name no path, so
-    that of several routes of a database the one with the shortest prefix serves them.
+    Sessions of a route that is not public need the key of a team.
     """
 
     name: str
@@ -41,7 +40,6 @@
     priority: int = 0
     max_age_ms: float = 0.0
     is_public: bool = True
-    path_prefix: str = "/"
 
 
 @dataclass(slots=True, frozen=True)
@@ -92,36 +90,23 @@
 ) -> RouteTable:
     """Build a validated table; raise ConfigurationInvalidError at the first error."""
     by_group = {group.name: group for group in groups}
-    by_path: dict[tuple[str, str], Route] = {}
+    by_database: dict[str, Route] = {}
     for route in routes:
         if route.group not in by_group:
             raise ConfigurationInvalidError(
                 f"route {route.name}: unknown group {route.group!r}"
             )
-        path = (route.database, route.path_prefix)
-        if path in by_path:
+        if route.database in by_database:
             raise ConfigurationInvalidError(
-                f"route {route.name}: database {route.database!r} has another route "
-                f"with the prefix {route.path_prefix!r}"
+                f"route {route.name}: database {route.database!r} has another route"
             )
         if not route.statement_timeout_ms > 0:
             raise ConfigurationInvalidError(
                 f"route {route.name}: the statement timeout must be above 0"
             )
-        by_path[path] = route
+        by_database[route.database] = route
     try:
         team_table = build_team_table(teams)
     except TeamInvalidError as error:
         raise ConfigurationInvalidError(str(error)) from error
-    by_database = _routes_of_sessions(by_path.values())
     return RouteTable(version, by_database, by_group, transaction_idle_ms, team_table)
-
-
-def _routes_of_sessions(routes: Iterable[Route]) -> dict[str, Route]:
-    """Return the route with the shortest prefix of each database."""
-    found: dict[str, Route] = {}
-    for route in routes:
-        known = found.get(route.database)
-        if known is None or len(route.path_prefix) < len(known.path_prefix):
-            found[route.database] = route
-    return found
--- a/packages/cardamomshunt/src/cardamomshunt/_fleet/server_registry.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_fleet/server_registry.py
@@ -82,11 +82,6 @@
             self._digest = None
         return has_changed
 
-    def remove(self, server: str) -> None:
-        """Forget the report of a server."""
-        if self._reports.pop(server, None) is not None:
-            self._digest = None
-
     def get(self, server: str) -> ServerReport | None:
         """Return the newest report of a server, or None."""
         return self._reports.get(server)
--- a/packages/cardamomshunt/src/cardamomshunt/consensus.py
+++ b/packages/cardamomshunt/src/cardamomshunt/consensus.py
@@ -1,6 +1,5 @@
 """Replicated log of the control nodes."""
 
-from cardamomshunt._consensus.formation_messages import FormationRecord
 from cardamomshunt._consensus.messages import (
     AppendEntries,
     AppendReply,
@@ -37,7 +36,6 @@
     "ConsensusRole",
     "Entry",
     "EntryKind",
-    "FormationRecord",
     "JoinHello",
     "JoinReply",
     "Member",
