--- a/packages/cardamomshunt-testing/src/cardamomshunt_testing/_core_group.py
+++ b/packages/cardamomshunt-testing/src/cardamomshunt_testing/_core_group.py
@@ -24,7 +24,6 @@
 _CALL_TIMEOUT_S = 3.0
 _RETRY_PAUSE_S = 0.02
 _N_LOG_LINES = 5
-_NO_LIMIT = -1
 
 
 class _Node:
@@ -79,12 +78,17 @@
         """Remove all files of the stopped process."""
         shutil.rmtree(self.data_folder)
 
-    def limit_file_size(self, size_bytes: int) -> None:
-        """Refuse writes beyond a size, as a full disk does; -1 lifts the limit."""
+    def fill_disk(self) -> None:
+        """Let all writes to files fail, as on a full disk."""
         assert self._process is not None
         _, hard = resource.prlimit(self._process.pid, resource.RLIMIT_FSIZE)
-        soft = hard if size_bytes == _NO_LIMIT else size_bytes
-        resource.prlimit(self._process.pid, resource.RLIMIT_FSIZE, (soft, hard))
+        resource.prlimit(self._process.pid, resource.RLIMIT_FSIZE, (0, hard))
+
+    def free_disk(self) -> None:
+        """Let writes to files succeed again."""
+        assert self._process is not None
+        _, hard = resource.prlimit(self._process.pid, resource.RLIMIT_FSIZE)
+        resource.prlimit(self._process.pid, resource.RLIMIT_FSIZE, (hard, hard))
 
     def stored_bytes(self) -> int:
         """Return the size of all files in the data folder."""
--- a/packages/cardamomshunt-testing/src/cardamomshunt_testing/core_recovery.py
+++ b/packages/cardamomshunt-testing/src/cardamomshunt_testing/core_recovery.py
@@ -19,8 +19,6 @@
 _START_LIMIT_S = 30.0
 _RECOVERY_LIMIT_S = 60.0
 _FULL_DISK_S = 2.0
-_FULL_DISK_SIZE_BYTES = 0
-_NO_LIMIT = -1
 
 
 class CoreFigures(msgspec.Struct, kw_only=True):
@@ -67,10 +65,10 @@
 async def _fill_disks(group: CoreGroup, size_bytes: int) -> float | None:
     """Fill all disks for a while; return the seconds until a change is acknowledged."""
     for node in group.nodes:
-        node.limit_file_size(_FULL_DISK_SIZE_BYTES)
+        node.fill_disk()
     await group.change(size_bytes, _FULL_DISK_S)
     for node in group.nodes:
-        node.limit_file_size(_NO_LIMIT)
+        node.free_disk()
     return await group.change(size_bytes, _RECOVERY_LIMIT_S)
 
 
