--- /dev/null
+++ b/tests/users_platform/test_statement_text.py
@@ -0,0 +1,86 @@
+"""Tests that servers run the very text that callers sent, on every path of it."""
+
+import pytest
+
+# What may follow the name of a prepared statement: a last field extends to the end of
+# the line, so that blanks and separators belong to it.
+TAILS = {
+    "item": " k1",
+    "data": " k1 two stools",
+    "blank_after_data": " k1 pkhktfnqzixv ",
+    "blanks_after_data": " k1 two stools   ",
+    "blank_before_data": " k1  two stools",
+    "blanks_within_data": " k1 two   stools",
+    "only_blanks_as_data": " k1   ",
+    "blank_after_item": " k1 ",
+    "blank_before_item": "  k1 two",
+    "nothing": "",
+    "only_a_blank": " ",
+    "only_blanks": "   ",
+    "tab_at_the_end": " k1 two\t",
+    "line_feed_at_the_end": " k1 two\n",
+    "carriage_return_and_blank_at_the_end": " k1 two\r ",
+    "other_separators": " k1 \x0b\x0c\x1c\x85\u2028\u00a0",
+}
+
+
+async def _run(caller, deployment, text):
+    """Run a statement; return the last line of its answer, and what servers ran."""
+    runs_before = len(deployment.group.runs)
+    lines = await caller.execute(text, "w1")
+    return lines[-1], deployment.group.runs[runs_before:]
+
+
+@pytest.mark.parametrize("tail", TAILS.values(), ids=TAILS.keys())
+async def test_a_prepared_statement_keeps_all_that_follows_its_name(deployment, tail):
+    # Guards against a write that a server runs with other data than its caller sent.
+    caller = await deployment.open_session()
+    await caller.execute("PREPARE s1 WRITE q2c")
+    for opening in (None, "BEGIN"):
+        if opening is not None:
+            await caller.execute(opening)
+        answer, [run] = await _run(caller, deployment, f"EXECUTE s1{tail}")
+        assert answer == "COMPLETE proof-i-3-w1"
+        word, name, *_ = run.text.split(" ")
+        assert (run.request, word) == ("w1", "EXECUTE")
+        assert run.text == f"EXECUTE {name}{tail}"
+
+
+@pytest.mark.parametrize("tail", TAILS.values(), ids=TAILS.keys())
+async def test_a_plain_statement_keeps_all_that_follows_its_word(deployment, tail):
+    # Guards against a statement that a server runs with other text than was sent.
+    caller = await deployment.open_session()
+    for opening in (None, "BEGIN"):
+        if opening is not None:
+            await caller.execute(opening)
+        for word in ("READ", "WRITE"):
+            answer, runs = await _run(caller, deployment, f"{word}{tail}")
+            if tail in ("", " "):
+                # There is no item, so that nothing may run.
+                assert answer.startswith("ERROR MALFORMED")
+                assert not runs
+                continue
+            assert answer == "COMPLETE proof-i-3-w1"
+            assert [(r.request, r.text) for r in runs] == [("w1", f"{word}{tail}")]
+
+
+@pytest.mark.parametrize("blanks", ["", " ", "  "])
+async def test_a_session_value_keeps_its_blanks(deployment, blanks):
+    # Guards against statements that run with another value than was acknowledged.
+    caller = await deployment.open_session()
+    assert await caller.execute(f"SET lang sw{blanks}") == ["COMPLETE -"]
+    await caller.execute("WRITE k1 two", "w1")
+    assert deployment.group.runs[-1].values == {"lang": f"sw{blanks}"}
+
+
+@pytest.mark.parametrize("blanks", ["", " ", "  "])
+async def test_prepared_statements_that_differ_in_blanks_stay_apart(deployment, blanks):
+    # Guards against a name that runs the statement that another caller prepared.
+    first = await deployment.open_session()
+    await first.execute("PREPARE s1 WRITE q2c")
+    await first.execute("EXECUTE s1 k1 one", "w1")
+    second = await deployment.open_session()
+    await second.execute(f"PREPARE s1 WRITE q2c{blanks}")
+    await second.execute("EXECUTE s1 k1 two", "w2")
+    names = [run.text.split(" ")[1] for run in deployment.group.runs[-2:]]
+    assert (names[0] == names[1]) == (not blanks)
