Log each statement that goes to a server, on request

Lines of served statements named neither kind nor text, and those of statements in a transaction were missing, so that the log could not tell where a statement's text changes. No text of callers is logged, and nothing is written without the option.

Test: the lines of plain, prepared and transactional statements.

--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_deployment.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_deployment.py
@@ -30,6 +30,8 @@
     n_disks_lost_max: int = 1
     # Limit the use of servers by their answers, and refuse what can't be served in time.
     is_load_managed: bool = False
+    # Log each statement that is sent to a server, without its text.
+    is_statement_traced: bool = False
 
     @property
     def peer_address(self) -> str:
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_entry_daemon.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_entry_daemon.py
@@ -63,6 +63,7 @@
             self._metrics,
             self._quotas,
             self._steps.record,
+            is_statement_traced=settings.is_statement_traced,
         )
         self._directory = OwnerDirectory(settings.peer_address, self._view)
         self._relay = SessionRelay(
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_line_sessions.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_line_sessions.py
@@ -54,6 +54,8 @@
         metrics: EntryMetrics,
         quotas: TeamQuotaWaiter,
         record_step: Callable[[RecoveryStep], None] = lambda step: None,
+        *,
+        is_statement_traced: bool = False,
     ) -> None:
         self._record_step = record_step
         self._view = view
@@ -61,7 +63,7 @@
         self._protocol = protocol
         self._log = log
         self._metrics = metrics
-        sender = StatementSender(protocol)
+        sender = StatementSender(protocol, log if is_statement_traced else None)
         freshness = ReadFreshness(view)
         self._reads = ReadRunner(view, sender, freshness, log, metrics, quotas)
         self._writes = WriteRunner(view, sender, log)
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_statement_sender.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_statement_sender.py
@@ -6,6 +6,7 @@
 from cardamomshunt.position import LogPosition
 
 from cardamomshunt_node._backend_connection import BackendConnection, Reply
+from cardamomshunt_node._decision_log import DecisionLog
 from cardamomshunt_node._line_session_state import LineSession
 from cardamomshunt_node._session_protocol import (
     CallerQuery,
@@ -22,8 +23,11 @@
     callers call them, so that a connection prepares each only once.
     """
 
-    def __init__(self, protocol: SessionProtocol) -> None:
+    def __init__(
+        self, protocol: SessionProtocol, trace_log: DecisionLog | None = None
+    ) -> None:
         self.protocol = protocol
+        self._trace_log = trace_log
         self._names: dict[PreparedStatement, str] = {}
         self._name_numbers = itertools.count(1)
 
@@ -38,9 +42,22 @@
         self.send_values(connection, session)
         statement = query.statement
         text = statement.text
+        name = ""
         if statement.kind is StatementKind.EXECUTE:
             name = self._prepare(connection, session.prepared[statement.name])
             text = self.protocol.execute_text(name, statement.arguments)
+        if self._trace_log is not None:
+            self._trace_log.write_request(
+                "statement_sent",
+                request=query.request_id,
+                session=session.session_id,
+                statement=statement.kind.value,
+                server=connection.pool.server,
+                caller_name=statement.name,
+                server_name=name,
+                n_characters_received=len(statement.text),
+                n_characters_sent=len(text),
+            )
         return connection.send(
             self.protocol.statement(query.request_id, text, at_least)
         )
--- a/tests/users_platform/test_formats.py
+++ b/tests/users_platform/test_formats.py
@@ -300,6 +300,15 @@
     assert arguments.manage_load is is_load_managed
 
 
+@pytest.mark.parametrize(
+    ("options", "is_traced"), [([], False), (["--trace-statements"], True)]
+)
+def test_an_option_switches_the_trace_of_statements_on(options, is_traced):
+    # Guards against a log line for each statement in a deployment that did not ask.
+    arguments = make_parser().parse_args(["entry", *options])
+    assert arguments.trace_statements is is_traced
+
+
 @pytest.mark.parametrize("text", ["", "zone = ", 'node_name = "x"'])
 def test_settings_that_lack_a_field_are_refused(text):
     with pytest.raises(ValueError):
--- a/tests/users_platform/test_statement_text.py
+++ b/tests/users_platform/test_statement_text.py
@@ -84,3 +84,29 @@
     await second.execute("EXECUTE s1 k1 two", "w2")
     names = [run.text.split(" ")[1] for run in deployment.group.runs[-2:]]
     assert (names[0] == names[1]) == (not blanks)
+
+
+@pytest.mark.parametrize("deployment", [{"is_statement_traced": True}], indirect=True)
+async def test_the_trace_shows_lengths_and_names_and_no_text(deployment):
+    # Guards against a change of a statement that the log can't show, and against data
+    # of callers in the log.
+    caller = await deployment.open_session()
+    await caller.execute("WRITE k1 secret", "w1")
+    await caller.execute("PREPARE own_name WRITE q2c")
+    await caller.execute("EXECUTE own_name k1 secret  ", "w2")
+    await caller.execute("BEGIN")
+    await caller.execute("READ k1", "r1")
+    await caller.execute("COMMIT", "c1")
+    events = deployment.events("entry-1")
+    lines = {e["request"]: e for e in events if e["event"] == "statement_sent"}
+    assert lines.keys() >= {"w1", "w2", "r1", "c1"}
+    for request in ("w1", "r1", "c1"):
+        line = lines[request]
+        assert line["n_characters_sent"] == line["n_characters_received"]
+    prepared = lines["w2"]
+    assert prepared["statement"] == "execute"
+    n_renamed = len(prepared["server_name"]) - len("own_name")
+    n_received = len("EXECUTE own_name k1 secret  ")
+    assert prepared["n_characters_received"] == n_received
+    assert prepared["n_characters_sent"] - n_received == n_renamed
+    assert "secret" not in (deployment.folder / "entry-1.log").read_text()
