Change only the name in the text of an executed statement

Cause: the codec took the text of an execution apart and built it again from the proxy's name and the parsed data. Text that is built again is the text of the caller only if each separator is; to drop the one that it had added itself where there is no data, it stripped all blanks at the end.

Change: the parsed statement keeps what follows the name as it came, separator included, and only the name is replaced. So there is nothing left to add or to strip.

--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_session_protocol.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_session_protocol.py
@@ -36,14 +36,17 @@
 
 @dataclass(slots=True, frozen=True)
 class Statement:
-    """One statement; `name` is that of a session value or prepared statement."""
+    """One statement; `name` is that of a session value or prepared statement.
+
+    `after_name` is what follows the name of an executed statement, separator included.
+    """
 
     kind: StatementKind
     text: str
     name: str = ""
     value: str = ""
     prepared: PreparedStatement | None = None
-    arguments: str = ""
+    after_name: str = ""
 
 
 @dataclass(slots=True, frozen=True)
@@ -199,5 +202,5 @@
         """Return the statement that demotes a primary of a lower term."""
 
     @abstractmethod
-    def execute_text(self, name: str, arguments: str) -> str:
-        """Return the text that executes a prepared statement by the proxy's name."""
+    def execute_text(self, name: str, statement: Statement) -> str:
+        """Return the text of an execution with another name, and nothing else changed."""
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_statement_sender.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_statement_sender.py
@@ -45,7 +45,7 @@
         name = ""
         if statement.kind is StatementKind.EXECUTE:
             name = self._prepare(connection, session.prepared[statement.name])
-            text = self.protocol.execute_text(name, statement.arguments)
+            text = self.protocol.execute_text(name, statement)
         if self._trace_log is not None:
             self._trace_log.write_request(
                 "statement_sent",
--- a/tests/users_platform/test_formats.py
+++ b/tests/users_platform/test_formats.py
@@ -62,9 +62,7 @@
     prepared = parse_statement("PREPARE s1 WRITE q2c")
     assert (prepared.name, prepared.prepared) == ("s1", PreparedStatement(True, "q2c"))
     executed = parse_statement("EXECUTE s1 1a4 some data")
-    assert PROTOCOL.execute_text("p9", executed.arguments) == (
-        "EXECUTE p9 1a4 some data"
-    )
+    assert PROTOCOL.execute_text("p9", executed) == "EXECUTE p9 1a4 some data"
 
 
 def test_messages_of_callers_are_parsed():
