Let the slow caller of a test stop reading

Cause: its caller did not fetch rows, but the client library reads all that comes into its own buffer, so that the caller was not slow, and the test held only where 23 MB were still on their way after 0.5 s. The receive buffer of the kernel, taken for the cause before, alone was not it: with a fixed one of 64 KB 6 of 8 runs still failed.

Change: the caller stops reading, and its receive buffer can't grow. The bound is as it was.

--- a/packages/cardamomshunt-node/tests/test_proxy_role.py
+++ b/packages/cardamomshunt-node/tests/test_proxy_role.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import dataclasses
+import socket
 from collections.abc import AsyncIterator
 from typing import Any
 
@@ -41,6 +42,8 @@
 from cardamomshunt_node.settings import Address, DaemonSettings
 from cardamomshunt_node.transport import PeerTransport, ReceivedMessage
 
+_RECEIVE_BUFFER_BYTES = 64 * 1024
+
 _TOPOLOGY = TopologyUpdate(
     version=5,
     databases=[
@@ -304,12 +307,25 @@
     assert len(await _query(other, "SELECT id FROM t")) == 1
 
 
+def _connect_slow_caller(address: Address) -> socket.socket:
+    """Connect with a receive buffer that the kernel does not let grow."""
+    caller = socket.socket()
+    caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, _RECEIVE_BUFFER_BYTES)
+    caller.connect((address.host, address.port))
+    caller.setblocking(False)
+    return caller
+
+
 async def test_buffer_for_a_slow_caller_is_bounded(site: _Site) -> None:
     """Guards against a result that is buffered completely for a slow caller."""
     site.backend.n_rows = 200_000
-    connection = await site.connect()
+    address = site.settings.caller_address
+    assert address is not None
+    connection = await site.connect(sock=_connect_slow_caller(address))
     cursor = connection.cursor(SSCursor)
     await cursor.execute("SELECT id, name FROM t")
+    # The library reads all that comes, whether or not rows are fetched.
+    connection._transport.pause_reading()
     await asyncio.sleep(0.5)
     open_request = next(iter(site.daemon.core._open_requests.values()))
     assert open_request.stream is not None
