Stop reading from a server while a caller is slow

What operators would see: the memory of an entry VM grows with the results that slow callers asked for, as 1.5 to 2.4 MB of rows stood in one batch whose limit is 64 KB.

Cause: the client library parses all rows that it holds at once, and it goes on receiving into a buffer without a bound while the consumer of the rows waits.

Change: rows are taken in steps, so that a batch ends at its limit, and the transport does not read while the consumer waits.

Seen through a test that fails on one kind of machine, on the MySQL interface only.

--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_backend_edge_mysql_connection.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_backend_edge_mysql_connection.py
@@ -31,6 +31,8 @@
 # stay below 40 MB.
 BUFFERED_SIZE_MAX_BYTES = 128 * 1024
 _BATCH_SIZE_BYTES = 64 * 1024
+# The library holds parsed rows of any number; the size is checked after each step.
+_N_ROWS_PER_STEP = 64
 _DEFAULT_SQLSTATE = "HY000"
 _SERVER_ERROR_CODE_MIN = 1_000
 # Codes 2000 to 2999 are raised by the client library and mean a lost connection.
@@ -216,13 +218,13 @@
             row = await result._read_rowdata_packet_unbuffered()
             if row is None:
                 break
-            rows = [row, *result._take_pending_rows()]
+            rows = [row, *result._take_pending_rows(_N_ROWS_PER_STEP)]
             batch.rows.extend(rows)
             batch.size_bytes += _size_bytes(rows)
             limit = _BATCH_SIZE_BYTES if is_streamed else BUFFERED_SIZE_MAX_BYTES
             if consume_rows is None or batch.size_bytes < limit:
                 continue
-            if not await consume_rows(columns, batch):
+            if not await self._pass_on(consume_rows, columns, batch):
                 raise ConnectionLostError("the rows are no longer needed", is_sent=True)
             is_streamed = True
             batch = RowBatch()
@@ -232,6 +234,22 @@
             await consume_rows(columns, batch)
         return StreamedRows(columns)
 
+    async def _pass_on(
+        self, consume_rows: RowConsumer, columns: list[Column], batch: RowBatch
+    ) -> bool:
+        """Pass rows on without reading more; return whether more are needed.
+
+        The library buffers all that is received, however slow the consumer is.
+        """
+        transport = self._connection._transport
+        if transport is None:
+            raise ConnectionLostError("the connection was closed", is_sent=True)
+        transport.pause_reading()
+        try:
+            return await consume_rows(columns, batch)
+        finally:
+            transport.resume_reading()
+
 
 def _describe(error: BaseException) -> str:
     if isinstance(error, TimeoutError):
--- a/packages/cardamomshunt-node/tests/test_backend_edge_attempts.py
+++ b/packages/cardamomshunt-node/tests/test_backend_edge_attempts.py
@@ -93,6 +93,12 @@
         self.edge = MysqlBackendEdge()
         self.edge.set_listener(self.listener)
 
+    @property
+    def transport(self) -> Any:
+        """Return the transport of the only connection."""
+        [tracked] = self.edge._tracked_connections.values()
+        return tracked.connection._connection._transport
+
     async def open(self, **changes: Any) -> Any:
         fields = {
             "connection_id": 1,
@@ -297,6 +303,10 @@
             await asyncio.sleep(0.01)
     await asyncio.sleep(0.05)
     assert not attempt.done(), "the producer waits for a slow consumer"
+    buffered_bytes = sum(batch.size_bytes for batch in rig.listener.stream._batches)
+    assert buffered_bytes <= 256 * 1024
+    # What the library would receive meanwhile has no bound.
+    assert not rig.transport.is_reading()
     n_rows = 0
 
     async def consume() -> None:
