Start the nodes of a measurement with the processes of the others

_core_group started, watched and killed its children as _processes does, searched for a loopback network without a lock, as the tests' conftest does with one, and read all logs from their beginning every 20 ms. Processes.start takes any command now, the reservation of networks is one module for both, and a log is read on from where the last reading stopped. No behaviour of the daemons changes.

--- a/packages/cardamomshunt-testing/src/cardamomshunt_testing/_core_group.py
+++ b/packages/cardamomshunt-testing/src/cardamomshunt_testing/_core_group.py
@@ -4,10 +4,8 @@
 import json
 import resource
 import shutil
-import signal
-import socket
-import subprocess
 import time
+from collections import Counter
 from collections.abc import Callable
 from pathlib import Path
 
@@ -16,27 +14,38 @@
 from cardamomshunt_node.deployment import DeploymentSettings
 
 from cardamomshunt_testing._core_process import CONFIGURATION_PATH, Configuration
+from cardamomshunt_testing._processes import Processes
+from cardamomshunt_testing.loopback import reserve_network
 
 _CHILD_FILE = Path(__file__).with_name("_core_process.py")
 _N_NODES = 3
 _PEER_PORT, _CONTROL_PORT, _METRICS_PORT = 17_440, 18_080, 9_464
-_N_NETWORKS = 200
+_ENDPOINTS = [
+    (f"1.{number}", port)
+    for number in range(1, _N_NODES + 1)
+    for port in (_PEER_PORT, _CONTROL_PORT, _METRICS_PORT)
+]
 _CALL_TIMEOUT_S = 3.0
 _RETRY_PAUSE_S = 0.02
-_N_LOG_LINES = 5
 
 
 class _Node:
     """Process, data folder and log of one control node."""
 
-    def __init__(self, python: str, folder: Path, host: str, seeds: list[str]) -> None:
+    def __init__(
+        self,
+        processes: Processes,
+        python: str,
+        folder: Path,
+        host: str,
+        seeds: list[str],
+    ) -> None:
         self.host = host
         self.data_folder = folder / host
-        self.log_path = folder / f"{host}.log"
+        self._processes = processes
         self._python = python
         self._seeds = seeds
         self._settings_path = folder / f"{host}.json"
-        self._process: subprocess.Popen[bytes] | None = None
 
     def start(self, *, is_first_start: bool = False) -> None:
         """Start the process."""
@@ -53,26 +62,12 @@
         )
         self._settings_path.write_bytes(msgspec.json.encode(settings))
         self.data_folder.mkdir(exist_ok=True)
-        with self.log_path.open("ab") as log:
-            self._process = subprocess.Popen(
-                [self._python, str(_CHILD_FILE), str(self._settings_path)],
-                stdin=subprocess.DEVNULL,
-                stdout=log,
-                stderr=log,
-            )
+        command = [self._python, str(_CHILD_FILE), str(self._settings_path)]
+        self._processes.start(self.host, command)
 
     def kill(self) -> None:
         """Kill the process and wait for its end."""
-        if self._process is not None:
-            self._process.send_signal(signal.SIGKILL)
-            self._process.wait()
-
-    def check_running(self) -> None:
-        """Raise RuntimeError with the end of the log if the process has ended."""
-        if self._process is not None and self._process.poll() is not None:
-            lines = self.log_path.read_text(encoding="utf-8").splitlines()
-            tail = "\n".join(lines[-_N_LOG_LINES:])
-            raise RuntimeError(f"{self.host} ended:\n{tail}")
+        self._processes.kill(self.host)
 
     def clear_disk(self) -> None:
         """Remove all files of the stopped process."""
@@ -80,15 +75,17 @@
 
     def fill_disk(self) -> None:
         """Let all writes to files fail, as on a full disk."""
-        assert self._process is not None
-        _, hard = resource.prlimit(self._process.pid, resource.RLIMIT_FSIZE)
-        resource.prlimit(self._process.pid, resource.RLIMIT_FSIZE, (0, hard))
+        self._limit_files(is_full=True)
 
     def free_disk(self) -> None:
         """Let writes to files succeed again."""
-        assert self._process is not None
-        _, hard = resource.prlimit(self._process.pid, resource.RLIMIT_FSIZE)
-        resource.prlimit(self._process.pid, resource.RLIMIT_FSIZE, (hard, hard))
+        self._limit_files(is_full=False)
+
+    def _limit_files(self, *, is_full: bool) -> None:
+        pid = self._processes.pid(self.host)
+        _, hard = resource.prlimit(pid, resource.RLIMIT_FSIZE)
+        soft = 0 if is_full else hard
+        resource.prlimit(pid, resource.RLIMIT_FSIZE, (soft, hard))
 
     def stored_bytes(self) -> int:
         """Return the size of all files in the data folder."""
@@ -97,8 +94,8 @@
 
     def written_bytes(self) -> int:
         """Return what the process has written to files since its start."""
-        assert self._process is not None
-        text = Path(f"/proc/{self._process.pid}/io").read_text(encoding="ascii")
+        pid = self._processes.pid(self.host)
+        text = Path(f"/proc/{pid}/io").read_text(encoding="ascii")
         fields = dict(line.split(": ") for line in text.splitlines())
         return int(fields["wchar"])
 
@@ -107,10 +104,17 @@
     """Start, disturb and change a group of three control nodes."""
 
     def __init__(self, python: str, folder: Path) -> None:
-        network = _find_network()
+        network, self._lock = reserve_network(_ENDPOINTS)
         hosts = [f"127.{network}.1.{number}" for number in range(1, _N_NODES + 1)]
         self.addresses = [f"{host}:{_CONTROL_PORT}" for host in hosts]
-        self.nodes = [_Node(python, folder, host, self.addresses) for host in hosts]
+        self._processes = Processes(folder)
+        self.nodes = [
+            _Node(self._processes, python, folder, host, self.addresses)
+            for host in hosts
+        ]
+        self._promotions = [
+            _PromotionLog(self._processes.log_path(host)) for host in hosts
+        ]
         self._session: aiohttp.ClientSession | None = None
         self._version = 0
 
@@ -125,6 +129,7 @@
         """Kill all nodes."""
         for node in self.nodes:
             node.kill()
+        self._lock.close()
         if self._session is not None:
             await self._session.close()
 
@@ -137,8 +142,7 @@
             for address in self.addresses:
                 if await self._put(address, body):
                     return time.monotonic() - started_s
-            for node in self.nodes:
-                node.check_running()
+            self._check_running()
             await asyncio.sleep(_RETRY_PAUSE_S)
         return None
 
@@ -151,24 +155,44 @@
         except (aiohttp.ClientError, OSError, TimeoutError):
             return False
 
+    def _check_running(self) -> None:
+        """Raise RuntimeError with the end of the log if a process has ended."""
+        for host in self._processes.exited():
+            raise RuntimeError(f"{host} ended:\n{self._processes.log_tail(host)}")
+
     async def wait_for_voter(self, node: _Node, limit_s: float) -> float | None:
         """Return the seconds until a leader logs the node as a voter."""
         n_before = self._n_promotions(node)
         return await wait_until(lambda: self._n_promotions(node) > n_before, limit_s)
 
     def _n_promotions(self, node: _Node) -> int:
-        n_found = 0
-        for other in self.nodes:
-            for line in other.log_path.read_text(encoding="utf-8").splitlines():
-                n_found += _is_promotion(line, node.host)
-        return n_found
+        return sum(log.count(node.host) for log in self._promotions)
+
+
+class _PromotionLog:
+    """Count the nodes that one leader's log calls voters, reading on from the last."""
 
+    def __init__(self, path: Path) -> None:
+        self._path = path
+        self._read_bytes = 0
+        self._counts: Counter[str] = Counter()
 
-def _is_promotion(line: str, host: str) -> bool:
-    if '"member_added"' not in line:
-        return False
-    fields = json.loads(line)
-    return bool(fields["event"] == "member_added" and fields["subject"] == host)
+    def count(self, host: str) -> int:
+        """Return how often a node became a voter."""
+        if self._path.exists():
+            with self._path.open("rb") as log:
+                log.seek(self._read_bytes)
+                *lines, _ = log.read().split(b"\n")
+            for line in lines:
+                self._read_bytes += len(line) + 1
+                if b'"member_added"' in line:
+                    self._record(line)
+        return self._counts[host]
+
+    def _record(self, line: bytes) -> None:
+        fields = json.loads(line)
+        if fields["event"] == "member_added":
+            self._counts[fields["subject"]] += 1
 
 
 def _encode_configuration(version: int, size_bytes: int) -> bytes:
@@ -185,16 +209,3 @@
             return time.monotonic() - started_s
         await asyncio.sleep(_RETRY_PAUSE_S)
     return None
-
-
-def _find_network() -> int:
-    """Return N of a loopback network 127.N.1 whose ports are free."""
-    for network in range(1, _N_NETWORKS):
-        try:
-            for number in range(1, _N_NODES + 1):
-                for port in (_PEER_PORT, _CONTROL_PORT, _METRICS_PORT):
-                    socket.create_server((f"127.{network}.1.{number}", port)).close()
-        except OSError:
-            continue
-        return network
-    raise OSError("no loopback network is free")
--- a/packages/cardamomshunt-testing/src/cardamomshunt_testing/_processes.py
+++ b/packages/cardamomshunt-testing/src/cardamomshunt_testing/_processes.py
@@ -20,14 +20,15 @@
     def start_module(self, name: str, module: str, settings: Path) -> None:
         """Start a module of this package with its settings file."""
         command = [sys.executable, "-m", module, "--settings", str(settings)]
-        self._start(name, command)
+        self.start(name, command)
 
     def start_daemon(self, name: str, settings: Path) -> None:
         """Start a daemon with its settings file."""
         binary = Path(sys.executable).with_name("cardamomshuntd")
-        self._start(name, [str(binary), "--settings", str(settings)])
+        self.start(name, [str(binary), "--settings", str(settings)])
 
-    def _start(self, name: str, command: list[str]) -> None:
+    def start(self, name: str, command: list[str]) -> None:
+        """Start a command; its output is appended to that of earlier starts."""
         with self.log_path(name).open("ab") as log:
             self._running[name] = subprocess.Popen(
                 command, stdin=subprocess.DEVNULL, stdout=log, stderr=log
@@ -52,8 +53,10 @@
         self._running[name].send_signal(number)
 
     def kill(self, name: str) -> None:
-        """Kill a child and wait for its end."""
-        process = self._running.pop(name)
+        """Kill a child, if it was started, and wait for its end."""
+        process = self._running.pop(name, None)
+        if process is None:
+            return
         process.kill()
         process.wait()
 
--- a/packages/cardamomshunt-testing/tests/test_measure.py
+++ b/packages/cardamomshunt-testing/tests/test_measure.py
@@ -21,7 +21,7 @@
 
 async def test_children_are_stopped_even_when_frozen(tmp_path):
     processes = Processes(tmp_path)
-    processes._start("child", ["sleep", "60"])
+    processes.start("child", ["sleep", "60"])
     pid = processes.pid("child")
     processes.signal("child", signal.SIGSTOP)
     started = time.monotonic()
@@ -33,7 +33,7 @@
 
 async def test_child_that_ends_by_itself_is_reported(tmp_path):
     processes = Processes(tmp_path)
-    processes._start("child", ["sh", "-c", "echo broken settings; exit 3"])
+    processes.start("child", ["sh", "-c", "echo broken settings; exit 3"])
     while not processes.exited():
         time.sleep(0.01)
     assert processes.log_tail("child") == "broken settings"
--- a/tests/users_platform/conftest.py
+++ b/tests/users_platform/conftest.py
@@ -17,6 +17,7 @@
 from cardamomshunt_node.deployment import DeploymentSettings
 from cardamomshunt_node.entry_daemon import EntryDaemon
 from cardamomshunt_platform._platform import UsersPlatform
+from cardamomshunt_testing.loopback import reserve_network
 from standin import (
     REPORT_INTERVAL_S,
     Caller,
@@ -30,43 +31,22 @@
 
 _PEER_PORT = 17_440
 _PROVIDER_PORT = 18_083
-_N_NETWORKS = 250
-_NETWORKS = itertools.count(os.getpid())
-_NETWORK_LOCK_PORT = 17_439
+_ENDPOINTS = [
+    ("9.9", _PROVIDER_PORT),
+    *((f"1.{number}", _PEER_PORT) for number in (1, 2, 3)),
+    *((f"2.{number}", _PEER_PORT) for number in (1, 2, 3)),
+]
 
 
-def reserve_network() -> tuple[int, socket.socket]:
-    """Reserve a loopback network 127.N for one test; close the socket to free it.
-
-    Test runs at the same time on one machine would use the same addresses otherwise.
-    """
-    for number in itertools.islice(_NETWORKS, _N_NETWORKS):
-        network = 1 + number % _N_NETWORKS
-        lock = socket.socket()
-        try:
-            lock.bind((f"127.{network}.0.1", _NETWORK_LOCK_PORT))
-            _check_unused(network)
-        except OSError:
-            lock.close()
-            continue
-        return network, lock
-    raise AssertionError("all loopback networks are in use")
-
-
-def _check_unused(network: int) -> None:
-    """Raise OSError if a process still listens at an address of a freed network."""
-    addresses = [(f"127.{network}.9.9", _PROVIDER_PORT)]
-    addresses += [(f"127.{network}.1.{n}", _PEER_PORT) for n in (1, 2, 3)]
-    addresses += [(f"127.{network}.2.{n}", _PEER_PORT) for n in (1, 2, 3)]
-    for address in addresses:
-        with socket.create_server(address):
-            pass
+def reserve_addresses() -> tuple[int, socket.socket]:
+    """Reserve a loopback network for one deployment; close the socket to free it."""
+    return reserve_network(_ENDPOINTS)
 
 
 @pytest.fixture
 def network():
     """Return the number of a loopback network that only this test uses."""
-    number, lock = reserve_network()
+    number, lock = reserve_addresses()
     yield number
     lock.close()
 
@@ -215,7 +195,7 @@
 
     `entry_settings` are changes to the settings of the entry VMs.
     """
-    network, lock = reserve_network()
+    network, lock = reserve_addresses()
     group = Group("db", 18_143)
     for number in (1, 2, 3):
         host = f"127.{network}.3.{number}"
--- a/tests/users_platform/test_restart.py
+++ b/tests/users_platform/test_restart.py
@@ -9,7 +9,7 @@
 from daemon_processes import DaemonProcesses
 from standin import Caller, Group, LineServer, Provider, call_control, document, report
 
-from conftest import make_settings, reserve_network
+from conftest import make_settings, reserve_addresses
 
 _OUTAGE_S = 0.5
 # Includes the starts of five interpreters on a busy machine with few cores.
@@ -31,7 +31,7 @@
 @pytest_asyncio.fixture
 async def processes(tmp_path):
     """Run daemons as processes, with stand-in servers that report to them."""
-    network, lock = reserve_network()
+    network, lock = reserve_addresses()
     group = Group("db", 18_143)
     for number in (1, 2, 3):
         host = f"127.{network}.3.{number}"
