End links of the stand-in database that are accepted while it stops

Seen: test_standin_random_faults[3] did not converge in 10 s (9 of 15 runs at a load of 25 to 30 on 8 cores), and once lost 3 acknowledged writes.

Cause: a connection that a peer had opened just before the stop was served after it. The stopped member, whose log was closed, went on taking entries into memory and acknowledged them, while the instance that was started in its place got none. Shown with prints at both places: in each of 4 runs that failed to converge a link was served after the stop and entries were appended to the closed log, in no run that passed.

Change: links that are accepted after the stop are closed.

Only the stand-in database of the tests is concerned.

--- a/packages/cardamomshunt-testing/src/cardamomshunt_testing/_standin_links.py
+++ b/packages/cardamomshunt-testing/src/cardamomshunt_testing/_standin_links.py
@@ -28,6 +28,7 @@
         self._zones = {peer.instance: peer.zone for peer in member.settings.peers}
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task[None]] = set()
+        self._is_stopped = False
 
     async def start(self) -> None:
         """Listen for peers."""
@@ -42,7 +43,8 @@
             self._add_task(self._run_sender(peer))
 
     async def stop(self) -> None:
-        """Close all links."""
+        """Close all links, and those that are accepted only now."""
+        self._is_stopped = True
         if self._server is not None:
             self._server.close()
         tasks = list(self._tasks)
@@ -58,6 +60,10 @@
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        if self._is_stopped:
+            # Accepted before the listener was closed, and served only now.
+            writer.close()
+            return
         task = asyncio.current_task()
         if task is not None:
             self._tasks.add(task)
