Keep a server's reports apart from those of another writer

Cause: reports were merged by name and start alone, whatever their group.

Change: registries keep one report for each pair of name and group. One report of each name is stored in the replicated log, whose format is unchanged. A leave call holds for each group that the server was said to be of. Calls of `ServerRegistry.get` in four existing tests name the group now.

--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_control_node.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_control_node.py
@@ -209,7 +209,8 @@
             n_entries = self._entries.count_to_store()
             if n_entries is not None:
                 await self._store(CountEntries(n_entries=n_entries))
-            servers = self._state.servers_to_store(self._reports.registry.all())
+            reports = self._reports.registry.one_per_server(self._table.groups)
+            servers = self._state.servers_to_store(reports)
             if servers is not None:
                 await self._store(servers)
 
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_entry_daemon.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_entry_daemon.py
@@ -190,7 +190,7 @@
         """Stop using a former primary after a grace period, and release its epoch."""
         assignment = self._view.lease.latest_assignment(group)
         assert assignment is not None
-        report = self._view.registry.get(assignment.server)
+        report = self._view.registry.get(assignment.server, group)
         end_ms = boot_ms() + _RELEASE_GRACE_MS
         if report is not None and report.state is not ServerState.GONE:
             pool = self._view.pool(report)
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_fleet_view.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_fleet_view.py
@@ -105,7 +105,12 @@
         if not self.registry.merge(report):
             return False
         self._record_step(RecoveryStep.FIRST_SERVER)
-        if report.state is ServerState.GONE:
+        pool = self._pools.get(report.server)
+        if (
+            report.state is ServerState.GONE
+            and pool is not None
+            and pool.group == report.group
+        ):
             self._drop_pool(report.server, "the server is gone")
         if self._paces is not None:
             self._update_pace(self._paces, report)
@@ -296,7 +301,16 @@
 
     # Paces
 
+    def _is_of_another_writer(self, report: ServerReport) -> bool:
+        """Return whether its group is not configured, but another one of the server is."""
+        groups = self.table.groups
+        return report.group not in groups and any(
+            item.group in groups for item in self.registry.of_server(report.server)
+        )
+
     def _update_pace(self, paces: ServerPaces, report: ServerReport) -> None:
+        if self._is_of_another_writer(report):
+            return
         if report.state is ServerState.GONE:
             paces.remove(report.server)
             return
@@ -320,8 +334,10 @@
         now = boot_ms()
         self._find_recovered(self._paces, now)
         primaries = set()
+        chosen = self.registry.one_per_server(self.table.groups)
+        by_server = {report.server: report for report in chosen}
         for pace in self._paces.all():
-            report = self.registry.get(pace.server)
+            report = by_server.get(pace.server)
             if report is None:
                 continue
             assignment = self.lease.latest_assignment(report.group)
@@ -362,7 +378,7 @@
         assignment = self.lease.usable_assignment(group, boot_ms())
         if assignment is None or self._ended_epochs.get(group, -1) >= assignment.epoch:
             return None
-        report = self.registry.get(assignment.server)
+        report = self.registry.get(assignment.server, group)
         if report is None or report.state is ServerState.GONE:
             return None
         return self.pool(report), assignment.epoch
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_primary_watch.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_primary_watch.py
@@ -109,7 +109,7 @@
     def _replacement_reason(
         self, group: str, assignment: Assignment, leases: LeaseTable
     ) -> str:
-        report = self._registry.get(assignment.server)
+        report = self._registry.get(assignment.server, group)
         has_successor = any(
             item.server != assignment.server and item.state is ServerState.READY
             for item in self._registry.of_group(group)
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_report_exchange.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_report_exchange.py
@@ -125,19 +125,31 @@
             )
 
     async def deregister(self, server: str) -> None:
-        """Record that a server is gone; return when that may be confirmed."""
-        report = self.registry.get(server)
-        if report is not None and report.state is not ServerState.GONE:
-            gone = ServerReport(
-                server=report.server,
-                group=report.group,
-                address=report.address,
-                zone=report.zone,
-                state=ServerState.GONE,
-                role=InstanceRole.REPLICA,
-                started_ms=report.started_ms,
-                sequence=report.sequence + 1,
-            )
-            self.registry.merge(gone)
-            self._publish([gone])
-            await self._replicate([gone], is_awaited=True)
+        """Record that a server is gone; return when that may be confirmed.
+
+        The call names no group, so it holds for each that the server was said to be of.
+        """
+        gone = [
+            _gone_report(report)
+            for report in self.registry.of_server(server)
+            if report.state is not ServerState.GONE
+        ]
+        if not gone:
+            return
+        for report in gone:
+            self.registry.merge(report)
+        self._publish(gone)
+        await self._replicate(gone, is_awaited=True)
+
+
+def _gone_report(report: ServerReport) -> ServerReport:
+    return ServerReport(
+        server=report.server,
+        group=report.group,
+        address=report.address,
+        zone=report.zone,
+        state=ServerState.GONE,
+        role=InstanceRole.REPLICA,
+        started_ms=report.started_ms,
+        sequence=report.sequence + 1,
+    )
--- a/packages/cardamomshunt/src/cardamomshunt/_fleet/server_registry.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_fleet/server_registry.py
@@ -2,6 +2,7 @@
 
 import enum
 import zlib
+from collections.abc import Container
 
 import msgspec
 
@@ -58,15 +59,19 @@
 
 
 class ServerRegistry:
-    """Track the newest report of each backend server, whatever path it came by."""
+    """Track the newest report of each backend server, whatever path it came by.
+
+    Reports under the name of one server that name different groups are kept apart: one
+    of them comes from another writer, and must not hide what the server says.
+    """
 
     def __init__(self) -> None:
-        self._reports: dict[str, ServerReport] = {}
+        self._reports: dict[tuple[str, str], ServerReport] = {}
         self._digest: int | None = None
 
     def merge(self, report: ServerReport) -> bool:
         """Merge a report; return whether it changes anything but the sequence."""
-        known = self._reports.get(report.server)
+        known = self.get(report.server, report.group)
         if known is not None and report.order_key <= known.order_key:
             return False
         if (
@@ -76,15 +81,32 @@
             and report.state is ServerState.READY
         ):
             return False
-        self._reports[report.server] = report
+        self._reports[report.server, report.group] = report
         has_changed = known is None or report.differs_from(known)
         if has_changed:
             self._digest = None
         return has_changed
 
-    def get(self, server: str) -> ServerReport | None:
-        """Return the newest report of a server, or None."""
-        return self._reports.get(server)
+    def get(self, server: str, group: str) -> ServerReport | None:
+        """Return the newest report of a server of a group, or None."""
+        return self._reports.get((server, group))
+
+    def of_server(self, server: str) -> list[ServerReport]:
+        """Return the newest report of a server for each group that it was said to be of."""
+        return [item for item in self._reports.values() if item.server == server]
+
+    def one_per_server(self, groups: Container[str]) -> list[ServerReport]:
+        """Return one report of each server: the newest, of one of `groups` if any is."""
+
+        def rank(report: ServerReport) -> tuple[bool, tuple[int, bool, int], str]:
+            return report.group in groups, report.order_key, report.group
+
+        chosen: dict[str, ServerReport] = {}
+        for report in self._reports.values():
+            known = chosen.get(report.server)
+            if known is None or rank(report) > rank(known):
+                chosen[report.server] = report
+        return list(chosen.values())
 
     def all(self) -> list[ServerReport]:
         """Return all reports, including those of servers that are gone."""
@@ -109,7 +131,8 @@
 
     def _compute_digest(self) -> int:
         lines = sorted(
-            f"{item.server} {item.started_ms} {item.state.value} {item.role.value}"
+            f"{item.server} {item.group} {item.started_ms} {item.state.value} "
+            f"{item.role.value}"
             for item in self._reports.values()
         )
         return zlib.crc32("\n".join(lines).encode())
--- a/packages/cardamomshunt/tests/test_fleet.py
+++ b/packages/cardamomshunt/tests/test_fleet.py
@@ -103,7 +103,7 @@
     registry = ServerRegistry()
     registry.merge(make_report(state=ServerState.DRAINING))
     assert not registry.merge(make_report(sequence=2))
-    assert registry.get("s1").state is ServerState.DRAINING
+    assert registry.get("s1", "g").state is ServerState.DRAINING
 
 
 def test_a_delayed_report_does_not_readd_a_server_that_is_gone():
@@ -114,6 +114,61 @@
     assert registry.of_group("g") == []
 
 
+@pytest.mark.parametrize(
+    "foreign",
+    [
+        {"started_ms": 9_000, "sequence": 1},
+        {"sequence": 90},
+        {"started_ms": 9_000, "address": "127.0.0.1:9"},
+        {"started_ms": 9_000, "state": ServerState.GONE},
+    ],
+)
+@pytest.mark.parametrize("is_foreign_first", [False, True])
+def test_a_report_of_another_group_does_not_hide_a_server_s_own(
+    foreign, is_foreign_first
+):
+    # Guards against a report of another writer under a server's name that displaces the
+    # server's own reports, so that its announcement of its end goes unseen.
+    registry = ServerRegistry()
+    reports = [make_report(sequence=2), make_report(group="unknown", **foreign)]
+    for report in reversed(reports) if is_foreign_first else reports:
+        assert registry.merge(report)
+    draining = make_report(sequence=3, state=ServerState.DRAINING)
+    assert registry.merge(draining)
+    assert registry.of_group("g") == [draining]
+    assert registry.one_per_server({"g"}) == [draining]
+
+
+def test_a_restart_at_another_address_replaces_the_former_report():
+    # Guards against taking a server that starts again under its name for another writer.
+    registry = ServerRegistry()
+    registry.merge(make_report(sequence=7))
+    again = make_report(started_ms=9_000, address="127.0.0.1:9", sequence=1)
+    assert registry.merge(again)
+    assert registry.of_group("g") == [again]
+
+
+def test_a_foreign_report_is_not_stored_in_turn_with_the_own_one():
+    # Guards against a command in the replicated log each second, as only one report of
+    # each server is stored.
+    registry, state = ServerRegistry(), FleetState()
+    registry.merge(make_report(sequence=2))
+    registry.merge(make_report(group="unknown", started_ms=9_000))
+    stored = state.servers_to_store(registry.one_per_server({"g"}))
+    assert [item.group for item in stored.reports] == ["g"]
+    apply(state, 1, stored)
+    assert state.servers_to_store(registry.one_per_server({"g"})) is None
+
+
+def test_digests_differ_by_group():
+    # Guards against a control node that takes a foreign report for a server's own one
+    # that it never received.
+    first, second = ServerRegistry(), ServerRegistry()
+    first.merge(make_report())
+    second.merge(make_report(group="unknown"))
+    assert first.digest() != second.digest()
+
+
 def test_digests_ignore_the_sequence():
     first, second = ServerRegistry(), ServerRegistry()
     first.merge(make_report(sequence=1))
@@ -398,4 +453,4 @@
     assert registry.merge(make_report(sequence=7))
     assert registry.merge(own)
     assert not registry.merge(make_report(sequence=7))
-    assert registry.get(own.server) == own
+    assert registry.get(own.server, own.group) == own
--- a/tests/users_platform/test_deployment.py
+++ b/tests/users_platform/test_deployment.py
@@ -323,12 +323,12 @@
     # Guards against a report that stays at one control node: a primary that only one of
     # them knew was never assigned.
     known = deployment.controls["control-1"]._reports.registry
-    report_of = known.get("i-1")
+    report_of = known.get("i-1", "db")
     newer = structs.replace(report_of, server="i-9", sequence=1)
     assert known.merge(newer)
     others = [deployment.controls[name] for name in ("control-2", "control-3")]
     await deployment.until(
-        lambda: all(item._reports.registry.get("i-9") == newer for item in others)
+        lambda: all(item._reports.registry.get("i-9", "db") == newer for item in others)
     )
 
 
--- a/tests/users_platform/test_paced_server_pool.py
+++ b/tests/users_platform/test_paced_server_pool.py
@@ -192,7 +192,7 @@
 
 async def test_without_load_management_pools_and_messages_are_as_before():
     view = _make_view(False)
-    pool = view.pool(view.registry.get("i-1"))
+    pool = view.pool(view.registry.get("i-1", "db"))
     assert type(pool) is ServerPool
     assert view.pace_report() is None
     assert view.adapt_paces() == []
--- a/tests/users_platform/test_unusual_input.py
+++ b/tests/users_platform/test_unusual_input.py
@@ -1,10 +1,11 @@
 """Tests of the daemons with input that is allowed but rare, or that is malformed."""
 
 import json
+import time
 
 import pytest
 from cardamomshunt.fleet import ServerState
-from standin import report
+from standin import KINDS, report
 
 # Data that a line of text may hold, as only CR LF ends a line.
 DATA_WITH_CONTROL_CHARACTERS = {
@@ -87,3 +88,88 @@
         )
     )
     assert not any(task.done() for task in deployment.tasks.values())
+
+
+async def _report_of_another_writer(deployment, server, group, **changes):
+    """Send a report under a server's name, as one that started later."""
+    fields = {
+        "service": group,
+        "address": deployment.server(server).address,
+        "zone": "z1",
+        "state": "ready",
+        "database_role": "primary",
+        "sequence": 1,
+        "born": int(time.time() * 1_000) + 1,
+    }
+    body = json.dumps(fields | changes).encode()
+    path = f"/Instances.Heartbeat/{server}"
+    for address in deployment.control_addresses:
+        response = await deployment.call(address, "POST", path, body)
+        assert response.status == 200
+
+
+@pytest.mark.parametrize("address", [None, "127.0.0.1:9"], ids=["same", "other"])
+async def test_a_foreign_report_does_not_hide_that_a_server_leaves(deployment, address):
+    # Guards against statements at a server that has announced its end: a report of a
+    # group that no configuration names, under its name, replaced its own reports.
+    changes = {} if address is None else {"address": address}
+    await _report_of_another_writer(deployment, "i-3", "inventory-old", **changes)
+    await deployment.execute_until_success("entry-1", "orders", "WRITE k1 a")
+    former = deployment.server("i-3")
+    former.state = "draining"
+    assert await report(former, deployment.control_addresses[0]) == 200
+    await deployment.until(lambda: deployment.provider.calls, timeout_s=4.0)
+    for node in deployment.entries:
+        await deployment.execute_until_success(node, "orders", "WRITE k2 b")
+    assert deployment.group.runs[-1].server != "i-3"
+
+
+async def test_a_foreign_report_does_not_replace_what_is_stored(deployment):
+    # Guards against servers that are unknown after a restart of all control nodes.
+    await _report_of_another_writer(deployment, "i-3", "inventory-old")
+    await deployment.until(
+        lambda: all(
+            {item.group for item in node._reports.registry.of_server("i-3")}
+            == {"db", "inventory-old"}
+            for node in deployment.controls.values()
+        )
+    )
+    leader = next(n for n in deployment.controls.values() if n._host.node.is_leader)
+    reports = leader._reports.registry.one_per_server(leader._table.groups)
+    await deployment.until(lambda: leader._state.servers_to_store(reports) is None)
+    assert {item.group for item in leader._state.servers.values()} == {"db"}
+
+
+async def test_a_server_that_leaves_is_gone_for_each_group(deployment):
+    # Guards against a server that stays in use after its leave call, as a foreign report
+    # under its name was the only one that the call ended.
+    await _report_of_another_writer(deployment, "i-1", "inventory-old")
+    address = deployment.control_addresses[0]
+    await deployment.call(address, "POST", "/Instances.Deregister/i-1", b"")
+    await deployment.until(
+        lambda: all(
+            {item.state for item in node._reports.registry.of_server("i-1")}
+            == {ServerState.GONE}
+            for node in (*deployment.controls.values(),)
+        )
+    )
+    await deployment.until(
+        lambda: all(
+            "i-1" not in {x.server for x in entry._view.registry.of_group("db")}
+            for entry in deployment.entries.values()
+        )
+    )
+
+
+async def test_servers_of_a_new_group_are_known_with_its_configuration(
+    deployment, make_document
+):
+    # Guards against a new group without servers until each of them reports again.
+    await _report_of_another_writer(deployment, "i-1", "archive")
+    names = ("db", "archive")
+    services = [{"name": name, "connection_limit": 10} for name in names]
+    await deployment.put(make_document(2, KINDS, services=services))
+    registries = [item._reports.registry for item in deployment.controls.values()]
+    await deployment.until(
+        lambda: all(item.of_group("archive") for item in registries), timeout_s=0.5
+    )
