Sync the folders above the log when they are created

What callers would see: none in a run; seen in the code by the review. After a power loss a new folder with the votes and entries in it may be gone, though its files were synced.

Cause: a sync of a folder makes the names in it durable, but not its own name.

Change: each created folder is synced into the one above it, and the folder above the log again while there is no identity, as a former process may have ended in between.

Result: the 4 cases of the new test failed before.

--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_log_storage.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_log_storage.py
@@ -100,6 +100,15 @@
         os.close(descriptor)
 
 
+def _make_folder(folder: Path) -> None:
+    """Create a folder and the missing ones above it, so that they survive a power loss."""
+    if folder.exists():
+        return
+    _make_folder(folder.parent)
+    folder.mkdir(exist_ok=True)
+    _sync_folder(folder.parent)
+
+
 def _write_all(descriptor: int, data: bytes) -> None:
     view = memoryview(data)
     while view:
@@ -152,7 +161,7 @@
         An empty folder gets `new_incarnation`, by which the other nodes recognise that
         earlier votes and acknowledgements of this node are lost.
         """
-        self._folder.mkdir(parents=True, exist_ok=True)
+        _make_folder(self._folder)
         self._lock = os.open(self._folder / "lock", os.O_RDWR | os.O_CREAT, 0o600)
         try:
             fcntl.flock(self._lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
@@ -168,6 +177,9 @@
 
     def _read(self, new_incarnation: int) -> OpenedStorage:
         is_blank = not self._has_state()
+        if is_blank:
+            # Also where an earlier process ended between the creation and this sync.
+            _sync_folder(self._folder.parent)
         incarnation = self._read_identity(new_incarnation, is_blank)
         vote = self._read_vote()
         snapshot = self._read_snapshot()
--- a/packages/cardamomshunt-node/tests/test_log_storage.py
+++ b/packages/cardamomshunt-node/tests/test_log_storage.py
@@ -155,6 +155,38 @@
     storage.close()
 
 
+@pytest.mark.parametrize("levels", [("log",), ("node", "data", "log")])
+@pytest.mark.parametrize("is_created_before", [False, True])
+def test_a_new_folder_is_durable(
+    tmp_path: Path,
+    monkeypatch: pytest.MonkeyPatch,
+    levels: tuple[str, ...],
+    is_created_before: bool,
+) -> None:
+    # Guards against a power loss that removes the folder with the votes and entries in
+    # it, also if a former process ended after it had created the folder.
+    folder = tmp_path.joinpath(*levels)
+    if is_created_before:
+        folder.mkdir(parents=True)
+    synced: list[int] = []
+    real_fsync = os.fsync
+
+    def record(descriptor: int) -> None:
+        synced.append(os.fstat(descriptor).st_ino)
+        real_fsync(descriptor)
+
+    monkeypatch.setattr(os, "fsync", record)
+    storage = LogStorage(folder)
+    storage.open(1)
+    storage.close()
+    created = (
+        [folder] if is_created_before else [folder, *folder.parents][: len(levels)]
+    )
+    parents = [item.parent.stat().st_ino for item in created]
+    # The folder is durable before the first file in it is.
+    assert set(parents) <= set(synced[: synced.index(folder.stat().st_ino)])
+
+
 class _FullDisk:
     """Fail one kind of system call as a full disk does, until there is room.
 
