Hold a reload signal until the daemon is ready for it

SIGHUP ends a process that has no handler yet.

Cause: handlers were installed only when the daemon runs. To ignore the signal until then would lose a change of the settings after they were read.

Change: SIGHUP is held from the start of main, and applied when the daemon has its handlers. SIGTERM keeps its default action until then, which ends the process.

The processes of the tests may have ended by themselves when a test stops them.

--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_daemon.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_daemon.py
@@ -7,6 +7,7 @@
 from cardamomshunt_node._daemon_metrics import DaemonMetrics
 from cardamomshunt_node._decision_log import DecisionLog
 from cardamomshunt_node._deployment import DeploymentSettings, Platform
+from cardamomshunt_node._early_signals import take_held_reload
 from cardamomshunt_node._http import HttpRequest, HttpResponse, HttpServer
 from cardamomshunt_node._recovery_steps import RecoveryStep, RecoverySteps
 
@@ -41,6 +42,8 @@
         loop.add_signal_handler(signal.SIGTERM, self._stop.set)
         loop.add_signal_handler(signal.SIGINT, self._stop.set)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
+        if take_held_reload():
+            loop.call_soon(self._reload)
 
     @abstractmethod
     def _reload(self) -> None:
--- a/tests/users_platform/daemon_processes.py
+++ b/tests/users_platform/daemon_processes.py
@@ -46,7 +46,8 @@
         found = (item.caller_address for item in self.settings.values())
         return [address for address in found if address]
 
-    async def start(self, node: str) -> None:
+    async def start(self, node: str, code: str = "") -> None:
+        """Start a daemon with its command, or with Python code that starts it."""
         settings = self.settings[node]
         role = "control" if settings.control_address else "entry"
         path = self.folder / f"{node}.toml"
@@ -67,9 +68,7 @@
         with (self.folder / f"{node}.log").open("ab") as log:
             self.running[node] = await asyncio.create_subprocess_exec(
                 sys.executable,
-                "-m",
-                "cardamomshunt_platform",
-                role,
+                *(["-c", code] if code else ["-m", "cardamomshunt_platform", role]),
                 stdout=log,
                 env=os.environ | {"CARDAMOMSHUNT_NODE_FILE": str(path)},
             )
@@ -80,7 +79,8 @@
     async def kill_all(self) -> None:
         """Kill the daemons at once, as a power loss does."""
         for process in self.running.values():
-            process.kill()
+            if process.returncode is None:
+                process.kill()
         await asyncio.gather(*(item.wait() for item in self.running.values()))
         self.running.clear()
 
