Finish a promotion whose answer comes late

Seen in the code by the review.

Cause: an unanswered call counted as lost, and was repeated for ever.

Change: after an unanswered call the successor is asked, and counts as promoted if it leads a term above those that the servers answered before the call.

Result: the new test with real sockets failed before, and replaces the primary with one call now.

--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_replacement.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_replacement.py
@@ -34,6 +34,8 @@
 _DEMOTE_TIMEOUT_MS = 6_000.0
 _PROMOTION_EFFECT_TIMEOUT_MS = 1_500.0
 _LEADERSHIP_POLL_S = 0.05
+# Status of a call that was not answered in time.
+_NO_ANSWER = 0
 
 
 class ReplacementContext(ABC):
@@ -85,6 +87,8 @@
         self._admin = admin
         self._log = log
         self._rejected_servers: set[str] = set()
+        # Newest term of a server before the promotion, or None if none was asked.
+        self._former_term: int | None = None
         self._started_ms = boot_ms()
 
     async def run(self) -> None:
@@ -138,6 +142,7 @@
             n_servers=len(servers),
             n_sync_replicas=self._context.n_sync_replicas(self._group),
         )
+        self._former_term = _newest_term(statuses)
         self._log.write(
             "successor",
             group=self._group,
@@ -201,8 +206,11 @@
         if not self._context.is_own_token(assignment.epoch):
             # A promotion requested by an earlier leader, with a lower token, may
             # still be in flight.
+            servers = self._context.servers(self._group)
+            asking = asyncio.create_task(self._statuses(servers))
             while not self._context.is_released(self._group, assignment.epoch):
                 await asyncio.sleep(_POLL_S)
+            self._former_term = _newest_term(await asking)
             await self._context.commit(
                 PromoteSuccessor(
                     group=self._group,
@@ -222,7 +230,7 @@
             status=status,
             elapsed_ms=round(boot_ms() - self._started_ms),
         )
-        if status == 200 and await self._await_leadership(assignment.successor):
+        if await self._is_promoted(assignment.successor, status):
             return await self._finish(assignment)
         if status == 409:
             self._rejected_servers.add(assignment.successor)
@@ -233,6 +241,18 @@
         await asyncio.sleep(_RETRY_S)
         return False
 
+    async def _is_promoted(self, server: str, status: int) -> bool:
+        """Return whether the server leads, though the answer may have been late.
+
+        Without an answer, a server that still leads a former term doesn't count.
+        """
+        if status == 200:
+            return await self._await_leadership(server)
+        if status != _NO_ANSWER or self._former_term is None:
+            return False
+        term = await self._leading_term(server)
+        return term is not None and term > self._former_term
+
     async def _await_leadership(self, server: str) -> bool:
         """Return whether a promoted server becomes primary in time.
 
@@ -241,18 +261,19 @@
         """
         end_ms = boot_ms() + _PROMOTION_EFFECT_TIMEOUT_MS
         while boot_ms() < end_ms:
-            report = next(
-                (x for x in self._context.servers(self._group) if x.server == server),
-                None,
-            )
-            if report is None:
-                return False
-            status = await self._admin.status(report)
-            if status is not None and status.is_primary:
+            if await self._leading_term(server) is not None:
                 return True
             await asyncio.sleep(_LEADERSHIP_POLL_S)
         return False
 
+    async def _leading_term(self, server: str) -> int | None:
+        """Return the term that a server leads, or None if it doesn't answer so."""
+        for report in self._context.servers(self._group):
+            if report.server == server:
+                status = await self._admin.status(report)
+                return status.term if status is not None and status.is_primary else None
+        return None
+
     async def _finish(self, assignment: Assignment) -> bool:
         await self._context.commit(
             FinishPromotion(
@@ -280,6 +301,10 @@
             await asyncio.sleep(_RETRY_S * 3.0)
 
 
+def _newest_term(statuses: list[ServerStatus]) -> int | None:
+    return max((status.term for status in statuses), default=None)
+
+
 def _is_ready(status: ServerStatus, servers: list[ServerReport]) -> bool:
     return any(
         item.server == status.server and item.state is ServerState.READY
--- a/tests/users_platform/standin.py
+++ b/tests/users_platform/standin.py
@@ -332,6 +332,7 @@
     address: str
     groups: list[Group]
     calls: list[tuple[str, int, str]] = field(default_factory=list)
+    answer_delay_s: float = 0.0
 
     def __post_init__(self) -> None:
         self.server = HttpServer(self.address, self._answer)
@@ -344,6 +345,7 @@
         asyncio.get_running_loop().call_later(
             PROMOTION_DELAY_S, group.promote, body["id"]
         )
+        await asyncio.sleep(self.answer_delay_s)
         return HttpResponse(200)
 
 
--- a/tests/users_platform/test_deployment.py
+++ b/tests/users_platform/test_deployment.py
@@ -164,6 +164,16 @@
         assert run.is_primary
 
 
+async def test_a_promotion_with_a_late_answer_is_finished(deployment):
+    # Guards against a replacement that repeats its call for ever, although the successor
+    # leads, because each answer of the provider comes after the time limit.
+    deployment.provider.answer_delay_s = 2.0
+    deployment.server("i-3").is_unreachable = True
+    async with asyncio.timeout(8.0):
+        await deployment.execute_until_success("entry-1", "orders", "WRITE k1 a")
+    assert len(deployment.provider.calls) == 1
+
+
 async def test_nothing_is_acknowledged_by_a_former_primary(deployment):
     former = deployment.server("i-3")
     caller = await deployment.open_session()
