Accept routes of a database that differ in their prefix

What callers would see: a valid configuration refused with 400. Seen in the code by the review.

Cause: a second route of a database was refused whatever its prefix, which was not read, though only the same database and prefix are invalid.

Change: prefixes are read. Of several routes of a database, the one with the shortest prefix serves sessions, which name no path; of equally short ones the first in the alphabet.

--- a/packages/cardamomshunt/src/cardamomshunt/_fleet/route_table.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_fleet/route_table.py
@@ -28,7 +28,9 @@
 class Route:
     """Route of the sessions of one database to a group of backend servers.
 
-    Sessions of a route that is not public need the key of a team.
+    Sessions of a route that is not public need the key of a team. They name no path: of
+    several routes of a database the one with the shortest prefix serves them, and of
+    equally short ones the first in the alphabet.
     """
 
     name: str
@@ -40,6 +42,7 @@
     priority: int = 0
     max_age_ms: float = 0.0
     is_public: bool = True
+    path_prefix: str = "/"
 
 
 @dataclass(slots=True, frozen=True)
@@ -90,23 +93,40 @@
 ) -> RouteTable:
     """Build a validated table; raise ConfigurationInvalidError at the first error."""
     by_group = {group.name: group for group in groups}
-    by_database: dict[str, Route] = {}
+    by_path: dict[tuple[str, str], Route] = {}
     for route in routes:
         if route.group not in by_group:
             raise ConfigurationInvalidError(
                 f"route {route.name}: unknown group {route.group!r}"
             )
-        if route.database in by_database:
+        path = (route.database, route.path_prefix)
+        if path in by_path:
             raise ConfigurationInvalidError(
-                f"route {route.name}: database {route.database!r} has another route"
+                f"route {route.name}: database {route.database!r} has another route "
+                f"with the prefix {route.path_prefix!r}"
             )
         if not route.statement_timeout_ms > 0:
             raise ConfigurationInvalidError(
                 f"route {route.name}: the statement timeout must be above 0"
             )
-        by_database[route.database] = route
+        by_path[path] = route
     try:
         team_table = build_team_table(teams)
     except TeamInvalidError as error:
         raise ConfigurationInvalidError(str(error)) from error
+    by_database = _routes_of_sessions(by_path.values())
     return RouteTable(version, by_database, by_group, transaction_idle_ms, team_table)
+
+
+def _routes_of_sessions(routes: Iterable[Route]) -> dict[str, Route]:
+    """Return the route that serves the sessions of each database."""
+
+    def rank(route: Route) -> tuple[int, str]:
+        return len(route.path_prefix), route.path_prefix
+
+    chosen: dict[str, Route] = {}
+    for route in routes:
+        known = chosen.get(route.database)
+        if known is None or rank(route) < rank(known):
+            chosen[route.database] = route
+    return chosen
--- a/tests/users_platform/test_unusual_input.py
+++ b/tests/users_platform/test_unusual_input.py
@@ -90,6 +90,35 @@
     assert not any(task.done() for task in deployment.tasks.values())
 
 
+async def test_routes_of_a_database_may_differ_in_their_prefix(
+    deployment, make_document
+):
+    # Guards against a valid change that is refused, and against sessions that a further
+    # route of their database leaves without one.
+    plain = json.loads(make_document())["routes"]
+    orders = next(item for item in plain if item["host"] == "orders")
+    further = {**orders, "name": "r-further", "path_prefix": "/archive"}
+    versions = [
+        (2, [further, *plain], orders["name"]),
+        (3, [item for item in plain if item is not orders] + [further], "r-further"),
+        (4, plain, orders["name"]),
+    ]
+    entries = deployment.entries.values()
+    for version, routes, serving in versions:
+        response = await deployment.put(make_document(version, routes=routes))
+        assert response.status == 200
+        await deployment.until(
+            lambda version=version: all(
+                entry._view.table.version == version for entry in entries
+            )
+        )
+        for entry in entries:
+            assert entry._view.table.route_of("orders").name == serving
+        await deployment.execute_until_success("entry-1", "orders", "WRITE k1 a")
+    twice = make_document(5, routes=[*plain, further, {**further, "name": "r-twice"}])
+    assert (await deployment.put(twice)).status == 400
+
+
 async def _report_of_another_writer(deployment, server, group, **changes):
     """Send a report under a server's name, as one that started later."""
     fields = {
