Assign primaries only to configured groups

What callers could see: a report of another writer names a group that no configuration has, and a server's address. The leader assigned a primary to that group, and would have replaced it like any other; entry VMs close the connections to a replaced primary, whichever group it served.

Cause: the leader watched each group that some report names.

Change: it watches those of them that are configured.

Result: the new test failed before.

--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_primary_watch.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_primary_watch.py
@@ -76,12 +76,13 @@
         self._replacements.clear()
 
     async def run(self) -> None:
-        """Check all groups periodically while this node leads."""
+        """Check all configured groups periodically while this node leads."""
         while True:
             await asyncio.sleep(_WATCH_INTERVAL_S)
             if not self._host.may_act or self.leases is None:
                 continue
-            for group in {item.group for item in self._registry.all()}:
+            reported = {item.group for item in self._registry.all()}
+            for group in reported & self._groups().keys():
                 self._watch_group(group, self.leases)
 
     def _watch_group(self, group: str, leases: LeaseTable) -> None:
--- a/tests/users_platform/test_unusual_input.py
+++ b/tests/users_platform/test_unusual_input.py
@@ -1,5 +1,6 @@
 """Tests of the daemons with input that is allowed but rare, or that is malformed."""
 
+import asyncio
 import json
 import time
 
@@ -169,6 +170,26 @@
     assert {item.group for item in leader._state.servers.values()} == {"db"}
 
 
+async def test_a_group_that_is_not_configured_has_no_primary(deployment, make_document):
+    # Guards against replacements in a group that is named only by another writer, as
+    # entry VMs close the connections to the server that it names.
+    await _report_of_another_writer(deployment, "i-3", "archive")
+    nodes = deployment.controls.values()
+    await deployment.until(
+        lambda: all(node._reports.registry.of_group("archive") for node in nodes)
+    )
+    # Applied after whatever the leader does on the report.
+    assert (await deployment.put(make_document(2))).status == 200
+    await asyncio.sleep(0.5)
+    assert all(set(node._state.assignments) == {"db"} for node in nodes)
+    names = ("db", "archive")
+    services = [{"name": name, "connection_limit": 10} for name in names]
+    await deployment.put(make_document(3, KINDS, services=services))
+    await deployment.until(
+        lambda: all("archive" in node._state.assignments for node in nodes)
+    )
+
+
 async def test_a_server_that_leaves_is_gone_for_each_group(deployment):
     # Guards against a server that stays in use after its leave call, as a foreign report
     # under its name was the only one that the call ended.
