--- a/tests/users_platform/test_formats.py
+++ b/tests/users_platform/test_formats.py
@@ -136,6 +136,7 @@
     assert status.term == 3
 
 
+SERVICE = {"name": "db", "connection_limit": 36, "sync_replicas": 0}
 ROUTE = {
     "name": "r1",
     "host": "orders",
@@ -150,11 +151,10 @@
 
 
 def make_document(**changes):
-    service = {"name": "db", "connection_limit": 36, "sync_replicas": 0}
     fields = {
         "version": 7,
         "routes": [ROUTE],
-        "services": [service],
+        "services": [SERVICE],
         "limits": {"transaction_idle_ms": 3000},
     }
     return json.dumps(fields | changes).encode()
@@ -211,6 +211,25 @@
     assert table.route_of("orders").name == serving
 
 
+# Names that divide a line, or leave one of its fields out.
+NAMES_THAT_DIVIDE_LINES = ["", "db i-9", "db\r\nQUERY", "db\t", "\0", "db\u2028"]
+
+
+@pytest.mark.parametrize("name", NAMES_THAT_DIVIDE_LINES)
+def test_a_group_whose_name_divides_lines_is_refused(name):
+    # Guards against connections that open another group, server or message than meant.
+    document = make_document(services=[SERVICE, SERVICE | {"name": name}])
+    with pytest.raises(ConfigurationInvalidError, match="the name is empty or has"):
+        parse_configuration(document)
+
+
+@pytest.mark.parametrize("name", NAMES_THAT_DIVIDE_LINES)
+def test_a_team_whose_name_divides_lines_is_refused(name):
+    # Guards against connections that are opened for another team than meant.
+    with pytest.raises(ConfigurationInvalidError, match="the name is empty or mal"):
+        parse_configuration(make_document(tenants=[{"name": name}]))
+
+
 REPORT = {
     "service": "db",
     "address": "10.0.0.9:8080",
