--- a/tests/users_platform/test_formats.py
+++ b/tests/users_platform/test_formats.py
@@ -230,6 +230,12 @@
         parse_configuration(make_document(tenants=[{"name": name}]))
 
 
+@pytest.mark.parametrize("server", NAMES_THAT_DIVIDE_LINES)
+def test_a_report_whose_server_divides_lines_is_ignored(server):
+    # Guards against connections that open another server or message than meant.
+    assert parse_report(server, json.dumps(REPORT).encode()) is None
+
+
 REPORT = {
     "service": "db",
     "address": "10.0.0.9:8080",
