Let the stand-in servers and callers of the platform's tests take any bytes

The stand-ins decoded lines strictly and took at most 64 KiB, so that no test could send what a caller may send. They decode without a loss now, record the shape and the bound of a statement, and can refuse a statement once.

--- a/tests/users_platform/conftest.py
+++ b/tests/users_platform/conftest.py
@@ -18,7 +18,9 @@
 from cardamomshunt_node.entry_daemon import EntryDaemon
 from cardamomshunt_platform._platform import UsersPlatform
 from cardamomshunt_testing.loopback import reserve_network
+from relay_pair import open_pair
 from standin import (
+    LINE_END,
     REPORT_INTERVAL_S,
     Caller,
     Group,
@@ -27,6 +29,7 @@
     call_control,
     document,
     report,
+    to_bytes,
 )
 
 _PEER_PORT = 17_440
@@ -97,6 +100,16 @@
     async def open_session(self, database="orders", node="entry-1") -> Caller:
         return await Caller.open(self.caller_address(node), database)
 
+    async def first_line(self, node: str, line: str) -> bytes:
+        """Return the first line that answers a line on a new connection."""
+        host, port = self.caller_address(node).split(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(to_bytes(line) + LINE_END)
+        async with asyncio.timeout(4.0):
+            answer = await reader.readuntil(LINE_END)
+        writer.close()
+        return answer.removesuffix(LINE_END)
+
     async def call(self, address: str, method: str, path: str, body: bytes = b""):
         request = HttpRequest(method, path, body)
         response = await call_control(address, request, 2_000.0)
@@ -248,6 +261,12 @@
         yield running
 
 
+@pytest_asyncio.fixture
+async def pair(zone_deployment):
+    """Run a deployment with teams; return an entry VM and the owner it forwards to."""
+    return await open_pair(zone_deployment)
+
+
 @pytest.fixture
 def make_document():
     """Return the function that builds configurations."""
--- a/tests/users_platform/standin.py
+++ b/tests/users_platform/standin.py
@@ -21,6 +21,18 @@
 FORMER_PRIMARY_REJOIN_S = 1.0
 REPORT_INTERVAL_S = 0.2
 LINE_END = b"\r\n"
+# Above the size limit of messages, so that the daemons are what applies it.
+_LINE_SIZE_MAX_BYTES = 4 * 1024 * 1024
+
+
+def to_bytes(text: str) -> bytes:
+    """Encode a line; bytes that are no UTF-8 stand in it as escapes."""
+    return text.encode(errors="surrogateescape")
+
+
+def to_text(data: bytes) -> str:
+    """Decode a line, so that `to_bytes` returns the same bytes whatever they are."""
+    return data.decode(errors="surrogateescape")
 
 
 async def read_line(reader: asyncio.StreamReader) -> str | None:
@@ -29,7 +41,7 @@
         line = await reader.readuntil(LINE_END)
     except asyncio.IncompleteReadError:
         return None
-    return line.removesuffix(LINE_END).decode()
+    return to_text(line.removesuffix(LINE_END))
 
 
 @dataclass
@@ -55,6 +67,10 @@
     values: dict[str, str]
     is_primary: bool
     team: str
+    # Mode and shape of the prepared statement, empty for other statements.
+    prepared: str = ""
+    # Position that had to be reached, empty if there was none.
+    at_least: str = ""
 
 
 class LineServer:
@@ -71,6 +87,8 @@
         self.state = "ready"
         self.is_unreachable = False
         self.lost_answers: set[str] = set()
+        # Requests whose next statement is refused as the server is busy.
+        self.refused_once: set[str] = set()
         # Fraction of answers to callers' statements that are lost.
         self.lost_share = 0.0
         self.work_s = 0.002
@@ -94,7 +112,9 @@
     async def start(self) -> None:
         """Listen."""
         host, port = self.address.split(":")
-        self._server = await asyncio.start_server(self._serve, host, int(port))
+        self._server = await asyncio.start_server(
+            self._serve, host, int(port), limit=_LINE_SIZE_MAX_BYTES
+        )
 
     async def stop(self) -> None:
         """Abort all connections, as a crash does."""
@@ -120,7 +140,7 @@
                     continue
                 answer = await session.handle(line)
                 if answer and not self.is_unreachable:
-                    writer.write(answer.encode())
+                    writer.write(to_bytes(answer))
                 if answer.startswith(("ERROR OVERLOAD", "ERROR DENIED")):
                     return
         except (ConnectionError, asyncio.CancelledError):
@@ -173,6 +193,7 @@
 
     async def _run(self, request: str, text: str) -> str:
         server = self._server
+        position = ""
         if text.startswith("WAITFOR "):
             _, position, text = text.split(" ", 2)
             term, number = position.split(".")
@@ -198,7 +219,7 @@
             case "ROLLBACK":
                 self._pending = None
             case _:
-                return await self._run_work(request, word, rest, text)
+                return await self._run_work(request, text, position)
         return "COMPLETE -\r\n" + self._ready()
 
     def _status(self, word: str, rest: str) -> str:
@@ -210,14 +231,20 @@
         row = f"ROW {role} {server.term} {term}.{number} {term} 0 0 1\r\n"
         return row + "COMPLETE -\r\n" + self._ready()
 
-    async def _run_work(self, request: str, word: str, rest: str, text: str) -> str:
+    async def _run_work(self, request: str, text: str, at_least: str) -> str:
         server = self._server
+        if request in server.refused_once:
+            server.refused_once.discard(request)
+            return self._error("BUSY")
+        word, _, rest = text.partition(" ")
         is_write = word == "WRITE"
+        prepared = ""
         if word == "EXECUTE":
             name, _, rest = rest.partition(" ")
             if name not in self._prepared:
                 return self._error("UNKNOWN")
-            is_write = self._prepared[name].startswith("WRITE")
+            prepared = self._prepared[name]
+            is_write = prepared.startswith("WRITE")
         await asyncio.sleep(server.work_s)
         if is_write and not server.is_primary:
             return self._error("READONLY")
@@ -231,6 +258,8 @@
                 dict(self._values),
                 server.is_primary,
                 self._team,
+                prepared,
+                at_least,
             )
         )
         rows = ""
@@ -459,8 +488,10 @@
     async def open(cls, address: str, database: str, key: str = "u1") -> "Caller":
         """Open a session; raise ConnectionError if it is refused."""
         host, port = address.split(":")
-        caller = cls(*await asyncio.open_connection(host, int(port)))
-        caller._writer.write(f"START {database} {key}\r\n".encode())
+        caller = cls(
+            *await asyncio.open_connection(host, int(port), limit=_LINE_SIZE_MAX_BYTES)
+        )
+        caller._writer.write(to_bytes(f"START {database} {key}\r\n"))
         line = await read_line(caller._reader)
         if line is None or not line.startswith("READY"):
             caller.close()
@@ -479,7 +510,7 @@
         """Run a statement; return the lines of its answer but READY."""
         self._ids += 1
         request = request or f"{os.urandom(4).hex()}"
-        self._writer.write(f"QUERY {request} {text}\r\n".encode())
+        self._writer.write(to_bytes(f"QUERY {request} {text}\r\n"))
         lines = []
         async with asyncio.timeout(8.0):
             while True:
--- a/tests/users_platform/test_session_relay.py
+++ b/tests/users_platform/test_session_relay.py
@@ -20,68 +20,8 @@
     TransactionState,
 )
 from cardamomshunt_node._session_relay import lost_answer_code
-from standin import Caller, document
-
-_KEYS = {f"team-{n}": [f"key-{n}"] for n in range(12)}
-
-
-def team_document(version, keys=_KEYS, **changes):
-    tenants = [{"name": name, "api_keys": held} for name, held in keys.items()]
-    return document(version, tenants=tenants, n_connections_max=20, **changes)
-
-
-async def apply(deployment, version, **changes):
-    assert (await deployment.put(team_document(version, **changes))).status == 200
-    for entry in deployment.entries.values():
-        await deployment.until(lambda entry=entry: entry._view.table.version == version)
-
-
-class Pair:
-    """An entry VM that forwards a team's sessions, their owner, and a third VM."""
-
-    def __init__(self, deployment):
-        self.deployment = deployment
-        entries = deployment.entries
-        by_address = {
-            settings.peer_address: node
-            for node, settings in deployment.settings.items()
-        }
-        for team in _KEYS:
-            orders = {
-                node: daemon._directory.candidates(team, "db")
-                for node, daemon in entries.items()
-            }
-            # All three VMs hold connections or two of them: one of them owns the team.
-            owners = {order[0] for order in orders.values() if order}
-            if len(owners) == 1 and sum(bool(order) for order in orders.values()) == 2:
-                break
-        self.owner = by_address[owners.pop()]
-        self.entry, self.other = (node for node, order in orders.items() if order)
-        self.team = team
-        self.key = _KEYS[team][0]
-
-    @property
-    def owner_daemon(self):
-        return self.deployment.entries[self.owner]
-
-    async def open(self, database="orders"):
-        address = self.deployment.caller_address(self.entry)
-        return await Caller.open(address, database, self.key)
-
-    def events(self, node, name):
-        return [e for e in self.deployment.events(node) if e["event"] == name]
-
-    @property
-    def n_served(self):
-        return self.owner_daemon._relay_owner.n_sessions
-
-
-@pytest.fixture
-async def pair(zone_deployment):
-    await apply(zone_deployment, 2)
-    for entry in zone_deployment.entries.values():
-        await zone_deployment.until(lambda e=entry: e._directory._owners.n_entries == 3)
-    return Pair(zone_deployment)
+from relay_pair import TEAM_KEYS, apply
+from standin import Caller
 
 
 @pytest.mark.parametrize(
@@ -357,7 +297,7 @@
     idle, busy = await pair.open(), await pair.open()
     await busy.execute("BEGIN")
     await busy.execute("WRITE k1 a", "w1")
-    await apply(pair.deployment, 3, keys=_KEYS | {pair.team: ["other-key"]})
+    await apply(pair.deployment, 3, keys=TEAM_KEYS | {pair.team: ["other-key"]})
     assert await idle.is_closed()
     assert await busy.is_closed()
     await pair.deployment.until(lambda: pair.n_served == 0)
