Pass bytes that are no UTF-8 through unchanged

What callers saw: a statement with a byte that is no UTF-8 was answered with MALFORMED and the session closed, an open transaction with it; over a forwarded session the owner refused it. A row with such a byte closed the connection to the server, so that a read failed and a write was in doubt though it had run.

Cause: both edges decoded lines strictly.

Change: such bytes become escapes that encoding reverts. The digest of a key covers the bytes that were sent. The log, whose encoder takes no escapes, shows them as hexadecimal.

--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_decision_log.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_decision_log.py
@@ -14,6 +14,25 @@
 _ENCODER = msgspec.json.Encoder(enc_hook=str)
 
 
+def _encode(line: dict[str, Any]) -> bytes:
+    try:
+        return _ENCODER.encode(line)
+    except UnicodeEncodeError:
+        # A caller's text may hold bytes that are no UTF-8.
+        return _ENCODER.encode({name: _printable(line[name]) for name in line})
+
+
+def _printable(value: Any) -> Any:
+    r"""Return a text with bytes that are no UTF-8 as hexadecimal escapes.
+
+    >>> print(_printable(b"k\xff".decode(errors="surrogateescape")))
+    k\xff
+    """
+    if not isinstance(value, str):
+        return value
+    return value.encode(errors="surrogateescape").decode(errors="backslashreplace")
+
+
 class DecisionLog:
     """Write one JSON line for each decision, and count dropped lines.
 
@@ -40,7 +59,7 @@
         if self._n_dropped:
             line["n_dropped_before"] = self._n_dropped
             self._n_dropped = 0
-        self._pending.append(_ENCODER.encode(line) + b"\n")
+        self._pending.append(_encode(line) + b"\n")
         self.flush()
 
     def write_request(self, event: str, **fields: Any) -> None:
--- a/packages/cardamomshunt/src/cardamomshunt/_fleet/teams.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_fleet/teams.py
@@ -14,8 +14,12 @@
 
 
 def key_digest(key: str) -> bytes:
-    """Return the digest by which a key is stored and looked up."""
-    return hashlib.blake2b(key.encode(), digest_size=_DIGEST_SIZE_BYTES).digest()
+    """Return the digest by which a key is stored and looked up.
+
+    A caller's key may hold bytes that are no UTF-8, as escapes.
+    """
+    data = key.encode(errors="surrogateescape")
+    return hashlib.blake2b(data, digest_size=_DIGEST_SIZE_BYTES).digest()
 
 
 def key_fingerprint(digest: bytes) -> str:
