Apply the size limit of a message to its line, however it is read

What callers saw: a message of exactly 1 MiB was refused and its session closed if a read ended between the two characters of its end. A longer one was run if its end came in the same read as the bytes above the limit. The same held for lines of servers.

Cause: only the unfinished rest was compared with the limit, the first character of a line end included.

Change: the limit holds for each line without its end.

--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_line_buffer.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_line_buffer.py
@@ -4,13 +4,14 @@
 
 
 class LineTooLongError(ValueError):
-    """Raised when a line exceeds the size limit before its end is received."""
+    """Raised when a line without its end exceeds the size limit."""
 
 
 class LineBuffer:
     """Collect received bytes, and split off the lines that are complete.
 
-    A carriage return or a line feed alone is part of the last field of a line.
+    A carriage return or a line feed alone is part of the last field of a line. The
+    limit holds for lines without their ends, however the stream was divided into reads.
     """
 
     def __init__(self, size_max_bytes: int) -> None:
@@ -27,6 +28,8 @@
         if self._rest:
             data = self._rest + data
         *lines, self._rest = data.split(LINE_END)
-        if len(self._rest) > self._size_max_bytes:
+        # A carriage return at the end may be the first half of the line's end.
+        n_rest_bytes = len(self._rest) - self._rest.endswith(b"\r")
+        if max([n_rest_bytes, *map(len, lines)]) > self._size_max_bytes:
             raise LineTooLongError(f"a line exceeds {self._size_max_bytes} bytes")
         return lines
--- a/tests/users_platform/test_unusual_input.py
+++ b/tests/users_platform/test_unusual_input.py
@@ -6,6 +6,7 @@
 
 import pytest
 from cardamomshunt.fleet import ServerState
+from cardamomshunt_node._session_protocol import MESSAGE_SIZE_MAX_BYTES
 from standin import KINDS, report
 
 # Data that a line of text may hold, as only CR LF ends a line.
@@ -223,3 +224,18 @@
     await deployment.until(
         lambda: all(item.of_group("archive") for item in registries), timeout_s=0.5
     )
+
+
+@pytest.mark.parametrize("n_bytes_too_many", [0, 1])
+async def test_a_message_of_the_size_limit_is_served(deployment, n_bytes_too_many):
+    # Guards against a limit that depends on how a message is divided into reads.
+    caller = await deployment.open_session()
+    n_bytes = MESSAGE_SIZE_MAX_BYTES - len("QUERY w1 WRITE k1 ") + n_bytes_too_many
+    statement = f"WRITE k1 {'x' * n_bytes}"
+    if n_bytes_too_many:
+        with pytest.raises(ConnectionError):
+            await caller.execute(statement, "w1")
+        assert not [run for run in deployment.group.runs if run.request == "w1"]
+        return
+    assert await caller.execute(statement, "w1") == ["COMPLETE proof-i-3-w1"]
+    assert deployment.group.runs[-1].text == statement
