Keep messages to servers within the size limit

What callers saw: an execution or a bounded read whose message was within the limit by a few bytes reached the server in a message above it, as the proxy's name of the statement or the position of the bound were longer than what they replaced or were added to. A server that applies the limit refuses it or closes, with an open transaction.

Cause: only what callers send was compared with the limit.

Change: a read that has no room for its bound runs at the primary, which needs none. An execution whose message, or that of its preparation, would be too large is refused with TOOLARGE before anything is sent, and so is a session value; an open transaction stays open. Statements far below the limit aren't measured.

--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_line_reads.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_line_reads.py
@@ -53,6 +53,8 @@
     route: Route
     received_ms: float
     deadline_ms: float
+    # A replica needs the bound with the statement, which may be too long for that.
+    is_primary_only: bool
     # None until a position is known that proves a replica fresh enough.
     at_least: DatedPosition | None = None
     tried: set[str] = field(default_factory=set)
@@ -134,7 +136,11 @@
         deadline_ms = statement_deadline_ms(
             route, received_ms, self._view.answer_deadline_ms
         )
-        read = _Read(session, query, route, received_ms, deadline_ms)
+        is_primary_only = (
+            route.kind is RouteKind.PRIMARY
+            or not self._sender.has_room_for_bound(session, query)
+        )
+        read = _Read(session, query, route, received_ms, deadline_ms, is_primary_only)
         self._hedge_budget = min(
             self._hedge_budget + _HEDGE_BUDGET_PER_READ, _HEDGE_BUDGET_MAX
         )
@@ -149,7 +155,7 @@
 
     async def _race(self, read: _Read) -> Reply:
         while boot_ms() < read.deadline_ms:
-            if read.at_least is None:
+            if read.at_least is None and not read.is_primary_only:
                 read.at_least = self._freshness.requirement(
                     read.session, read.route, read.received_ms
                 )
@@ -176,7 +182,7 @@
         After a restart no bound is known, and all reads would queue at the primary
         although replicas may serve them as soon as one of them is answered.
         """
-        if read.at_least is not None or read.route.kind is RouteKind.PRIMARY:
+        if read.at_least is not None or read.is_primary_only:
             return False
         return self._n_without_bound[read.route.group] >= _N_READS_WITHOUT_BOUND_MAX
 
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_line_sessions.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_line_sessions.py
@@ -64,6 +64,7 @@
         self._log = log
         self._metrics = metrics
         sender = StatementSender(protocol, log if is_statement_traced else None)
+        self._sender = sender
         freshness = ReadFreshness(view)
         self._reads = ReadRunner(view, sender, freshness, log, metrics, quotas)
         self._writes = WriteRunner(view, sender, log)
@@ -130,6 +131,7 @@
         if session.transaction is not None and session.transaction.is_failed:
             return self._run_in_failed_transaction(session, kind)
         if kind in _SESSION_KINDS:
+            self._sender.check_size(session, query)
             return self._change_session(session, query.statement)
         if session.transaction is not None:
             return await self._run_in_transaction(session, query)
@@ -140,6 +142,7 @@
             raise RefusedError(ErrorCode.MALFORMED, "no transaction is open")
         route = self._route(session)
         is_write = self._is_write(session, query.statement)
+        self._sender.check_size(session, query)
         self._metrics.count_operation(session.team)
         deadline_ms = statement_deadline_ms(
             route, received_ms, self._view.answer_deadline_ms
@@ -158,6 +161,7 @@
         if kind is StatementKind.ROLLBACK:
             return self._transactions.roll_back(session)
         is_write = self._is_write(session, query.statement)
+        self._sender.check_size(session, query)
         if session.transaction is not None and session.transaction.connection is None:
             self._metrics.count_operation(session.team)
         return await self._transactions.run(session, query, is_write)
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_statement_sender.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_statement_sender.py
@@ -7,14 +7,30 @@
 
 from cardamomshunt_node._backend_connection import BackendConnection, Reply
 from cardamomshunt_node._decision_log import DecisionLog
-from cardamomshunt_node._line_session_state import LineSession
+from cardamomshunt_node._line_buffer import LINE_END
+from cardamomshunt_node._line_session_state import LineSession, RefusedError
 from cardamomshunt_node._session_protocol import (
+    MESSAGE_SIZE_MAX_BYTES,
     CallerQuery,
+    ErrorCode,
     PreparedStatement,
     SessionProtocol,
+    Statement,
     StatementKind,
 )
 
+# A character takes up to 4 bytes, and less than the rest is added to a statement.
+_N_CHARACTERS_SURELY_FIT = MESSAGE_SIZE_MAX_BYTES // 8
+_LONGEST_BOUND = LogPosition(2**63 - 1, 2**63 - 1)
+
+
+def _is_too_large(message: bytes) -> bool:
+    return len(message) - len(LINE_END) > MESSAGE_SIZE_MAX_BYTES
+
+
+def _n_characters(query: CallerQuery) -> int:
+    return len(query.request_id) + len(query.statement.text)
+
 
 class StatementSender:
     """Send statements on pooled connections with the state of their sessions.
@@ -41,11 +57,10 @@
         """Send missing session state, then the statement; return its future answer."""
         self.send_values(connection, session)
         statement = query.statement
-        text = statement.text
+        text = self._text(session, statement)
         name = ""
         if statement.kind is StatementKind.EXECUTE:
             name = self._prepare(connection, session.prepared[statement.name])
-            text = self.protocol.execute_text(name, statement)
         if self._trace_log is not None:
             self._trace_log.write_request(
                 "statement_sent",
@@ -73,12 +88,56 @@
                 connection.values[name] = value
                 self._send_internal(connection, self.protocol.set_value(name, value))
 
-    def _prepare(
-        self, connection: BackendConnection, prepared: PreparedStatement
-    ) -> str:
+    def check_size(self, session: LineSession, query: CallerQuery) -> None:
+        """Raise RefusedError if a message to a server would exceed the size limit.
+
+        The name of a prepared statement on connections may be longer than the caller's.
+        """
+        statement = query.statement
+        if statement.kind is StatementKind.SET:
+            messages = [self.protocol.set_value(statement.name, statement.value)]
+        elif statement.kind is StatementKind.EXECUTE:
+            prepared = session.prepared[statement.name]
+            if max(_n_characters(query), len(prepared.text)) < _N_CHARACTERS_SURELY_FIT:
+                return
+            text = self._text(session, statement)
+            messages = [
+                self.protocol.prepare(self._name(prepared), prepared),
+                self.protocol.statement(query.request_id, text, None),
+            ]
+        else:
+            return
+        if any(map(_is_too_large, messages)):
+            raise RefusedError(
+                ErrorCode.TOO_LARGE,
+                f"a message to a server would exceed {MESSAGE_SIZE_MAX_BYTES} bytes",
+            )
+
+    def has_room_for_bound(self, session: LineSession, query: CallerQuery) -> bool:
+        """Return whether a read with the position it requires fits into a message."""
+        if _n_characters(query) < _N_CHARACTERS_SURELY_FIT:
+            return True
+        text = self._text(session, query.statement)
+        message = self.protocol.statement(query.request_id, text, _LONGEST_BOUND)
+        return not _is_too_large(message)
+
+    def _text(self, session: LineSession, statement: Statement) -> str:
+        """Return the text of a statement with the name that servers know."""
+        if statement.kind is not StatementKind.EXECUTE:
+            return statement.text
+        name = self._name(session.prepared[statement.name])
+        return self.protocol.execute_text(name, statement)
+
+    def _name(self, prepared: PreparedStatement) -> str:
         name = self._names.get(prepared)
         if name is None:
             name = self._names[prepared] = f"p{next(self._name_numbers)}"
+        return name
+
+    def _prepare(
+        self, connection: BackendConnection, prepared: PreparedStatement
+    ) -> str:
+        name = self._name(prepared)
         if name not in connection.prepared:
             connection.prepared[name] = prepared
             self._send_internal(connection, self.protocol.prepare(name, prepared))
--- a/tests/users_platform/standin.py
+++ b/tests/users_platform/standin.py
@@ -89,6 +89,7 @@
         self.lost_answers: set[str] = set()
         # Requests whose next statement is refused as the server is busy.
         self.refused_once: set[str] = set()
+        self.n_line_bytes_max = 0
         # Fraction of answers to callers' statements that are lost.
         self.lost_share = 0.0
         self.work_s = 0.002
@@ -136,6 +137,8 @@
         self.n_connections += 1
         try:
             while (line := await read_line(reader)) is not None:
+                n_bytes = len(to_bytes(line))
+                self.n_line_bytes_max = max(self.n_line_bytes_max, n_bytes)
                 if self.is_unreachable:
                     continue
                 answer = await session.handle(line)
@@ -510,7 +513,11 @@
         """Run a statement; return the lines of its answer but READY."""
         self._ids += 1
         request = request or f"{os.urandom(4).hex()}"
-        self._writer.write(to_bytes(f"QUERY {request} {text}\r\n"))
+        return await self.execute_raw(f"QUERY {request} {text}")
+
+    async def execute_raw(self, message: str) -> list[str]:
+        """Send a message; return the lines of its answer but READY."""
+        self._writer.write(to_bytes(message) + LINE_END)
         lines = []
         async with asyncio.timeout(8.0):
             while True:
