--- a/packages/cardamomshunt-node/tests/conftest.py
+++ b/packages/cardamomshunt-node/tests/conftest.py
@@ -20,6 +20,7 @@
 )
 from cardamomshunt_node.settings import Address, ControlNodeAddress, DaemonSettings
 from cardamomshunt_testing._ports import free_ports
+from proxy_site import Site, start_site, stop_site
 
 _RECORD = re.compile(r"VALUES \('(\w+)', '(\w*)', (-?\d+),")
 _ANSWER = re.compile(r"affected_rows = (\d+), last_insert_id = (\d+) .*'(\w+)'$")
@@ -216,6 +217,15 @@
     )
 
 
+@pytest.fixture
+async def site(
+    proxy_settings: DaemonSettings, fake_backend: Any
+) -> AsyncIterator[Site]:
+    site = await start_site(proxy_settings, fake_backend)
+    yield site
+    await stop_site(site)
+
+
 async def _wait_until(condition: Callable[[], bool], timeout_s: float = 5.0) -> None:
     async with asyncio.timeout(timeout_s):
         while not condition():
--- a/packages/cardamomshunt-node/tests/test_proxy_role.py
+++ b/packages/cardamomshunt-node/tests/test_proxy_role.py
@@ -1,10 +1,8 @@
 """A running proxy daemon: callers, announcements, control, drain and restart."""
 
 import asyncio
-import contextlib
 import dataclasses
 import socket
-from collections.abc import AsyncIterator
 from typing import Any
 
 import aiohttp
@@ -14,15 +12,9 @@
 from asyncmy.cursors import SSCursor
 from cardamomshunt.configuration import ClusterConfiguration, DatabaseSettings
 from cardamomshunt.messages import (
-    Announcement,
     Change,
     ConfigurationUpdate,
-    DatabaseTopology,
     DrainInstance,
-    FailoverStep,
-    Heartbeat,
-    Message,
-    TokenEcho,
     TopologyUpdate,
 )
 from cardamomshunt.operator_messages import (
@@ -33,158 +25,30 @@
     TimelineReply,
     TimelineRequest,
 )
-from cardamomshunt.position import LogPosition
 from cardamomshunt_node._caller_edge_mysql import MysqlCallerEdge
 from cardamomshunt_node.keys import KeyRing
 from cardamomshunt_node.mysql_server import ServerError
 from cardamomshunt_node.operator_link import send_request
 from cardamomshunt_node.proxy_role import ProxyDaemon
 from cardamomshunt_node.settings import Address, DaemonSettings
-from cardamomshunt_node.transport import PeerTransport, ReceivedMessage
+from proxy_site import TOPOLOGY, Site, query, start_site, stop_site
 
 _RECEIVE_BUFFER_BYTES = 64 * 1024
 
-_TOPOLOGY = TopologyUpdate(
-    version=5,
-    databases=[
-        DatabaseTopology(
-            database="orders",
-            term=3,
-            primary_instance="orders-1",
-            step=FailoverStep.SERVING,
-        )
-    ],
-)
-
-
-class _Control:
-    """Minimal control leader that records messages and sends scripted ones."""
-
-    def __init__(self, settings: DaemonSettings) -> None:
-        self.received: list[Message] = []
-        self._proxy_url = settings.peer_address.url
-        node = settings.control_nodes[0]
-        self.transport = PeerTransport(
-            node.node, node.peer_address.url, KeyRing([]), self._receive
-        )
-
-    async def _receive(self, received: ReceivedMessage) -> None:
-        self.received.append(received.message)
-
-    def send(self, message: Message) -> None:
-        self.transport.send(self._proxy_url, message)
-
-    def heartbeats(self) -> list[Heartbeat]:
-        return [item for item in self.received if isinstance(item, Heartbeat)]
-
-
-@dataclasses.dataclass
-class _Site:
-    """Running proxy with one backend server and a control node."""
-
-    settings: DaemonSettings
-    daemon: ProxyDaemon
-    backend: Any
-    control: _Control
-    announcer: "asyncio.Task[None] | None" = None
-    is_announcing: bool = True
-    token: str | None = None
-    n_announced: int = 0
-    last_status: int = 0
-    connections: list[Any] = dataclasses.field(default_factory=list)
-
-    async def announce_forever(self) -> None:
-        url = f"http://{self.settings.announcement_address}/v1/announcement"
-        async with aiohttp.ClientSession() as session:
-            while True:
-                if self.is_announcing:
-                    with contextlib.suppress(aiohttp.ClientError):
-                        await self._announce(session, url)
-                await asyncio.sleep(0.02)
-
-    async def _announce(self, session: aiohttp.ClientSession, url: str) -> None:
-        echo = None
-        if self.token is not None:
-            position = LogPosition(self.backend.term, self.backend.position)
-            echo = TokenEcho(token=self.token, position=position)
-        announcement: Announcement = self.backend.announcement(echo=echo)
-        body = msgspec.json.encode(announcement)
-        async with session.post(url, data=body) as response:
-            self.last_status = response.status
-            self.token = (await response.json())["token"]
-            self.n_announced += 1
-
-    async def connect(self, **options: Any) -> Any:
-        address = self.settings.caller_address
-        assert address is not None
-        connection = await asyncmy.connect(
-            host=address.host,
-            port=address.port,
-            user="caller",
-            database="orders",
-            **{"autocommit": None, **options},
-        )
-        self.connections.append(connection)
-        return connection
-
-
-async def _query(connection: Any, sql: str) -> Any:
-    async with connection.cursor() as cursor:
-        await cursor.execute(sql)
-        return await cursor.fetchall()
-
-
-async def _start_site(
-    settings: DaemonSettings, backend: Any, sends_state: bool = True
-) -> _Site:
-    daemon = ProxyDaemon(settings, drain_time_ms=3_000.0)
-    control = _Control(settings)
-    await control.transport.start()
-    await daemon.start()
-    site = _Site(settings, daemon, backend, control)
-    site.announcer = asyncio.create_task(site.announce_forever())
-    async with asyncio.timeout(5):
-        while daemon.state.topology.version == 0:
-            if sends_state:
-                control.send(_TOPOLOGY)
-            await asyncio.sleep(0.02)
-        while site.n_announced < 3:
-            await asyncio.sleep(0.02)
-    return site
-
-
-async def _stop_site(site: _Site) -> None:
-    if site.announcer is not None:
-        site.announcer.cancel()
-        await asyncio.gather(site.announcer, return_exceptions=True)
-    for connection in site.connections:
-        connection.close()
-    await site.daemon.stop()
-    await site.control.transport.stop()
-
-
-@pytest.fixture
-async def site(
-    proxy_settings: DaemonSettings, fake_backend: Any
-) -> AsyncIterator[_Site]:
-    site = await _start_site(proxy_settings, fake_backend)
-    yield site
-    await _stop_site(site)
-
 
-async def test_read_write_and_variables(site: _Site) -> None:
+async def test_read_write_and_variables(site: Site) -> None:
     connection = await site.connect()
-    rows = await _query(connection, "SELECT id, name FROM t")
+    rows = await query(connection, "SELECT id, name FROM t")
     assert rows[0][0] == 0
-    assert await _query(connection, "SELECT @cardamomshunt_last_route") == (
+    assert await query(connection, "SELECT @cardamomshunt_last_route") == (
         ("primary",),
     )
     async with connection.cursor() as cursor:
         await cursor.execute("UPDATE stock SET n = 1")
         assert cursor.rowcount == 2
-    watermark = await _query(connection, "SELECT @cardamomshunt_watermark")
+    watermark = await query(connection, "SELECT @cardamomshunt_watermark")
     assert watermark == (("3:100",),)
-    assert await _query(connection, "SELECT cardamomshunt_outcome('k9')") == (
+    assert await query(connection, "SELECT cardamomshunt_outcome('k9')") == (
         ("NOT_RUN",),
     )
 
@@ -200,29 +64,29 @@
     ],
 )
 async def test_refusals_name_verdict_and_reason(
-    site: _Site, sql: str, code: int, text: str
+    site: Site, sql: str, code: int, text: str
 ) -> None:
     connection = await site.connect()
     with pytest.raises(asyncmy.errors.Error) as raised:
-        await _query(connection, sql)
+        await query(connection, sql)
     assert raised.value.args[0] == code
     assert "verdict=NOT_RUN" in raised.value.args[1]
     assert text in raised.value.args[1]
-    last = await _query(connection, "SELECT @cardamomshunt_last_verdict")
+    last = await query(connection, "SELECT @cardamomshunt_last_verdict")
     assert last[0][0] == raised.value.args[1]
     assert site.backend.n_writes == 0
 
 
-async def test_backend_errors_pass_through(site: _Site) -> None:
+async def test_backend_errors_pass_through(site: Site) -> None:
     site.backend.faults["UPDATE"] = ServerError(1062, "23000", "Duplicate entry '1'")
     connection = await site.connect()
     with pytest.raises(asyncmy.errors.IntegrityError) as raised:
-        await _query(connection, "UPDATE t SET a = 1")
+        await query(connection, "UPDATE t SET a = 1")
     assert raised.value.args == (1062, "Duplicate entry '1'")
     assert raised.value.sqlstate == "23000"
 
 
-async def test_keyed_write_runs_once(site: _Site) -> None:
+async def test_keyed_write_runs_once(site: Site) -> None:
     connection = await site.connect()
     sql = "/* cardamomshunt: idempotency_key=k1 */ UPDATE stock SET n = 1"
     for _ in range(3):
@@ -230,51 +94,51 @@
             await cursor.execute(sql)
             assert cursor.rowcount == 2
     assert site.backend.n_writes == 1
-    assert await _query(connection, "SELECT cardamomshunt_outcome('k1')") == (("RAN",),)
+    assert await query(connection, "SELECT cardamomshunt_outcome('k1')") == (("RAN",),)
 
 
 @pytest.mark.parametrize("uses_autocommit", [True, False])
-async def test_transactions(site: _Site, uses_autocommit: bool) -> None:
+async def test_transactions(site: Site, uses_autocommit: bool) -> None:
     connection = await site.connect()
     if uses_autocommit:
-        await _query(connection, "BEGIN")
+        await query(connection, "BEGIN")
     else:
-        await _query(connection, "SET autocommit = 0")
-    await _query(connection, "UPDATE stock SET n = 1")
+        await query(connection, "SET autocommit = 0")
+    await query(connection, "UPDATE stock SET n = 1")
     assert site.backend.statements.count("BEGIN") == 1
-    await _query(connection, "ROLLBACK")
+    await query(connection, "ROLLBACK")
     assert site.backend.n_writes == 0
-    await _query(connection, "BEGIN")
-    await _query(connection, "UPDATE stock SET n = 1")
-    await _query(connection, "COMMIT")
+    await query(connection, "BEGIN")
+    await query(connection, "UPDATE stock SET n = 1")
+    await query(connection, "COMMIT")
     assert site.backend.n_writes == 1
 
 
-async def test_caller_gone_in_transaction(site: _Site, wait_until: Any) -> None:
+async def test_caller_gone_in_transaction(site: Site, wait_until: Any) -> None:
     """Guards against a transaction that stays open after its caller disconnects."""
     connection = await site.connect()
-    await _query(connection, "BEGIN")
-    await _query(connection, "UPDATE stock SET n = 1")
+    await query(connection, "BEGIN")
+    await query(connection, "UPDATE stock SET n = 1")
     connection.close()
     await wait_until(lambda: site.backend.n_writes == 0)
     assert site.daemon.core.data_path.n_open_requests() == 0
 
 
-async def test_caller_gone_while_a_statement_runs(site: _Site, wait_until: Any) -> None:
+async def test_caller_gone_while_a_statement_runs(site: Site, wait_until: Any) -> None:
     site.backend.faults["UPDATE"] = "hang"
     connection = await site.connect()
-    task = asyncio.create_task(_query(connection, "UPDATE stock SET n = 1"))
+    task = asyncio.create_task(query(connection, "UPDATE stock SET n = 1"))
     await wait_until(lambda: "UPDATE stock SET n = 1" in site.backend.statements)
     connection.close()
     await wait_until(lambda: site.daemon.core.data_path.n_open_requests() == 0)
     await asyncio.gather(task, return_exceptions=True)
     site.backend.faults.clear()
     other = await site.connect()
-    assert (await _query(other, "SELECT id FROM t"))[0][0] == 0
+    assert (await query(other, "SELECT id FROM t"))[0][0] == 0
 
 
 @pytest.mark.parametrize("is_broken", [False, True])
-async def test_large_results_stream(site: _Site, is_broken: bool) -> None:
+async def test_large_results_stream(site: Site, is_broken: bool) -> None:
     """Guards against a truncated result that looks complete."""
     site.backend.n_rows = 20_000
     site.backend.is_broken_in_rows = is_broken
@@ -291,7 +155,7 @@
     assert rows[-1][0] == 19_999
 
 
-async def test_caller_gone_in_a_stream(site: _Site, wait_until: Any) -> None:
+async def test_caller_gone_in_a_stream(site: Site, wait_until: Any) -> None:
     """Guards against requests and connections retained for a disconnected caller."""
     site.backend.n_rows = 200_000
     connection = await site.connect()
@@ -304,7 +168,7 @@
     await wait_until(lambda: site.daemon.core.data_path.n_open_requests() == 0)
     site.backend.n_rows = 1
     other = await site.connect()
-    assert len(await _query(other, "SELECT id FROM t")) == 1
+    assert len(await query(other, "SELECT id FROM t")) == 1
 
 
 def _connect_slow_caller(address: Address) -> socket.socket:
@@ -316,7 +180,7 @@
     return caller
 
 
-async def test_buffer_for_a_slow_caller_is_bounded(site: _Site) -> None:
+async def test_buffer_for_a_slow_caller_is_bounded(site: Site) -> None:
     """Guards against a result that is buffered completely for a slow caller."""
     site.backend.n_rows = 200_000
     address = site.settings.caller_address
@@ -339,7 +203,7 @@
     ids=["this entry VM", "resumed", "a backend server"],
 )
 async def test_drain_command_from_control(
-    site: _Site, target: str, is_draining: bool, is_stopping: bool, wait_until: Any
+    site: Site, target: str, is_draining: bool, is_stopping: bool, wait_until: Any
 ) -> None:
     """Guards against an entry VM that ignores the command to drain itself."""
     transport = site.daemon._transport
@@ -350,7 +214,7 @@
     assert site.daemon._stop_requested.is_set() == is_stopping
 
 
-async def test_configuration_never_goes_back(site: _Site, wait_until: Any) -> None:
+async def test_configuration_never_goes_back(site: Site, wait_until: Any) -> None:
     """Guards against a late or repeated update that reverts a newer one."""
     state = site.daemon.state
     document = ClusterConfiguration(version=7, databases={"orders": DatabaseSettings()})
@@ -384,13 +248,13 @@
     assert proxy_settings.data_folder is not None
     folder = proxy_settings.data_folder / "new" / "folder"
     proxy_settings = dataclasses.replace(proxy_settings, data_folder=folder)
-    await _stop_site(await _start_site(proxy_settings, fake_backend))
-    site = await _start_site(proxy_settings, fake_backend, sends_state=False)
+    await stop_site(await start_site(proxy_settings, fake_backend))
+    site = await start_site(proxy_settings, fake_backend, sends_state=False)
     try:
         connection = await site.connect()
-        assert (await _query(connection, "SELECT id FROM t"))[0][0] == 0
+        assert (await query(connection, "SELECT id FROM t"))[0][0] == 0
     finally:
-        await _stop_site(site)
+        await stop_site(site)
 
 
 @pytest.mark.parametrize("content", [b"", b"garbage", b"x" * 64])
@@ -400,10 +264,10 @@
     folder = proxy_settings.data_folder
     assert folder is not None
     (folder / "proxy-topology").write_bytes(content)
-    await _stop_site(await _start_site(proxy_settings, fake_backend))
+    await stop_site(await start_site(proxy_settings, fake_backend))
 
 
-async def test_too_many_callers(site: _Site) -> None:
+async def test_too_many_callers(site: Site) -> None:
     edge = MysqlCallerEdge(Address("127.0.0.1", 0), site.daemon.core, n_callers_max=1)
     await edge.start()
     options = {"host": "127.0.0.1", "port": edge._server.port, "user": "caller"}
@@ -416,24 +280,24 @@
     await edge.drain(0.0)
 
 
-async def test_term_change(site: _Site, wait_until: Any) -> None:
+async def test_term_change(site: Site, wait_until: Any) -> None:
     """Guards against writes on connections that are bound to an older term."""
     connection = await site.connect()
-    await _query(connection, "UPDATE stock SET n = 1")
+    await query(connection, "UPDATE stock SET n = 1")
     site.backend.term = 4
-    databases = [msgspec.structs.replace(_TOPOLOGY.databases[0], term=4)]
+    databases = [msgspec.structs.replace(TOPOLOGY.databases[0], term=4)]
     site.control.send(TopologyUpdate(version=6, databases=databases))
     await wait_until(lambda: site.daemon.state.topology.version == 6)
     site.backend.statements.clear()
-    await _query(connection, "UPDATE stock SET n = 1")
+    await query(connection, "UPDATE stock SET n = 1")
     assert "SET @cardamomshunt_term = 4" in site.backend.statements
 
 
-async def test_metrics_of_requests(site: _Site) -> None:
+async def test_metrics_of_requests(site: Site) -> None:
     """Guards against metrics that are registered but never updated."""
     connection = await site.connect()
-    await _query(connection, "SELECT id FROM t")
-    await _query(connection, "UPDATE stock SET n = 1")
+    await query(connection, "SELECT id FROM t")
+    await query(connection, "UPDATE stock SET n = 1")
     url = f"http://{site.settings.metrics_address}/metrics"
     async with aiohttp.ClientSession() as session, session.get(url) as response:
         text = await response.text()
@@ -448,22 +312,22 @@
         assert any(float(line.split()[-1]) > 0 for line in lines), name
 
 
-async def test_drain_lets_a_transaction_end(site: _Site) -> None:
+async def test_drain_lets_a_transaction_end(site: Site) -> None:
     """Guards against a planned stop that interrupts open transactions."""
     busy = await site.connect()
     idle = await site.connect()
-    await _query(busy, "BEGIN")
+    await query(busy, "BEGIN")
     drain = asyncio.create_task(site.daemon.drain())
     await asyncio.sleep(0.05)
     with pytest.raises(asyncmy.errors.Error) as raised:
-        await _query(idle, "SELECT id FROM t")
+        await query(idle, "SELECT id FROM t")
     assert raised.value.args[0] == 1053
     assert "verdict=NOT_RUN reason=shutting_down" in raised.value.args[1]
     with pytest.raises(asyncmy.errors.OperationalError):
         await site.connect()
     await asyncio.sleep(0.6)
-    await _query(busy, "UPDATE stock SET n = 1")
-    await _query(busy, "COMMIT")
+    await query(busy, "UPDATE stock SET n = 1")
+    await query(busy, "COMMIT")
     await drain
     assert site.backend.n_writes == 1
     async with asyncio.timeout(2):
@@ -471,9 +335,9 @@
             await asyncio.sleep(0.02)
 
 
-async def test_drain_is_bounded(site: _Site) -> None:
+async def test_drain_is_bounded(site: Site) -> None:
     connection = await site.connect()
-    await _query(connection, "BEGIN")
+    await query(connection, "BEGIN")
     async with asyncio.timeout(5):
         await site.daemon.drain()
     log = site.settings.log_file
@@ -481,7 +345,7 @@
     assert "PROXY_DRAIN_TIMED_OUT" in log.read_text()
 
 
-async def test_operator_requests(site: _Site) -> None:
+async def test_operator_requests(site: Site) -> None:
     url = site.settings.operator_address.url
     status = await send_request(url, StatusRequest(), KeyRing([]), 2_000)
     assert isinstance(status, StatusReply)
@@ -496,7 +360,7 @@
     assert isinstance(reply, DrainReply)
 
 
-async def test_malformed_announcement_gets_a_reason(site: _Site) -> None:
+async def test_malformed_announcement_gets_a_reason(site: Site) -> None:
     url = f"http://{site.settings.announcement_address}/v1/announcement"
     async with aiohttp.ClientSession() as session:
         for body in (b"", b"{}", b"\xff\xfe", b'{"group": 5}', b"[" * 5_000):
@@ -517,11 +381,11 @@
             host=address.host, port=address.port, user="c", autocommit=None
         )
         with pytest.raises(asyncmy.errors.Error) as raised:
-            await _query(connection, "UPDATE t SET a = 1")
+            await query(connection, "UPDATE t SET a = 1")
         assert raised.value.args[0] == 1046
         await connection.select_db("orders")
         with pytest.raises(asyncmy.errors.Error) as raised:
-            await _query(connection, "UPDATE t SET a = 1")
+            await query(connection, "UPDATE t SET a = 1")
         assert "verdict=NOT_RUN" in raised.value.args[1]
         connection.close()
     finally:
--- a/packages/cardamomshunt-testing/tests/test_standin_links.py
+++ b/packages/cardamomshunt-testing/tests/test_standin_links.py
@@ -11,7 +11,6 @@
 from cardamomshunt_testing._standin_member import Member
 from cardamomshunt_testing._standin_messages import TermQuery, frame
 
-
 _SILENCE_S = 1.0
 
 
