Find placeholders after empty comments and in executable ones

What callers saw: nothing yet; found by reading. A prepared statement with `--` at the end of a line lost the placeholders of the next line, and one with a placeholder in an executable comment lost that: the client was told of fewer parameters than it had, and the text that remained ran with a question mark in it.

Cause: the pattern for comments took the line end after `--` for the blank before a comment, and executable comments for others.

Change: comments are those that the classification of statements knows.

--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_mysql_parameters.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_mysql_parameters.py
@@ -9,9 +9,10 @@
 from mysql_mimic.prepared import PreparedStatement
 from mysql_mimic.types import Capabilities
 
+# An executable comment is a part of the statement.
 _TOKEN = re.compile(
     r"'(?:[^'\\]|\\.|'')*'|\"(?:[^\"\\]|\\.|\"\")*\"|`[^`]*`"
-    r"|/\*.*?\*/|--\s[^\n]*|#[^\n]*|\?",
+    r"|/\*(?!M?!).*?\*/|--(?=[\s\x00-\x1f]|$)[^\n]*|#[^\n]*|\?",
     re.S,
 )
 
