Take parameters, prepared texts and keyed writes with any bytes

What callers saw: over the MySQL protocol a parameter or a prepared statement with a byte that is no UTF-8 failed with error 1105 and UnicodeDecodeError, and a write with an idempotency key and such a byte with UnicodeEncodeError; each counted as a fault of the proxy. Text statements without a key passed.

Cause: only text statements were decoded without a loss, and the digest of a keyed write was taken of strict UTF-8.

Change: all of them are decoded in that way. mysql-mimic's parser of parameters, which decodes strictly, is given Latin-1, and its strings are decoded afterwards.

--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_mysql_connection.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_mysql_connection.py
@@ -24,7 +24,11 @@
 from mysql_mimic.stream import ConnectionClosed, MysqlStream
 from mysql_mimic.types import Capabilities, ColumnDefinition, ServerStatus
 
-from cardamomshunt_node._mysql_parameters import count_placeholders, parse_execute
+from cardamomshunt_node._mysql_parameters import (
+    count_placeholders,
+    decode_text,
+    parse_execute,
+)
 from cardamomshunt_node._mysql_session import (
     MysqlSession,
     Ok,
@@ -226,14 +230,14 @@
 
     async def handle_query(self, data: bytes) -> None:
         """Run a text statement."""
-        sql = data.decode(self.client_charset.codec, "surrogateescape")
+        sql = decode_text(data, self.client_charset)
         await self._write_result(await self._run_statement(sql), is_binary=False)
 
     async def handle_stmt_prepare(self, data: bytes) -> None:
         """Prepare a statement."""
         if len(self.prepared_stmts) >= _N_PREPARED_STATEMENTS_MAX:
             raise ServerError(1461, "42000", "Can't create more prepared statements")
-        sql = self.client_charset.decode(data)
+        sql = decode_text(data, self.client_charset)
         statement = PreparedStatement(
             stmt_id=next(self.prepared_stmt_seq),
             sql=sql,
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_mysql_parameters.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_mysql_parameters.py
@@ -17,6 +17,14 @@
 )
 
 
+def decode_text(data: bytes, charset: CharacterSet) -> str:
+    """Decode a client's text; bytes outside its character set become escapes.
+
+    The connection to the backend server reverts the escapes.
+    """
+    return data.decode(charset.codec, "surrogateescape")
+
+
 def count_placeholders(sql: str) -> int:
     """Return the number of `?` outside of strings, quoted names and comments.
 
@@ -61,9 +69,20 @@
     if not statement.num_params:
         return statement.sql, use_cursor
     # mysql-mimic inserts string parameters into the statement without escaping them, so
-    # only its parser of the binary values is used.
+    # only its parser of the binary values is used. It decodes strings strictly, which
+    # fails for none in Latin-1.
     parameters = packets._read_params(
-        Capabilities(0), charset, reader, statement.num_params, statement.param_buffers
+        Capabilities(0),
+        CharacterSet.latin1,
+        reader,
+        statement.num_params,
+        statement.param_buffers,
     )
-    values = [value for _, value in parameters]
+    values = [_decode_value(value, charset) for _, value in parameters]
     return insert_parameters(statement.sql, values), use_cursor
+
+
+def _decode_value(value: Any, charset: CharacterSet) -> Any:
+    if not isinstance(value, str):
+        return value
+    return decode_text(value.encode(CharacterSet.latin1.codec), charset)
--- a/packages/cardamomshunt-node/tests/conftest.py
+++ b/packages/cardamomshunt-node/tests/conftest.py
@@ -45,6 +45,8 @@
     n_writes: int = 0
     n_round_trips: int = 0
     n_rows: int = 1
+    # Second value of each row, or None for a text of some size.
+    row_value: bytes | None = None
     is_broken_in_rows: bool = False
     instance: str = "orders-1"
 
@@ -162,7 +164,8 @@
         for index in range(self.backend.n_rows):
             if self.backend.is_broken_in_rows and index == self.backend.n_rows // 2:
                 raise ConnectionError("scripted")
-            yield (index, f"name {index} " + "x" * 100)
+            value = self.backend.row_value
+            yield (index, f"name {index} " + "x" * 100 if value is None else value)
 
     def _answer_key(self, sql: str) -> StatementResult:
         records = self.backend.records
--- a/packages/cardamomshunt/src/cardamomshunt/_data_path/classification.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_data_path/classification.py
@@ -271,7 +271,8 @@
     """
     match = _HINT_COMMENT.match(statement)
     text = statement[match.end() :] if match else statement
-    return hashlib.blake2b(text.strip().encode(), digest_size=16).hexdigest()
+    data = text.strip().encode(errors="surrogateescape")
+    return hashlib.blake2b(data, digest_size=16).hexdigest()
 
 
 def _replace_token(match: re.Match[str]) -> str:
