Keep decimals and pattern escapes of user variables

What callers saw: nothing yet; found by reading. In a transaction `SET @n = 1.10` reached the server as `SET @n = 1.1`, longer decimals lost their digits after the 17th, small ones became numbers of double precision, and `'50\%'` lost its backslash.

Cause: the assignment is built again from a value, for which decimals were read as floats and each escape lost its backslash.

Change: decimals stay decimals; the escapes of `%` and `_` keep their backslash, as in the server.

--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_caller_edge_mysql.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_caller_edge_mysql.py
@@ -1,6 +1,7 @@
 """Caller edge for the MySQL protocol, based on the MySQL server edge."""
 
 import asyncio
+import decimal
 import re
 from collections.abc import AsyncIterator, Callable
 from typing import Any
@@ -305,6 +306,9 @@
 
 
 def _literal(value: Any) -> str:
+    if isinstance(value, decimal.Decimal):
+        # Without an exponent, which would make it a number of double precision.
+        return format(value, "f")
     if not isinstance(value, str):
         return str(value)
     escaped = value.replace("\\", "\\\\").replace("'", "''")
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_mysql_session_statements.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_mysql_session_statements.py
@@ -1,5 +1,6 @@
 """Session statements that the MySQL server edge answers without its handler."""
 
+import decimal
 import re
 from typing import Any, Protocol
 
@@ -38,7 +39,17 @@
 )
 _SHOW_WARNINGS = re.compile(r"\s*show\s+(?:warnings|errors)\b", re.I)
 _ESCAPE = re.compile(r"\\(.)", re.S)
-_ESCAPED = {"n": "\n", "t": "\t", "r": "\r", "0": "\0", "Z": "\x1a", "b": "\b"}
+_ESCAPED = {
+    "n": "\n",
+    "t": "\t",
+    "r": "\r",
+    "0": "\0",
+    "Z": "\x1a",
+    "b": "\b",
+    # Escapes of patterns, which keep their backslash in other strings.
+    "%": r"\%",
+    "_": r"\_",
+}
 
 SERVER_VERSION = "8.0.36-cardamomshunt"
 
@@ -111,7 +122,7 @@
     lowered = text.lower()
     if lowered in ("null", "true", "false"):
         return {"null": None, "true": 1, "false": 0}[lowered]
-    return float(text) if "." in text else int(text)
+    return decimal.Decimal(text) if "." in text else int(text)
 
 
 def may_be_session_statement(sql: str) -> bool:
