Keep quotes at the ends of an assigned hint

What callers saw: nothing yet; found by reading. `SET @cardamomshunt_idempotency_key` with the value `"k1"`, quotes included, set the key k1, so that two writes with different keys counted as one.

Cause: all quotes at both ends of the literal were stripped, not its own pair.

Change: only the pair of quotes of the literal is removed.

Result: six cases, of which three failed before.

--- a/packages/cardamomshunt/src/cardamomshunt/_data_path/hints.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_data_path/hints.py
@@ -63,6 +63,11 @@
 }
 
 
+def _unquote(literal: str) -> str:
+    """Return the value of a literal, which holds no escapes and not its own quote."""
+    return literal[1:-1] if literal[0] in "'\"" else literal
+
+
 def _refuse(detail: str) -> Refusal:
     return Refusal(Verdict.NOT_RUN, RefusalReason.BAD_HINT, detail)
 
@@ -141,7 +146,7 @@
         if text.upper() == "NULL" and name in _PARSERS:
             values[_PARSERS[name][0]] = None
         else:
-            pair = _parse_pair(name, text.strip("'\""))
+            pair = _parse_pair(name, _unquote(text))
             if isinstance(pair, Refusal):
                 return pair
             values[pair[0]] = pair[1]
--- a/packages/cardamomshunt/tests/test_hints.py
+++ b/packages/cardamomshunt/tests/test_hints.py
@@ -94,3 +94,20 @@
 )
 def test_malformed_assignment_is_refused(statement: str) -> None:
     assert isinstance(parse_hint_assignment(statement, DEFAULTS), Refusal)
+
+
+@pytest.mark.parametrize(
+    ("literal", "key"),
+    [
+        ("k1", "k1"),
+        ("'k1'", "k1"),
+        ("'\"k1\"'", '"k1"'),
+        ("'k\"1\"'", 'k"1"'),
+        ("\"'k1'\"", "'k1'"),
+        ("' k1 '", " k1 "),
+    ],
+)
+def test_a_value_keeps_the_quotes_and_blanks_in_its_literal(literal, key):
+    # Guards against two idempotency keys that become one.
+    statement = f"SET @cardamomshunt_idempotency_key = {literal}"
+    assert parse_hint_assignment(statement, DEFAULTS).idempotency_key == key
