Show what is sent and answered for unusual texts of statements

Ends of transactions with blanks or further words are sent as they came; ROLLBACK, BEGIN, SET, PREPARE and DEALLOCATE are answered by the proxy; texts that are no statement of the protocol are refused, and an open transaction stays open.

--- a/tests/users_platform/test_statement_text.py
+++ b/tests/users_platform/test_statement_text.py
@@ -24,10 +24,10 @@
 }
 
 
-async def _run(caller, deployment, text):
+async def _run(caller, deployment, text, request="w1"):
     """Run a statement; return the last line of its answer, and what servers ran."""
     runs_before = len(deployment.group.runs)
-    lines = await caller.execute(text, "w1")
+    lines = await caller.execute(text, request)
     return lines[-1], deployment.group.runs[runs_before:]
 
 
@@ -110,3 +110,64 @@
     assert prepared["n_characters_received"] == n_received
     assert prepared["n_characters_sent"] - n_received == n_renamed
     assert "secret" not in (deployment.folder / "entry-1.log").read_text()
+
+
+@pytest.mark.parametrize(
+    ("text", "answer", "sent", "state"),
+    [
+        ("COMMIT", "COMPLETE proof-i-3-c1", ["COMMIT"], "I"),
+        ("COMMIT ", "COMPLETE proof-i-3-c1", ["COMMIT "], "I"),
+        ("COMMIT  x", "COMPLETE proof-i-3-c1", ["COMMIT  x"], "I"),
+        # The proxy answers these itself.
+        ("ROLLBACK", "COMPLETE -", [], "I"),
+        ("ROLLBACK ", "COMPLETE -", [], "I"),
+        ("ROLLBACK x", "COMPLETE -", [], "I"),
+        # No words of the protocol: nothing runs, and the transaction stays open.
+        ("COMMIT\t", "ERROR MALFORMED unknown statement", [], "T"),
+        ("commit", "ERROR MALFORMED unknown statement", [], "T"),
+        (" COMMIT", "ERROR MALFORMED unknown statement", [], "T"),
+        ("ROLLBACK\n", "ERROR MALFORMED unknown statement", [], "T"),
+        ("WAITFOR 1.0 READ k1", "ERROR MALFORMED unknown statement", [], "T"),
+        ("", "ERROR MALFORMED unknown statement", [], "T"),
+    ],
+)
+async def test_the_end_of_a_transaction_is_sent_as_it_came(
+    deployment, text, answer, sent, state
+):
+    # Guards against an end that is guessed, and against one with another text.
+    caller = await deployment.open_session()
+    await caller.execute("BEGIN")
+    await caller.execute("WRITE k1 two", "w1")
+    found, runs = await _run(caller, deployment, text, "c1")
+    assert (found, [run.text for run in runs], caller.state) == (answer, sent, state)
+    is_committed = "w1" in deployment.group.requests_committed()
+    assert is_committed == bool(sent)
+
+
+@pytest.mark.parametrize(
+    ("text", "answer", "state"),
+    [
+        ("BEGIN", "COMPLETE -", "T"),
+        ("BEGIN ", "COMPLETE -", "T"),
+        ("BEGIN READ", "COMPLETE -", "T"),
+        ("BEGIN READ ", "ERROR MALFORMED unknown statement", "I"),
+        ("BEGIN  READ", "ERROR MALFORMED unknown statement", "I"),
+        ("BEGIN WRITE", "ERROR MALFORMED unknown statement", "I"),
+        ("SET lang", "COMPLETE -", "I"),
+        ("SET lang ", "COMPLETE -", "I"),
+        ("SET", "ERROR MALFORMED unknown statement", "I"),
+        ("SET  sw", "ERROR MALFORMED unknown statement", "I"),
+        ("PREPARE s1 WRITE", "ERROR MALFORMED unknown statement", "I"),
+        ("PREPARE s1  WRITE q2c", "ERROR MALFORMED unknown statement", "I"),
+        ("DEALLOCATE s1", "ERROR UNKNOWN s1", "I"),
+    ],
+)
+async def test_a_statement_that_the_proxy_answers(deployment, text, answer, state):
+    # Guards against a transaction or a value other than the caller asked for.
+    caller = await deployment.open_session()
+    assert await caller.execute(text) == [answer]
+    assert caller.state == state
+    await caller.execute("READ k1", "r1")
+    run = deployment.group.runs[-1]
+    expected = {"lang": ""} if text.startswith("SET lang") else {}
+    assert (run.request, run.values) == ("r1", expected)
