Convert statements and rows after SET NAMES

What callers saw: nothing yet; found by reading. `SET NAMES latin1` was acknowledged and ignored, so that servers were given the caller's bytes as UTF-8, and rows came back as UTF-8. At login the character set was used, but Latin-1 as ISO 8859-1, which lacks the euro sign and the quotation marks that the server's Latin-1 has.

Cause: the statement was matched for its answer only, and mysql-mimic's names were used as names of Python's codecs.

Change: `SET NAMES` sets the character set of the session, and one that can't be converted is refused with error 1115. `binary` passes bytes on as they are.

--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_caller_edge_mysql_columns.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_caller_edge_mysql_columns.py
@@ -12,6 +12,7 @@
 from mysql_mimic.types import ColumnDefinition, ColumnType, str_len
 
 from cardamomshunt_node._backend_edge_answers import Column
+from cardamomshunt_node._mysql_character_sets import codec_of
 
 _N_COLUMNS_CACHED_MAX = 4_096
 _UNSIGNED_FLAG = 32
@@ -59,7 +60,7 @@
 
 def _transcoder(character_set: CharacterSet) -> Callable[[Any, bytes], bytes]:
     """Return the encoder for a caller that does not use UTF-8."""
-    codec = character_set.codec
+    codec = codec_of(character_set)
 
     def transcode(_: Any, value: bytes) -> bytes:
         return value.decode("utf-8", "replace").encode(codec, "replace")
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_mysql_parameters.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_mysql_parameters.py
@@ -9,6 +9,8 @@
 from mysql_mimic.prepared import PreparedStatement
 from mysql_mimic.types import Capabilities
 
+from cardamomshunt_node._mysql_character_sets import codec_of
+
 # An executable comment is a part of the statement.
 _TOKEN = re.compile(
     r"'(?:[^'\\]|\\.|'')*'|\"(?:[^\"\\]|\\.|\"\")*\"|`[^`]*`"
@@ -22,7 +24,7 @@
 
     The connection to the backend server reverts the escapes.
     """
-    return data.decode(charset.codec, "surrogateescape")
+    return data.decode(codec_of(charset), "surrogateescape")
 
 
 def count_placeholders(sql: str) -> int:
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_mysql_session.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_mysql_session.py
@@ -10,6 +10,7 @@
 from mysql_mimic.session import BaseSession
 from mysql_mimic.types import ColumnDefinition
 
+from cardamomshunt_node._mysql_character_sets import find_character_set
 from cardamomshunt_node._mysql_session_statements import (
     SERVER_VERSION,
 )
@@ -134,6 +135,13 @@
         """Turn autocommit on or off."""
         self.is_autocommit = is_on
 
+    def set_character_set(self, name: str) -> None:
+        """Change the character set (`SET NAMES`); raise ServerError if it is unknown."""
+        found = find_character_set(name)
+        if found is None:
+            raise ServerError(1115, "42000", f"Unknown character set: '{name}'")
+        self.variables.charset = found
+
     async def set_variable(self, name: str, value: Any) -> None:
         """Set a user variable (`SET @name = value`)."""
         raise ServerError(1193, "HY000", f"Unknown variable '@{name}'")
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_mysql_session_statements.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_mysql_session_statements.py
@@ -98,6 +98,9 @@
     async def set_autocommit(self, is_on: bool) -> None:
         """Turn autocommit on or off."""
 
+    def set_character_set(self, name: str) -> None:
+        """Change the character set of statements and rows."""
+
     async def set_variable(self, name: str, value: Any) -> None:
         """Set a user variable."""
 
@@ -170,7 +173,11 @@
     if match:
         await session.use_database(match[1])
         return True
-    return bool(_SET_NAMES.match(sql) or _SET_IGNORED.match(sql))
+    match = _SET_NAMES.match(sql)
+    if match:
+        session.set_character_set(match[1])
+        return True
+    return bool(_SET_IGNORED.match(sql))
 
 
 async def _select_variables(
--- a/packages/cardamomshunt-node/tests/test_mysql_arbitrary_statements.py
+++ b/packages/cardamomshunt-node/tests/test_mysql_arbitrary_statements.py
@@ -2,6 +2,8 @@
 
 import itertools
 
+import asyncmy.errors
+import pytest
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 from mysql_client import LATIN1, UTF8MB4, RawClient, literal
@@ -114,14 +116,49 @@
     connection.close()
 
 
-async def test_the_character_set_of_a_caller_is_converted(site: Site) -> None:
-    # Guards against parameters that are decoded in another way than statements.
+@pytest.mark.parametrize(
+    ("name", "value", "is_named_at_login"),
+    [
+        ("latin1", b"caf\xe9 5\x80", True),
+        ("latin1", b"caf\xe9 5\x80", False),
+        ("cp1251", "\u043f\u0438\u0440\u043e\u0433".encode("cp1251"), False),
+        ("gbk", "\u4e2d\u6587".encode("gbk"), False),
+        # The second byte of this character is a backslash.
+        ("sjis", "\u8868".encode("sjis"), False),
+        ("utf8mb3", "caf\u00e9".encode(), False),
+        ("binary", b"caf\xc3\xa9\xff", False),
+    ],
+)
+async def test_the_character_set_of_a_caller_is_converted(
+    site: Site, name: str, value: bytes, is_named_at_login: bool
+) -> None:
+    # Guards against statements in the caller's character set that servers read as UTF-8.
     site.backend.statements.clear()
-    client = await _connect(site, LATIN1)
-    await client.query(b"INSERT INTO t VALUES ('caf\xe9')")
-    await client.execute(b"INSERT INTO t VALUES ('\xe9', ?)", b"caf\xe9")
+    client = await _connect(site, LATIN1 if is_named_at_login else UTF8MB4)
+    if not is_named_at_login:
+        await client.query(b"SET NAMES " + name.encode())
+    codecs = {"latin1": "cp1252", "utf8mb3": "utf-8", "binary": "utf-8"}
+    text = value.decode(codecs.get(name, name), "surrogateescape")
+    expected = text.encode(errors="surrogateescape")
+    await client.query(b"INSERT INTO t VALUES ('%s')" % value)
+    await client.execute(b"INSERT INTO t VALUES ('%s', ?)" % value, value)
     assert _received(site) == [
-        "INSERT INTO t VALUES ('café')".encode(),
-        "INSERT INTO t VALUES ('é', 'café')".encode(),
+        b"INSERT INTO t VALUES ('%s')" % expected,
+        b"INSERT INTO t VALUES ('%s', '%s')" % (expected, expected),
     ]
     client.close()
+    site.backend.row_value = expected
+    connection = await site.connect(use_unicode=False, conv={})
+    await query(connection, f"SET NAMES {name}")
+    assert await query(connection, "SELECT id, name FROM t") == ((b"0", value),)
+
+
+@pytest.mark.parametrize("name", ["nothing", "swe7", "utf16"])
+async def test_a_character_set_that_is_not_converted_is_refused(
+    site: Site, name: str
+) -> None:
+    # Guards against a character set that is acknowledged and not used.
+    connection = await site.connect()
+    with pytest.raises(asyncmy.errors.Error, match="Unknown character set"):
+        await query(connection, f"SET NAMES '{name}'")
+    assert await query(connection, "SELECT id, name FROM t")
