--- a/tests/users_platform/test_teams.py
+++ b/tests/users_platform/test_teams.py
@@ -21,7 +21,10 @@
         await deployment.until(lambda entry=entry: entry._view.table.version == version)
 
 
-@pytest.mark.parametrize("key", ["", "unknown", "key-of"])
+@pytest.mark.parametrize(
+    "key",
+    ["", "unknown", "key-of", "key-of-desk ", "key-of-desk  x", " key-of-desk"],
+)
 async def test_a_session_without_a_known_key_is_denied(deployment, key):
     # Guards against statements of callers that no configuration knows.
     await apply(deployment, 2, _KEYS)
@@ -29,6 +32,16 @@
         await Caller.open(deployment.caller_address("entry-1"), "orders", key)
 
 
+async def test_a_key_extends_to_the_end_of_the_line(deployment):
+    # Guards against a key that is valid in a configuration and opens no session.
+    await apply(deployment, 2, {"desk": ["two words "]})
+    address = deployment.caller_address("entry-1")
+    caller = await Caller.open(address, "orders", "two words ")
+    assert (await caller.execute("WRITE k1 a"))[-1].startswith("COMPLETE")
+    with pytest.raises(ConnectionError, match="ERROR DENIED"):
+        await Caller.open(address, "orders", "two")
+
+
 async def test_statements_run_on_connections_of_their_team(deployment):
     # Guards against a connection that serves a second team, and against one that was
     # opened before there were teams.
