Deallocate only a prepared statement of the very name

What callers saw (shown by a review): DEALLOCATE with blanks or words behind a name was acknowledged and removed the statement of that name.

Cause: the name was cut at the first blank, though it is the last field and extends to the end of the line, as the key of a session does.

--- a/tests/users_platform/test_statement_text.py
+++ b/tests/users_platform/test_statement_text.py
@@ -160,13 +160,17 @@
         ("PREPARE s1 WRITE", "ERROR MALFORMED unknown statement", "I"),
         ("PREPARE s1  WRITE q2c", "ERROR MALFORMED unknown statement", "I"),
         ("DEALLOCATE s1", "ERROR UNKNOWN s1", "I"),
+        ("DEALLOCATE kept ", "ERROR UNKNOWN kept", "I"),
+        ("DEALLOCATE kept x", "ERROR UNKNOWN kept x", "I"),
     ],
 )
 async def test_a_statement_that_the_proxy_answers(deployment, text, answer, state):
     # Guards against a transaction or a value other than the caller asked for.
     caller = await deployment.open_session()
+    await caller.execute("PREPARE kept READ q2c")
     assert await caller.execute(text) == [answer]
     assert caller.state == state
+    assert (await caller.execute("EXECUTE kept k1"))[-1].startswith("COMPLETE proof")
     await caller.execute("READ k1", "r1")
     run = deployment.group.runs[-1]
     expected = {"lang": ""} if text.startswith("SET lang") else {}
