Trace sizes of statements as sent, and no names of callers

The trace of statements logged a caller's name of a prepared statement, which may hold data, and compared the text before it was encoded, so that a codec that strips there went unseen (both shown by a review). It logs the size of the name now, and takes the size of the text from the message that is sent.

--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_statement_sender.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_statement_sender.py
@@ -28,6 +28,10 @@
     return len(message) - len(LINE_END) > MESSAGE_SIZE_MAX_BYTES
 
 
+def _n_bytes(text: str) -> int:
+    return len(text.encode(errors="surrogateescape"))
+
+
 def _n_characters(query: CallerQuery) -> int:
     return len(query.request_id) + len(query.statement.text)
 
@@ -61,20 +65,33 @@
         name = ""
         if statement.kind is StatementKind.EXECUTE:
             name = self._prepare(connection, session.prepared[statement.name])
+        message = self.protocol.statement(query.request_id, text, at_least)
         if self._trace_log is not None:
-            self._trace_log.write_request(
-                "statement_sent",
-                request=query.request_id,
-                session=session.session_id,
-                statement=statement.kind.value,
-                server=connection.pool.server,
-                caller_name=statement.name,
-                server_name=name,
-                n_characters_received=len(statement.text),
-                n_characters_sent=len(text),
-            )
-        return connection.send(
-            self.protocol.statement(query.request_id, text, at_least)
+            frame = self.protocol.statement(query.request_id, "", at_least)
+            sent_bytes = len(message) - len(frame)
+            self._trace(self._trace_log, connection, session, query, name, sent_bytes)
+        return connection.send(message)
+
+    def _trace(
+        self,
+        log: DecisionLog,
+        connection: BackendConnection,
+        session: LineSession,
+        query: CallerQuery,
+        server_name: str,
+        sent_bytes: int,
+    ) -> None:
+        statement = query.statement
+        log.write_request(
+            "statement_sent",
+            request=query.request_id,
+            session=session.session_id,
+            statement=statement.kind.value,
+            server=connection.pool.server,
+            server_name=server_name,
+            caller_name_bytes=_n_bytes(statement.name),
+            received_bytes=_n_bytes(statement.text),
+            sent_bytes=sent_bytes,
         )
 
     def send_values(self, connection: BackendConnection, session: LineSession) -> None:
--- a/tests/users_platform/test_operations_page.py
+++ b/tests/users_platform/test_operations_page.py
@@ -29,10 +29,9 @@
 
 
 def test_documented_fields_of_requests_are_those_logged():
-    sources = "".join(
-        path.read_text(encoding="utf-8") for path in sorted(_SOURCES.glob("_line_*.py"))
-    )
-    for event in ("read", "acknowledged", "transaction", "refused"):
+    paths = [*sorted(_SOURCES.glob("_line_*.py")), _SOURCES / "_statement_sender.py"]
+    sources = "".join(path.read_text(encoding="utf-8") for path in paths)
+    for event in ("read", "acknowledged", "transaction", "refused", "statement_sent"):
         row = next(r for r in _SECTION.splitlines() if r.startswith(f"| `{event}`"))
         call = re.search(
             rf'write_request\(\s*"{event}",(.*?)\n        \)', sources, re.DOTALL
--- a/tests/users_platform/test_statement_text.py
+++ b/tests/users_platform/test_statement_text.py
@@ -1,6 +1,7 @@
 """Tests that servers run the very text that callers sent, on every path of it."""
 
 import pytest
+from cardamomshunt_platform._lines import LineProtocol
 
 # What may follow the name of a prepared statement: a last field extends to the end of
 # the line, so that blanks and separators belong to it.
@@ -86,32 +87,65 @@
     assert (names[0] == names[1]) == (not blanks)
 
 
+def _sent_lines(deployment):
+    """Return the trace of the first entry VM, by request."""
+    events = deployment.events("entry-1")
+    return {e["request"]: e for e in events if e["event"] == "statement_sent"}
+
+
 @pytest.mark.parametrize("deployment", [{"is_statement_traced": True}], indirect=True)
-async def test_the_trace_shows_lengths_and_names_and_no_text(deployment):
+async def test_the_trace_shows_sizes_and_no_text(deployment):
     # Guards against a change of a statement that the log can't show, and against data
     # of callers in the log.
     caller = await deployment.open_session()
     await caller.execute("WRITE k1 secret", "w1")
-    await caller.execute("PREPARE own_name WRITE q2c")
-    await caller.execute("EXECUTE own_name k1 secret  ", "w2")
+    await caller.execute("PREPARE secret_name WRITE q2c")
+    await caller.execute("EXECUTE secret_name k1 secret\u00e9  ", "w2")
     await caller.execute("BEGIN")
     await caller.execute("READ k1", "r1")
     await caller.execute("COMMIT", "c1")
-    events = deployment.events("entry-1")
-    lines = {e["request"]: e for e in events if e["event"] == "statement_sent"}
+    lines = _sent_lines(deployment)
     assert lines.keys() >= {"w1", "w2", "r1", "c1"}
     for request in ("w1", "r1", "c1"):
-        line = lines[request]
-        assert line["n_characters_sent"] == line["n_characters_received"]
-    prepared = lines["w2"]
-    assert prepared["statement"] == "execute"
-    n_renamed = len(prepared["server_name"]) - len("own_name")
-    n_received = len("EXECUTE own_name k1 secret  ")
-    assert prepared["n_characters_received"] == n_received
-    assert prepared["n_characters_sent"] - n_received == n_renamed
+        assert lines[request]["sent_bytes"] == lines[request]["received_bytes"]
+    line = lines["w2"]
+    assert (line["statement"], line["caller_name_bytes"]) == ("execute", 11)
+    n_received = len("EXECUTE secret_name k1 secret\u00e9  ".encode())
+    assert line["received_bytes"] == n_received
+    assert line["sent_bytes"] == n_received - 11 + len(line["server_name"])
     assert "secret" not in (deployment.folder / "entry-1.log").read_text()
 
 
+@pytest.mark.parametrize("deployment", [{"is_statement_traced": True}], indirect=True)
+@pytest.mark.parametrize(
+    ("method", "text"),
+    [("execute_text", "EXECUTE s1 k1 two  "), ("statement", "WRITE k1 two  ")],
+)
+async def test_the_trace_shows_a_codec_that_changes_text(
+    deployment, monkeypatch, method, text
+):
+    # Guards against a trace that takes what was received for what is sent.
+    codec = getattr(LineProtocol, method)
+
+    def strip(*arguments):
+        made = codec(*arguments)
+        return made.rstrip() + b"\r\n" if isinstance(made, bytes) else made.rstrip()
+
+    caller = await deployment.open_session()
+    await caller.execute("PREPARE s1 WRITE q2c")
+    monkeypatch.setattr(LineProtocol, method, strip)
+    await caller.execute(text, "w1")
+    line = _sent_lines(deployment)["w1"]
+    kept_bytes = line["received_bytes"] - line["caller_name_bytes"]
+    assert line["sent_bytes"] != kept_bytes + len(line["server_name"])
+
+
+async def test_no_trace_is_written_without_the_option(deployment):
+    # Guards against a log line for each statement in a deployment that did not ask.
+    await (await deployment.open_session()).execute("WRITE k1 two", "w1")
+    assert not _sent_lines(deployment)
+
+
 @pytest.mark.parametrize(
     ("text", "answer", "sent", "state"),
     [
