Check that an execution changes in its name alone

Names that also stand in the data, names of other alphabets and names with control characters are tested now.

--- a/tests/users_platform/test_statement_text.py
+++ b/tests/users_platform/test_statement_text.py
@@ -47,6 +47,20 @@
         assert run.text == f"EXECUTE {name}{tail}"
 
 
+@pytest.mark.parametrize(
+    "name", ["s1", "E", "k1", "p1", "\u00e9\u00df\u0130", "a\tb", "a\nb"]
+)
+async def test_only_the_name_is_replaced(deployment, name):
+    # Guards against data that is changed as it holds the name or looks like a statement.
+    caller = await deployment.open_session()
+    await caller.execute(f"PREPARE {name} WRITE q2c")
+    tail = f" k1 {name} EXECUTE {name}\nEXECUTE {name}"
+    answer, [run] = await _run(caller, deployment, f"EXECUTE {name}{tail}")
+    assert answer == "COMPLETE proof-i-3-w1"
+    server_name = run.text.split(" ")[1]
+    assert run.text == f"EXECUTE {server_name}{tail}"
+
+
 @pytest.mark.parametrize("tail", TAILS.values(), ids=TAILS.keys())
 async def test_a_plain_statement_keeps_all_that_follows_its_word(deployment, tail):
     # Guards against a statement that a server runs with other text than was sent.
