Cut long texts in lines of the log

Names and ids of callers may have the size of a message, and the queue was bounded by lines only.

Change: texts of a line above 4 KiB are cut to 256 characters.

--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_decision_log.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_decision_log.py
@@ -11,15 +11,28 @@
 
 _N_PENDING_LINES_MAX = 2_000
 _N_REQUEST_LINES_PER_S_MAX = 400
+# A caller's names and ids may have the size of a message. Texts of a longer line are cut.
+_LINE_SIZE_MAX_BYTES = 4_096
+_N_CHARACTERS_OF_LONG_TEXT = 256
 _ENCODER = msgspec.json.Encoder(enc_hook=str)
 
 
 def _encode(line: dict[str, Any]) -> bytes:
     try:
-        return _ENCODER.encode(line)
+        data = _ENCODER.encode(line)
     except UnicodeEncodeError:
         # A caller's text may hold bytes that are no UTF-8.
-        return _ENCODER.encode({name: _printable(line[name]) for name in line})
+        line = {name: _printable(line[name]) for name in line}
+        data = _ENCODER.encode(line)
+    if len(data) <= _LINE_SIZE_MAX_BYTES:
+        return data
+    return _ENCODER.encode({name: _shorten(line[name]) for name in line})
+
+
+def _shorten(value: Any) -> Any:
+    if not isinstance(value, str) or len(value) <= _N_CHARACTERS_OF_LONG_TEXT:
+        return value
+    return f"{value[:_N_CHARACTERS_OF_LONG_TEXT]}..."
 
 
 def _printable(value: Any) -> Any:
