Stop the daemons of a fault soak that is ended with SIGTERM

What was seen: after SIGTERM to two soaks with seeds that had not begun, all 12 daemons of the running seeds went on as orphans.

Cause: gather raises as soon as one of the seeds is cancelled, and a seed that waits for its network ends at once. The event loop then cancels the running seeds a second time, which interrupts their clean-up.

Change: the seeds run in a task group, which waits for all of them.

--- a/tests/fault_soak/soak.py
+++ b/tests/fault_soak/soak.py
@@ -189,7 +189,10 @@
             click.echo(f"  logs in {result.folder}")
         return result
 
-    return await asyncio.gather(*(run(seed) for seed in seeds))
+    # A group waits for cancelled runs to stop their daemons, which gather doesn't.
+    async with asyncio.TaskGroup() as group:
+        tasks = [group.create_task(run(seed)) for seed in seeds]
+    return [task.result() for task in tasks]
 
 
 @click.command()
