Compare what servers ran with what callers sent in the fault soak

What callers saw: a backend server ran a statement whose text nobody had sent (UNASKED). The fault soak could not show it: its callers sent tame data, and no prepared statement.

Change: callers send plain and prepared statements, in and outside transactions, with data, shapes and session values that are empty, long, or hold blanks and other separators at any place; prepared names collide between callers. Each run of a stand-in server is compared with what its caller sent under that request id: the text, but for the name of a prepared statement, and the mode and shape behind that name. Ids that no caller sent and rows that differ from those returned are violations too. Proofs and values are now checked in transactions as well.

--- a/tests/fault_soak/soak.py
+++ b/tests/fault_soak/soak.py
@@ -45,10 +45,18 @@
     """Run a deployment with callers and inject the random faults of one seed."""
 
     def __init__(
-        self, seed: int, folder: Path, network: int, *, has_replacements: bool
+        self,
+        seed: int,
+        folder: Path,
+        network: int,
+        *,
+        has_replacements: bool,
+        has_teams: bool,
     ) -> None:
         self._random = random.Random(seed)
-        self._deployment = SoakDeployment(self._random, folder, network)
+        self._deployment = SoakDeployment(
+            self._random, folder, network, has_teams=has_teams
+        )
         self._history = History()
         self._injector = FaultInjector(
             seed,
@@ -59,7 +67,10 @@
         )
         self._callers: list[SoakCaller] = []
         self._operator = SoakOperator(
-            self._history, self._random, self._deployment.control_addresses
+            self._history,
+            self._random,
+            self._deployment.control_addresses,
+            has_teams=has_teams,
         )
         self.result = SoakResult(
             seed, folder, self._injector.violations, self._injector.faults
@@ -149,10 +160,17 @@
     folder: Path | None = None,
     *,
     has_replacements: bool = True,
+    has_teams: bool = False,
 ) -> SoakResult:
     """Run one seed on the loopback network 127.`network`.0.0/16."""
     folder = folder or Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
-    soak = Soak(seed, folder, network, has_replacements=has_replacements)
+    soak = Soak(
+        seed,
+        folder,
+        network,
+        has_replacements=has_replacements,
+        has_teams=has_teams,
+    )
     result = await soak.run(seconds)
     if result.violations:
         (folder / "faults.txt").write_text("\n".join(result.faults), encoding="utf-8")
@@ -174,7 +192,8 @@
     async def run(seed: int) -> SoakResult:
         network = await networks.get()
         try:
-            result = await run_seed(seed, seconds, network)
+            # Half of the seeds have teams, so that sessions are forwarded.
+            result = await run_seed(seed, seconds, network, has_teams=seed % 2 == 0)
         finally:
             networks.put_nowait(network)
         click.echo(
--- a/tests/fault_soak/soak_callers.py
+++ b/tests/fault_soak/soak_callers.py
@@ -13,6 +13,16 @@
 NO_EFFECT_CODES = ("BUSY", "ABORTED", "LAGGING", "READONLY", "MISROUTED", "OVERLOAD")
 _PAUSE_S = (0.005, 0.06)
 _N_ITEMS = 40
+_N_TEAMS = 6
+_N_TEAM_CONNECTIONS_MAX = 20
+# Names of prepared statements collide between callers, and shapes differ in blanks.
+_NAMES = ("s1", "s2", "s3", "s4")
+_SHAPES = ("q2c", "q2c ", " q2c", "q2c  ", "q2 c", "q2  c", "q2\tc", " ", "q2c\r")
+_SEPARATORS = (
+    *("", " ", "  ", "\t", "\n", "\r", "\r ", "\x0b", "\x0c", "\x1c", "\x85"),
+    *("\u00a0", "\u2028", "\u3000", "\nQUERY other WRITE k1 gift\r"),
+)
+_LONG_SIZE_CHARACTERS = (10_000, 150_000)
 _OPERATOR_PAUSE_S = 0.9
 
 
@@ -29,6 +39,8 @@
     ended_s: float = 0.0
     lines: list[str] = field(default_factory=list)
     is_broken: bool = False
+    # For an execution: mode and shape of the prepared statement.
+    prepared: str = ""
     values: dict[str, str] = field(default_factory=dict)
     # For a commit: the requests of the writes in its transaction.
     writes: list[str] = field(default_factory=list)
@@ -73,6 +85,7 @@
         self._session = 0
         self._entry = ""
         self._values: dict[str, str] = {}
+        self._prepared: dict[str, str] = {}
         self._caller: Caller | None = None
         self.sessions: list[int] = []
 
@@ -96,65 +109,107 @@
     async def _connect(self) -> None:
         self._entry, address = self._choose_entry()
         async with asyncio.timeout(2.0):
-            self._caller = await Caller.open(address, self._database)
+            key = f"u{self._random.randint(1, _N_TEAMS)}"
+            self._caller = await Caller.open(address, self._database, key)
         self._session = self._random.getrandbits(48)
         self.sessions.append(self._session)
-        self._values = {"tag": f"{self._session}"}
-        await self._caller.execute(f"SET tag {self._session}")
+        self._values = {"tag": self._odd_text(f"{self._session}"), "empty": ""}
+        for name, value in self._values.items():
+            await self._set_up(f"SET {name} {value}")
+        self._prepared = {}
+        for name in _NAMES:
+            await self._prepare(name)
+
+    async def _set_up(self, text: str) -> None:
+        """Change the session; raise ConnectionError if that is refused."""
+        assert self._caller is not None
+        lines = await self._caller.execute(text)
+        if lines != ["COMPLETE -"]:
+            raise ConnectionError(lines[-1])
+
+    async def _prepare(self, name: str) -> None:
+        mode = self._random.choice(("READ", "WRITE"))
+        self._prepared[name] = f"{mode} {self._random.choice(_SHAPES)}"
+        await self._set_up(f"PREPARE {name} {self._prepared[name]}")
+
+    def _odd_text(self, word: str) -> str:
+        """Return a word with separators on both sides and within, or blanks only."""
+        choice = self._random.random()
+        if choice < 0.2:
+            return " " * self._random.randrange(4)
+        if choice < 0.23:
+            word += "x" * self._random.randint(*_LONG_SIZE_CHARACTERS)
+        first, middle, last = self._random.choices(_SEPARATORS, k=3)
+        return f"{first}{word}{middle}{word}{last}"
 
     async def _run_operation(self) -> None:
+        if self._random.random() < 0.05:
+            await self._prepare(self._random.choice(_NAMES))
         choice = self._random.random()
         item = f"k{self._random.randrange(_N_ITEMS)}"
         if choice < 0.5:
-            await self._execute(f"READ {item}")
+            await self._execute_work("READ", item)
         elif choice < 0.8:
-            request = self._new_request()
-            await self._execute(f"WRITE {item} {request}", request)
+            await self._execute_work("WRITE", item)
         else:
             await self._transaction(item)
-        if self._random.random() < 0.05:
+        # The protocol has callers close a session that is in a transaction after an
+        # operation: a refused ROLLBACK leaves it open.
+        if self._random.random() < 0.05 or (self._caller and self._caller.state != "I"):
             self._disconnect()
 
     async def _transaction(self, item: str) -> None:
         assert self._caller is not None
-        await self._caller.execute("BEGIN")
+        lines = await self._caller.execute("BEGIN")
+        if not lines[-1].startswith("COMPLETE"):
+            return
         writes = []
         for _ in range(self._random.randrange(1, 4)):
             await asyncio.sleep(self._random.uniform(0.0, 0.05))
-            request = self._new_request()
-            if self._random.random() < 0.5:
-                done = await self._execute(
-                    f"WRITE {item} {request}", request, is_in_transaction=True
-                )
-                if done.is_success:
-                    writes.append(request)
-            else:
-                done = await self._execute(f"READ {item}", is_in_transaction=True)
+            mode = self._random.choice(("READ", "WRITE"))
+            done = await self._execute_work(mode, item, is_in_transaction=True)
+            if done.is_success and mode == "WRITE":
+                writes.append(done.request)
             if not done.is_success:
                 await self._caller.execute("ROLLBACK")
                 return
-        await self._execute("COMMIT", writes=writes)
+        await self._execute("commit", "COMMIT", self._new_request(), writes=writes)
+
+    async def _execute_work(
+        self, mode: str, item: str, *, is_in_transaction: bool = False
+    ) -> Statement:
+        """Execute a plain or a prepared read or write of an item, with odd data."""
+        request = self._new_request()
+        kind = "in_transaction" if is_in_transaction else mode.lower()
+        data = f" {self._odd_text(request)}" if self._random.random() < 0.9 else ""
+        names = [name for name, text in self._prepared.items() if text.startswith(mode)]
+        if not names or self._random.random() < 0.5:
+            return await self._execute(kind, f"{mode} {item}{data}", request)
+        name = self._random.choice(names)
+        text, prepared = f"EXECUTE {name} {item}{data}", self._prepared[name]
+        return await self._execute(kind, text, request, prepared=prepared)
 
     def _new_request(self) -> str:
         return f"{self._random.getrandbits(64):016x}"
 
     async def _execute(
         self,
+        kind: str,
         text: str,
-        request: str = "",
+        request: str,
         *,
-        is_in_transaction: bool = False,
+        prepared: str = "",
         writes: list[str] | None = None,
     ) -> Statement:
         assert self._caller is not None
-        kind = "in_transaction" if is_in_transaction else text.split()[0].lower()
         statement = Statement(
-            request=request or self._new_request(),
+            request=request,
             session=self._session,
             kind=kind,
             text=text,
             entry=self._entry,
             sent_s=time.monotonic(),
+            prepared=prepared,
             values=dict(self._values),
             writes=writes or [],
         )
@@ -178,11 +233,17 @@
     """Send configurations with increasing versions and read them back."""
 
     def __init__(
-        self, history: History, random_source: random.Random, controls: list[str]
+        self,
+        history: History,
+        random_source: random.Random,
+        controls: list[str],
+        *,
+        has_teams: bool,
     ) -> None:
         self._history = history
         self._random = random_source
         self._controls = controls
+        self._has_teams = has_teams
         self.version = 0
 
     async def run(self) -> None:
@@ -196,7 +257,7 @@
         """Send a configuration repeatedly until it is acknowledged."""
         self.version = version
         while not await self._call(
-            "POST", "/Configuration.Replace", _document(version)
+            "POST", "/Configuration.Replace", self._document(version)
         ):
             await asyncio.sleep(0.15)
         self._history.acknowledged.append((version, time.monotonic()))
@@ -222,7 +283,17 @@
             return None
         return (response.body or b"{}") if response.status == 200 else None
 
-
-def _document(version: int) -> bytes:
-    """Return a configuration document whose time limit depends on its version."""
-    return document(version, timeout_ms=1_000 + version, n_connections_max=60)
+    def _document(self, version: int) -> bytes:
+        """Return a configuration document whose time limit depends on its version."""
+        timeout_ms = 1_000 + version
+        if not self._has_teams:
+            return document(version, timeout_ms=timeout_ms, n_connections_max=60)
+        return document(
+            version,
+            timeout_ms=timeout_ms,
+            n_connections_max=_N_TEAM_CONNECTIONS_MAX,
+            tenants=[
+                {"name": f"team-{number}", "api_keys": [f"u{number}"]}
+                for number in range(1, _N_TEAMS + 1)
+            ],
+        )
--- a/tests/fault_soak/soak_checks.py
+++ b/tests/fault_soak/soak_checks.py
@@ -3,15 +3,20 @@
 The records are those of the callers, the backend servers and the cloud provider.
 """
 
+import reprlib
 from collections import Counter, defaultdict
 
 from soak_callers import History, Statement
+from soak_deployment import SERVICE_CHECK_REQUEST, SERVICE_CHECK_TEXT
 from standin import KINDS, MAX_STALENESS_S, Group, Provider, Run
 
 CONFIGURATION_APPLY_S = 3.0
 # The entry VM may not have read a statement that was sent this shortly before its
 # connection ended.
 _UNREAD_WINDOW_S = 0.05
+_SERVICE_CHECK = (SERVICE_CHECK_REQUEST, SERVICE_CHECK_TEXT)
+_TEXTS = reprlib.Repr()
+_TEXTS.maxstring = 120
 
 
 def check_all(
@@ -24,7 +29,9 @@
         *checks.lost_writes(),
         *checks.refused_writes_with_effect(),
         *checks.writes_acknowledged_by_former_primary(),
+        *checks.unasked_runs(),
         *checks.mixed_up_answers(),
+        *checks.changed_rows(),
         *checks.stale_reads(),
         *_configuration_violations(history),
         *_token_violations(provider),
@@ -115,7 +122,7 @@
         """
         found = []
         for statement in self._history.statements:
-            if not statement.is_success or statement.kind not in ("read", "write"):
+            if not statement.is_success or statement.kind == "commit":
                 continue
             proof = statement.lines[-1].split()[-1]
             run = self._find_run(statement)
@@ -125,6 +132,33 @@
                 found.append(f"PINNED: {statement.request} ran with {run.values}")
         return found
 
+    def unasked_runs(self) -> list[str]:
+        """Return violations for runs of other statements than their callers sent."""
+        sent = {item.request: item for item in self._history.statements}
+        found = []
+        for run in self._group.runs:
+            statement = sent.get(run.request)
+            if statement is None:
+                if (run.request, run.text) != _SERVICE_CHECK:
+                    found.append(f"UNASKED: {run.request} ran, which no caller sent")
+            elif not _is_as_sent(run, statement):
+                found.append(
+                    f"UNASKED: {run.request} {_TEXTS.repr(statement.text)} of "
+                    f"{statement.prepared!r} ran as {_TEXTS.repr(run.text)} of "
+                    f"{run.prepared!r}"
+                )
+        return found
+
+    def changed_rows(self) -> list[str]:
+        """Return violations for answers with other rows than a server returned."""
+        return [
+            f"ROWS: {item.request} received {_TEXTS.repr(item.lines[:-1])}"
+            for item in self._history.statements
+            if item.is_success
+            and item.kind != "commit"
+            and all(run.rows != item.lines[:-1] for run in self._runs[item.request])
+        ]
+
     def _find_run(self, statement: Statement) -> Run | None:
         proof = statement.lines[-1].split()[-1]
         return next(
@@ -170,6 +204,18 @@
         return found
 
 
+def _is_as_sent(run: Run, statement: Statement) -> bool:
+    """Return whether a server ran what a caller sent, but for a prepared name."""
+    if run.prepared != statement.prepared:
+        return False
+    if not statement.prepared:
+        return run.text == statement.text
+    word, name, *_ = statement.text.split(" ")
+    server_name = run.text.split(" ")[1]
+    after_name = statement.text.removeprefix(f"{word} {name}")
+    return run.text == f"{word} {server_name}{after_name}"
+
+
 def _must_see(
     database: str, statement: Statement, ended_s: float, session: int
 ) -> bool:
--- a/tests/fault_soak/soak_deployment.py
+++ b/tests/fault_soak/soak_deployment.py
@@ -13,16 +13,20 @@
 
 N_CONTROLS = 3
 N_ENTRIES = 3
+SERVICE_CHECK_REQUEST, SERVICE_CHECK_TEXT = "service-check", "READ k0"
 _SERVER_PORT, _LINK_PORT = 18_143, 18_144
 
 
 class SoakDeployment:
     """Control and entry daemons on one loopback network, with all that they talk to."""
 
-    def __init__(self, random: Random, folder: Path, network: int) -> None:
+    def __init__(
+        self, random: Random, folder: Path, network: int, *, has_teams: bool
+    ) -> None:
         self._random = random
         self._folder = folder
         self.network = network
+        self._has_teams = has_teams
         self.group = Group("db", _SERVER_PORT)
         self.links: dict[str, FaultLink] = {}
         self.provider = Provider(f"127.{network}.9.8:18083", [self.group])
@@ -51,17 +55,21 @@
             ("entry", 2, N_ENTRIES),
         ):
             for number in range(1, n_nodes + 1):
-                self.add_daemon(role, f"127.{network}.{block}.{number}", number, seeds)
+                # Entry VMs forward the sessions of teams within their zone.
+                is_zone_shared = self._has_teams and role == "entry"
+                zone = "z1" if is_zone_shared else f"z{number}"
+                host = f"127.{network}.{block}.{number}"
+                self.add_daemon(role, host, number, seeds, zone)
 
     def add_daemon(
-        self, role: str, host: str, number: int, seeds: list[str], zone: str = ""
+        self, role: str, host: str, number: int, seeds: list[str], zone: str
     ) -> DaemonProcess:
         """Add a daemon, which is not started yet."""
         daemon = DaemonProcess(
             name=f"{role}-{number}",
             role=role,
             host=host,
-            zone=zone or f"z{number}",
+            zone=zone,
             folder=self._folder,
             seeds=seeds,
             promotion_address=self.provider_link.listen_address,
@@ -145,7 +153,7 @@
             caller = None
             try:
                 caller = await Caller.open(entry.caller_address, database)
-                lines = await caller.execute("READ k0")
+                lines = await caller.execute(SERVICE_CHECK_TEXT, SERVICE_CHECK_REQUEST)
                 if lines[-1].startswith("COMPLETE"):
                     return
             except OSError:
--- a/tests/users_platform/standin.py
+++ b/tests/users_platform/standin.py
@@ -71,6 +71,7 @@
     prepared: str = ""
     # Position that had to be reached, empty if there was none.
     at_least: str = ""
+    rows: list[str] = field(default_factory=list)
 
 
 class LineServer:
@@ -240,32 +241,29 @@
             server.refused_once.discard(request)
             return self._error("BUSY")
         word, _, rest = text.partition(" ")
-        is_write = word == "WRITE"
         prepared = ""
         if word == "EXECUTE":
             name, _, rest = rest.partition(" ")
             if name not in self._prepared:
                 return self._error("UNKNOWN")
             prepared = self._prepared[name]
-            is_write = prepared.startswith("WRITE")
+        is_write = (prepared or word).startswith("WRITE")
         await asyncio.sleep(server.work_s)
         if is_write and not server.is_primary:
             return self._error("READONLY")
-        server.group.runs.append(
-            Run(
-                server.name,
-                request,
-                text,
-                self._number,
-                server.end,
-                dict(self._values),
-                server.is_primary,
-                self._team,
-                prepared,
-                at_least,
-            )
+        run = Run(
+            server.name,
+            request,
+            text,
+            self._number,
+            server.end,
+            dict(self._values),
+            server.is_primary,
+            self._team,
+            prepared,
+            at_least,
         )
-        rows = ""
+        server.group.runs.append(run)
         if word == "COMMIT":
             for item, data, first in self._pending or []:
                 server.group.commit(server, item, data, first)
@@ -278,7 +276,8 @@
                 self._pending.append((item, data, request))
         else:
             found = [c.data for c in server.log if c.item == rest.split(" ")[0]]
-            rows = f"ROW {found[-1]}\r\n" if found else ""
+            run.rows = [f"ROW {data}" for data in found[-1:]]
+        rows = "".join(f"{row}\r\n" for row in run.rows)
         return f"{rows}COMPLETE proof-{server.name}-{request}\r\n" + self._ready()
 
 
