--- a/tests/fault_soak/soak_callers.py
+++ b/tests/fault_soak/soak_callers.py
@@ -90,16 +90,22 @@
         self.sessions: list[int] = []
 
     async def run(self) -> None:
-        """Execute statements until cancelled."""
-        while True:
-            await asyncio.sleep(self._random.uniform(*_PAUSE_S))
-            try:
-                if self._caller is None:
-                    await self._connect()
-                await self._run_operation()
-            except (OSError, TimeoutError):
-                self._disconnect()
-                await asyncio.sleep(0.1)
+        """Execute statements until cancelled, then close the connection."""
+        try:
+            while True:
+                await asyncio.sleep(self._random.uniform(*_PAUSE_S))
+                await self._connect_and_run_operation()
+        finally:
+            self._disconnect()
+
+    async def _connect_and_run_operation(self) -> None:
+        try:
+            if self._caller is None:
+                await self._connect()
+            await self._run_operation()
+        except (OSError, TimeoutError):
+            self._disconnect()
+            await asyncio.sleep(0.1)
 
     def _disconnect(self) -> None:
         if self._caller is not None:
--- a/tests/fault_soak/soak_deployment.py
+++ b/tests/fault_soak/soak_deployment.py
@@ -105,7 +105,6 @@
 
     async def stop(self) -> None:
         """Kill the daemons, and stop all else."""
-        Caller.close_all()
         for daemon in self.daemons.values():
             daemon.kill()
         for server in self.group.servers:
--- a/tests/fault_soak/test_soak_runner.py
+++ b/tests/fault_soak/test_soak_runner.py
@@ -1,9 +1,12 @@
 """Tests of the runner of the soak's seeds."""
 
 import asyncio
+import random
 
 import pytest
 import soak
+from soak_deployment import SoakDeployment
+from standin import Caller
 
 _NETWORK = 90
 
@@ -27,3 +30,18 @@
     with pytest.raises(asyncio.CancelledError):
         await running
     assert started == sorted(stopped) == [1, 2]
+
+
+async def test_the_end_of_a_seed_leaves_the_callers_of_others(tmp_path):
+    # Guards against statements of one seed that the end of another one breaks.
+    async def serve(reader, writer):
+        writer.write(b"READY I -\r\n")
+
+    server = await asyncio.start_server(serve, f"127.{_NETWORK}.2.1", 18_784)
+    caller = await Caller.open(f"127.{_NETWORK}.2.1:18784", "orders")
+    ended = SoakDeployment(random.Random(1), tmp_path, _NETWORK, has_teams=False)
+    await ended.provider.server.start()
+    await ended.stop()
+    assert not caller._writer.transport.is_closing()
+    caller.close()
+    server.close()
