--- a/tests/fault_soak/soak.py
+++ b/tests/fault_soak/soak.py
@@ -80,18 +80,11 @@
         """Start the deployment, inject faults, wait for recovery, and check."""
         tasks: list[asyncio.Task[None]] = []
         try:
-            await self._start(tasks)
-            await self._injector.run(seconds)
-            await self._injector.wait_for_end()
-            self._deployment.restore()
-            self._injector.record_fault("all faults removed")
-            await self._check_recovery()
+            await self._run_until_recovery(seconds, tasks)
             for task in tasks:
                 task.cancel()
             await asyncio.gather(*tasks, return_exceptions=True)
             self._check()
-        except TimeoutError as error:
-            self.result.violations.append(f"RECOVER: {error or 'no service in time'}")
         finally:
             for task in tasks:
                 task.cancel()
@@ -100,6 +93,22 @@
             await self._deployment.stop()
         return self.result
 
+    async def _run_until_recovery(
+        self, seconds: float, tasks: list[asyncio.Task[None]]
+    ) -> None:
+        """Inject faults and wait for recovery; record it if there is none in time."""
+        try:
+            await self._start(tasks)
+            await self._injector.run(seconds)
+            await self._injector.wait_for_end()
+            self._deployment.restore()
+            self._injector.record_fault("all faults removed")
+            await self._check_recovery()
+        except TimeoutError as error:
+            self.result.violations.append(
+                f"RECOVER: {str(error) or 'no service in time'}"
+            )
+
     async def _start(self, tasks: list[asyncio.Task[None]]) -> None:
         deployment = self._deployment
         await deployment.start()
