Hold a stored configuration that this program would refuse

What operators would see: after an upgrade to a program that accepts less, as the one that refuses group names with blanks, each control node ends at its start, for good.

Cause: the stored document was parsed without a guard, as it had been accepted once.

Change: a document that is refused is logged (configuration_unreadable) and stands for a table without routes under its version, until a newer version is stored. Entry VMs did so before.

Result: the new test failed before.

--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_control_node.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_control_node.py
@@ -271,7 +271,17 @@
     def _load_table(self) -> None:
         if not self._state.document:
             return
-        self._table = self._platform.parse_configuration(self._state.document)
+        try:
+            self._table = self._platform.parse_configuration(self._state.document)
+        except ConfigurationInvalidError as error:
+            # An earlier version of this program accepted it; a newer one replaces it.
+            self._table = RouteTable(version=self._state.version)
+            self._log.write(
+                "configuration_unreadable",
+                version=self._state.version,
+                reason=str(error),
+            )
+            return
         self._log.write("configuration", version=self._state.version)
         self._steps.record(RecoveryStep.FIRST_CONFIGURATION)
 
--- a/tests/users_platform/test_unusual_input.py
+++ b/tests/users_platform/test_unusual_input.py
@@ -5,8 +5,9 @@
 import time
 
 import pytest
-from cardamomshunt.fleet import ServerState
+from cardamomshunt.fleet import ConfigurationInvalidError, ServerState
 from cardamomshunt_node._session_protocol import MESSAGE_SIZE_MAX_BYTES
+from cardamomshunt_platform._platform import UsersPlatform
 from standin import KINDS, report
 
 # Data that a line of text may hold, as only CR LF ends a line.
@@ -239,3 +240,28 @@
         return
     assert await caller.execute(statement, "w1") == ["COMPLETE proof-i-3-w1"]
     assert deployment.group.runs[-1].text == statement
+
+
+async def test_a_control_node_holds_a_stored_configuration_that_it_would_refuse(
+    deployment, make_document, monkeypatch
+):
+    # Guards against control nodes that end at each start after an upgrade to a program
+    # that accepts less, until nobody leads.
+    parse = UsersPlatform.parse_configuration
+
+    def parse_strictly(self, document):
+        if json.loads(document)["version"] == 1:
+            raise ConfigurationInvalidError("group 'd b': the name has blanks")
+        return parse(self, document)
+
+    monkeypatch.setattr(UsersPlatform, "parse_configuration", parse_strictly)
+    nodes = deployment.controls.values()
+    for node in nodes:
+        # As at a start, and from a leader whose program accepts more.
+        node._install_snapshot(node._state.encode())
+    assert (await deployment.put(make_document(2))).status == 200
+    await deployment.execute_until_success("entry-1", "orders", "WRITE k1 a")
+    await deployment.until(lambda: all(node._table.version == 2 for node in nodes))
+    assert not any(task.done() for task in deployment.tasks.values())
+    events = [e for node in deployment.controls for e in deployment.events(node)]
+    assert "configuration_unreadable" in {event["event"] for event in events}
