--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_consensus_host.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_consensus_host.py
@@ -40,7 +40,6 @@
     n_entries_per_message=16,
     admits_unknown_nodes=True,
 )
-_N_ENTRIES_BETWEEN_SNAPSHOTS = 200
 _PEER_RESET_MS = 500.0
 
 
@@ -86,7 +85,6 @@
         self._storage = StorageTask(storage, self._on_storage)
         self._pending_commands: dict[int, tuple[int, asyncio.Future[bool]]] = {}
         self.applied_index = 0
-        self._snapshot_index = 0
         self._wake_up = asyncio.Event()
         self._was_leader = False
         self._last_heard_ms: dict[str, float] = {}
@@ -96,7 +94,6 @@
         if opened.restored.snapshot.index:
             self._install(opened.restored.snapshot.state)
             self.applied_index = opened.restored.snapshot.index
-            self._snapshot_index = self.applied_index
 
     def start(self) -> None:
         """Start the timers and the storage task."""
@@ -210,7 +207,9 @@
         for effect in effects:
             match effect:
                 case SendMessage():
-                    self._transport.send(effect.address, effect.message)
+                    self._transport.send(
+                        effect.address, effect.message, is_bulk=effect.is_bulk
+                    )
                 case PersistEffect():
                     self._storage.put(effect)
                 case EmitEvent():
@@ -227,13 +226,12 @@
         for item in ready:
             if isinstance(item, Snapshot):
                 self._install(item.state)
-                self.applied_index = self._snapshot_index = item.index
+                self.applied_index = item.index
             else:
                 self._apply_entry(item)
         if ready:
             self.on_applied()
-        if self.applied_index >= self._snapshot_index + _N_ENTRIES_BETWEEN_SNAPSHOTS:
-            self._snapshot_index = self.applied_index
+        if self.node.is_snapshot_due(self.applied_index):
             self.node.compact(self._encode_state(), self.applied_index)
             self._run_effects(self.node.pop_effects())
         if self.node.is_leader != self._was_leader:
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_stream_transport.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_stream_transport.py
@@ -239,7 +239,7 @@
         self._node = node
         self.address = listen_address
         self._on_message = on_message
-        self._outgoing: dict[str, _OutgoingConnection] = {}
+        self._outgoing: dict[tuple[str, bool], _OutgoingConnection] = {}
         self._incoming: set[_IncomingConnection] = set()
         self._server: asyncio.Server | None = None
         self.counters = StreamCounters()
@@ -256,26 +256,29 @@
             backlog=256,
         )
 
-    def send(self, address: str, message: Message) -> None:
-        """Send a message to a peer's listener, or drop it if too much is pending."""
+    def send(self, address: str, message: Message, *, is_bulk: bool = False) -> None:
+        """Send a message to a peer's listener, or drop it if too much is pending.
+
+        Bulk messages have a connection of their own, so that others do not wait for them.
+        """
         payload = encode_envelope(
             message, sender=self._node, reply_address=self.address
         )
         frame = len(payload).to_bytes(_LENGTH_SIZE_BYTES, "big") + payload
-        connection = self._outgoing.get(address)
+        connection = self._outgoing.get((address, is_bulk))
         if connection is None:
-            connection = self._outgoing[address] = _OutgoingConnection(
-                address, self.counters
-            )
+            connection = _OutgoingConnection(address, self.counters)
+            self._outgoing[address, is_bulk] = connection
         self.counters.n_sent += 1
         self.counters.sent_bytes += len(frame)
         connection.send(frame)
 
     def reset(self, address: str) -> None:
-        """Close the connection to an unresponsive peer."""
-        connection = self._outgoing.pop(address, None)
-        if connection is not None:
-            connection.close()
+        """Close the connections to an unresponsive peer."""
+        for is_bulk in (False, True):
+            connection = self._outgoing.pop((address, is_bulk), None)
+            if connection is not None:
+                connection.close()
 
     async def stop(self) -> None:
         """Close all sockets."""
@@ -283,5 +286,5 @@
             self._server.close()
         for connection in list(self._incoming):
             connection.close()
-        for address in list(self._outgoing):
+        for address, _ in list(self._outgoing):
             self.reset(address)
--- a/packages/cardamomshunt/src/cardamomshunt/_consensus/followers.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_consensus/followers.py
@@ -1,8 +1,9 @@
 """Replication progress of the followers, as tracked by the leader."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
-from cardamomshunt._consensus.messages import Member
+from cardamomshunt._consensus.messages import Member, Snapshot
+from cardamomshunt._consensus.replication_window import ReplicationWindow
 
 NEVER_MS = float("-inf")
 
@@ -16,30 +17,87 @@
     return n // 2 + 1
 
 
+@dataclass(slots=True)
+class SnapshotCopy:
+    """Transfer of one snapshot to a follower.
+
+    The snapshot stays the same though a newer one is taken meanwhile, so that the copy
+    comes to an end. Replies to chunks sent before `rewound_ms` are outdated.
+    """
+
+    snapshot: Snapshot
+    data: bytes
+    next_offset: int = 0
+    acknowledged_bytes: int = 0
+    rewound_ms: float = NEVER_MS
+    window: ReplicationWindow = field(default_factory=ReplicationWindow)
+
+    def rewind(self, now_ms: float, offset: int) -> None:
+        """Continue at an offset."""
+        self.next_offset = offset
+        self.rewound_ms = now_ms
+        self.window.clear()
+
+
 @dataclass(slots=True)
 class Progress:
-    """Replication progress of one follower, tracked since a time."""
+    """Replication progress of one follower, tracked since a time.
+
+    Entries before `next_index` are sent. While `is_probing`, it is not known up to where
+    the logs match, and one message at a time is sent. Replies to messages sent before
+    `rewound_ms` are outdated.
+    """
 
     next_index: int
     since_ms: float
     match_index: int = 0
-    in_flight_until_ms: float = NEVER_MS
     heartbeat_due_ms: float = NEVER_MS
     last_acked_sent_ms: float = NEVER_MS
-    snapshot_offset: int = 0
+    is_probing: bool = True
+    rewound_ms: float = NEVER_MS
+    window: ReplicationWindow = field(default_factory=ReplicationWindow)
+    copy: SnapshotCopy | None = None
+    _probed_index: int = 0
+
+    def __post_init__(self) -> None:
+        self._probed_index = self.next_index - 1
 
     @property
     def has_answered(self) -> bool:
         """Return whether the follower has acknowledged a message of this leader."""
         return self.last_acked_sent_ms > NEVER_MS
 
+    @property
+    def known_index(self) -> int:
+        """Return the index at which the logs match, or are next compared."""
+        return self._probed_index if self.is_probing else self.match_index
+
     def silent_ms(self, now_ms: float) -> float:
         """Return for how long the follower has acknowledged nothing."""
         return now_ms - max(self.last_acked_sent_ms, self.since_ms)
 
-    def may_send(self, now_ms: float) -> bool:
-        """Return whether no entries are in flight."""
-        return now_ms >= self.in_flight_until_ms
+    def may_send(self, size_bytes: int) -> bool:
+        """Return whether entries of a size may be sent now."""
+        if self.is_probing and self.window.in_flight_bytes:
+            return False
+        return self.window.may_send(size_bytes)
+
+    def on_match(self, now_ms: float, index: int) -> None:
+        """Record that the logs match up to an index."""
+        self.match_index = max(self.match_index, index)
+        self.next_index = max(self.next_index, self.match_index + 1)
+        self.is_probing = False
+        self.window.on_acknowledged(now_ms, self.match_index)
+        if self.copy is not None and self.match_index >= self.copy.snapshot.index:
+            self.copy = None
+
+    def rewind(self, now_ms: float, next_index: int) -> None:
+        """Continue at an index, after a loss or a refusal."""
+        self.next_index = next_index
+        self._probed_index = next_index - 1
+        self.is_probing = True
+        self.rewound_ms = now_ms
+        self.window.clear()
 
 
 class Followers:
--- a/packages/cardamomshunt/src/cardamomshunt/_consensus/log.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_consensus/log.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from cardamomshunt._consensus.log_bounds import entry_bytes
 from cardamomshunt._consensus.messages import Entry, EntryKind, Member, Snapshot
 
 _MEMBERS_DECODER = msgspec.msgpack.Decoder(list[Member])
@@ -25,8 +26,14 @@
         self.base_term = snapshot.term
         self._entries = [entry for entry in entries if entry.index > snapshot.index]
         self._changes: list[tuple[int, list[Member]]] = []
+        self.bytes_after_snapshot = 0
+        self._measure()
         self._collect_changes()
 
+    def _measure(self) -> None:
+        newer = self.entries_from(self.snapshot.index + 1, len(self._entries))
+        self.bytes_after_snapshot = sum(map(entry_bytes, newer))
+
     def _collect_changes(self) -> None:
         self._changes = [
             (entry.index, decode_members(entry))
@@ -75,6 +82,14 @@
         """Return an entry, which must be in memory."""
         return self._entries[index - self.base_index - 1]
 
+    def entries_up_to(self, index: int) -> list[Entry]:
+        """Return the entries in memory up to an index."""
+        return self._entries[: max(0, index - self.base_index)]
+
+    def bytes_from(self, index: int) -> int:
+        """Return the size of the entry at an index and of all later ones."""
+        return sum(map(entry_bytes, self.entries_from(index, len(self._entries))))
+
     def entries_from(self, index: int, n_max: int) -> list[Entry]:
         """Return up to `n_max` entries, starting at an index."""
         offset = index - self.base_index - 1
@@ -91,12 +106,14 @@
         """Append entries, the first of which follows the last entry."""
         self._entries.extend(entries)
         for entry in entries:
+            self.bytes_after_snapshot += entry_bytes(entry)
             if entry.kind is EntryKind.MEMBERS:
                 self._changes.append((entry.index, decode_members(entry)))
 
     def truncate_from(self, index: int) -> None:
         """Remove the entry at an index and all later ones."""
         del self._entries[index - self.base_index - 1 :]
+        self._measure()
         self._changes = [change for change in self._changes if change[0] < index]
 
     def compact(self, snapshot: Snapshot, n_retained: int) -> None:
@@ -107,6 +124,7 @@
         self._entries = self._entries[first_retained - self.base_index - 1 :]
         self.base_index, self.base_term = first_retained - 1, base_term
         self.snapshot = snapshot
+        self._measure()
         self._changes = [item for item in self._changes if item[0] > snapshot.index]
 
     def install(self, snapshot: Snapshot) -> bool:
@@ -122,5 +140,6 @@
         self._entries = later
         self.snapshot = snapshot
         self.base_index, self.base_term = snapshot.index, snapshot.term
+        self._measure()
         self._collect_changes()
         return not agrees
--- a/packages/cardamomshunt/src/cardamomshunt/_consensus/node.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_consensus/node.py
@@ -5,13 +5,13 @@
 import msgspec
 
 from cardamomshunt._consensus.followers import (
-    NEVER_MS,
     Followers,
     Progress,
     majority,
 )
 from cardamomshunt._consensus.joining import GroupJoiner
 from cardamomshunt._consensus.log import ReplicatedLog
+from cardamomshunt._consensus.log_bounds import LogBounds
 from cardamomshunt._consensus.member_changes import (
     is_single_change,
     with_learner,
@@ -51,6 +51,7 @@
     RestoredState,
 )
 from cardamomshunt._consensus.outbox import Outbox
+from cardamomshunt._consensus.replication import Lead, Replication
 from cardamomshunt._consensus.snapshot_transfer import SnapshotSink, SnapshotSource
 from cardamomshunt._control.effects import ControlEffect
 from cardamomshunt._shared.events import EventNumber
@@ -111,6 +112,15 @@
         self._transfer_until_ms = 0.0
         self._snapshot_sink = SnapshotSink()
         self._snapshot_source = SnapshotSource()
+        self._log_bounds = LogBounds(self.options.log_bounds)
+        self._replication = Replication(
+            self.incarnation,
+            self.log,
+            self._followers,
+            self._snapshot_source,
+            self._outbox,
+            self.options,
+        )
 
     # State
 
@@ -276,6 +286,14 @@
         self._continue_transfer(now_ms)
         return True
 
+    def is_snapshot_due(self, index: int) -> bool:
+        """Return whether to replace the log up to an applied index by a snapshot."""
+        return index > self.log.snapshot.index and self._log_bounds.is_snapshot_due(
+            index - self.log.snapshot.index,
+            self.log.bytes_after_snapshot,
+            len(self.log.snapshot.state),
+        )
+
     def compact(self, state: bytes, index: int) -> None:
         """Replace the log up to an applied index by a snapshot of the state."""
         term = self.log.term_at(index)
@@ -283,7 +301,8 @@
             return
         members = self.log.members_at(index)
         snapshot = Snapshot(index=index, term=term, members=members, state=state)
-        self.log.compact(snapshot, self.options.n_entries_kept)
+        covered = self.log.entries_up_to(index)
+        self.log.compact(snapshot, self._log_bounds.n_retained(covered, len(state)))
         self._persist_snapshot(snapshot, is_reset=False)
 
     def pop_ready(self) -> list[Entry | Snapshot]:
@@ -413,17 +432,23 @@
 
     def _state_of(self, now_ms: float, member: Member) -> MemberState:
         progress = self._followers.of(member.node)
-        n_entries_behind = self.log.last_index - progress.match_index
         is_known = member.incarnation != 0
         return MemberState(
             node=member.node,
             is_voter=member.is_voter,
             has_answered=progress.has_answered,
             is_unresponsive=self._is_unresponsive(now_ms, member, progress),
-            is_caught_up=is_known
-            and n_entries_behind <= self.options.n_entries_behind_max,
+            is_caught_up=is_known and self._is_caught_up(progress),
         )
 
+    def _is_caught_up(self, progress: Progress) -> bool:
+        """Return whether a follower lacks little of the log."""
+        n_behind = self.log.last_index - progress.match_index
+        if n_behind > self.options.n_entries_behind_max:
+            return False
+        bytes_behind = self.log.bytes_from(progress.match_index + 1)
+        return n_behind <= 1 or bytes_behind <= self.options.bytes_behind_max
+
     def _is_unresponsive(
         self, now_ms: float, member: Member, progress: Progress
     ) -> bool:
@@ -675,11 +700,12 @@
         if kind is EntryKind.MEMBERS:
             self._followers.update(now_ms, self.members, self.log.last_index)
         for member in self._other_members():
-            progress = self._followers.of(member.node)
-            if progress.may_send(now_ms):
-                self._send_append(now_ms, member, progress)
+            self._replication.send_pending(self._lead(now_ms), member)
         return entry.index
 
+    def _lead(self, now_ms: float) -> Lead:
+        return Lead(now_ms, self.term, self.commit_index)
+
     def _other_members(self) -> list[Member]:
         return [member for member in self.members if member.node != self.node]
 
@@ -697,9 +723,7 @@
                 return
         self._maintain_members(now_ms)
         for member in self._other_members():
-            progress = self._followers.of(member.node)
-            if now_ms >= progress.heartbeat_due_ms:
-                self._send_append(now_ms, member, progress)
+            self._replication.run_due(self._lead(now_ms), member)
 
     def _continue_transfer(self, now_ms: float) -> None:
         target = self.member(self._transfer_to or "")
@@ -715,55 +739,11 @@
         )
         self._become_follower(now_ms, self.term, None)
 
-    def _send_append(self, now_ms: float, member: Member, progress: Progress) -> None:
-        progress.heartbeat_due_ms = now_ms + self.options.heartbeat_ms
-        prev_index = progress.next_index - 1
-        prev_term = self.log.term_at(prev_index)
-        if prev_term is None or prev_index < self.log.base_index:
-            self._send_chunk(now_ms, member, progress)
-            return
-        entries = self.log.entries_from(
-            progress.next_index, self.options.n_entries_per_message
-        )
-        if entries:
-            progress.in_flight_until_ms = now_ms + self.options.heartbeat_ms
-        message = AppendEntries(
-            term=self.term,
-            incarnation=self.incarnation,
-            prev_index=prev_index,
-            prev_term=prev_term,
-            commit_index=self.commit_index,
-            sent_ms=now_ms,
-            entries=entries,
-        )
-        self._send(member.peer_address, message)
-
-    def _send_chunk(self, now_ms: float, member: Member, progress: Progress) -> None:
-        snapshot = self.log.snapshot
-        data = self._snapshot_source.encode(snapshot)
-        offset = min(progress.snapshot_offset, len(data))
-        chunk = SnapshotChunk(
-            term=self.term,
-            incarnation=self.incarnation,
-            snapshot_index=snapshot.index,
-            snapshot_term=snapshot.term,
-            offset=offset,
-            size_bytes=len(data),
-            data=data[offset : offset + self.options.chunk_size_bytes],
-            sent_ms=now_ms,
-        )
-        progress.in_flight_until_ms = now_ms + self.options.heartbeat_ms
-        self._send(member.peer_address, chunk)
-
-    def _progress_of(
-        self, sender: Peer, message: ConsensusMessage
-    ) -> tuple[Member, Progress] | None:
-        """Return the member and its progress if its reply counts in this term."""
+    def _follower_of(self, sender: Peer, message: ConsensusMessage) -> Member | None:
+        """Return the member that sent a reply, if the reply counts in this term."""
         if not self.is_leader or message.term != self.term:
             return None
-        member = self.member(sender.node, message.incarnation)
-        progress = self._followers.get(sender.node)
-        return (member, progress) if member and progress else None
+        return self.member(sender.node, message.incarnation)
 
     def _on_append_reply(
         self, now_ms: float, sender: Peer, message: AppendReply
@@ -771,57 +751,43 @@
         if message.term > self.term:
             self._become_follower(now_ms, message.term, None)
             return
-        found = self._progress_of(sender, message)
-        if found is None:
+        member = self._follower_of(sender, message)
+        if member is None:
             return
-        member, progress = found
-        progress.last_acked_sent_ms = max(progress.last_acked_sent_ms, message.sent_ms)
-        if message.is_success:
-            has_advanced = message.match_index > progress.match_index
-            progress.match_index = max(progress.match_index, message.match_index)
-            progress.next_index = max(progress.next_index, progress.match_index + 1)
-            if has_advanced:
-                progress.in_flight_until_ms = NEVER_MS
-                self._advance_commit(now_ms)
-        elif message.prev_index == progress.next_index - 1:
-            progress.next_index = max(
-                progress.match_index + 1,
-                min(message.match_index + 1, message.prev_index),
-            )
-            progress.in_flight_until_ms = NEVER_MS
+        lead = self._lead(now_ms)
+        has_advanced = self._replication.on_append_reply(lead, member, message)
+        if has_advanced and not self._advance_commit(now_ms):
+            self._notify_commit(now_ms, member)
         if not self.is_leader:
             return
-        has_more = progress.next_index <= self.log.last_index
-        if has_more and progress.may_send(now_ms):
-            self._send_append(now_ms, member, progress)
+        self._replication.send_pending(self._lead(now_ms), member)
         if self._transfer_to is not None:
             self._continue_transfer(now_ms)
 
     def _on_snapshot_reply(
         self, now_ms: float, sender: Peer, message: SnapshotReply
     ) -> None:
-        found = self._progress_of(sender, message)
-        if found is None:
-            return
-        member, progress = found
-        progress.last_acked_sent_ms = max(progress.last_acked_sent_ms, message.sent_ms)
-        if message.snapshot_index != self.log.snapshot.index:
-            progress.snapshot_offset = 0
-            return
-        has_moved = message.next_offset != progress.snapshot_offset
-        progress.snapshot_offset = message.next_offset
-        if has_moved and progress.next_index <= self.log.base_index:
-            self._send_chunk(now_ms, member, progress)
+        member = self._follower_of(sender, message)
+        if member is not None:
+            lead = self._lead(now_ms)
+            self._replication.on_snapshot_reply(lead, member, message)
 
-    def _advance_commit(self, now_ms: float) -> None:
+    def _advance_commit(self, now_ms: float) -> bool:
+        """Commit what a majority has; return whether there was more of it."""
         replicated_index = self._followers.majority_match_index(
             self.voters, self._outbox.durable_index
         )
         index = min(replicated_index, self.log.last_index)
         if index <= self.commit_index or not self._may_commit(index):
-            return
+            return False
         self.commit_index = index
         self._after_commit(now_ms)
+        return True
+
+    def _notify_commit(self, now_ms: float, member: Member) -> None:
+        """Send the commit index to a follower that has the entry it names."""
+        if self._followers.match_index(member.node) >= self.commit_index:
+            self._replication.send_heartbeat(self._lead(now_ms), member)
 
     def _may_commit(self, index: int) -> bool:
         """Return whether an entry is of the current term.
@@ -833,9 +799,7 @@
     def _after_commit(self, now_ms: float) -> None:
         """Notify followers at once, and step down if this node was removed."""
         for member in self._other_members():
-            progress = self._followers.of(member.node)
-            if progress.may_send(now_ms):
-                self._send_append(now_ms, member, progress)
+            self._notify_commit(now_ms, member)
         is_change_committed = self.commit_index >= self.log.members_index
         if is_change_committed and self.member(self.node) is None:
             self._become_follower(now_ms, self.term, None)
--- a/packages/cardamomshunt/src/cardamomshunt/_consensus/options.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_consensus/options.py
@@ -3,6 +3,7 @@
 import enum
 from dataclasses import dataclass, field
 
+from cardamomshunt._consensus.log_bounds import LogBoundOptions
 from cardamomshunt._consensus.messages import Entry, Snapshot, Vote
 
 
@@ -34,8 +35,9 @@
     clock_drift_max: float = 0.05
     n_entries_per_message: int = 64
     chunk_size_bytes: int = 65_536
-    n_entries_kept: int = 500
+    log_bounds: LogBoundOptions = field(default_factory=LogBoundOptions)
     n_entries_behind_max: int = 10
+    bytes_behind_max: int = 262_144
     # Lets nodes that are not members join by themselves. Only `n_voters` of the members
     # vote: an odd number, so that one side of a partitioned group has a majority. The
     # others are learners that replace a voter unresponsive for `retire_after_ms`, or for
--- a/packages/cardamomshunt/src/cardamomshunt/_consensus/outbox.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_consensus/outbox.py
@@ -49,9 +49,13 @@
             EmitEvent(number=number.value, subject=subject, detail=detail)
         )
 
-    def send(self, address: str, message: ConsensusMessage) -> None:
-        """Send a message at once."""
-        self._effects.append(SendMessage(address=address, message=message))
+    def send(
+        self, address: str, message: ConsensusMessage, *, is_bulk: bool = False
+    ) -> None:
+        """Send a message at once; a bulk one does not delay others."""
+        self._effects.append(
+            SendMessage(address=address, message=message, is_bulk=is_bulk)
+        )
 
     def send_durable(self, address: str, message: ConsensusMessage) -> None:
         """Send a message once all writes issued so far are durable."""
--- a/packages/cardamomshunt/src/cardamomshunt/_control/effects.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_control/effects.py
@@ -14,10 +14,14 @@
 
 
 class SendMessage(ControlEffect, kw_only=True):
-    """Send a message to a listener address, without a guarantee of delivery."""
+    """Send a message to a listener address, without a guarantee of delivery.
+
+    A bulk message may be large, and must not delay others to the same address.
+    """
 
     address: str
     message: Message
+    is_bulk: bool = False
 
 
 class PersistEffect(ControlEffect, kw_only=True):
--- a/packages/cardamomshunt/tests/test_consensus.py
+++ b/packages/cardamomshunt/tests/test_consensus.py
@@ -5,6 +5,7 @@
 
 import msgspec
 import pytest
+from cardamomshunt._consensus.log_bounds import LogBoundOptions
 from cardamomshunt.consensus import (
     AppendEntries,
     ConsensusNode,
@@ -12,91 +13,16 @@
     ConsensusRole,
     Entry,
     EntryKind,
-    Member,
-    Peer,
     RestoredState,
     Snapshot,
     SnapshotChunk,
     Vote,
 )
-from cardamomshunt.control import ControlEffect, PersistEffect, SendMessage
+from consensus_cluster import Cluster, DelayedCluster, OpenCluster, make_members
 
 _NAMES = ["s1", "s2", "s3", "s4", "s5"]
 
 
-def _members(names: list[str]) -> list[Member]:
-    return [
-        Member(
-            node=name,
-            zone="z",
-            peer_address=name,
-            operator_address=name,
-            incarnation=number,
-        )
-        for number, name in enumerate(names, start=1)
-    ]
-
-
-class _Cluster:
-    """Nodes that exchange messages while they are up, with instant disks."""
-
-    def __init__(
-        self,
-        node_type: type[ConsensusNode],
-        logs: dict[str, list[Entry]],
-        term: int,
-        options: ConsensusOptions | None = None,
-    ) -> None:
-        members = _members(list(logs))
-        self.up = set(logs)
-        self.queue: list[tuple[str, SendMessage]] = []
-        self.now_ms = 0.0
-        self.nodes = {
-            member.node: node_type(
-                member.node,
-                members,
-                RestoredState(
-                    incarnation=member.incarnation,
-                    vote=Vote(term, "gone"),
-                    snapshot=Snapshot(members=members),
-                    entries=logs[member.node],
-                ),
-                Random(member.incarnation),
-                0.0,
-                options,
-            )
-            for member in members
-        }
-
-    def run(self, name: str, effects: list[ControlEffect]) -> None:
-        sequences = [e.sequence for e in effects if isinstance(e, PersistEffect)]
-        self.queue += [(name, e) for e in effects if isinstance(e, SendMessage)]
-        if sequences:
-            node = self.nodes[name]
-            self.run(name, node.on_storage_done(self.now_ms, max(sequences)))
-
-    def deliver_one(self) -> None:
-        sender, effect = self.queue.pop(0)
-        if sender in self.up and effect.address in self.up:
-            node = self.nodes[effect.address]
-            peer = Peer(sender, sender)
-            self.run(node.node, node.on_message(self.now_ms, peer, effect.message))
-
-    def elect(self, name: str, at_ms: float) -> None:
-        """Run a node's election, delivering all messages until it leads."""
-        self.now_ms = at_ms
-        for _ in range(3):
-            self.queue.clear()
-            self.run(name, self.nodes[name].tick(self.now_ms))
-            while self.queue and not self.nodes[name].is_leader:
-                self.deliver_one()
-            if self.nodes[name].is_leader:
-                break
-            # In the first round the candidate may only learn the newest term.
-            self.now_ms += 700.0
-        assert self.nodes[name].is_leader
-
-
 def _entry(index: int, term: int) -> Entry:
     return Entry(index, term, EntryKind.COMMAND, f"{index}/{term}".encode())
 
@@ -122,7 +48,7 @@
     old, newer = [_entry(1, 1), _entry(2, 2)], [_entry(1, 1), _entry(2, 3)]
     logs = {"s1": old, "s2": old, "s3": old[:1], "s4": old[:1], "s5": newer}
     options = ConsensusOptions(n_entries_per_message=1)
-    cluster = _Cluster(node_type, logs, 3, options)
+    cluster = Cluster(node_type, logs, 3, options)
     cluster.up = {"s1", "s2", "s3"}
     cluster.elect("s1", 1_000.0)
     s1 = cluster.nodes["s1"]
@@ -145,9 +71,11 @@
 
 def test_snapshot_in_chunks_reaches_a_node_without_a_log() -> None:
     """Guards against a follower that can't catch up after the log was compacted."""
-    options = ConsensusOptions(chunk_size_bytes=64, n_entries_kept=0)
+    options = ConsensusOptions(
+        chunk_size_bytes=64, log_bounds=LogBoundOptions(n_entries_retained_max=0)
+    )
     logs = {name: [_entry(1, 1)] for name in _NAMES[:3]}
-    cluster = _Cluster(ConsensusNode, logs, 1, options)
+    cluster = Cluster(ConsensusNode, logs, 1, options)
     cluster.up = {"s1", "s2"}
     cluster.elect("s1", 1_000.0)
     leader = cluster.nodes["s1"]
@@ -173,7 +101,7 @@
 def test_leader_without_a_majority_steps_down() -> None:
     """Guards against an unreachable leader that still considers itself the leader."""
     logs = {name: [_entry(1, 1)] for name in _NAMES[:3]}
-    cluster = _Cluster(ConsensusNode, logs, 1)
+    cluster = Cluster(ConsensusNode, logs, 1)
     cluster.elect("s1", 1_000.0)
     while cluster.queue:
         cluster.deliver_one()
@@ -187,7 +115,7 @@
 def test_full_disk_pauses_and_failed_disk_ends_voting() -> None:
     """Guards against a node that leads or votes although its writes are not durable."""
     logs = {name: [_entry(1, 1)] for name in _NAMES[:3]}
-    cluster = _Cluster(ConsensusNode, logs, 1)
+    cluster = Cluster(ConsensusNode, logs, 1)
     cluster.elect("s1", 1_000.0)
     leader = cluster.nodes["s1"]
     index = leader.propose(1_000.0, b"x")
@@ -212,7 +140,7 @@
 ) -> None:
     """Guards against two disjoint majorities during a membership change."""
     logs = {name: [_entry(1, 1)] for name in _NAMES[:3]}
-    cluster = _Cluster(ConsensusNode, logs, 1)
+    cluster = Cluster(ConsensusNode, logs, 1)
     cluster.elect("s1", 1_000.0)
     while cluster.queue:
         cluster.deliver_one()
@@ -227,83 +155,13 @@
         assert not leader.propose_members(1_010.0, leader.members)
 
 
-class _OpenCluster(_Cluster):
-    """Nodes on a simulated clock; nodes that are not members may join."""
-
-    def __init__(self, names: list[str], options: ConsensusOptions) -> None:
-        super().__init__(ConsensusNode, {name: [] for name in names}, 0, options)
-        self._options = options
-
-    def add(self, name: str, seeds: list[str], may_form: bool) -> ConsensusNode:
-        node = ConsensusNode(
-            name,
-            _members(seeds),
-            RestoredState(incarnation=77),
-            Random(77),
-            self.now_ms,
-            self._options,
-            operator_address=f"{name}-operator",
-            may_form=may_form,
-        )
-        self.nodes[name] = node
-        self.up.add(name)
-        return node
-
-    def pass_time(self, duration_ms: float) -> None:
-        end_ms = self.now_ms + duration_ms
-        while self.now_ms < end_ms:
-            self.now_ms += 20.0
-            for name in sorted(self.up):
-                self.run(name, self.nodes[name].tick(self.now_ms))
-            while self.queue:
-                self.deliver_one()
-
-    @property
-    def leader(self) -> ConsensusNode:
-        leaders = [n for n in self.nodes.values() if n.is_leader and n.node in self.up]
-        return max(leaders, key=lambda node: node.term)
-
-    def voters(self) -> set[str]:
-        return {member.node for member in self.leader.voters}
-
-
-class _DelayedCluster(_OpenCluster):
-    """Nodes whose messages take time to some of them, and from them."""
-
-    def __init__(self, names: list[str], options: ConsensusOptions) -> None:
-        super().__init__(names, options)
-        self.delay_ms: dict[str, float] = {}
-        self._in_flight: list[tuple[float, str, SendMessage]] = []
-
-    def pass_time(self, duration_ms: float) -> None:
-        end_ms = self.now_ms + duration_ms
-        while self.now_ms < end_ms:
-            self.now_ms += 5.0
-            for name in sorted(self.up):
-                deadline_ms = self.nodes[name].next_deadline_ms()
-                if deadline_ms is not None and self.now_ms >= deadline_ms:
-                    self.run(name, self.nodes[name].tick(self.now_ms))
-            self._deliver_due()
-
-    def _deliver_due(self) -> None:
-        for sender, effect in self.queue:
-            ends = (sender, effect.address)
-            delay_ms = max(self.delay_ms.get(name, 1.0) for name in ends)
-            self._in_flight.append((self.now_ms + delay_ms, sender, effect))
-        due = [item for item in self._in_flight if item[0] <= self.now_ms]
-        self._in_flight = [item for item in self._in_flight if item[0] > self.now_ms]
-        self.queue = [(sender, effect) for _, sender, effect in due]
-        for _ in due:
-            self.deliver_one()
-
-
 _OPEN = ConsensusOptions(admits_unknown_nodes=True, retire_after_ms=1_000.0)
 
 
 def test_an_empty_node_at_another_address_replaces_a_lost_one() -> None:
     # Guards against a group of three that stays at two nodes after a permanent loss,
     # so that it loses its majority with the next one.
-    cluster = _OpenCluster(["s1", "s2", "s3"], _OPEN)
+    cluster = OpenCluster(["s1", "s2", "s3"], _OPEN)
     cluster.pass_time(2_000.0)
     cluster.leader.propose(cluster.now_ms, b"acknowledged")
     lost = next(name for name in cluster.up if name != cluster.leader.node)
@@ -333,7 +191,7 @@
 ) -> None:
     # Guards against a learner that is removed before it could answer: the loss of a
     # second disk after that left the group without a majority for good.
-    cluster = _DelayedCluster(["s1", "s2", "s3"], _PRODUCT)
+    cluster = DelayedCluster(["s1", "s2", "s3"], _PRODUCT)
     cluster.pass_time(2_000.0)
     lost = next(name for name in sorted(cluster.up) if name != cluster.leader.node)
     joining = lost if is_same_address else "s9"
@@ -350,7 +208,7 @@
 def test_a_learner_that_never_answers_does_not_vote() -> None:
     # Guards against a voter that holds nothing: with a short log it is behind by as few
     # entries as one that has caught up.
-    cluster = _DelayedCluster(["s1", "s2", "s3"], _PRODUCT)
+    cluster = DelayedCluster(["s1", "s2", "s3"], _PRODUCT)
     cluster.pass_time(2_000.0)
     cluster.up.discard(next(name for name in cluster.up if name != cluster.leader.node))
     leader = cluster.leader
@@ -366,7 +224,7 @@
 
 def test_a_removed_learner_announces_itself_soon() -> None:
     # Guards against a node that takes itself for a member and is silent for seconds.
-    cluster = _DelayedCluster(["s1", "s2", "s3"], _PRODUCT)
+    cluster = DelayedCluster(["s1", "s2", "s3"], _PRODUCT)
     cluster.pass_time(2_000.0)
     cluster.add("s9", ["s1", "s2", "s3"], may_form=False)
     cluster.pass_time(1_000.0)
@@ -383,7 +241,7 @@
     # the new leader does not know yet which of them is lost.
     names = ["s1", "s2", "s3", "s4"]
     logs = {name: [_entry(1, 1)] for name in names}
-    cluster = _Cluster(ConsensusNode, logs, 1, _PRODUCT)
+    cluster = Cluster(ConsensusNode, logs, 1, _PRODUCT)
     cluster.elect("s1", 1_000.0)
     cluster.up.discard("s2")
     leader = cluster.nodes["s1"]
@@ -399,7 +257,7 @@
 def test_a_lost_leader_is_replaced_in_time() -> None:
     # Guards against a replacement for which the next leader waits as long as for any
     # silent member, although its voters have a log and answer at once.
-    cluster = _DelayedCluster(["s1", "s2", "s3"], _PRODUCT)
+    cluster = DelayedCluster(["s1", "s2", "s3"], _PRODUCT)
     cluster.pass_time(2_000.0)
     cluster.up.discard(cluster.leader.node)
     cluster.pass_time(1_000.0)
@@ -410,7 +268,7 @@
 
 
 def test_an_unresponsive_voter_is_not_removed_without_a_replacement() -> None:
-    cluster = _OpenCluster(["s1", "s2", "s3"], _OPEN)
+    cluster = OpenCluster(["s1", "s2", "s3"], _OPEN)
     cluster.pass_time(2_000.0)
     lost = next(name for name in cluster.up if name != cluster.leader.node)
     cluster.up.discard(lost)
@@ -419,7 +277,7 @@
 
 
 def test_a_node_removed_while_unreachable_returns_as_a_learner() -> None:
-    cluster = _OpenCluster(["s1", "s2", "s3"], _OPEN)
+    cluster = OpenCluster(["s1", "s2", "s3"], _OPEN)
     cluster.pass_time(2_000.0)
     unreachable = next(name for name in cluster.up if name != cluster.leader.node)
     cluster.up.discard(unreachable)
@@ -443,7 +301,7 @@
     # no majority on either side.
     names = [f"s{number}" for number in range(1, n_nodes + 1)]
     options = replace(_OPEN, n_voters=n_voters)
-    cluster = _OpenCluster(names[:3], options)
+    cluster = OpenCluster(names[:3], options)
     for name in names[3:]:
         cluster.add(name, names[:3], may_form=True)
     cluster.pass_time(5_000.0)
@@ -453,7 +311,7 @@
 
 def test_two_lost_voters_are_replaced_by_learners() -> None:
     names = ["s1", "s2", "s3", "s4", "s5", "s6", "s7"]
-    cluster = _OpenCluster(names[:3], replace(_OPEN, n_voters=5))
+    cluster = OpenCluster(names[:3], replace(_OPEN, n_voters=5))
     for name in names[3:]:
         cluster.add(name, names[:3], may_form=True)
     cluster.pass_time(5_000.0)
@@ -464,7 +322,7 @@
 
 
 def test_unknown_nodes_are_not_admitted_by_default() -> None:
-    cluster = _OpenCluster(["s1", "s2", "s3"], ConsensusOptions())
+    cluster = OpenCluster(["s1", "s2", "s3"], ConsensusOptions())
     cluster.pass_time(2_000.0)
     cluster.add("s9", ["s1", "s2", "s3"], may_form=False)
     cluster.pass_time(2_000.0)
@@ -473,7 +331,7 @@
 
 def test_nodes_with_empty_disks_form_no_group_after_the_first_start() -> None:
     # Guards against a second, empty log after all nodes have lost their disks.
-    cluster = _OpenCluster([], _OPEN)
+    cluster = OpenCluster([], _OPEN)
     for name in ("s1", "s2", "s3"):
         cluster.add(name, ["s1", "s2", "s3"], may_form=False)
     cluster.pass_time(3_000.0)
@@ -488,8 +346,8 @@
         election_min_ms=400.0, election_max_ms=650.0, restart_pre_vote_ms=60.0
     )
     names = ["s1", "s2", "s3"]
-    cluster = _Cluster(ConsensusNode, {n: [_entry(1, 1)] for n in names}, 1, options)
-    members = _members(names)
+    cluster = Cluster(ConsensusNode, {n: [_entry(1, 1)] for n in names}, 1, options)
+    members = make_members(names)
     starts_ms = {"s1": 0.0, "s2": 70.0, "s3": 300.0}
     cluster.up = set()
     leader_ms = 0.0
@@ -533,8 +391,8 @@
         election_min_ms=400.0, election_max_ms=650.0, restart_pre_vote_ms=60.0
     )
     names = ["s1", "s2", "s3"]
-    members = _members(names)
-    cluster = _Cluster(ConsensusNode, {n: [_entry(1, 1)] for n in names}, 1, options)
+    members = make_members(names)
+    cluster = Cluster(ConsensusNode, {n: [_entry(1, 1)] for n in names}, 1, options)
     cluster.now_ms = 390.0
     for member in members:
         cluster.nodes[member.node] = ConsensusNode(
