--- a/packages/cardamomshunt/src/cardamomshunt/_consensus/followers.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_consensus/followers.py
@@ -27,6 +27,7 @@
 
     snapshot: Snapshot
     data: bytes
+    checksum: int
     next_offset: int = 0
     acknowledged_bytes: int = 0
     rewound_ms: float = NEVER_MS
--- a/packages/cardamomshunt/src/cardamomshunt/_consensus/messages.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_consensus/messages.py
@@ -136,12 +136,17 @@
 
 
 class SnapshotChunk(ConsensusMessage, kw_only=True):
-    """Chunk of an encoded snapshot."""
+    """Chunk of an encoded snapshot.
+
+    `size_bytes` and `checksum`, a CRC-32, are those of the whole encoding. Older nodes
+    send no checksum.
+    """
 
     snapshot_index: int
     snapshot_term: int
     offset: int
     size_bytes: int
+    checksum: int | None = None
     data: bytes
     sent_ms: float
 
--- a/packages/cardamomshunt/src/cardamomshunt/_consensus/node.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_consensus/node.py
@@ -52,7 +52,11 @@
 )
 from cardamomshunt._consensus.outbox import Outbox
 from cardamomshunt._consensus.replication import Lead, Replication
-from cardamomshunt._consensus.snapshot_transfer import SnapshotSink, SnapshotSource
+from cardamomshunt._consensus.snapshot_transfer import (
+    SnapshotDamagedError,
+    SnapshotSink,
+    SnapshotSource,
+)
 from cardamomshunt._control.effects import ControlEffect
 from cardamomshunt._shared.events import EventNumber
 
@@ -907,7 +911,13 @@
             )
             self._send_durable(sender.address, reply)
             return
-        self._install(self._snapshot_sink.pop())
+        try:
+            snapshot = self._snapshot_sink.pop()
+        except SnapshotDamagedError as error:
+            # Without an answer the leader pauses before it begins again.
+            self._emit(EventNumber.SNAPSHOT_REFUSED, sender.node, str(error))
+            return
+        self._install(snapshot)
         self._reply_append(sender, message, True, message.snapshot_index)
 
     def _install(self, snapshot: Snapshot) -> None:
--- a/packages/cardamomshunt/src/cardamomshunt/_consensus/replication.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_consensus/replication.py
@@ -1,5 +1,6 @@
 """Leader's side of the replication: what each follower is sent, and when."""
 
+import zlib
 from dataclasses import dataclass
 
 from cardamomshunt._consensus.followers import Followers, Progress, SnapshotCopy
@@ -135,7 +136,7 @@
         if progress.copy is None:
             snapshot = self._log.snapshot
             data = self._snapshots.encode(snapshot)
-            progress.copy = SnapshotCopy(snapshot, data)
+            progress.copy = SnapshotCopy(snapshot, data, zlib.crc32(data))
             progress.window.clear()
         copy = progress.copy
         while copy.next_offset < len(copy.data):
@@ -155,6 +156,7 @@
             snapshot_term=copy.snapshot.term,
             offset=copy.next_offset,
             size_bytes=len(copy.data),
+            checksum=copy.checksum,
             data=copy.data[copy.next_offset : end],
             sent_ms=lead.now_ms,
         )
--- a/packages/cardamomshunt/src/cardamomshunt/_shared/events.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_shared/events.py
@@ -71,6 +71,7 @@
     ZONE_UNREACHABLE = 232
     ZONE_REACHABLE = 233
     DRAIN_ORDERED = 234
+    SNAPSHOT_REFUSED = 235
     PATCH_ACCEPTED = 301
     PATCH_REFUSED = 302
     PATCH_REPEATED = 303
@@ -437,6 +438,12 @@
         what="An operator ordered a target to be drained or resumed.",
         consequence="The target receives no new work or, after a resume, receives it again.",
     ),
+    CatalogueEntry(
+        number=EventNumber.SNAPSHOT_REFUSED,
+        severity=Severity.WARNING,
+        what="A control node refused a damaged snapshot; the detail states the reason.",
+        consequence="Nothing was installed; the leader sends the snapshot again.",
+    ),
     CatalogueEntry(
         number=EventNumber.PATCH_ACCEPTED,
         severity=Severity.INFO,
