--- a/packages/cardamomshunt/src/cardamomshunt/_consensus/log.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_consensus/log.py
@@ -90,6 +90,10 @@
         """Return the size of the entry at an index and of all later ones."""
         return sum(map(entry_bytes, self.entries_from(index, len(self._entries))))
 
+    def bytes_replaced_by(self, index: int) -> int:
+        """Return the size of the entries that a snapshot at an index would replace."""
+        return self.bytes_after_snapshot - self.bytes_from(index + 1)
+
     def entries_from(self, index: int, n_max: int) -> list[Entry]:
         """Return up to `n_max` entries, starting at an index."""
         offset = index - self.base_index - 1
--- a/packages/cardamomshunt/src/cardamomshunt/_consensus/node.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_consensus/node.py
@@ -294,7 +294,7 @@
         """Return whether to replace the log up to an applied index by a snapshot."""
         return index > self.log.snapshot.index and self._log_bounds.is_snapshot_due(
             index - self.log.snapshot.index,
-            self.log.bytes_after_snapshot,
+            self.log.bytes_replaced_by(index),
             len(self.log.snapshot.state),
         )
 
--- a/packages/cardamomshunt/tests/test_replication.py
+++ b/packages/cardamomshunt/tests/test_replication.py
@@ -135,6 +135,19 @@
         assert leader.has_lease(cluster.now_ms)
 
 
+def test_uncommitted_entries_do_not_call_for_a_snapshot():
+    """Guards against a snapshot after each entry while many wait for a majority."""
+    cluster = _cluster()
+    leader = cluster.leader
+    applied_index = leader.commit_index
+    cluster.up = {leader.node}
+    for _ in range(20):
+        assert leader.propose(cluster.now_ms, bytes(_DOCUMENT_BYTES)) is not None
+    assert leader.commit_index == applied_index
+    assert not leader.is_snapshot_due(applied_index)
+    assert leader.is_snapshot_due(leader.log.last_index)
+
+
 @pytest.mark.parametrize("dropped", [{1}, {3}, {1, 2, 3, 4, 5}])
 def test_a_copy_resumes_after_a_break(dropped):
     """Guards against a copy that a lost chunk ends, or that begins again with each."""
