--- a/packages/cardamomshunt/src/cardamomshunt/_consensus/node.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_consensus/node.py
@@ -448,7 +448,8 @@
     def _is_caught_up(self, progress: Progress) -> bool:
         """Return whether a follower lacks little of the log."""
         n_behind = self.log.last_index - progress.match_index
-        if n_behind > self.options.n_entries_behind_max:
+        needs_snapshot = progress.match_index < self.log.base_index
+        if needs_snapshot or n_behind > self.options.n_entries_behind_max:
             return False
         bytes_behind = self.log.bytes_from(progress.match_index + 1)
         return n_behind <= 1 or bytes_behind <= self.options.bytes_behind_max
--- a/packages/cardamomshunt/tests/test_replication.py
+++ b/packages/cardamomshunt/tests/test_replication.py
@@ -135,6 +135,21 @@
         assert leader.has_lease(cluster.now_ms)
 
 
+def test_a_learner_that_needs_a_snapshot_is_no_voter():
+    """Guards against a vote of a node that lacks entries that are no longer kept."""
+    cluster = _cluster()
+    cluster.change(8, 50.0)
+    lost = _replace_disk(cluster)
+    # The learner answers heartbeats, and the snapshot does not reach it.
+    cluster.dropped_chunks = set(range(1, 1_000))
+    for _ in range(40):
+        cluster.pass_time(50.0)
+        leader = cluster.leader
+        member = leader.member(lost, cluster.nodes[lost].incarnation)
+        lacks_entries = leader.match_index(lost) < leader.log.base_index
+        assert not (lacks_entries and member is not None and member.is_voter)
+
+
 def test_uncommitted_entries_do_not_call_for_a_snapshot():
     """Guards against a snapshot after each entry while many wait for a majority."""
     cluster = _cluster()
