Form the first group with a majority of the seeds

Cause: a group formed only when each seed had reported an empty log.

What a node has promised is on its disk before it answers. Only nodes that know whether their disk is that of the first start use a majority; others need all seeds.

The record of a formation is read back after a restart.

--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_consensus_host.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_consensus_host.py
@@ -39,6 +39,7 @@
     join_interval_ms=150.0,
     n_entries_per_message=16,
     admits_unknown_nodes=True,
+    forms_with_majority=True,
 )
 _PEER_RESET_MS = 500.0
 
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_log_storage.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_log_storage.py
@@ -9,10 +9,17 @@
 from pathlib import Path
 
 import msgspec
-from cardamomshunt.consensus import Entry, RestoredState, Snapshot, Vote
+from cardamomshunt.consensus import (
+    Entry,
+    FormationRecord,
+    RestoredState,
+    Snapshot,
+    Vote,
+)
 from cardamomshunt.control_effects import (
     PersistEffect,
     PersistEntries,
+    PersistFormation,
     PersistSnapshot,
     PersistVote,
 )
@@ -179,7 +186,8 @@
                 0,
                 f"term {vote.term} is older than term {last_term} of the log",
             )
-        restored = RestoredState(incarnation, vote, snapshot, entries)
+        formation = self._read_formation()
+        restored = RestoredState(incarnation, vote, snapshot, entries, formation)
         return OpenedStorage(restored, truncated_tail, is_blank, self._segments)
 
     def close(self) -> None:
@@ -192,7 +200,8 @@
     def _has_state(self) -> bool:
         names = {path.name for path in self._folder.iterdir()}
         return any(
-            name in ("identity", "vote", "snapshot") or name.endswith(".segment")
+            name in ("identity", "vote", "snapshot", "formation")
+            or name.endswith(".segment")
             for name in names
         )
 
@@ -210,6 +219,12 @@
         payload = _read_file(self._folder / "vote")
         return Vote() if payload is None else msgspec.msgpack.decode(payload, type=Vote)
 
+    def _read_formation(self) -> FormationRecord | None:
+        payload = _read_file(self._folder / "formation")
+        if payload is None:
+            return None
+        return msgspec.msgpack.decode(payload, type=FormationRecord)
+
     def _read_snapshot(self) -> Snapshot:
         payload = _read_file(self._folder / "snapshot")
         if payload is None:
@@ -321,6 +336,9 @@
     def _write_file(self, effect: PersistEffect) -> None:
         if isinstance(effect, PersistVote):
             _replace_file(self._folder / "vote", msgspec.msgpack.encode(effect.vote))
+        elif isinstance(effect, PersistFormation):
+            payload = msgspec.msgpack.encode(effect.record)
+            _replace_file(self._folder / "formation", payload)
         elif isinstance(effect, PersistSnapshot):
             self._write_snapshot(effect)
 
--- a/packages/cardamomshunt-node/tests/test_log_storage.py
+++ b/packages/cardamomshunt-node/tests/test_log_storage.py
@@ -7,11 +7,20 @@
 from pathlib import Path
 
 import pytest
-from cardamomshunt.consensus import Entry, EntryKind, Member, Snapshot, Vote
+from cardamomshunt._consensus.formation_messages import Ballot
+from cardamomshunt.consensus import (
+    Entry,
+    EntryKind,
+    FormationRecord,
+    Member,
+    Snapshot,
+    Vote,
+)
 from cardamomshunt.control import (
     ControlNode,
     ControlState,
     PersistEntries,
+    PersistFormation,
     PersistSnapshot,
     PersistVote,
 )
@@ -22,6 +31,11 @@
     StorageFullError,
 )
 
+_MEMBERS = [
+    Member(node=name, zone="", peer_address=name, operator_address=name)
+    for name in ("a", "b")
+]
+
 
 def _entries(first: int, last: int, term: int = 1) -> list[Entry]:
     return [
@@ -58,6 +72,38 @@
     storage.close()
 
 
+def test_reopens_the_record_of_a_formation(tmp_path: Path) -> None:
+    """Guards against a seed that promises twice as a restart loses its record."""
+    storage, opened = _open(tmp_path)
+    assert opened.restored.formation is None
+    records = [
+        FormationRecord(promised=Ballot(number, "a"), members=_MEMBERS[:number])
+        for number in (1, 2)
+    ]
+    storage.write(
+        [
+            PersistFormation(sequence=number, record=record)
+            for number, record in enumerate(records)
+        ]
+    )
+    storage.close()
+    storage, opened = _open(tmp_path)
+    storage.close()
+    assert opened.restored.formation == records[-1]
+    assert not opened.is_blank
+
+
+def test_a_damaged_record_of_a_formation_is_reported(tmp_path: Path) -> None:
+    """Guards against a seed that forgets its promise as its record is unreadable."""
+    storage, _ = _open(tmp_path)
+    storage.write([PersistFormation(sequence=1, record=FormationRecord())])
+    storage.close()
+    path = tmp_path / "formation"
+    path.write_bytes(path.read_bytes()[:-1])
+    with pytest.raises(StorageCorruptError):
+        _open(tmp_path)
+
+
 def test_later_entries_replace_earlier_ones(tmp_path: Path) -> None:
     """Guards against entries of a former leader that reappear after a restart."""
     storage = _written_storage(tmp_path)
--- a/packages/cardamomshunt-testing/src/cardamomshunt_testing/_fake_disk.py
+++ b/packages/cardamomshunt-testing/src/cardamomshunt_testing/_fake_disk.py
@@ -2,10 +2,17 @@
 
 from random import Random
 
-from cardamomshunt.consensus import Entry, RestoredState, Snapshot, Vote
+from cardamomshunt.consensus import (
+    Entry,
+    FormationRecord,
+    RestoredState,
+    Snapshot,
+    Vote,
+)
 from cardamomshunt.control import (
     PersistEffect,
     PersistEntries,
+    PersistFormation,
     PersistSnapshot,
     PersistVote,
 )
@@ -20,6 +27,7 @@
         self._vote = Vote()
         self._snapshot = Snapshot()
         self._entries: list[Entry] = []
+        self._formation: FormationRecord | None = None
 
     def sync(self) -> int | None:
         """Make all pending writes durable.
@@ -44,12 +52,18 @@
     def restore(self) -> RestoredState:
         """Return the durable state that a restarted node reads."""
         return RestoredState(
-            self.incarnation, self._vote, self._snapshot, list(self._entries)
+            self.incarnation,
+            self._vote,
+            self._snapshot,
+            list(self._entries),
+            self._formation,
         )
 
     def _write(self, effect: PersistEffect) -> None:
         if isinstance(effect, PersistVote):
             self._vote = effect.vote
+        elif isinstance(effect, PersistFormation):
+            self._formation = effect.record
         elif isinstance(effect, PersistEntries):
             first = effect.entries[0].index
             retained = [entry for entry in self._entries if entry.index < first]
--- a/packages/cardamomshunt/src/cardamomshunt/_consensus/formation_messages.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_consensus/formation_messages.py
@@ -20,13 +20,17 @@
     members: list[Member] = []
 
 
-class FormationPrepare(ConsensusMessage, kw_only=True):
+class FormationMessage(ConsensusMessage, kw_only=True):
+    """Base class of the messages of the agreement; `term` has no meaning in them."""
+
+
+class FormationPrepare(FormationMessage, kw_only=True):
     """Ask for the promise to accept no proposal below `ballot`."""
 
     ballot: Ballot
 
 
-class FormationPromise(ConsensusMessage, kw_only=True):
+class FormationPromise(FormationMessage, kw_only=True):
     """Reply to FormationPrepare, sent once the promise is durable.
 
     `promised` is the highest ballot that was promised; the promise is refused if it is
@@ -39,14 +43,14 @@
     members: list[Member] = []
 
 
-class FormationAccept(ConsensusMessage, kw_only=True):
+class FormationAccept(FormationMessage, kw_only=True):
     """Ask to accept these first members."""
 
     ballot: Ballot
     members: list[Member]
 
 
-class FormationAccepted(ConsensusMessage, kw_only=True):
+class FormationAccepted(FormationMessage, kw_only=True):
     """Reply to FormationAccept, sent once the acceptance is durable.
 
     The proposal is refused if `promised` is above `ballot`.
--- a/packages/cardamomshunt/src/cardamomshunt/_consensus/formation_proposer.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_consensus/formation_proposer.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 from random import Random
 
-from cardamomshunt._consensus.followers import NEVER_MS, majority
+from cardamomshunt._consensus.followers import NEVER_MS
 from cardamomshunt._consensus.formation_messages import (
     Ballot,
     FormationAccept,
@@ -41,6 +41,7 @@
     """Propose the first members once enough seeds have reported an empty log.
 
     The seeds are the members that a node is given at the first start of its deployment.
+    Any two sets of `n_required` seeds must have one in common.
     """
 
     def __init__(
@@ -50,12 +51,14 @@
         seeds: list[Member],
         random: Random,
         now_ms: float,
+        n_required: int,
         options: FormationOptions | None = None,
     ) -> None:
         self._node = node
         self._incarnation = incarnation
         self._seeds = seeds
         self._random = random
+        self._n_required = n_required
         self._options = options or FormationOptions()
         self._started_ms = now_ms
         self._next_attempt_ms = now_ms
@@ -97,7 +100,7 @@
     def on_accepted(
         self, now_ms: float, sender: str, message: FormationAccepted
     ) -> list[Member] | None:
-        """Count an acceptance; return the members once a majority has accepted them."""
+        """Count an acceptance; return the members once enough seeds accepted them."""
         self._highest_round = max(self._highest_round, message.promised.round)
         if self._phase is not _Phase.ACCEPTING or message.ballot != self._ballot:
             return None
@@ -105,10 +108,7 @@
             self._give_up(now_ms)
             return None
         self._accepted_by.add(sender)
-        return self._proposed if self._is_majority(len(self._accepted_by)) else None
-
-    def _is_majority(self, n_seeds: int) -> bool:
-        return n_seeds >= majority(len(self._seeds))
+        return self._proposed if len(self._accepted_by) >= self._n_required else None
 
     def _may_prepare(self, now_ms: float) -> bool:
         """Return whether to start; the seed with the smallest name may do so first."""
@@ -118,7 +118,7 @@
         if self._empty_seeds == names and min(names) == self._node:
             return True
         is_patient = now_ms < self._started_ms + self._options.incomplete_wait_ms
-        return not is_patient and self._is_majority(len(self._empty_seeds))
+        return not is_patient and len(self._empty_seeds) >= self._n_required
 
     def _prepare(self, now_ms: float) -> FormationPrepare:
         self._phase = _Phase.PREPARING
@@ -132,7 +132,7 @@
 
     def _has_gathered(self, now_ms: float) -> bool:
         """Return whether to propose, as no further promise is expected soon."""
-        if not self._is_majority(len(self._promises)):
+        if len(self._promises) < self._n_required:
             return False
         is_complete = self._empty_seeds <= self._promises.keys()
         return is_complete or now_ms >= self._sent_ms + self._options.gather_ms
--- a/packages/cardamomshunt/src/cardamomshunt/_consensus/joining.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_consensus/joining.py
@@ -1,11 +1,11 @@
 """Discovery of the group by a node that is not yet a member of it."""
 
 from cardamomshunt._consensus.member_changes import with_incarnation
-from cardamomshunt._consensus.messages import JoinReply, Member, Peer
+from cardamomshunt._consensus.messages import JoinReply, Member
 
 
 class GroupJoiner:
-    """Choose the nodes to ask for admission, and form the initial group.
+    """Choose the nodes to ask for admission, and the members to start with.
 
     Without `may_form` this node only joins an existing group.
     """
@@ -24,7 +24,6 @@
         self._incarnation = incarnation
         self._initial_members = initial_members
         self._may_form = may_form
-        self._empty_peers: dict[str, int] = {}
         self._addresses: set[str] = set()
         self.add_addresses(initial_members)
 
@@ -56,9 +55,12 @@
         """Return the initial members with this node's incarnation filled in."""
         return self._with_own_incarnation(self._initial_members)
 
-    def on_reply(
-        self, sender: Peer, message: JoinReply, *, has_log: bool
-    ) -> list[Member] | None:
+    @property
+    def seed_addresses(self) -> list[str]:
+        """Return the addresses of the initial members, that of this node included."""
+        return [member.peer_address for member in self._initial_members]
+
+    def on_reply(self, message: JoinReply, *, has_log: bool) -> list[Member] | None:
         """Handle a reply; return the members to start with once they are known.
 
         A listed node with an empty log has never voted, so it may adopt any member list
@@ -72,25 +74,15 @@
         if is_listed and not has_log:
             return self._with_own_incarnation(message.members)
         self.add_addresses(message.members)
-        if message.is_formed:
-            self._empty_peers.clear()
-            return None
-        self._empty_peers[sender.node] = message.incarnation
-        return None if has_log else self._form_initial_group()
+        return None
 
-    def _form_initial_group(self) -> list[Member] | None:
-        """Return the initial members once all of them have reported an empty log.
-
-        Only the node with the smallest name forms the group, so that there is exactly
-        one initial member list.
-        """
-        names = sorted(member.node for member in self._initial_members)
-        if not self._may_form or not names or names[0] != self._node:
-            return None
-        seen = {**self._empty_peers, self._node: self._incarnation}
-        if any(name not in seen for name in names):
-            return None
-        return with_incarnation(self._initial_members, seen)
+    def start_with(self, members: list[Member]) -> list[Member] | None:
+        """Return the agreed first members if this node's disk is one of them."""
+        own = (self._node, self._incarnation)
+        if any((item.node, item.incarnation) == own for item in members):
+            return members
+        self.add_addresses(members)
+        return None
 
     def _with_own_incarnation(self, members: list[Member]) -> list[Member]:
         return with_incarnation(members, {self._node: self._incarnation})
--- a/packages/cardamomshunt/src/cardamomshunt/_consensus/node.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_consensus/node.py
@@ -9,6 +9,11 @@
     Progress,
     majority,
 )
+from cardamomshunt._consensus.formation import GroupFormation
+from cardamomshunt._consensus.formation_messages import (
+    FormationMessage,
+    FormationRecord,
+)
 from cardamomshunt._consensus.joining import GroupJoiner
 from cardamomshunt._consensus.log import ReplicatedLog
 from cardamomshunt._consensus.log_bounds import LogBounds
@@ -108,6 +113,8 @@
         self._joiner = GroupJoiner(
             node, self.incarnation, initial_members, now_ms, may_form=may_form
         )
+        self._formation: GroupFormation | None = None
+        self._start_formation(initial_members, restored, now_ms, may_form=may_form)
         self._votes: set[str] = set()
         self._followers = Followers(node)
         self._leader_since_ms = 0.0
@@ -351,7 +358,85 @@
 
     # Joining
 
+    def _start_formation(
+        self,
+        seeds: list[Member],
+        restored: RestoredState,
+        now_ms: float,
+        *,
+        may_form: bool,
+    ) -> None:
+        """Take part in the formation of the first group if this node is a seed.
+
+        A disk takes part if it did before, or if it is that of the first start. Which
+        of them it is must be on disk, as a later start may not be told.
+        """
+        is_seed = any(seed.node == self.node for seed in seeds)
+        has_log = self.log.last_index > 0 or bool(self.members)
+        if has_log or not is_seed or not (may_form or restored.formation):
+            return
+        n_required = len(seeds)
+        if self.options.forms_with_majority:
+            n_required = majority(len(seeds))
+        self._formation = GroupFormation(
+            self.node,
+            self.incarnation,
+            seeds,
+            restored.formation or FormationRecord(),
+            self._random,
+            now_ms,
+            n_required,
+        )
+        if restored.formation is None:
+            self._outbox.persist_formation(self._formation.record)
+
+    def _run_formation(self, now_ms: float) -> None:
+        if self._formation is not None and not self.is_formed:
+            message = self._formation.tick(now_ms)
+            if message is not None:
+                self._propose_members_to_seeds(message)
+
+    def _propose_members_to_seeds(self, message: FormationMessage) -> None:
+        for address in self._joiner.seed_addresses:
+            self._send(address, message)
+
+    def _on_formation_message(
+        self, now_ms: float, sender: Peer, message: FormationMessage
+    ) -> None:
+        if self.is_formed or self.log.last_index > 0:
+            self._send_durable(sender.address, self._join_reply())
+            return
+        formation = self._formation
+        if formation is None:
+            return
+        record = formation.record
+        step = formation.on_message(now_ms, sender.node, message)
+        if formation.record != record:
+            self._outbox.persist_formation(formation.record)
+        if step.reply is not None:
+            self._send_durable(sender.address, step.reply)
+        if step.proposal is not None:
+            self._propose_members_to_seeds(step.proposal)
+        if step.members is not None:
+            self._on_agreed(step.members)
+
+    def _on_agreed(self, members: list[Member]) -> None:
+        """Start with the agreed members, and let the others know them."""
+        own = self._joiner.start_with(members)
+        if own is not None:
+            self._form(own)
+        reply = JoinReply(
+            term=self.term,
+            incarnation=self.incarnation,
+            is_formed=True,
+            members=members,
+        )
+        for member in members:
+            if member.node != self.node:
+                self._send_durable(member.peer_address, reply)
+
     def _tick_joining(self, now_ms: float) -> None:
+        self._run_formation(now_ms)
         if not self._joiner.advance_if_due(now_ms, self.options.join_interval_ms):
             return
         if self._joiner.may_form_single_node_group:
@@ -384,16 +469,7 @@
         self._send_hello()
 
     def _on_join_hello(self, now_ms: float, sender: Peer, message: JoinHello) -> None:
-        has_log = self.log.last_index > 0
-        self._send_durable(
-            sender.address,
-            JoinReply(
-                term=self.term,
-                incarnation=self.incarnation,
-                is_formed=self.is_formed or has_log,
-                members=self.members,
-            ),
-        )
+        self._send_durable(sender.address, self._join_reply())
         member = self.member(message.node)
         if member is not None and member.incarnation == message.incarnation:
             return
@@ -405,13 +481,24 @@
                 EventNumber.MEMBER_CATCHING_UP, message.node, str(message.incarnation)
             )
 
-    def _on_join_reply(self, sender: Peer, message: JoinReply) -> None:
+    def _join_reply(self) -> JoinReply:
+        return JoinReply(
+            term=self.term,
+            incarnation=self.incarnation,
+            is_formed=self.is_formed or self.log.last_index > 0,
+            members=self.members,
+        )
+
+    def _on_join_reply(self, now_ms: float, sender: Peer, message: JoinReply) -> None:
         if self.is_formed:
             return
         has_log = self.log.last_index > 0
-        members = self._joiner.on_reply(sender, message, has_log=has_log)
+        members = self._joiner.on_reply(message, has_log=has_log)
         if members is not None:
             self._form(members)
+        elif self._formation is not None and not message.is_formed:
+            self._formation.on_empty_seed(sender.node)
+            self._run_formation(now_ms)
 
     def _form(self, members: list[Member]) -> None:
         snapshot = Snapshot(members=members)
@@ -956,4 +1043,6 @@
             case JoinHello():
                 self._on_join_hello(now_ms, sender, message)
             case JoinReply():
-                self._on_join_reply(sender, message)
+                self._on_join_reply(now_ms, sender, message)
+            case FormationMessage():
+                self._on_formation_message(now_ms, sender, message)
--- a/packages/cardamomshunt/src/cardamomshunt/_consensus/options.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_consensus/options.py
@@ -3,6 +3,7 @@
 import enum
 from dataclasses import dataclass, field
 
+from cardamomshunt._consensus.formation_messages import FormationRecord
 from cardamomshunt._consensus.log_bounds import LogBoundOptions
 from cardamomshunt._consensus.messages import Entry, Snapshot, Vote
 
@@ -43,6 +44,9 @@
     # others are learners that replace a voter unresponsive for `retire_after_ms`, or for
     # `first_answer_ms` if it has never answered the present leader.
     admits_unknown_nodes: bool = False
+    # A majority of the seeds forms the first group. For deployments whose nodes know
+    # whether their disk is that of the first start; elsewhere it takes all seeds.
+    forms_with_majority: bool = False
     n_voters: int = 3
     retire_after_ms: float = 2_500.0
     first_answer_ms: float = 1_300.0
@@ -56,3 +60,5 @@
     vote: Vote = field(default_factory=Vote)
     snapshot: Snapshot = field(default_factory=Snapshot)
     entries: list[Entry] = field(default_factory=list)
+    # None on a disk that has not taken part in the formation of a group.
+    formation: FormationRecord | None = None
--- a/packages/cardamomshunt/src/cardamomshunt/_consensus/outbox.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_consensus/outbox.py
@@ -2,6 +2,7 @@
 
 from collections import deque
 
+from cardamomshunt._consensus.formation_messages import FormationRecord
 from cardamomshunt._consensus.messages import (
     ConsensusMessage,
     Entry,
@@ -12,6 +13,7 @@
     ControlEffect,
     EmitEvent,
     PersistEntries,
+    PersistFormation,
     PersistSnapshot,
     PersistVote,
     SendMessage,
@@ -73,6 +75,11 @@
         """Persist the term and the vote."""
         self._effects.append(PersistVote(sequence=self._next_sequence(), vote=vote))
 
+    def persist_formation(self, record: FormationRecord) -> None:
+        """Persist what was promised and accepted in the formation of a group."""
+        sequence = self._next_sequence()
+        self._effects.append(PersistFormation(sequence=sequence, record=record))
+
     def persist_entries(self, entries: list[Entry], last_index: int) -> None:
         """Persist entries of a log that now ends at `last_index`."""
         sequence = self._next_sequence()
--- a/packages/cardamomshunt/src/cardamomshunt/_control/effects.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_control/effects.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from cardamomshunt._consensus.formation_messages import FormationRecord
 from cardamomshunt._consensus.messages import Entry, Vote
 from cardamomshunt._shared.messages import InstanceAddress, Message
 from cardamomshunt._shared.position import ZERO, LogPosition
@@ -40,6 +41,12 @@
     vote: Vote
 
 
+class PersistFormation(PersistEffect, kw_only=True):
+    """Write the record of the formation of a group durably."""
+
+    record: FormationRecord
+
+
 class PersistEntries(PersistEffect, kw_only=True):
     """Write entries durably, replacing all entries from the first one's index on."""
 
--- a/packages/cardamomshunt/src/cardamomshunt/consensus.py
+++ b/packages/cardamomshunt/src/cardamomshunt/consensus.py
@@ -1,5 +1,6 @@
 """Replicated log of the control nodes."""
 
+from cardamomshunt._consensus.formation_messages import FormationRecord
 from cardamomshunt._consensus.messages import (
     AppendEntries,
     AppendReply,
@@ -36,6 +37,7 @@
     "ConsensusRole",
     "Entry",
     "EntryKind",
+    "FormationRecord",
     "JoinHello",
     "JoinReply",
     "Member",
--- a/packages/cardamomshunt/tests/formation_model.py
+++ b/packages/cardamomshunt/tests/formation_model.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 from random import Random
 
+from cardamomshunt._consensus.followers import majority
 from cardamomshunt._consensus.formation_acceptor import FormationAcceptor
 from cardamomshunt._consensus.formation_messages import (
     FormationAccept,
@@ -72,6 +73,7 @@
                 self._network.members,
                 self._network.random,
                 now_ms,
+                majority(len(self._network.members)),
             )
 
     def stop(self) -> None:
