Count a seed whose promise is late as a first member

What callers saw (schedules of the nodes themselves): all seeds run, one promise is lost or late, the first group has two of three members, and when one of them is lost the system never starts.

Cause: only the seeds whose promise had come became members.

Change: each seed that has reported an empty log becomes a member, with the disk that reported it. A member needs no promise: the agreement is on the list, and its disk has not voted.

Result: test_a_seed_whose_promise_is_late_is_a_member failed before.

--- a/packages/cardamomshunt/src/cardamomshunt/_consensus/formation.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_consensus/formation.py
@@ -52,9 +52,9 @@
         """Return what has to be durable before a reply is sent."""
         return self._acceptor.record
 
-    def on_empty_seed(self, node: str) -> None:
-        """Record that a node has reported an empty log."""
-        self._proposer.on_empty_seed(node)
+    def on_empty_seed(self, node: str, incarnation: int) -> None:
+        """Record that a disk of a node has reported an empty log."""
+        self._proposer.on_empty_seed(node, incarnation)
 
     def tick(self, now_ms: float) -> FormationMessage | None:
         """Return the message that is due to all seeds, this node included."""
--- a/packages/cardamomshunt/src/cardamomshunt/_consensus/formation_proposer.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_consensus/formation_proposer.py
@@ -62,7 +62,7 @@
         self._options = options or FormationOptions()
         self._started_ms = now_ms
         self._next_attempt_ms = now_ms
-        self._empty_seeds: set[str] = {node}
+        self._empty_seeds = {node: incarnation}
         self._phase = _Phase.IDLE
         self._ballot = Ballot(0, node)
         self._highest_round = 0
@@ -71,10 +71,10 @@
         self._accepted_by: set[str] = set()
         self._proposed: list[Member] = []
 
-    def on_empty_seed(self, node: str) -> None:
-        """Record that a node has reported an empty log."""
+    def on_empty_seed(self, node: str, incarnation: int) -> None:
+        """Record that a disk of a node has reported an empty log."""
         if any(seed.node == node for seed in self._seeds):
-            self._empty_seeds.add(node)
+            self._empty_seeds[node] = incarnation
 
     def tick(self, now_ms: float) -> FormationPrepare | FormationAccept | None:
         """Return the message that is due to all seeds, this node included."""
@@ -96,6 +96,7 @@
             self._give_up(now_ms)
             return
         self._promises[sender] = message
+        self.on_empty_seed(sender, message.incarnation)
 
     def on_accepted(
         self, now_ms: float, sender: str, message: FormationAccepted
@@ -115,7 +116,7 @@
         if now_ms < self._next_attempt_ms:
             return False
         names = {seed.node for seed in self._seeds}
-        if self._empty_seeds == names and min(names) == self._node:
+        if self._empty_seeds.keys() == names and min(names) == self._node:
             return True
         is_patient = now_ms < self._started_ms + self._options.incomplete_wait_ms
         return not is_patient and len(self._empty_seeds) >= self._n_required
@@ -134,7 +135,7 @@
         """Return whether to propose, as no further promise is expected soon."""
         if len(self._promises) < self._n_required:
             return False
-        is_complete = self._empty_seeds <= self._promises.keys()
+        is_complete = self._empty_seeds.keys() <= self._promises.keys()
         return is_complete or now_ms >= self._sent_ms + self._options.gather_ms
 
     def _propose(self, now_ms: float) -> FormationAccept:
@@ -150,13 +151,15 @@
         )
 
     def _choose_members(self) -> list[Member]:
-        """Return the members accepted last, or else the seeds that have promised."""
+        """Return the members accepted last, or else all seeds with an empty log.
+
+        A seed whose promise is late counts too: a group without it would bear no loss.
+        """
         last = max(self._promises.values(), key=lambda promise: promise.accepted)
         if last.members:
             return last.members
-        incarnations = {node: item.incarnation for node, item in self._promises.items()}
-        present = [seed for seed in self._seeds if seed.node in incarnations]
-        return with_incarnation(present, incarnations)
+        present = [seed for seed in self._seeds if seed.node in self._empty_seeds]
+        return with_incarnation(present, self._empty_seeds)
 
     def _give_up(self, now_ms: float) -> None:
         self._phase = _Phase.IDLE
--- a/packages/cardamomshunt/src/cardamomshunt/_consensus/node.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_consensus/node.py
@@ -497,7 +497,7 @@
         if members is not None:
             self._form(members)
         elif self._formation is not None and not message.is_formed:
-            self._formation.on_empty_seed(sender.node)
+            self._formation.on_empty_seed(sender.node, message.incarnation)
             self._run_formation(now_ms)
 
     def _form(self, members: list[Member]) -> None:
--- a/packages/cardamomshunt/tests/first_start_model.py
+++ b/packages/cardamomshunt/tests/first_start_model.py
@@ -121,6 +121,7 @@
         ]
         self.machines = {name: Machine(name, self, may_form=True) for name in names}
         self.cut_links: set[tuple[str, str]] = set()
+        self.had_cuts = False
         self.numbers = itertools.count()
         self.conflicts: list[int] = []
         self._applied: dict[int, Entry] = {}
--- a/packages/cardamomshunt/tests/test_formation.py
+++ b/packages/cardamomshunt/tests/test_formation.py
@@ -1,13 +1,16 @@
 """The seeds of a first start form one group, though one of them is missing."""
 
 import pytest
+from cardamomshunt._consensus.followers import majority
 from cardamomshunt._consensus.formation_acceptor import FormationAcceptor
 from cardamomshunt._consensus.formation_messages import (
     Ballot,
     FormationAccept,
     FormationPrepare,
+    FormationPromise,
     FormationRecord,
 )
+from cardamomshunt._consensus.formation_proposer import FormationProposer
 from cardamomshunt._consensus.messages import Member
 from formation_model import SeedNetwork
 
@@ -49,6 +52,28 @@
     assert network.formed == []
 
 
+def test_a_seed_whose_promise_is_late_is_a_member():
+    """Guards against a group of two of three seeds that the loss of one ends."""
+    network = SeedNetwork(1)
+    proposer = FormationProposer(
+        "seed-0", 10, network.members, network.random, 0.0, majority(3)
+    )
+    proposer.on_empty_seed("seed-1", 11)
+    proposer.on_empty_seed("seed-2", 12)
+    prepare = proposer.tick(0.0)
+    for node, incarnation in (("seed-0", 10), ("seed-1", 11)):
+        promise = FormationPromise(
+            term=0,
+            incarnation=incarnation,
+            ballot=prepare.ballot,
+            promised=prepare.ballot,
+            accepted=Ballot(),
+        )
+        proposer.on_promise(1.0, node, promise)
+    accept = proposer.tick(300.0)
+    assert [item.incarnation for item in accept.members] == [10, 11, 12]
+
+
 def test_all_seeds_form_the_group_without_a_wait():
     """Guards against a first start that is slow though nothing is missing."""
     network = _started(SeedNetwork(1), ["seed-0", "seed-1", "seed-2"])
