--- a/tests/users_platform/test_deployment.py
+++ b/tests/users_platform/test_deployment.py
@@ -579,10 +579,10 @@
     for node in deployment.controls.values():
         send = node._transport.send
 
-        def count(address, message, send=send):
+        def count(address, message, send=send, **options):
             if isinstance(message, DocumentChanged):
                 sent.append(len(message.compressed))
-            send(address, message)
+            send(address, message, **options)
 
         node._transport.send = count
     for version in range(10, 20):
