Lead on with a full disk, and answer heartbeats

What callers saw: a leader whose disk was full stepped down at once, and followers with full disks answered nothing, so that leases ended and statements were refused although nothing had to be written for them.

Cause: all replies waited until every write was durable, those to heartbeats as well.

Change: a reply that promises nothing which is not on disk is sent at once. A leader with a full disk accepts no proposal, and hands over to a voter that has room and the whole log; followers say whether their disk is full. That a leader goes on is safe, as it counts its own entries only once they are durable.

--- a/packages/cardamomshunt/src/cardamomshunt/_consensus/followers.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_consensus/followers.py
@@ -55,6 +55,7 @@
     heartbeat_due_ms: float = NEVER_MS
     last_acked_sent_ms: float = NEVER_MS
     is_probing: bool = True
+    is_disk_full: bool = False
     rewound_ms: float = NEVER_MS
     window: ReplicationWindow = field(default_factory=ReplicationWindow)
     copy: SnapshotCopy | None = None
--- a/packages/cardamomshunt/src/cardamomshunt/_consensus/log_bounds.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_consensus/log_bounds.py
@@ -24,6 +24,7 @@
     retained_min_bytes: int = 262_144
     n_entries_retained_max: int = 500
     segment_bytes: int = 1_048_576
+    reserve_min_bytes: int = 2_097_152
 
 
 def entry_bytes(entry: Entry) -> int:
@@ -74,6 +75,15 @@
             + 2 * record_bytes
         )
 
+    def reserve_bytes(self, snapshot_bytes: int, record_bytes: int) -> int:
+        """Return what has to stay free behind a record.
+
+        It suffices for the snapshot that makes room, beside the one that it replaces,
+        and for votes.
+        """
+        largest_bytes = max(snapshot_bytes, record_bytes)
+        return max(self._options.reserve_min_bytes, 3 * largest_bytes)
+
     def _bytes_between_snapshots(self, snapshot_bytes: int) -> int:
         options = self._options
         return max(options.snapshot_min_bytes, options.snapshot_ratio * snapshot_bytes)
--- a/packages/cardamomshunt/src/cardamomshunt/_consensus/messages.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_consensus/messages.py
@@ -125,7 +125,7 @@
 class AppendReply(ConsensusMessage, kw_only=True):
     """Reply to AppendEntries, sent once the entries are durable.
 
-    If `is_success`, the log matches the leader's up to `match_index`. Otherwise the
+    With `is_disk_full` the sender cannot lead. If `is_success`, the log matches the leader's up to `match_index`. Otherwise the
     leader continues after `match_index`, unless it has moved on from `prev_index`.
     """
 
@@ -133,6 +133,7 @@
     prev_index: int
     match_index: int
     sent_ms: float
+    is_disk_full: bool = False
 
 
 class SnapshotChunk(ConsensusMessage, kw_only=True):
--- a/packages/cardamomshunt/src/cardamomshunt/_consensus/node.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_consensus/node.py
@@ -254,10 +254,15 @@
         return self._outbox.pop_effects()
 
     def on_storage_full(self, now_ms: float, reason: str) -> list[ControlEffect]:
-        """Stop campaigning and leading until the pending writes are durable."""
+        """Stop campaigning and accepting proposals until the pending writes are durable.
+
+        A leader goes on, as heartbeats need no write and the others commit what is
+        pending, until it can hand over to a voter that has room.
+        """
         if not self.failure and not self.disk_full_reason:
             self.disk_full_reason = reason
-            self._become_follower(now_ms, self.term, None)
+            if not self.is_leader:
+                self._become_follower(now_ms, self.term, None)
             self._emit(EventNumber.DISK_FULL, self.node, reason)
         return self._outbox.pop_effects()
 
@@ -265,6 +270,8 @@
         """Append a command; return its index, or None if proposals are refused."""
         if not self.is_leader or self._transfer_to is not None:
             return None
+        if self.disk_full_reason:
+            return None
         return self._append_entry(now_ms, EntryKind.COMMAND, payload)
 
     def propose_members(self, now_ms: float, members: list[Member]) -> bool:
@@ -280,6 +287,7 @@
         return (
             self.is_leader
             and self._transfer_to is None
+            and not self.disk_full_reason
             and self.commit_index >= self.first_index_of_term
             and self.commit_index >= self.log.members_index
         )
@@ -288,7 +296,11 @@
         """Transfer leadership to the most advanced other voter, if there is one."""
         if not self.is_leader:
             return False
-        others = [member for member in self.voters if member.node != self.node]
+        others = [
+            member
+            for member in self._other_voters()
+            if not self._followers.of(member.node).is_disk_full
+        ]
         if not others:
             return False
         best = max(others, key=lambda member: self.match_index(member.node))
@@ -813,10 +825,23 @@
             self._continue_transfer(now_ms)
             if not self.is_leader:
                 return
+        if self.disk_full_reason and self._has_caught_up_voter():
+            self.transfer_leadership(now_ms)
+            if not self.is_leader:
+                return
         self._maintain_members(now_ms)
         for member in self._other_members():
             self._replication.run_due(self._lead(now_ms), member)
 
+    def _has_caught_up_voter(self) -> bool:
+        """Return whether a voter that has room for its vote has the whole log."""
+        for member in self._other_voters():
+            progress = self._followers.of(member.node)
+            is_complete = progress.match_index == self.log.last_index
+            if is_complete and not progress.is_disk_full:
+                return True
+        return False
+
     def _continue_transfer(self, now_ms: float) -> None:
         target = self.member(self._transfer_to or "")
         if target is None or now_ms >= self._transfer_until_ms:
@@ -975,8 +1000,14 @@
             prev_index=prev_index,
             match_index=match_index,
             sent_ms=message.sent_ms,
+            is_disk_full=bool(self.disk_full_reason),
         )
-        self._send_durable(sender.address, reply)
+        promised_index = match_index if is_success else 0
+        if self._outbox.is_durable_up_to(promised_index):
+            # Heartbeats are answered also while the disk hangs or is full.
+            self._send(sender.address, reply)
+        else:
+            self._send_durable(sender.address, reply)
 
     def _on_snapshot_chunk(
         self, now_ms: float, sender: Peer, message: SnapshotChunk
--- a/packages/cardamomshunt/src/cardamomshunt/_consensus/outbox.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_consensus/outbox.py
@@ -32,6 +32,7 @@
         self._effects: list[ControlEffect] = []
         self._sequence = 0
         self._durable_sequence = 0
+        self._vote_sequence = 0
         self._persisting: deque[list[int]] = deque()
         self._deferred: deque[tuple[int, SendMessage]] = deque()
 
@@ -40,6 +41,11 @@
         """Return whether all writes issued so far are durable."""
         return self._durable_sequence >= self._sequence
 
+    def is_durable_up_to(self, index: int) -> bool:
+        """Return whether the term, the vote and the log up to an index are durable."""
+        is_vote_durable = self._durable_sequence >= self._vote_sequence
+        return is_vote_durable and index <= self.durable_index
+
     def pop_effects(self) -> list[ControlEffect]:
         """Return and remove the effects collected since the last call."""
         effects, self._effects = self._effects, []
@@ -73,7 +79,8 @@
 
     def persist_vote(self, vote: Vote) -> None:
         """Persist the term and the vote."""
-        self._effects.append(PersistVote(sequence=self._next_sequence(), vote=vote))
+        self._vote_sequence = self._next_sequence()
+        self._effects.append(PersistVote(sequence=self._vote_sequence, vote=vote))
 
     def persist_formation(self, record: FormationRecord) -> None:
         """Persist what was promised and accepted in the formation of a group."""
