--- a/packages/cardamomshunt/src/cardamomshunt/_consensus/node.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_consensus/node.py
@@ -1041,7 +1041,8 @@
 
     def _install(self, snapshot: Snapshot) -> None:
         is_reset = self.log.install(snapshot)
-        self._outbox.truncate(self.log.last_index)
+        # After a reset the disk holds another log until the snapshot is written.
+        self._outbox.truncate(0 if is_reset else self.log.last_index)
         self.commit_index = self._ready_index = snapshot.index
         self._ready.append(snapshot)
         self._persist_snapshot(snapshot, is_reset)
--- a/packages/cardamomshunt/tests/test_full_disk.py
+++ b/packages/cardamomshunt/tests/test_full_disk.py
@@ -1,11 +1,26 @@
 """A group with full disks leads on, refuses changes, and takes them again with room."""
 
+from random import Random
+
 import pytest
-from cardamomshunt.consensus import ConsensusNode, ConsensusOptions
+from cardamomshunt.consensus import (
+    AppendReply,
+    ConsensusNode,
+    ConsensusOptions,
+    Entry,
+    EntryKind,
+    Peer,
+    RestoredState,
+    Snapshot,
+    SnapshotChunk,
+    Vote,
+)
 from cardamomshunt.control import ControlEffect, PersistEffect, SendMessage
-from consensus_cluster import DelayedCluster
+from consensus_cluster import DelayedCluster, make_members
 
-_OPTIONS = ConsensusOptions(election_min_ms=400.0, election_max_ms=650.0)
+_OPTIONS = ConsensusOptions(
+    election_min_ms=400.0, election_max_ms=650.0, admits_unknown_nodes=True
+)
 _RETRY_MS = 500.0
 
 
@@ -112,3 +127,38 @@
     cluster.pass_time(3_000.0)
     assert index is not None
     assert cluster.leader.commit_index < index
+
+
+def _append_replies(effects: list[ControlEffect]) -> list[AppendReply]:
+    messages = [item.message for item in effects if isinstance(item, SendMessage)]
+    return [item for item in messages if isinstance(item, AppendReply)]
+
+
+def test_a_snapshot_that_replaces_another_log_is_acknowledged_once_written():
+    """Guards against an acknowledgement while the disk holds a log that conflicts."""
+    members = make_members(["s1", "s2", "s3"])
+    entries = [Entry(index, 1, EntryKind.COMMAND, b"old") for index in range(1, 13)]
+    restored = RestoredState(2, Vote(1, "s3/3"), Snapshot(members=members), entries)
+    node = ConsensusNode("s2", members, restored, Random(1), 0.0, _OPTIONS)
+    leader = Peer("s1", "s1")
+    data = Snapshot(index=9, term=2, members=members, state=b"new").encode()
+    chunk = SnapshotChunk(
+        term=2,
+        incarnation=1,
+        snapshot_index=9,
+        snapshot_term=2,
+        offset=0,
+        size_bytes=0,
+        data=b"",
+        sent_ms=0.0,
+    )
+    # The term of the leader is durable, and the snapshot meets a full disk.
+    effects = node.on_message(1.0, leader, chunk)
+    sequence = max(e.sequence for e in effects if isinstance(e, PersistEffect))
+    node.on_storage_done(1.0, sequence)
+    chunk.size_bytes, chunk.data = len(data), data
+    effects = node.on_message(2.0, leader, chunk)
+    effects += node.on_storage_full(2.0, "no space left")
+    effects += node.on_message(3.0, leader, chunk)
+    assert _append_replies(effects) == []
+    assert _append_replies(node.on_storage_done(4.0, sequence + 1)) != []
