Answer heartbeats early only while the disk is known to be full

What callers saw: nothing so far; found by reading. A voter whose disk hangs answered heartbeats for good, so that no other node replaced it.

Cause: a reply was sent at once whenever it promised nothing new.

Change: that holds only for a disk that has refused a write for want of room.

Result: test_a_disk_that_hangs_answers_no_heartbeat failed before.

--- a/packages/cardamomshunt/src/cardamomshunt/_consensus/node.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_consensus/node.py
@@ -1003,8 +1003,8 @@
             is_disk_full=bool(self.disk_full_reason),
         )
         promised_index = match_index if is_success else 0
-        if self._outbox.is_durable_up_to(promised_index):
-            # Heartbeats are answered also while the disk hangs or is full.
+        if self.disk_full_reason and self._outbox.is_durable_up_to(promised_index):
+            # A disk that hangs stays silent, so that another node replaces this one.
             self._send(sender.address, reply)
         else:
             self._send_durable(sender.address, reply)
--- a/packages/cardamomshunt/tests/test_full_disk.py
+++ b/packages/cardamomshunt/tests/test_full_disk.py
@@ -4,6 +4,7 @@
 
 import pytest
 from cardamomshunt.consensus import (
+    AppendEntries,
     AppendReply,
     ConsensusNode,
     ConsensusOptions,
@@ -134,6 +135,28 @@
     return [item for item in messages if isinstance(item, AppendReply)]
 
 
+def test_a_disk_that_hangs_answers_no_heartbeat():
+    """Guards against a voter that is never replaced though its disk takes no write."""
+    members = make_members(["s1", "s2", "s3"])
+    restored = RestoredState(2, Vote(1, "s1/1"), Snapshot(members=members))
+    node = ConsensusNode("s2", members, restored, Random(1), 0.0, _OPTIONS)
+    leader = Peer("s1", "s1")
+    entry = Entry(1, 1, EntryKind.COMMAND, b"pending")
+    message = AppendEntries(
+        term=1,
+        incarnation=1,
+        prev_index=0,
+        prev_term=0,
+        commit_index=0,
+        sent_ms=0.0,
+        entries=[entry],
+    )
+    assert _append_replies(node.on_message(1.0, leader, message)) == []
+    message.entries = []
+    assert _append_replies(node.on_message(2.0, leader, message)) == []
+    assert len(_append_replies(node.on_storage_done(3.0, 1))) == 2
+
+
 def test_a_snapshot_that_replaces_another_log_is_acknowledged_once_written():
     """Guards against an acknowledgement while the disk holds a log that conflicts."""
     members = make_members(["s1", "s2", "s3"])
