Replace a voter whose disk stays full

What callers saw: nothing so far; found by reading. A voter with a full disk answers heartbeats, and so was kept though another node with room had the whole log; the group then bore one loss less.

Change: a voter that has reported a full disk for `retire_after_ms` counts as silent, and is replaced by a learner that has caught up.

Result: test_a_voter_whose_disk_stays_full_is_replaced failed before.

--- a/packages/cardamomshunt/src/cardamomshunt/_consensus/followers.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_consensus/followers.py
@@ -55,7 +55,7 @@
     heartbeat_due_ms: float = NEVER_MS
     last_acked_sent_ms: float = NEVER_MS
     is_probing: bool = True
-    is_disk_full: bool = False
+    disk_full_since_ms: float | None = None
     rewound_ms: float = NEVER_MS
     window: ReplicationWindow = field(default_factory=ReplicationWindow)
     copy: SnapshotCopy | None = None
@@ -74,6 +74,23 @@
         """Return the index at which the logs match, or are next compared."""
         return self._probed_index if self.is_probing else self.match_index
 
+    @property
+    def is_disk_full(self) -> bool:
+        """Return whether the follower's last reply said that its disk is full."""
+        return self.disk_full_since_ms is not None
+
+    def on_disk_state(self, now_ms: float, is_full: bool) -> None:
+        """Record whether the follower's disk is full."""
+        if not is_full:
+            self.disk_full_since_ms = None
+        elif self.disk_full_since_ms is None:
+            self.disk_full_since_ms = now_ms
+
+    def full_ms(self, now_ms: float) -> float:
+        """Return for how long the follower's disk has been full."""
+        since_ms = self.disk_full_since_ms
+        return 0.0 if since_ms is None else now_ms - since_ms
+
     def silent_ms(self, now_ms: float) -> float:
         """Return for how long the follower has acknowledged nothing."""
         return now_ms - max(self.last_acked_sent_ms, self.since_ms)
--- a/packages/cardamomshunt/src/cardamomshunt/_consensus/messages.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_consensus/messages.py
@@ -125,8 +125,9 @@
 class AppendReply(ConsensusMessage, kw_only=True):
     """Reply to AppendEntries, sent once the entries are durable.
 
-    With `is_disk_full` the sender cannot lead. If `is_success`, the log matches the leader's up to `match_index`. Otherwise the
-    leader continues after `match_index`, unless it has moved on from `prev_index`.
+    If `is_success`, the log matches the leader's up to `match_index`. Otherwise the
+    leader continues after `match_index`, unless it has moved on from `prev_index`. With
+    `is_disk_full` the sender cannot lead.
     """
 
     is_success: bool
--- a/packages/cardamomshunt/src/cardamomshunt/_consensus/node.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_consensus/node.py
@@ -558,9 +558,12 @@
     ) -> bool:
         """Return whether a member has been silent since it could have answered.
 
-        A new learner may take long for its first answer; a voter has a log already.
+        A voter whose disk stays full counts as silent, as it acknowledges nothing new. A
+        new learner may take long for its first answer; a voter has a log already.
         """
         limit_ms = self.options.retire_after_ms
+        if member.is_voter and progress.full_ms(now_ms) > limit_ms:
+            return True
         if member.is_voter and not progress.has_answered:
             limit_ms = min(limit_ms, self.options.first_answer_ms)
         return progress.silent_ms(now_ms) > limit_ms
--- a/packages/cardamomshunt/src/cardamomshunt/_consensus/replication.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_consensus/replication.py
@@ -165,7 +165,7 @@
         """Record a reply; return whether more of the log is known to match."""
         progress = self._followers.of(member.node)
         progress.last_acked_sent_ms = max(progress.last_acked_sent_ms, message.sent_ms)
-        progress.is_disk_full = message.is_disk_full
+        progress.on_disk_state(lead.now_ms, message.is_disk_full)
         if not message.is_success:
             self._on_refused(lead, progress, message)
             return False
--- a/packages/cardamomshunt/tests/test_full_disk.py
+++ b/packages/cardamomshunt/tests/test_full_disk.py
@@ -130,6 +130,18 @@
     assert cluster.leader.commit_index < index
 
 
+def test_a_voter_whose_disk_stays_full_is_replaced(cluster):
+    """Guards against a voter that answers, and takes part in no commit, for good."""
+    cluster.add("s4", ["s1", "s2", "s3"], may_form=False)
+    cluster.pass_time(2_000.0)
+    full = next(node.node for node in _followers(cluster) if node.node != "s4")
+    cluster.full = {full}
+    cluster.propose(b"pending")
+    cluster.pass_time(6_000.0)
+    assert full not in cluster.voters()
+    assert "s4" in cluster.voters()
+
+
 def _append_replies(effects: list[ControlEffect]) -> list[AppendReply]:
     messages = [item.message for item in effects if isinstance(item, SendMessage)]
     return [item for item in messages if isinstance(item, AppendReply)]
