Refuse a change at once that would take the room for recovery

Cause: nothing looked at the room on the disk before a change was proposed.

The room is a metric.

Result: test_a_change_without_room_is_refused_at_once failed while the answer was ignored.

--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_consensus_host.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_consensus_host.py
@@ -25,6 +25,7 @@
 
 from cardamomshunt_node._boot_clock import boot_ms
 from cardamomshunt_node._decision_log import DecisionLog
+from cardamomshunt_node._disk_room import DiskRoom
 from cardamomshunt_node._log_storage import LogStorage, OpenedStorage
 from cardamomshunt_node._storage_task import StorageDone, StorageFailed, StorageTask
 from cardamomshunt_node._stream_transport import StreamMessage, StreamTransport
@@ -63,6 +64,7 @@
         install: Callable[[bytes], None],
         encode_state: Callable[[], bytes],
         operator_address: str,
+        room: DiskRoom,
         may_form: bool,
         n_disks_lost_max: int,
         predecessor_ended_ms: float | None,
@@ -83,6 +85,8 @@
         self._apply = apply
         self._install = install
         self._encode_state = encode_state
+        self._room = room
+        self.free_bytes: int | None = None
         self._storage = StorageTask(storage, self._on_storage)
         self._pending_commands: dict[int, tuple[int, asyncio.Future[bool]]] = {}
         self.applied_index = 0
@@ -147,6 +151,15 @@
         finally:
             self._pending_commands.pop(index, None)
 
+    async def refusal(self, record_bytes: int) -> str:
+        """Return why a record cannot be stored now, or an empty text."""
+        if self.node.disk_full_reason:
+            return self.node.disk_full_reason
+        self.free_bytes = await asyncio.to_thread(self._room.free_bytes)
+        if self.free_bytes is None or self.node.has_room(self.free_bytes, record_bytes):
+            return ""
+        return f"{self.free_bytes} bytes are left on the disk"
+
     def transfer_leadership(self) -> None:
         """Transfer leadership to another node before a stop."""
         self.node.transfer_leadership(boot_ms())
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_control_metrics.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_control_metrics.py
@@ -35,12 +35,21 @@
             "Newest committed version of the configuration.",
             registry=self.registry,
         )
+        self._free_bytes = Gauge(
+            "cardamomshunt_disk_free_bytes",
+            "Room on the disk at the last change of the configuration.",
+            registry=self.registry,
+        )
         self._entries = Gauge(
             "cardamomshunt_entries",
             "Entry VMs that asked lately.",
             registry=self.registry,
         )
 
+    def set_free_bytes(self, free_bytes: int) -> None:
+        """Set the room on the disk, as measured at the last change."""
+        self._free_bytes.set({}, free_bytes)
+
     def count_call(self, kind: str, status: int) -> None:
         """Count a control call by its kind and HTTP status."""
         self._calls.inc({"kind": kind, "status": str(status)})
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_control_node.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_control_node.py
@@ -38,6 +38,7 @@
     ServerLeft,
     ServerReported,
 )
+from cardamomshunt_node._disk_room import DiskRoom
 from cardamomshunt_node._entry_service import EntryService
 from cardamomshunt_node._http import (
     HttpRequest,
@@ -58,6 +59,7 @@
 _LEADER_WAIT_MS = 600.0
 _STOP_TIMEOUT_MS = 1_500.0
 _LINGER_S = 0.15
+_NO_ROOM_RETRY_S = "2"
 _INCARNATION_BITS = 62
 
 
@@ -152,6 +154,7 @@
             self._install_snapshot,
             lambda: self._state.encode(),
             settings.control_address,
+            DiskRoom(Path(settings.data_folder), settings.disk_size_bytes),
             settings.is_first_start,
             settings.n_disks_lost_max,
             self._predecessor_ended_ms,
@@ -364,6 +367,11 @@
                 newest=self._state.version,
             )
             return ControlReply(200, b"{}")
+        reason = await self._host.refusal(len(document))
+        if reason:
+            self._log.write("no_room", version=table.version, reason=reason)
+            body = msgspec.json.encode({"error": f"no room: {reason}"})
+            return ControlReply(503, body, headers={"Retry-After": _NO_ROOM_RETRY_S})
         try:
             command = PutDocument(version=table.version, document=document)
             await self._host.propose(encode_command(command), COMMIT_TIMEOUT_MS)
@@ -391,3 +399,5 @@
             self._state.version,
             len(self._entries.live_entries()),
         )
+        if self._host.free_bytes is not None:
+            self._metrics.set_free_bytes(self._host.free_bytes)
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_deployment.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_deployment.py
@@ -21,6 +21,8 @@
     control_addresses: list[str]
     is_first_start: bool = False
     data_folder: str = ""
+    # 0 if only the file system tells.
+    disk_size_bytes: int = 0
     caller_address: str = ""
     health_address: str = ""
     control_address: str = ""
--- a/packages/cardamomshunt/src/cardamomshunt/_consensus/node.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_consensus/node.py
@@ -309,6 +309,12 @@
         self._continue_transfer(now_ms)
         return True
 
+    def has_room(self, free_bytes: int, record_bytes: int) -> bool:
+        """Return whether a record leaves the reserve that recovery needs."""
+        snapshot_bytes = len(self.log.snapshot.state)
+        reserve_bytes = self._log_bounds.reserve_bytes(snapshot_bytes, record_bytes)
+        return free_bytes - record_bytes >= reserve_bytes
+
     def is_snapshot_due(self, index: int) -> bool:
         """Return whether to replace the log up to an applied index by a snapshot."""
         return index > self.log.snapshot.index and self._log_bounds.is_snapshot_due(
--- a/tests/users_platform/test_unusual_input.py
+++ b/tests/users_platform/test_unusual_input.py
@@ -4,7 +4,9 @@
 
 import pytest
 from cardamomshunt.fleet import ServerState
-from standin import report
+from cardamomshunt_node._disk_room import DiskRoom
+from cardamomshunt_node._http import HttpRequest
+from standin import call_control, report
 
 # Data that a line of text may hold, as only CR LF ends a line.
 DATA_WITH_CONTROL_CHARACTERS = {
@@ -87,3 +89,17 @@
         )
     )
     assert not any(task.done() for task in deployment.tasks.values())
+
+
+async def test_a_change_without_room_is_refused_at_once(deployment, make_document):
+    # Guards against a disk that is filled until no vote can be written any more.
+    for control in deployment.controls.values():
+        control._host._room = DiskRoom(deployment.folder, 1_000)
+    for address in deployment.control_addresses:
+        request = HttpRequest("POST", "/Configuration.Replace", make_document(2))
+        response = await call_control(address, request, 1_000.0)
+        assert response.status == 503
+        assert response.headers["retry-after"] == "2"
+        assert b"no room" in response.body
+    caller = await deployment.open_session()
+    assert (await caller.execute("WRITE k1 a", "w1"))[-1].startswith("COMPLETE")
