Count only seeds in the formation of the first group

What callers saw: nothing so far; found by reading. A promise or an acceptance of any node that got the message counted towards the majority of the seeds, so that a majority could rest on nodes of which the seeds on the other side know nothing.

Change: answers count only from the seeds that the proposer was given.

Result: test_only_seeds_count_towards_a_majority failed before.

--- a/packages/cardamomshunt/src/cardamomshunt/_consensus/formation_proposer.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_consensus/formation_proposer.py
@@ -73,9 +73,12 @@
 
     def on_empty_seed(self, node: str, incarnation: int) -> None:
         """Record that a disk of a node has reported an empty log."""
-        if any(seed.node == node for seed in self._seeds):
+        if self._is_seed(node):
             self._empty_seeds[node] = incarnation
 
+    def _is_seed(self, node: str) -> bool:
+        return any(seed.node == node for seed in self._seeds)
+
     def tick(self, now_ms: float) -> FormationPrepare | FormationAccept | None:
         """Return the message that is due to all seeds, this node included."""
         if self._phase is _Phase.PREPARING and self._has_gathered(now_ms):
@@ -88,7 +91,9 @@
         return None
 
     def on_promise(self, now_ms: float, sender: str, message: FormationPromise) -> None:
-        """Count a promise for the present ballot."""
+        """Count a promise of a seed for the present ballot."""
+        if not self._is_seed(sender):
+            return
         self._highest_round = max(self._highest_round, message.promised.round)
         if self._phase is not _Phase.PREPARING or message.ballot != self._ballot:
             return
@@ -102,6 +107,8 @@
         self, now_ms: float, sender: str, message: FormationAccepted
     ) -> list[Member] | None:
         """Count an acceptance; return the members once enough seeds accepted them."""
+        if not self._is_seed(sender):
+            return None
         self._highest_round = max(self._highest_round, message.promised.round)
         if self._phase is not _Phase.ACCEPTING or message.ballot != self._ballot:
             return None
--- a/packages/cardamomshunt/tests/test_formation.py
+++ b/packages/cardamomshunt/tests/test_formation.py
@@ -6,6 +6,7 @@
 from cardamomshunt._consensus.formation_messages import (
     Ballot,
     FormationAccept,
+    FormationAccepted,
     FormationPrepare,
     FormationPromise,
     FormationRecord,
@@ -52,28 +53,57 @@
     assert network.formed == []
 
 
-def test_a_seed_whose_promise_is_late_is_a_member():
-    """Guards against a group of two of three seeds that the loss of one ends."""
+def _prepared(now_ms: float) -> tuple[FormationProposer, Ballot]:
+    """Return a proposer that knows three seeds and has asked for their promises."""
     network = SeedNetwork(1)
     proposer = FormationProposer(
-        "seed-0", 10, network.members, network.random, 0.0, majority(3)
+        "seed-0", 10, network.members, network.random, now_ms, majority(3)
     )
     proposer.on_empty_seed("seed-1", 11)
     proposer.on_empty_seed("seed-2", 12)
-    prepare = proposer.tick(0.0)
-    for node, incarnation in (("seed-0", 10), ("seed-1", 11)):
-        promise = FormationPromise(
-            term=0,
-            incarnation=incarnation,
-            ballot=prepare.ballot,
-            promised=prepare.ballot,
-            accepted=Ballot(),
-        )
-        proposer.on_promise(1.0, node, promise)
+    prepare = proposer.tick(now_ms)
+    assert isinstance(prepare, FormationPrepare)
+    return proposer, prepare.ballot
+
+
+def _promise(ballot: Ballot, incarnation: int) -> FormationPromise:
+    return FormationPromise(
+        term=0,
+        incarnation=incarnation,
+        ballot=ballot,
+        promised=ballot,
+        accepted=Ballot(),
+    )
+
+
+def _accepted(ballot: Ballot, incarnation: int) -> FormationAccepted:
+    return FormationAccepted(
+        term=0, incarnation=incarnation, ballot=ballot, promised=ballot
+    )
+
+
+def test_a_seed_whose_promise_is_late_is_a_member():
+    """Guards against a group of two of three seeds that the loss of one ends."""
+    proposer, ballot = _prepared(0.0)
+    proposer.on_promise(1.0, "seed-0", _promise(ballot, 10))
+    proposer.on_promise(1.0, "seed-1", _promise(ballot, 11))
     accept = proposer.tick(300.0)
     assert [item.incarnation for item in accept.members] == [10, 11, 12]
 
 
+def test_only_seeds_count_towards_a_majority():
+    """Guards against a second group by the answers of nodes that are no seeds."""
+    proposer, ballot = _prepared(0.0)
+    proposer.on_promise(1.0, "seed-0", _promise(ballot, 10))
+    proposer.on_promise(1.0, "foreign", _promise(ballot, 13))
+    assert proposer.tick(300.0) is None
+    proposer.on_promise(301.0, "seed-1", _promise(ballot, 11))
+    assert isinstance(proposer.tick(302.0), FormationAccept)
+    assert proposer.on_accepted(303.0, "seed-0", _accepted(ballot, 10)) is None
+    assert proposer.on_accepted(303.0, "foreign", _accepted(ballot, 13)) is None
+    assert proposer.on_accepted(303.0, "seed-1", _accepted(ballot, 11)) is not None
+
+
 def test_all_seeds_form_the_group_without_a_wait():
     """Guards against a first start that is slow though nothing is missing."""
     network = _started(SeedNetwork(1), ["seed-0", "seed-1", "seed-2"])
