Report elections and pre-votes that find no majority

An election that begins or fails left no line, so the record of the incident cannot tell votes that come too late from a group that counts a lost voter. An election has a line now when it begins and when it ends without a majority, with the answer of each voter and whether the own vote was written. Pre-votes have a line at the 8th, 16th, 32nd ... round without a majority, so the lines stay bounded. No decision changes.

--- a/packages/cardamomshunt/src/cardamomshunt/_consensus/node.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_consensus/node.py
@@ -8,7 +8,6 @@
     NEVER_MS,
     Followers,
     Progress,
-    majority,
 )
 from cardamomshunt._consensus.joining import GroupJoiner
 from cardamomshunt._consensus.log import ReplicatedLog
@@ -52,9 +51,13 @@
 )
 from cardamomshunt._consensus.outbox import Outbox
 from cardamomshunt._consensus.snapshot_transfer import SnapshotSink, SnapshotSource
+from cardamomshunt._consensus.vote_tally import VoteTally
 from cardamomshunt._control.effects import ControlEffect
 from cardamomshunt._shared.events import EventNumber
 
+# A restart of all nodes takes some pre-votes, as each refuses them after its start.
+_N_PRE_VOTES_REPORTED = 8
+
 
 class ConsensusNode:
     """Run the replicated log of one node, after the Raft protocol with pre-votes.
@@ -103,7 +106,8 @@
         self._joiner = GroupJoiner(
             node, self.incarnation, initial_members, now_ms, may_form=may_form
         )
-        self._votes: set[str] = set()
+        self._pre_votes = VoteTally()
+        self._votes = VoteTally()
         self._followers = Followers(node)
         self._leader_since_ms = 0.0
         self.first_index_of_term = 0
@@ -499,17 +503,20 @@
         self.role = ConsensusRole.FOLLOWER
         self.leader = leader
         self._transfer_to = None
-        self._votes = set()
+        self._pre_votes.clear()
+        self._votes.clear()
         self._followers.clear()
         if was_leader:
             self._emit(EventNumber.LEADER_STEPPED_DOWN, self.node, str(self.term))
 
     def _start_pre_vote(self, now_ms: float) -> None:
+        self._report_missing_votes()
         self._reset_pre_vote(now_ms)
         self.role = ConsensusRole.PRE_CANDIDATE
         self.leader = None
-        self._votes = {self.node}
-        if self._has_quorum(self._votes):
+        self._pre_votes.restart()
+        self._pre_votes.grant(self.node)
+        if self._pre_votes.has_majority(self.voters):
             self._start_election(now_ms, is_transfer=False)
             return
         for member in self._other_voters():
@@ -529,8 +536,10 @@
             self._election_deadline_ms = now_ms + pause_ms
         self.role = ConsensusRole.CANDIDATE
         self.leader = None
-        self._votes = set()
+        self._pre_votes.clear()
+        self._votes.clear()
         self._set_vote(self.term + 1, f"{self.node}/{self.incarnation}")
+        self._emit(EventNumber.ELECTION_STARTED, self.node, f"term {self.term}")
         for member in self._other_voters():
             request = VoteRequest(
                 term=self.term,
@@ -546,10 +555,18 @@
     def _other_voters(self) -> list[Member]:
         return [member for member in self.voters if member.node != self.node]
 
-    def _has_quorum(self, nodes: set[str]) -> bool:
-        voters = self.voters
-        n_present = sum(member.node in nodes for member in voters)
-        return bool(voters) and n_present >= majority(len(voters))
+    def _report_missing_votes(self) -> None:
+        """Report an election without a majority, and fewer and fewer such pre-votes."""
+        if self.role is ConsensusRole.CANDIDATE:
+            answers = self._votes.describe(self.voters)
+            own = "" if self._outbox.is_durable else "; own vote not written yet"
+            detail = f"term {self.term}: {answers}{own}"
+            self._emit(EventNumber.ELECTION_FAILED, self.node, detail)
+        elif self._pre_votes.n_rounds >= _N_PRE_VOTES_REPORTED:
+            n_rounds = self._pre_votes.n_rounds
+            if n_rounds.bit_count() == 1:
+                detail = f"{n_rounds} times: {self._pre_votes.describe(self.voters)}"
+                self._emit(EventNumber.PRE_VOTE_FAILED, self.node, detail)
 
     def _has_live_leader(self, now_ms: float) -> bool:
         if self.is_leader:
@@ -591,12 +608,13 @@
         is_expected = (
             self.role is ConsensusRole.PRE_CANDIDATE and message.term == self.term + 1
         )
-        if not (is_expected and message.is_granted):
+        if not is_expected or self.member(sender.node, message.incarnation) is None:
             return
-        if self.member(sender.node, message.incarnation) is None:
+        if not message.is_granted:
+            self._pre_votes.refuse(sender.node)
             return
-        self._votes.add(sender.node)
-        if self._has_quorum(self._votes):
+        self._pre_votes.grant(sender.node)
+        if self._pre_votes.has_majority(self.voters):
             self._start_election(now_ms, is_transfer=False)
 
     def _is_for_this_disk(self, message: PreVoteRequest | VoteRequest) -> bool:
@@ -641,17 +659,19 @@
             return
         if self.role is not ConsensusRole.CANDIDATE or message.term != self.term:
             return
-        if not message.is_granted:
-            return
         if self.member(sender.node, message.incarnation) is None:
             return
-        self._votes.add(sender.node)
+        if not message.is_granted:
+            self._votes.refuse(sender.node)
+            return
+        self._votes.grant(sender.node)
         self._count_votes(now_ms)
 
     def _count_votes(self, now_ms: float) -> None:
         """Become leader with a majority; the own vote counts once it is durable."""
-        own = {self.node} if self._outbox.is_durable else set()
-        if self._has_quorum(self._votes | own):
+        if self._outbox.is_durable:
+            self._votes.grant(self.node)
+        if self._votes.has_majority(self.voters):
             self._become_leader(now_ms)
 
     def _become_leader(self, now_ms: float) -> None:
--- a/packages/cardamomshunt/src/cardamomshunt/_shared/events.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_shared/events.py
@@ -46,6 +46,8 @@
     ELECTION_STARTED = 205
     QUORUM_LOST = 206
     QUORUM_REGAINED = 207
+    ELECTION_FAILED = 208
+    PRE_VOTE_FAILED = 209
     PRIMARY_SUSPECTED = 210
     SUSPICION_CLEARED = 211
     FENCING_STARTED = 212
@@ -279,6 +281,20 @@
         what="The control nodes have a majority again.",
         consequence="Normal service.",
     ),
+    CatalogueEntry(
+        number=EventNumber.ELECTION_FAILED,
+        severity=Severity.WARNING,
+        what="An election ended without a majority; the line names the voters by their answer.",
+        consequence="The node asks again. No failover and no patch is possible until a leader is elected.",
+        action="If it repeats: start silent voters; look for slow disks, in the time of writes, where votes are not written.",
+    ),
+    CatalogueEntry(
+        number=EventNumber.PRE_VOTE_FAILED,
+        severity=Severity.WARNING,
+        what="A node asked 8, 16, 32, ... times whether it could win an election, and had no majority.",
+        consequence="No failover and no patch is possible until a leader is elected.",
+        action="Start silent voters, or restore the network between the zones. A voter that is gone for good counts until its successor has joined.",
+    ),
     CatalogueEntry(
         number=EventNumber.PRIMARY_SUSPECTED,
         severity=Severity.WARNING,
