--- a/tests/users_platform/daemon_processes.py
+++ b/tests/users_platform/daemon_processes.py
@@ -15,7 +15,7 @@
 ip_address = "{host}"
 internal_port_range = [{peer_port}, {peer_port}]
 seeds = {seeds}
-bootstrap = true
+bootstrap = {bootstrap}
 data_directory = "{data_folder}"
 
 [listen_addresses]
@@ -57,6 +57,7 @@
                 zone=settings.zone,
                 host=settings.host,
                 peer_port=settings.peer_port,
+                bootstrap=json.dumps(settings.is_first_start),
                 seeds=json.dumps(settings.control_addresses),
                 data_folder=settings.data_folder,
                 caller_address=settings.caller_address,
