Move the times of elections out of the consensus node

node.py held the pacing of pre-votes and elections beside replication and membership. No behaviour changes: the schedules, the tests of the consensus node and those of slow disks give the same results.

--- a/packages/cardamomshunt/src/cardamomshunt/_consensus/node.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_consensus/node.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from cardamomshunt._consensus.election_timer import ElectionTimer
 from cardamomshunt._consensus.followers import (
     NEVER_MS,
     Followers,
@@ -90,18 +91,15 @@
         self.commit_index = restored.snapshot.index
         self.failure = ""
         self.disk_full_reason = ""
-        self._random = random
         self._outbox = Outbox(self.log.last_index)
         self._ready: list[Entry | Snapshot] = []
         self._ready_index = restored.snapshot.index
-        # A restart loses the time of the last contact with a leader, whose lease may
-        # still be valid, so a contact is assumed at the latest time possible: when the
-        # former process of this disk had ended, or now if that is unknown.
+        # The former process may have heard a leader until it ended, whose lease may
+        # still be valid.
         contact_ms = now_ms if predecessor_ended_ms is None else predecessor_ended_ms
-        self._assumed_contact_ms = min(contact_ms, now_ms)
-        self._leader_contact_ms = self._assumed_contact_ms
-        self._started_ms = now_ms
-        self._election_deadline_ms = 0.0
+        self._timer = ElectionTimer(
+            self.options, random, now_ms, min(contact_ms, now_ms)
+        )
         self._reset_pre_vote(now_ms)
         self._joiner = GroupJoiner(
             node, self.incarnation, initial_members, now_ms, may_form=may_form
@@ -184,7 +182,7 @@
                 return (
                     self._rejoin_due_ms if self.options.admits_unknown_nodes else None
                 )
-            return self._election_deadline_ms
+            return self._timer.deadline_ms
         due = self._followers.heartbeats_due_ms()
         return min(due, default=self._leader_since_ms + self.options.heartbeat_ms)
 
@@ -198,7 +196,7 @@
             self._tick_joining(now_ms)
         elif self.is_leader:
             self._tick_leader(now_ms)
-        elif self._is_voter and now_ms >= self._election_deadline_ms:
+        elif self._is_voter and now_ms >= self._timer.deadline_ms:
             self._start_pre_vote(now_ms)
         if self.is_formed and not self.is_leader and self.options.admits_unknown_nodes:
             self._rejoin_if_removed(now_ms)
@@ -353,7 +351,7 @@
     @property
     def _rejoin_due_ms(self) -> float:
         """Return when to announce this node, unless a leader contacts it before."""
-        without_leader_ms = self._leader_contact_ms + self.options.election_max_ms
+        without_leader_ms = self._timer.contact_ms + self.options.election_max_ms
         return max(self._joiner.due_ms, without_leader_ms)
 
     def _rejoin_if_removed(self, now_ms: float) -> None:
@@ -457,36 +455,14 @@
 
     # Elections
 
-    def _reset_election(self, now_ms: float) -> None:
-        self._election_deadline_ms = now_ms + self._random.uniform(
-            self.options.election_min_ms, self.options.election_max_ms
-        )
-
     def _reset_pre_vote(self, now_ms: float) -> None:
-        """Schedule the next pre-vote, soon while all nodes may be restarting.
-
-        Each node refuses pre-votes for `election_min_ms` after its own start, so those
-        of the node that starts first are refused until a majority has run for as long.
-        Nodes that start at once begin one after another, as votes would be split.
-        """
-        if not self._is_restarting(now_ms):
-            self._reset_election(now_ms)
-            return
-        earliest_ms = self._assumed_contact_ms + self.options.election_min_ms
-        n_pauses = self._random.uniform(0.5, 1.0)
-        if now_ms <= max(earliest_ms, self._started_ms):
-            n_pauses = 0.5 * self._voter_rank + self._random.uniform(0.0, 0.25)
-        pause_ms = self.options.restart_pre_vote_ms * n_pauses
-        self._election_deadline_ms = max(now_ms, earliest_ms) + pause_ms
+        if self._is_restarting(now_ms):
+            self._timer.wait_for_restarts(now_ms, self._voter_rank)
+        else:
+            self._timer.wait_for_leader(now_ms)
 
     def _is_restarting(self, now_ms: float) -> bool:
-        """Return whether this node, and maybe all nodes, started a short time ago."""
-        return (
-            self.options.restart_pre_vote_ms > 0.0
-            and self._leader_contact_ms == self._assumed_contact_ms
-            and now_ms < self._started_ms + self.options.restart_period_ms
-            and self.log.last_index > 0
-        )
+        return self.log.last_index > 0 and self._timer.is_restarting(now_ms)
 
     @property
     def _voter_rank(self) -> int:
@@ -499,7 +475,7 @@
         if self.role is ConsensusRole.PRE_CANDIDATE:
             self._reset_pre_vote(now_ms)
         elif self.role is not ConsensusRole.FOLLOWER:
-            self._reset_election(now_ms)
+            self._timer.wait_for_leader(now_ms)
         self.role = ConsensusRole.FOLLOWER
         self.leader = leader
         self._transfer_to = None
@@ -530,10 +506,7 @@
             self._send(member.peer_address, request)
 
     def _start_election(self, now_ms: float, is_transfer: bool) -> None:
-        self._reset_election(now_ms)
-        if self._is_restarting(now_ms):
-            pause_ms = self.options.restart_pre_vote_ms * self._random.uniform(3.0, 5.0)
-            self._election_deadline_ms = now_ms + pause_ms
+        self._timer.wait_for_votes(now_ms, is_restarting=self._is_restarting(now_ms))
         self.role = ConsensusRole.CANDIDATE
         self.leader = None
         self._pre_votes.clear()
@@ -569,9 +542,7 @@
                 self._emit(EventNumber.PRE_VOTE_FAILED, self.node, detail)
 
     def _has_live_leader(self, now_ms: float) -> bool:
-        if self.is_leader:
-            return True
-        return now_ms < self._leader_contact_ms + self.options.election_min_ms
+        return self.is_leader or self._timer.has_live_leader(now_ms)
 
     def _is_up_to_date(self, last_index: int, last_term: int) -> bool:
         return (last_term, last_index) >= (self.log.last_term, self.log.last_index)
@@ -586,11 +557,7 @@
             and self._is_up_to_date(message.last_index, message.last_term)
         )
         if is_granted and self._is_restarting(now_ms):
-            # The sender probably stands for election now.
-            pause_ms = 2.0 * self.options.restart_pre_vote_ms
-            self._election_deadline_ms = max(
-                self._election_deadline_ms, now_ms + pause_ms
-            )
+            self._timer.give_way(now_ms)
         reply = PreVoteReply(
             term=message.term,
             incarnation=self.incarnation,
@@ -647,7 +614,7 @@
         )
         if is_granted and self.vote.voted_for == "":
             self._set_vote(self.term, candidate)
-            self._reset_election(now_ms)
+            self._timer.wait_for_leader(now_ms)
         reply = VoteReply(
             term=self.term, incarnation=self.incarnation, is_granted=is_granted
         )
@@ -866,8 +833,7 @@
         if term > self.term or self.role is not ConsensusRole.FOLLOWER:
             self._become_follower(now_ms, term, sender.node)
         self.leader = sender.node
-        self._leader_contact_ms = now_ms
-        self._reset_election(now_ms)
+        self._timer.on_leader_contact(now_ms)
 
     def _on_append_entries(
         self, now_ms: float, sender: Peer, message: AppendEntries
