Confirm the contact with a leader before the entries are durable

A leader whose followers took more than 650 ms to write stepped down, and lost its lease after 380 ms, as the answer to a heartbeat waited for all writes issued before it. So no leader stayed where a sync took 1 s, and a stall of all disks ended the leases of entry VMs.

A follower that is still writing confirms the contact at once, with the entries that are durable, and the rest once they are. A member that answers but confirms no write for 10 s counts as unresponsive, so that one whose disk hangs is replaced as before. A full disk still confirms nothing.

--- a/packages/cardamomshunt/src/cardamomshunt/_consensus/followers.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_consensus/followers.py
@@ -26,6 +26,7 @@
     in_flight_until_ms: float = NEVER_MS
     heartbeat_due_ms: float = NEVER_MS
     last_acked_sent_ms: float = NEVER_MS
+    last_complete_sent_ms: float = NEVER_MS
     snapshot_offset: int = 0
 
     @property
@@ -33,6 +34,16 @@
         """Return whether the follower has acknowledged a message of this leader."""
         return self.last_acked_sent_ms > NEVER_MS
 
+    def on_contact(self, sent_ms: float, *, is_complete: bool) -> None:
+        """Record the answer to a message; it is complete if all writes were durable."""
+        self.last_acked_sent_ms = max(self.last_acked_sent_ms, sent_ms)
+        if is_complete:
+            self.last_complete_sent_ms = max(self.last_complete_sent_ms, sent_ms)
+
+    def stalled_ms(self, now_ms: float) -> float:
+        """Return for how long the follower has confirmed no write to its disk."""
+        return now_ms - max(self.last_complete_sent_ms, self.since_ms)
+
     def silent_ms(self, now_ms: float) -> float:
         """Return for how long the follower has acknowledged nothing."""
         return now_ms - max(self.last_acked_sent_ms, self.since_ms)
--- a/packages/cardamomshunt/src/cardamomshunt/_consensus/messages.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_consensus/messages.py
@@ -123,16 +123,19 @@
 
 
 class AppendReply(ConsensusMessage, kw_only=True):
-    """Reply to AppendEntries, sent once the entries are durable.
+    """Reply to AppendEntries, with what is durable.
 
     If `is_success`, the log matches the leader's up to `match_index`. Otherwise the
-    leader continues after `match_index`, unless it has moved on from `prev_index`.
+    leader continues after `match_index`, unless it has moved on from `prev_index`. While
+    the disk still writes, a reply without `is_complete` confirms the contact alone; the
+    complete one follows.
     """
 
     is_success: bool
     prev_index: int
     match_index: int
     sent_ms: float
+    is_complete: bool = True
 
 
 class SnapshotChunk(ConsensusMessage, kw_only=True):
--- a/packages/cardamomshunt/src/cardamomshunt/_consensus/node.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_consensus/node.py
@@ -433,14 +433,15 @@
     def _is_unresponsive(
         self, now_ms: float, member: Member, progress: Progress
     ) -> bool:
-        """Return whether a member has been silent since it could have answered.
+        """Return whether a member is silent, or has written nothing for a long time.
 
         A new learner may take long for its first answer; a voter has a log already.
         """
         limit_ms = self.options.retire_after_ms
         if member.is_voter and not progress.has_answered:
             limit_ms = min(limit_ms, self.options.first_answer_ms)
-        return progress.silent_ms(now_ms) > limit_ms
+        is_stalled = progress.stalled_ms(now_ms) > self.options.stalled_after_ms
+        return is_stalled or progress.silent_ms(now_ms) > limit_ms
 
     def _change_member(self, now_ms: float, change: MemberChange) -> None:
         node = change.node
@@ -837,7 +838,7 @@
         if found is None:
             return
         member, progress = found
-        progress.last_acked_sent_ms = max(progress.last_acked_sent_ms, message.sent_ms)
+        progress.on_contact(message.sent_ms, is_complete=message.is_complete)
         if message.is_success:
             has_advanced = message.match_index > progress.match_index
             progress.match_index = max(progress.match_index, message.match_index)
@@ -866,7 +867,7 @@
         if found is None:
             return
         member, progress = found
-        progress.last_acked_sent_ms = max(progress.last_acked_sent_ms, message.sent_ms)
+        progress.on_contact(message.sent_ms, is_complete=True)
         if message.snapshot_index != self.log.snapshot.index:
             progress.snapshot_offset = 0
             return
@@ -914,7 +915,7 @@
         self, now_ms: float, sender: Peer, message: AppendEntries
     ) -> None:
         if message.term < self.term:
-            self._reply_append(sender, message, False, self.log.last_index)
+            self._refuse_append(sender, message, self.log.last_index)
             return
         self._accept_leader(now_ms, sender, message.term)
         prev_index, prev_term = message.prev_index, message.prev_term
@@ -923,19 +924,19 @@
             # Entries up to the snapshot are committed, so they match the leader's.
             n_known = self.log.snapshot.index - prev_index
             if n_known > len(entries):
-                self._reply_append(sender, message, True, prev_index + len(entries))
+                self._accept_append(sender, message, prev_index + len(entries))
                 return
             prev_index, prev_term = self.log.snapshot.index, self.log.snapshot.term
             entries = entries[n_known:]
         if not self._log_matches(prev_index, prev_term):
-            self._reply_append(sender, message, False, self._conflict_hint(prev_index))
+            self._refuse_append(sender, message, self._conflict_hint(prev_index))
             return
         self._store_entries(entries)
         last_index = prev_index + len(entries)
         self.commit_index = max(
             self.commit_index, min(message.commit_index, last_index)
         )
-        self._reply_append(sender, message, True, last_index)
+        self._accept_append(sender, message, last_index)
 
     def _log_matches(self, prev_index: int, prev_term: int) -> bool:
         return self.log.term_at(prev_index) == prev_term
@@ -965,33 +966,63 @@
         self.log.truncate_from(index)
         self._outbox.truncate(index - 1)
 
-    def _reply_append(
+    def _refuse_append(
+        self,
+        sender: Peer,
+        message: AppendEntries | SnapshotChunk,
+        match_index: int,
+    ) -> None:
+        reply = self._append_reply(message, match_index, is_success=False)
+        self._send(sender.address, reply)
+
+    def _accept_append(
         self,
         sender: Peer,
         message: AppendEntries | SnapshotChunk,
-        is_success: bool,
         match_index: int,
     ) -> None:
+        """Confirm the contact at once, and the entries once they are durable.
+
+        A leader that learned of the contact from the durable reply alone would take
+        followers with slow disks for silent, and lose its lease.
+        """
+        if not self._outbox.is_durable and not self.disk_full_reason:
+            durable_index = min(match_index, self._outbox.durable_index)
+            contact = self._append_reply(
+                message, durable_index, is_success=True, is_complete=False
+            )
+            self._send(sender.address, contact)
+        reply = self._append_reply(message, match_index, is_success=True)
+        self._send_durable(sender.address, reply)
+
+    def _append_reply(
+        self,
+        message: AppendEntries | SnapshotChunk,
+        match_index: int,
+        *,
+        is_success: bool,
+        is_complete: bool = True,
+    ) -> AppendReply:
         prev_index = message.prev_index if isinstance(message, AppendEntries) else -1
-        reply = AppendReply(
+        return AppendReply(
             term=self.term,
             incarnation=self.incarnation,
             is_success=is_success,
             prev_index=prev_index,
             match_index=match_index,
             sent_ms=message.sent_ms,
+            is_complete=is_complete,
         )
-        self._send_durable(sender.address, reply)
 
     def _on_snapshot_chunk(
         self, now_ms: float, sender: Peer, message: SnapshotChunk
     ) -> None:
         if message.term < self.term:
-            self._reply_append(sender, message, False, self.log.last_index)
+            self._refuse_append(sender, message, self.log.last_index)
             return
         self._accept_leader(now_ms, sender, message.term)
         if message.snapshot_index <= self.commit_index:
-            self._reply_append(sender, message, True, message.snapshot_index)
+            self._accept_append(sender, message, message.snapshot_index)
             return
         received_bytes = self._snapshot_sink.add(message)
         if received_bytes < message.size_bytes:
@@ -1002,10 +1033,10 @@
                 next_offset=received_bytes,
                 sent_ms=message.sent_ms,
             )
-            self._send_durable(sender.address, reply)
+            self._send(sender.address, reply)
             return
         self._install(self._snapshot_sink.pop())
-        self._reply_append(sender, message, True, message.snapshot_index)
+        self._accept_append(sender, message, message.snapshot_index)
 
     def _install(self, snapshot: Snapshot) -> None:
         is_reset = self.log.install(snapshot)
--- a/packages/cardamomshunt/src/cardamomshunt/_consensus/options.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_consensus/options.py
@@ -39,11 +39,13 @@
     # Lets nodes that are not members join by themselves. Only `n_voters` of the members
     # vote: an odd number, so that one side of a partitioned group has a majority. The
     # others are learners that replace a voter unresponsive for `retire_after_ms`, or for
-    # `first_answer_ms` if it has never answered the present leader.
+    # `first_answer_ms` if it has never answered the present leader, or one that answers
+    # but has confirmed no write for `stalled_after_ms`.
     admits_unknown_nodes: bool = False
     n_voters: int = 3
     retire_after_ms: float = 2_500.0
     first_answer_ms: float = 1_300.0
+    stalled_after_ms: float = 10_000.0
 
 
 @dataclass(slots=True)
--- a/packages/cardamomshunt/tests/test_slow_disks.py
+++ b/packages/cardamomshunt/tests/test_slow_disks.py
@@ -5,6 +5,7 @@
 import pytest
 from cardamomshunt.consensus import (
     AppendEntries,
+    AppendReply,
     ConsensusNode,
     ConsensusRole,
     Entry,
@@ -159,5 +160,24 @@
     assert [m for m in _messages(done) if isinstance(m, VoteRequest)]
 
 
+def test_a_contact_is_confirmed_without_what_is_not_durable() -> None:
+    """Guards against an acknowledged entry that a follower loses in a crash."""
+    node = _node(Vote(_TERM, ""))
+    append = AppendEntries(
+        term=_TERM,
+        incarnation=2,
+        prev_index=1,
+        prev_term=_TERM,
+        commit_index=0,
+        sent_ms=5.0,
+        entries=[Entry(2, _TERM, EntryKind.COMMAND, b"y")],
+    )
+    effects = node.on_message(0.0, Peer("s2", "s2"), append)
+    done = node.on_storage_done(9.0, _last_sequence(effects))
+    replies = [m for m in _messages(effects + done) if isinstance(m, AppendReply)]
+    found = [(m.is_complete, m.match_index, m.sent_ms) for m in replies]
+    assert found == [(False, 1, 5.0), (True, 2, 5.0)]
+
+
 def _messages(effects: list[ControlEffect]) -> list[object]:
     return [effect.message for effect in effects if isinstance(effect, SendMessage)]
