Sync the parent of a new data folder once

A control node with an empty disk synced the parent of its data folder twice before it listened: when it created the folder, and again because the folder was blank. Where a sync takes 500 ms, that delays its start by as long. The second sync is left out if the folder was just created; a blank folder that existed before is treated as before, as its creation may not be durable.

--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_log_storage.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_log_storage.py
@@ -100,13 +100,17 @@
         os.close(descriptor)
 
 
-def _make_folder(folder: Path) -> None:
-    """Create a folder and the missing ones above it, so that they survive a power loss."""
+def _make_folder(folder: Path) -> bool:
+    """Create a folder that survives a power loss; return False if it existed before.
+
+    The missing folders above it are created as well.
+    """
     if folder.exists():
-        return
+        return False
     _make_folder(folder.parent)
     folder.mkdir(exist_ok=True)
     _sync_folder(folder.parent)
+    return True
 
 
 def _write_all(descriptor: int, data: bytes) -> None:
@@ -161,7 +165,7 @@
         An empty folder gets `new_incarnation`, by which the other nodes recognise that
         earlier votes and acknowledgements of this node are lost.
         """
-        _make_folder(self._folder)
+        is_new = _make_folder(self._folder)
         self._lock = os.open(self._folder / "lock", os.O_RDWR | os.O_CREAT, 0o600)
         try:
             fcntl.flock(self._lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
@@ -170,15 +174,15 @@
                 error.errno, f"{self._folder}: another process uses this data folder"
             ) from error
         try:
-            return self._read(new_incarnation)
+            return self._read(new_incarnation, is_new)
         except BaseException:
             self.close()
             raise
 
-    def _read(self, new_incarnation: int) -> OpenedStorage:
+    def _read(self, new_incarnation: int, is_new: bool) -> OpenedStorage:
         is_blank = not self._has_state()
-        if is_blank:
-            # Also where an earlier process ended between the creation and this sync.
+        if is_blank and not is_new:
+            # An earlier process may have ended between the creation and its sync.
             _sync_folder(self._folder.parent)
         incarnation = self._read_identity(new_incarnation, is_blank)
         vote = self._read_vote()
--- a/packages/cardamomshunt-node/tests/test_log_storage.py
+++ b/packages/cardamomshunt-node/tests/test_log_storage.py
@@ -185,6 +185,9 @@
     parents = [item.parent.stat().st_ino for item in created]
     # The folder is durable before the first file in it is.
     assert set(parents) <= set(synced[: synced.index(folder.stat().st_ino)])
+    # A slow disk delays the node's start by each sync: one for each parent, and two for
+    # the identity.
+    assert len(synced) == len(parents) + 2
 
 
 class _FullDisk:
