Write no member list before the log of a live leader

While a leader is in contact, the node waits for its log now; without one it adopts the members as before.

The new test failed before.

--- a/packages/cardamomshunt/src/cardamomshunt/_consensus/node.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_consensus/node.py
@@ -384,12 +384,14 @@
                 EventNumber.MEMBER_CATCHING_UP, message.node, str(message.incarnation)
             )
 
-    def _on_join_reply(self, sender: Peer, message: JoinReply) -> None:
+    def _on_join_reply(self, now_ms: float, sender: Peer, message: JoinReply) -> None:
         if self.is_formed:
             return
         has_log = self.log.last_index > 0
         members = self._joiner.on_reply(sender, message, has_log=has_log)
-        if members is not None:
+        # The log that a live leader sends brings the members without a further write.
+        is_led = self.leader is not None and self._timer.has_live_leader(now_ms)
+        if members is not None and not is_led:
             self._form(members)
 
     def _form(self, members: list[Member]) -> None:
@@ -967,4 +969,4 @@
             case JoinHello():
                 self._on_join_hello(now_ms, sender, message)
             case JoinReply():
-                self._on_join_reply(sender, message)
+                self._on_join_reply(now_ms, sender, message)
--- a/packages/cardamomshunt/tests/test_consensus.py
+++ b/packages/cardamomshunt/tests/test_consensus.py
@@ -8,11 +8,13 @@
 import pytest
 from cardamomshunt.consensus import (
     AppendEntries,
+    ConsensusMessage,
     ConsensusNode,
     ConsensusOptions,
     ConsensusRole,
     Entry,
     EntryKind,
+    JoinReply,
     Member,
     Peer,
     RestoredState,
@@ -20,7 +22,12 @@
     SnapshotChunk,
     Vote,
 )
-from cardamomshunt.control import ControlEffect, PersistEffect, SendMessage
+from cardamomshunt.control import (
+    ControlEffect,
+    PersistEffect,
+    PersistSnapshot,
+    SendMessage,
+)
 
 _NAMES = ["s1", "s2", "s3", "s4", "s5"]
 
@@ -365,6 +372,34 @@
         assert "s9" not in cluster.voters()
 
 
+def test_members_are_not_written_before_the_log_of_a_live_leader() -> None:
+    # Guards against a joining node that writes the members by themselves before the log
+    # that contains them, and against one that never learns them once the leader is lost.
+    cluster = _OpenCluster(["s1", "s2", "s3"], _PRODUCT)
+    cluster.pass_time(2_000.0)
+    leader = cluster.leader
+    node = cluster.add("s9", ["s1", "s2", "s3"], may_form=False)
+    member = msgspec.structs.replace(
+        leader.members[0], node="s9", peer_address="s9", incarnation=77, is_voter=False
+    )
+    ids = {"term": leader.term, "incarnation": leader.incarnation}
+    reply = JoinReply(**ids, is_formed=True, members=[*leader.members, member])
+    append = AppendEntries(
+        **ids, prev_index=5, prev_term=1, commit_index=0, sent_ms=0.0, entries=[]
+    )
+    peer = Peer(leader.node, leader.node)
+
+    def n_snapshots(now_ms: float, message: ConsensusMessage) -> int:
+        effects = node.on_message(now_ms, peer, message)
+        return sum(isinstance(effect, PersistSnapshot) for effect in effects)
+
+    assert n_snapshots(cluster.now_ms, append) == 0
+    assert n_snapshots(cluster.now_ms + 100.0, reply) == 0
+    assert not node.is_formed
+    assert n_snapshots(cluster.now_ms + 1_000.0, reply) == 1
+    assert node.is_formed
+
+
 def test_a_removed_learner_announces_itself_soon() -> None:
     # Guards against a node that takes itself for a member and is silent for seconds.
     cluster = _DelayedCluster(["s1", "s2", "s3"], _PRODUCT)
