Wait for a commit as long as the node leads

What callers saw: with a disk that takes more than 2 s for each commit, a dead primary was never replaced; writes of its group failed until the disk was fast.

Cause: a replacement gave up each commit after 2 s. The token that was committed later did not count as its own, so the next attempt committed another one, and the promotion was never called.

Change: the steps of a replacement, a first assignment and the stored servers, numbers and holders wait for their commit until the node stops leading. The log is written in order, so a repeated proposal could only come later. A call that changes the configuration is still answered after 2 s.

--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_consensus_host.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_consensus_host.py
@@ -131,10 +131,12 @@
         leader = self.node.member(self.node.leader or "")
         return leader.operator_address if leader else None
 
-    async def propose(self, payload: bytes, timeout_ms: float) -> bool:
+    async def propose(self, payload: bytes) -> bool:
         """Commit a command; return whether it took effect.
 
-        Raise NotLeaderError or TimeoutError if the outcome is ambiguous.
+        Raise NotLeaderError if the outcome is ambiguous. While this node leads there is
+        no time limit, as the same command, proposed again, would only be written after
+        this one.
         """
         index = self.node.propose(boot_ms(), payload)
         if index is None:
@@ -144,8 +146,7 @@
         self._run_effects(self.node.pop_effects())
         self._process_ready()
         try:
-            async with asyncio.timeout(timeout_ms / 1_000.0):
-                return await future
+            return await future
         finally:
             self._pending_commands.pop(index, None)
 
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_control_node.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_control_node.py
@@ -48,7 +48,6 @@
 from cardamomshunt_node._primary_watch import PrimaryWatch
 from cardamomshunt_node._quota_service import QuotaService
 from cardamomshunt_node._recovery_steps import RecoveryStep
-from cardamomshunt_node._replacement import COMMIT_TIMEOUT_MS
 from cardamomshunt_node._report_exchange import ReportExchange
 from cardamomshunt_node._stream_transport import StreamMessage, StreamTransport
 
@@ -56,6 +55,8 @@
 _STORE_INTERVAL_S = 1.0
 _HOLDERS_COLLECTION_S = 0.02
 _LEADER_WAIT_MS = 600.0
+# After this time a caller is told that its configuration may not be committed.
+_CONFIRMATION_WAIT_MS = 2_000.0
 _STOP_TIMEOUT_MS = 1_500.0
 _LINGER_S = 0.15
 _INCARNATION_BITS = 62
@@ -235,8 +236,8 @@
         if not self._host.may_act:
             return
         try:
-            await self._host.propose(encode_command(command), COMMIT_TIMEOUT_MS)
-        except (NotLeaderError, TimeoutError):
+            await self._host.propose(encode_command(command))
+        except NotLeaderError:
             self._log.write("store_unsure", command=type(command).__name__)
 
     def _reload(self) -> None:
@@ -377,7 +378,8 @@
             return ControlReply(200, b"{}")
         try:
             command = PutDocument(version=table.version, document=document)
-            await self._host.propose(encode_command(command), COMMIT_TIMEOUT_MS)
+            async with asyncio.timeout(_CONFIRMATION_WAIT_MS / 1_000.0):
+                await self._host.propose(encode_command(command))
         except (NotLeaderError, TimeoutError) as error:
             self._log.write(
                 "configuration_unsure",
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_primary_watch.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_primary_watch.py
@@ -24,11 +24,7 @@
 from cardamomshunt_node._decision_log import DecisionLog
 from cardamomshunt_node._deployment import DeploymentSettings, Platform, Promotion
 from cardamomshunt_node._http import call_http
-from cardamomshunt_node._replacement import (
-    COMMIT_TIMEOUT_MS,
-    Replacement,
-    ReplacementContext,
-)
+from cardamomshunt_node._replacement import Replacement, ReplacementContext
 from cardamomshunt_node._server_admin import ServerAdmin
 
 _WATCH_INTERVAL_S = 0.05
@@ -136,10 +132,9 @@
             return
         try:
             await self._host.propose(
-                encode_command(AssignPrimary(group=group, server=leading[0].server)),
-                COMMIT_TIMEOUT_MS,
+                encode_command(AssignPrimary(group=group, server=leading[0].server))
             )
-        except (NotLeaderError, TimeoutError):
+        except NotLeaderError:
             self._log.write("assignment_unsure", group=group)
 
     # ReplacementContext
@@ -158,10 +153,8 @@
         return limits.n_sync_replicas if limits else 0
 
     async def commit(self, command: AssignmentCommand) -> bool:
-        """Commit and publish a command; raise NotLeaderError or TimeoutError."""
-        took_effect = await self._host.propose(
-            encode_command(command), COMMIT_TIMEOUT_MS
-        )
+        """Commit and publish a command; raise NotLeaderError."""
+        took_effect = await self._host.propose(encode_command(command))
         assignment = self._assignments().get(command.group)
         if took_effect and assignment is not None:
             self._own_tokens.add(assignment.epoch)
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_replacement.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_replacement.py
@@ -26,7 +26,6 @@
 from cardamomshunt_node._deployment import Promotion
 from cardamomshunt_node._server_admin import ServerAdmin
 
-COMMIT_TIMEOUT_MS = 2_000.0
 _POLL_S = 0.02
 _RETRY_S = 0.1
 # After this time a planned replacement promotes a replica that has not caught up.
@@ -55,7 +54,7 @@
 
     @abstractmethod
     async def commit(self, command: AssignmentCommand) -> bool:
-        """Commit and publish a command; raise NotLeaderError or TimeoutError."""
+        """Commit and publish a command; raise NotLeaderError."""
 
     @abstractmethod
     def is_released(self, group: str, epoch: int) -> bool:
@@ -96,7 +95,7 @@
         try:
             while not await self._step():
                 await asyncio.sleep(0)
-        except (NotLeaderError, TimeoutError):
+        except NotLeaderError:
             self._log.write("replacement_left", group=self._group)
 
     async def _step(self) -> bool:
--- /dev/null
+++ b/tests/users_platform/test_slow_commits.py
@@ -0,0 +1,64 @@
+"""A control node whose disk takes longer for a write than a caller waits."""
+
+import asyncio
+import time
+from dataclasses import dataclass
+
+import pytest
+import pytest_asyncio
+from cardamomshunt_node._log_storage import LogStorage
+
+from conftest import run_deployment
+
+# A commit takes longer than `_CONFIRMATION_WAIT_MS` of a control node.
+_WRITE_S = 2.2
+
+
+@dataclass
+class _Disk:
+    write_s: float = 0.0
+
+
+@pytest.fixture
+def disk(monkeypatch):
+    """Return the time that each write to the disks of control nodes takes longer."""
+    found = _Disk()
+    write = LogStorage.write
+
+    def write_slowly(storage, effects):
+        time.sleep(found.write_s)
+        return write(storage, effects)
+
+    monkeypatch.setattr(LogStorage, "write", write_slowly)
+    yield found
+    found.write_s = 0.0
+
+
+@pytest_asyncio.fixture
+async def slow_deployment(tmp_path, disk):
+    """Run a deployment with one control node, which needs no other to commit."""
+    async with run_deployment(tmp_path, ("z1", "z2"), n_control_nodes=1) as running:
+        disk.write_s = _WRITE_S
+        yield running
+        disk.write_s = 0.0
+
+
+async def _write_once(deployment) -> str:
+    """Return the last line of the answer to a write, or an empty string if it is lost."""
+    try:
+        caller = await deployment.open_session()
+        lines = await caller.execute("WRITE k1 a")
+    except ConnectionError:
+        return ""
+    caller.close()
+    return lines[-1]
+
+
+async def test_a_primary_is_replaced_although_each_commit_is_slow(slow_deployment):
+    # Guards against a replacement that is left at each commit, begins again with another
+    # token, and so never asks for the promotion.
+    slow_deployment.server("i-3").is_unreachable = True
+    async with asyncio.timeout(30.0):
+        while not (await _write_once(slow_deployment)).startswith("COMPLETE"):
+            await asyncio.sleep(0.05)
+    assert len(slow_deployment.provider.calls) == 1
