Let repeated configurations share one commit

What callers saw: a configuration that was not confirmed within 2 s was refused with 503, as documented, and so was its repetition, though it was committed in the meantime. During a stall of the disk each repetition added another copy of the document to the log.

Cause: each call proposed the document again, and waited for its own copy.

Change: a call with a document whose commit is under way waits for that one.

Measured with writes of 3 s (loopback, one control node): the second call answers 200, and the log has one copy.

--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_control_node.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_control_node.py
@@ -86,6 +86,7 @@
         )
         self._published_assignments: dict[str, Assignment] = {}
         self._is_announced = False
+        self._document_commits: dict[bytes, asyncio.Task[bool]] = {}
         self._reports = ReportExchange(
             self._transport,
             self._log,
@@ -377,9 +378,8 @@
             )
             return ControlReply(200, b"{}")
         try:
-            command = PutDocument(version=table.version, document=document)
             async with asyncio.timeout(_CONFIRMATION_WAIT_MS / 1_000.0):
-                await self._host.propose(encode_command(command))
+                await asyncio.shield(self._commit_document(table.version, document))
         except (NotLeaderError, TimeoutError) as error:
             self._log.write(
                 "configuration_unsure",
@@ -390,6 +390,26 @@
         self._log.write("configuration_acknowledged", version=table.version)
         return ControlReply(200, b"{}")
 
+    def _commit_document(self, version: int, document: bytes) -> asyncio.Task[bool]:
+        """Return the commit of a document, which repeated calls share.
+
+        Callers repeat a configuration that is not confirmed in time, and each further
+        copy in the log would delay what comes after it.
+        """
+        commit = self._document_commits.get(document)
+        if commit is None:
+            command = PutDocument(version=version, document=document)
+            commit = asyncio.create_task(self._host.propose(encode_command(command)))
+            self._document_commits[document] = commit
+            commit.add_done_callback(lambda done: self._forget_commit(document, done))
+        return commit
+
+    def _forget_commit(self, document: bytes, commit: asyncio.Task[bool]) -> None:
+        del self._document_commits[document]
+        if not commit.cancelled():
+            # Its callers may all have left; asyncio reports errors nobody looked at.
+            commit.exception()
+
     async def _read_configuration(self) -> ControlReply:
         reply = await self._await_leader()
         if reply is not None:
--- a/tests/users_platform/test_slow_commits.py
+++ b/tests/users_platform/test_slow_commits.py
@@ -6,7 +6,10 @@
 
 import pytest
 import pytest_asyncio
+from cardamomshunt.fleet import PutDocument, encode_command
+from cardamomshunt_node._http import HttpRequest
 from cardamomshunt_node._log_storage import LogStorage
+from standin import call_control, document
 
 from conftest import run_deployment
 
@@ -62,3 +65,24 @@
         while not (await _write_once(slow_deployment)).startswith("COMPLETE"):
             await asyncio.sleep(0.05)
     assert len(slow_deployment.provider.calls) == 1
+
+
+async def test_a_repeated_configuration_waits_for_its_first_commit(
+    slow_deployment, disk
+):
+    # Guards against a log that gets another copy of a document with each repetition, and
+    # against a repetition that is refused although the first copy is committed.
+    disk.write_s = 3.0
+    node = slow_deployment.controls["control-1"]
+    address = slow_deployment.control_addresses[0]
+    body = document(version=2)
+    statuses = []
+    while 200 not in statuses:
+        response = await call_control(
+            address, HttpRequest("POST", "/Configuration.Replace", body), 4_000.0
+        )
+        statuses.append(response.status)
+    payload = encode_command(PutDocument(version=2, document=body))
+    entries = node._host.node.log.entries_from(1, 1_000)
+    assert [entry.payload for entry in entries].count(payload) == 1
+    assert statuses == [503, 200]
