Give late servers more time in a failover

What callers saw: in the own control plane, a dead primary was not replaced while each command to a server took longer than 300 ms, or a promotion longer than 900 ms, as on servers with slow disks or over slow links.

Cause: the time limits of a command and of a promotion were the same at each repetition. The answer to a fence came after its connection had been closed, and a late promotion led to another term, in which all servers had to be fenced again.

Change: the limit of a command grows with the time that its step takes, and the interval grows with it, so that no more commands run at a time. The limit of a promotion doubles with each one that a live candidate did not answer in time.

--- a/packages/cardamomshunt-testing/src/cardamomshunt_testing/control_schedules.py
+++ b/packages/cardamomshunt-testing/src/cardamomshunt_testing/control_schedules.py
@@ -64,6 +64,7 @@
     duplication: float = 0.05
     delay_ms: tuple[float, float] = (1.0, 12.0)
     sync_ms: tuple[float, float] = (1.0, 15.0)
+    command_ms: float = 0.0
     clock_drift: float = 0.024
     fault_interval_ms: tuple[float, float] = (150.0, 900.0)
     has_faults: bool = True
@@ -355,6 +356,9 @@
             if not self._is_delivered(host.name, command.instance):
                 return
             reply = self.group.command(command)
+            if self.now_ms > started_ms + command.timeout_ms:
+                # The command had its effect, but its connection is closed.
+                return
             if self._is_delivered(host.name, command.instance):
                 self.after(
                     self._delay_ms(),
@@ -363,7 +367,8 @@
                     ),
                 )
 
-        self.after(self._delay_ms(), execute)
+        started_ms = self.now_ms
+        self.after(self._delay_ms() + self.options.command_ms, execute)
 
     # Network
 
--- a/packages/cardamomshunt/src/cardamomshunt/_control/failover.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_control/failover.py
@@ -24,11 +24,17 @@
 
 @dataclass(slots=True, frozen=True)
 class FailoverOptions:
-    """Timeouts, intervals and limits of failovers and handovers."""
+    """Timeouts, intervals and limits of failovers and handovers.
+
+    Commands and promotions that are not answered in time are given more time at the
+    next try, up to the maxima, as the server or the network may be slow.
+    """
 
     command_timeout_ms: float = 300.0
+    command_timeout_max_ms: float = 2_400.0
     command_interval_ms: float = 100.0
     promotion_limit_ms: float = 900.0
+    promotion_limit_max_ms: float = 7_200.0
     blocked_after_ms: float = 5_000.0
     new_group_grace_ms: float = 1_000.0
     full_evaluation_interval_ms: float = 1_000.0
@@ -93,6 +99,8 @@
         self._health = health
         self._progress_by_database: dict[str, _StepProgress] = {}
         self._first_seen_ms: dict[str, float] = {}
+        # Promotions in a row that a candidate did not answer in time, though alive.
+        self._n_late_promotions: dict[str, int] = defaultdict(int)
         self._flap_histories: dict[str, _FlapHistory] = defaultdict(_FlapHistory)
         self._stale_instance_due_ms: dict[tuple[str, str], float] = {}
         self._pending: dict[str, int] = {}
@@ -290,11 +298,22 @@
         """Send a command, or repeat it if the command interval has passed."""
         if now_ms < progress.due_ms.get(instance, now_ms):
             return
-        progress.due_ms[instance] = now_ms + self.options.command_interval_ms
-        self._send_command(record, instance, kind)
+        options = self.options
+        waited_ms = now_ms - progress.started_ms
+        timeout_ms = min(
+            options.command_timeout_ms + waited_ms, options.command_timeout_max_ms
+        )
+        # As many commands run at a time, however long each may take.
+        slowdown = timeout_ms / options.command_timeout_ms
+        progress.due_ms[instance] = now_ms + options.command_interval_ms * slowdown
+        self._send_command(record, instance, kind, timeout_ms)
 
     def _send_command(
-        self, record: DatabaseRecord, instance: str, kind: InstanceCommandKind
+        self,
+        record: DatabaseRecord,
+        instance: str,
+        kind: InstanceCommandKind,
+        timeout_ms: float,
     ) -> None:
         address = self._health.address(record.database, instance, self._zone)
         self._effects.append(
@@ -304,7 +323,7 @@
                 address=address or record.instances[instance].address,
                 kind=kind,
                 term=record.term,
-                timeout_ms=self.options.command_timeout_ms,
+                timeout_ms=timeout_ms,
             )
         )
 
@@ -542,7 +561,12 @@
             self._stale_instance_due_ms[key] = (
                 now_ms + self.options.stale_instance_fence_interval_ms
             )
-            self._send_command(record, instance, InstanceCommandKind.FENCE)
+            self._send_command(
+                record,
+                instance,
+                InstanceCommandKind.FENCE,
+                self.options.stale_instance_fence_interval_ms,
+            )
 
     def _evaluate_handover(
         self, now_ms: float, record: DatabaseRecord, progress: _StepProgress
@@ -705,13 +729,21 @@
                 record, "fail", record.term + 1, "the promotion has no candidate"
             )
             return
-        if now_ms - progress.started_ms > self.options.promotion_limit_ms:
+        if now_ms - progress.started_ms > self._promotion_limit_ms(record.database):
+            if self._health_of(now_ms, record.database, candidate).is_alive:
+                self._n_late_promotions[record.database] += 1
             self._fail_promotion(record, f"{candidate} did not answer in time")
             return
         self._send_command_if_due(
             now_ms, record, progress, candidate, InstanceCommandKind.PROMOTE
         )
 
+    def _promotion_limit_ms(self, database: str) -> float:
+        """Return how long a promotion may take; each late one doubles it."""
+        options = self.options
+        limit_ms = options.promotion_limit_ms * 2.0 ** self._n_late_promotions[database]
+        return min(limit_ms, options.promotion_limit_max_ms)
+
     def _fail_promotion(
         self, record: DatabaseRecord, reason: str, term: int = 0
     ) -> None:
@@ -725,6 +757,7 @@
             reason = f"{reply.instance} refused; it is in term {reply.term}"
             self._fail_promotion(record, reason, reply.term)
             return
+        self._n_late_promotions.pop(record.database, None)
         number = EventNumber.PROMOTION_DONE
         if record.target_instance is not None:
             number = EventNumber.HANDOVER_DONE
--- a/packages/cardamomshunt/tests/test_control_scenarios.py
+++ b/packages/cardamomshunt/tests/test_control_scenarios.py
@@ -121,6 +121,15 @@
     assert schedule.violations == []
 
 
+@pytest.mark.parametrize("command_ms", [280.0, 350.0, 700.0, 1_200.0])
+def test_failed_primary_is_replaced_by_slow_servers(command_ms: float) -> None:
+    """Guards against fences and promotions that are begun again before their answer."""
+    schedule = _schedule(command_ms=command_ms)
+    schedule.group.stop("orders-1")
+    _run_until_serving(schedule, 2, 12.0 * command_ms)
+    assert schedule.violations == []
+
+
 def test_partitioned_primary_is_not_promoted_again() -> None:
     """Guards against flapping when only control reaches the old primary.
 
