Forward grants that come after the next request

What callers saw: nothing directly. An entry VM whose assigned control node had a round trip to the leader of more than 150 to 250 ms got no grant through it, took it for dead after 600 ms, and asked all control nodes instead.

Cause: the assigned control node kept only the newest request of an entry VM, and dropped the leader's grants to older ones, which are still valid leases.

Change: grants to the last 32 requests are forwarded, as many as the entry VM itself keeps.

--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_entry_service.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_entry_service.py
@@ -46,6 +46,8 @@
 # Requests of a zone are collected this long for one message to the leader.
 _RELAY_INTERVAL_S = 0.015
 _NUMBER_START_BITS = 48
+# A grant to an older request is of an earlier process, as sequences start at random.
+_N_REQUESTS_AWAITED_MAX = 32
 
 
 class EntryService:
@@ -349,8 +351,13 @@
         now = boot_ms()
         for item in message.grants:
             request = self._relayed.get(item.entry)
-            if request is not None and request.sequence == item.grant.sequence:
+            if request is None:
+                continue
+            n_newer = request.sequence - item.grant.sequence
+            if n_newer == 0:
                 del self._relayed[item.entry]
+            # Later than the next request over a slow link, and yet the newest lease.
+            if 0 <= n_newer < _N_REQUESTS_AWAITED_MAX:
                 self._send_grant(item.entry, request, item.grant, now)
 
 
