Count the wait for a patch in force from its commit

What callers saw: a patch whose commit took 3 s or more was reported as accepted and missing on all live nodes, with event PATCH_NOT_IN_FORCE, as none had had time to take it.

Cause: the wait of 3 s began with the request, and so had to outlast the commit.

Change: it begins when the patch is committed.

Measured without a network, commit of 4 s: the reply names no missing node.

--- a/packages/cardamomshunt/src/cardamomshunt/_control/node.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_control/node.py
@@ -91,7 +91,10 @@
 
 @dataclass(slots=True)
 class _PendingRequest:
-    """Operator's request that waits until its command is committed or in force."""
+    """Operator's request that waits until its command is committed or in force.
+
+    `version` and `deadline_ms` are those of a committed patch.
+    """
 
     request_id: int
     command: Command
@@ -494,8 +497,7 @@
         )
 
     def _propose(self, now_ms: float, request_id: int, command: Command) -> None:
-        deadline_ms = now_ms + self.options.in_force_wait_ms
-        self._pending.append(_PendingRequest(request_id, command, None, deadline_ms))
+        self._pending.append(_PendingRequest(request_id, command))
         if self.consensus.propose(now_ms, encode_command(command)) is None:
             self._reject_pending()
 
@@ -535,6 +537,7 @@
             if not is_same:
                 continue
             pending.version = reply.version
+            pending.deadline_ms = now_ms + self.options.in_force_wait_ms
             if not is_accepted:
                 self._reply_patch(now_ms, pending, reply)
         self._check_in_force(now_ms)
--- a/packages/cardamomshunt/tests/test_control_scenarios.py
+++ b/packages/cardamomshunt/tests/test_control_scenarios.py
@@ -1,19 +1,30 @@
 """Failovers, handovers and patches with double faults, as scripted simulations."""
 
+from random import Random
 from typing import Any
 
 import msgspec
 import pytest
 from cardamomshunt._control.health_view import HealthView
-from cardamomshunt.consensus import ConsensusNode, Member, Peer
-from cardamomshunt.control import ControlNode, DatabaseRecord
+from cardamomshunt.consensus import ConsensusNode, Member, Peer, RestoredState
+from cardamomshunt.control import (
+    ControlEffect,
+    ControlNode,
+    DatabaseRecord,
+    PersistEffect,
+    ReplyOperator,
+    SendMessage,
+)
 from cardamomshunt.failover import FailoverController
 from cardamomshunt.messages import (
     Change,
+    ConfigurationUpdate,
     FailoverStep,
     HealthReport,
+    Heartbeat,
     InstanceAddress,
     InstanceRole,
+    NodeRole,
 )
 from cardamomshunt.operator_messages import (
     ConfigurationReply,
@@ -442,6 +453,54 @@
     assert "unreachable" in reply.missing_on[0]
 
 
+def test_nodes_get_their_time_after_a_slow_commit() -> None:
+    """Guards against a reply that misses live nodes as the commit took all of the wait."""
+    member = Member(node="c1", zone="z", peer_address="c1", operator_address="c1")
+    node = ControlNode("c1", "z", [member], RestoredState(1), Random(1), 0.0)
+    replies: list[Any] = []
+    sync_ms, now_ms, version = 0.0, 0.0, 0
+    written: list[tuple[float, int]] = []
+
+    def run(effects: list[ControlEffect]) -> None:
+        nonlocal version
+        for effect in effects:
+            if isinstance(effect, PersistEffect):
+                written.append((now_ms + sync_ms, effect.sequence))
+            elif isinstance(effect, ReplyOperator):
+                replies.append(effect.message)
+            elif isinstance(effect, SendMessage) and isinstance(
+                effect.message, ConfigurationUpdate
+            ):
+                version = effect.message.version
+
+    for step in range(1_200):
+        now_ms = 10.0 * step
+        if step == 200:
+            sync_ms = 4_000.0
+            request = PatchRequest(
+                patch_id="p1",
+                base_version=0,
+                changes=[Change(path="policy.detection_ms", value=700.0)],
+            )
+            run(node.on_operator_request(now_ms, 1, request))
+        while written and written[0][0] <= now_ms:
+            run(node.on_storage_done(now_ms, written.pop(0)[1]))
+        run(node.tick(now_ms))
+        if step % 20 == 0:
+            heartbeat = Heartbeat(
+                node="proxy-1",
+                role=NodeRole.PROXY,
+                zone="z",
+                incarnation=1,
+                operator_address="proxy-1",
+                configuration_version=version,
+                topology_version=0,
+            )
+            run(node.on_message(now_ms, Peer("proxy-1", "proxy-1"), heartbeat))
+    assert [reply.missing_on for reply in replies] == [[]]
+    assert "proxy-1" in replies[0].in_force_on
+
+
 def test_stale_repeated_and_invalid_patches() -> None:
     """Guards against wrong replies to concurrent, repeated and invalid patches."""
     schedule = _schedule()
