Await the answer to a patch that is not in force everywhere

What callers saw: `cardamomctl patch` ended with exit code 3 and "the reply was lost" where an entry VM answered heartbeats and did not take the patch, though the leader had accepted it and named that entry VM.

Cause: the leader answers 3 s after the commit at the latest, and each request of the command line ended after 3 s, and was repeated until the last one.

Change: a request may take the leader's wait and 2 s for the commit.

Measured with a daemon that answers after 3.2 s: one request, exit code 0.

--- a/packages/cardamomshunt-cli/src/cardamomshunt_cli/_client.py
+++ b/packages/cardamomshunt-cli/src/cardamomshunt_cli/_client.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 from typing import TypeVar
 
+from cardamomshunt.control import ControlOptions
 from cardamomshunt.messages import Message
 from cardamomshunt.operator_messages import (
     OperatorError,
@@ -18,8 +19,8 @@
 from cardamomshunt_cli._exit_codes import CommandError, ExitCode
 
 _STATUS_TIMEOUT_MS = 1_500.0
-# The leader replicates a patch before it answers, which takes up to 2 s.
-_REQUEST_TIMEOUT_MS = 3_000.0
+# The leader commits a patch, which takes up to 2 s, and then waits until it is in force.
+_REQUEST_TIMEOUT_MS = 2_000.0 + ControlOptions().in_force_wait_ms
 # Covers several election timeouts, so that requests survive a change of the leader.
 _TOTAL_TIMEOUT_S = 10.0
 _RETRY_PAUSE_S = 0.25
--- a/packages/cardamomshunt-cli/tests/conftest.py
+++ b/packages/cardamomshunt-cli/tests/conftest.py
@@ -52,6 +52,7 @@
     patches: dict[str, PatchReply] = field(default_factory=dict)
     n_patch_requests: int = 0
     n_answers_lost: int = 0
+    patch_delay_s: float = 0.0
     n_polls_missing: int = 0
     nodes: list[NodeStatus] = field(default_factory=list)
     timeline: TimelineReply | None = None
@@ -111,6 +112,7 @@
 
     async def patch(self, request: PatchRequest) -> PatchReply:
         self.n_patch_requests += 1
+        await asyncio.sleep(self.patch_delay_s)
         reply = self.patches.get(request.patch_id)
         if reply is None:
             reply = self._decide(request)
--- a/packages/cardamomshunt-cli/tests/test_commands.py
+++ b/packages/cardamomshunt-cli/tests/test_commands.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 import pytest
+from cardamomshunt.control import ControlOptions
 from cardamomshunt.events import EventNumber
 from cardamomshunt.messages import Message
 from cardamomshunt.operator_messages import (
@@ -25,6 +26,8 @@
 from click.testing import Result
 
 Ctl = Callable[..., Result]
+# The tests run with a shorter one.
+_REQUEST_TIMEOUT_MS = _client._REQUEST_TIMEOUT_MS
 
 
 def test_status_of_leader(host: Any, ctl: Ctl) -> None:
@@ -83,6 +86,18 @@
     assert len(leader.patches) == 1 and leader.version == 2
 
 
+def test_answer_to_a_patch_is_awaited(
+    host: Any, ctl: Ctl, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a request given up just before the leader names missing nodes."""
+    monkeypatch.setattr(_client, "_REQUEST_TIMEOUT_MS", _REQUEST_TIMEOUT_MS)
+    wait_s = ControlOptions().in_force_wait_ms / 1_000.0
+    leader = host.daemon("control-1", patch_delay_s=wait_s + 0.2)
+    result = ctl([leader.address], "patch", "--set", "policy.detection_ms=700")
+    assert result.exit_code == ExitCode.OK, result.output
+    assert leader.n_patch_requests == 1
+
+
 @pytest.mark.parametrize(
     ("arguments", "exit_code", "text"),
     [
