--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_control_node.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_control_node.py
@@ -48,7 +48,6 @@
 from cardamomshunt_node._primary_watch import PrimaryWatch
 from cardamomshunt_node._quota_service import QuotaService
 from cardamomshunt_node._recovery_steps import RecoveryStep
-from cardamomshunt_node._replacement import COMMIT_TIMEOUT_MS
 from cardamomshunt_node._report_exchange import ReportExchange
 from cardamomshunt_node._stream_transport import StreamMessage, StreamTransport
 
@@ -56,6 +55,8 @@
 _STORE_INTERVAL_S = 1.0
 _HOLDERS_COLLECTION_S = 0.02
 _LEADER_WAIT_MS = 600.0
+# After this time a caller is told that its configuration may not be committed.
+_CONFIRMATION_WAIT_MS = 2_000.0
 _STOP_TIMEOUT_MS = 1_500.0
 _LINGER_S = 0.15
 _INCARNATION_BITS = 62
@@ -85,6 +86,7 @@
         )
         self._published_assignments: dict[str, Assignment] = {}
         self._is_announced = False
+        self._document_commits: dict[bytes, asyncio.Task[bool]] = {}
         self._reports = ReportExchange(
             self._transport,
             self._log,
@@ -235,8 +237,8 @@
         if not self._host.may_act:
             return
         try:
-            await self._host.propose(encode_command(command), COMMIT_TIMEOUT_MS)
-        except (NotLeaderError, TimeoutError):
+            await self._host.propose(encode_command(command))
+        except NotLeaderError:
             self._log.write("store_unsure", command=type(command).__name__)
 
     def _reload(self) -> None:
@@ -376,8 +378,8 @@
             )
             return ControlReply(200, b"{}")
         try:
-            command = PutDocument(version=table.version, document=document)
-            await self._host.propose(encode_command(command), COMMIT_TIMEOUT_MS)
+            async with asyncio.timeout(_CONFIRMATION_WAIT_MS / 1_000.0):
+                await asyncio.shield(self._commit_document(table.version, document))
         except (NotLeaderError, TimeoutError) as error:
             self._log.write(
                 "configuration_unsure",
@@ -388,6 +390,26 @@
         self._log.write("configuration_acknowledged", version=table.version)
         return ControlReply(200, b"{}")
 
+    def _commit_document(self, version: int, document: bytes) -> asyncio.Task[bool]:
+        """Return the commit of a document, which repeated calls share.
+
+        Callers repeat a configuration that is not confirmed in time, and each further
+        copy in the log would delay what comes after it.
+        """
+        commit = self._document_commits.get(document)
+        if commit is None:
+            command = PutDocument(version=version, document=document)
+            commit = asyncio.create_task(self._host.propose(encode_command(command)))
+            self._document_commits[document] = commit
+            commit.add_done_callback(lambda done: self._forget_commit(document, done))
+        return commit
+
+    def _forget_commit(self, document: bytes, commit: asyncio.Task[bool]) -> None:
+        del self._document_commits[document]
+        if not commit.cancelled():
+            # Its callers may all have left; asyncio reports errors nobody looked at.
+            commit.exception()
+
     async def _read_configuration(self) -> ControlReply:
         reply = await self._await_leader()
         if reply is not None:
