Measure writes to the disk of a control node

Neither log nor metrics showed how long a write takes, so slow syncs could not be told from other causes of a missing leader. Both control planes now serve the time of each batch of writes and the age of the oldest write that is not durable. On the users' platform a write longer than 100 ms has a line `slow_write`, one a second at most, and one that has not ended after 1 s has a line `write_stalled`, followed by `slow_write` when it ends.

--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_consensus_host.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_consensus_host.py
@@ -24,9 +24,11 @@
 from cardamomshunt.events import EventNumber
 
 from cardamomshunt_node._boot_clock import boot_ms
+from cardamomshunt_node._control_metrics import ControlMetrics
 from cardamomshunt_node._decision_log import DecisionLog
 from cardamomshunt_node._log_storage import LogStorage, OpenedStorage
 from cardamomshunt_node._storage_task import StorageDone, StorageFailed, StorageTask
+from cardamomshunt_node._storage_watch import StorageWatch
 from cardamomshunt_node._stream_transport import StreamMessage, StreamTransport
 
 # A lost packet delays a connection by 200 ms; an election timeout has to exceed the
@@ -59,6 +61,7 @@
         storage: LogStorage,
         transport: StreamTransport,
         log: DecisionLog,
+        metrics: ControlMetrics,
         apply: Callable[[int, bytes], bool],
         install: Callable[[bytes], None],
         encode_state: Callable[[], bytes],
@@ -83,7 +86,8 @@
         self._apply = apply
         self._install = install
         self._encode_state = encode_state
-        self._storage = StorageTask(storage, self._on_storage)
+        watch = StorageWatch(log, metrics.storage)
+        self._storage = StorageTask(storage, self._on_storage, watch.observe)
         self._pending_commands: dict[int, tuple[int, asyncio.Future[bool]]] = {}
         self.applied_index = 0
         self._snapshot_index = 0
@@ -116,6 +120,11 @@
         """Return whether all writes are durable."""
         return self._storage.is_idle
 
+    @property
+    def oldest_write_age_ms(self) -> float:
+        """Return the age of the oldest write that is not durable, or 0."""
+        return self._storage.oldest_age_ms
+
     @property
     def may_act(self) -> bool:
         """Return whether this node holds the leader lease, so that no other can lead."""
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_control_daemon.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_control_daemon.py
@@ -38,6 +38,7 @@
     CounterWatch,
     NodeWatch,
 )
+from cardamomshunt_node._storage_metrics import StorageMetrics
 from cardamomshunt_node._storage_task import StorageDone, StorageFailed, StorageTask
 from cardamomshunt_node._telemetry import Telemetry
 from cardamomshunt_node._transport import PeerTransport, ReceivedMessage
@@ -128,7 +129,11 @@
             settings.node, settings.operator_address.url, keys, self._handle_request
         )
         self._storage = storage
-        self._storage_task = StorageTask(storage, self._inbox.put_nowait)
+        metrics = telemetry.metrics
+        self._storage_metrics = StorageMetrics(metrics.registry, metrics.const_labels)
+        self._storage_task = StorageTask(
+            storage, self._inbox.put_nowait, self._storage_metrics.observe
+        )
         self._commands = InstanceCommands(self._inbox.put_nowait)
         self._request_ids = itertools.count(1)
         self._replies: dict[int, asyncio.Future[Message]] = {}
@@ -245,6 +250,7 @@
         metrics = self._telemetry.metrics
         metrics.set_leader(self._node.consensus.is_leader)
         metrics.set_configuration_version(self._node.state.configuration.version)
+        self._storage_metrics.set_oldest_age(self._storage_task.oldest_age_ms)
 
     def _run_effects(self, effects: list[ControlEffect]) -> None:
         for effect in effects:
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_control_metrics.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_control_metrics.py
@@ -3,6 +3,7 @@
 from aioprometheus import Counter, Gauge
 
 from cardamomshunt_node._daemon_metrics import DaemonMetrics
+from cardamomshunt_node._storage_metrics import StorageMetrics
 
 
 class ControlMetrics(DaemonMetrics):
@@ -25,6 +26,7 @@
             "Replacements of a primary that were begun, by reason.",
             registry=self.registry,
         )
+        self.storage = StorageMetrics(self.registry)
         self._is_leader = Gauge(
             "cardamomshunt_is_leader",
             "1 while this node leads.",
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_control_node.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_control_node.py
@@ -148,6 +148,7 @@
             self._storage,
             self._transport,
             self._log,
+            self._metrics,
             self._apply,
             self._install_snapshot,
             lambda: self._state.encode(),
@@ -402,3 +403,4 @@
             self._state.version,
             len(self._entries.live_entries()),
         )
+        self._metrics.storage.set_oldest_age(self._host.oldest_write_age_ms)
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_metrics.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_metrics.py
@@ -111,7 +111,7 @@
 
     def __init__(self, node: str, role: str, zone: str) -> None:
         self.registry = Registry()
-        self._const_labels = {"node": node, "role": role, "zone": zone}
+        self.const_labels = {"node": node, "role": role, "zone": zone}
         self._service = _RefreshingService(self.registry, self._refresh)
         self._refreshers: list[Callable[[], None]] = [
             self._set_process_gauges,
@@ -315,13 +315,13 @@
             self._reads.set(labels, n_reads)
 
     def _counter(self, name: str, text: str) -> Counter:
-        return Counter(f"cardamomshunt_{name}", text, self._const_labels, self.registry)
+        return Counter(f"cardamomshunt_{name}", text, self.const_labels, self.registry)
 
     def _gauge(self, name: str, text: str) -> Gauge:
-        return Gauge(f"cardamomshunt_{name}", text, self._const_labels, self.registry)
+        return Gauge(f"cardamomshunt_{name}", text, self.const_labels, self.registry)
 
     def _histogram(self, name: str, text: str, buckets: list[float]) -> Histogram:
         limits = [float(limit) for limit in buckets]
         return Histogram(
-            f"cardamomshunt_{name}", text, self._const_labels, self.registry, limits
+            f"cardamomshunt_{name}", text, self.const_labels, self.registry, limits
         )
