Count the events of the replicated log on the users' platform

An election that fails repeatedly showed in the log alone. `cardamomshunt_events_total` by number counts each event there, under the name that the own control plane already serves, so that one alert covers both. The five numbers of elections start at 0, as an alert on an increase does not see a series that begins with its first event.

--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_consensus_host.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_consensus_host.py
@@ -83,6 +83,7 @@
         )
         self._transport = transport
         self._decision_log = log
+        self._metrics = metrics
         self._apply = apply
         self._install = install
         self._encode_state = encode_state
@@ -223,12 +224,16 @@
                 case PersistEffect():
                     self._storage.put(effect)
                 case EmitEvent():
-                    self._decision_log.write(
-                        EventNumber(effect.number).name.lower(),
-                        subject=effect.subject,
-                        detail=effect.detail,
-                        term=self.node.term,
-                    )
+                    self._emit(effect)
+
+    def _emit(self, event: EmitEvent) -> None:
+        self._metrics.count_event(event.number)
+        self._decision_log.write(
+            EventNumber(event.number).name.lower(),
+            subject=event.subject,
+            detail=event.detail,
+            term=self.node.term,
+        )
 
     def _process_ready(self) -> None:
         """Apply committed entries and report a change of leadership."""
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_control_metrics.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_control_metrics.py
@@ -1,10 +1,20 @@
 """Metrics of a control VM."""
 
 from aioprometheus import Counter, Gauge
+from cardamomshunt.events import EventNumber
 
 from cardamomshunt_node._daemon_metrics import DaemonMetrics
 from cardamomshunt_node._storage_metrics import StorageMetrics
 
+# Present from the start, as alerts see only increases of a series that exists.
+_ELECTION_EVENTS = (
+    EventNumber.LEADER_ELECTED,
+    EventNumber.LEADER_STEPPED_DOWN,
+    EventNumber.ELECTION_STARTED,
+    EventNumber.ELECTION_FAILED,
+    EventNumber.PRE_VOTE_FAILED,
+)
+
 
 class ControlMetrics(DaemonMetrics):
     """Record the metrics of a control VM."""
@@ -26,6 +36,13 @@
             "Replacements of a primary that were begun, by reason.",
             registry=self.registry,
         )
+        self._events = Counter(
+            "cardamomshunt_events_total",
+            "Events of the replicated log by number.",
+            registry=self.registry,
+        )
+        for number in _ELECTION_EVENTS:
+            self._events.set({"number": str(int(number))}, 0)
         self.storage = StorageMetrics(self.registry)
         self._is_leader = Gauge(
             "cardamomshunt_is_leader",
@@ -55,6 +72,10 @@
         """Count a replacement."""
         self._replacements.inc({"reason": reason})
 
+    def count_event(self, number: int) -> None:
+        """Count an event of the catalogue."""
+        self._events.inc({"number": str(int(number))})
+
     def set_state(self, is_leader: bool, version: int, n_entries: int) -> None:
         """Set the gauges."""
         self._is_leader.set({}, int(is_leader))
--- a/packages/cardamomshunt-node/tests/test_storage_observability.py
+++ b/packages/cardamomshunt-node/tests/test_storage_observability.py
@@ -1,4 +1,4 @@
-"""Slow disks show in the log and in the metrics."""
+"""Slow disks and failed elections show in the log and in the metrics."""
 
 import asyncio
 import json
@@ -9,7 +9,8 @@
 
 import pytest
 from cardamomshunt.consensus import Member, Vote
-from cardamomshunt.control_effects import PersistVote
+from cardamomshunt.control_effects import EmitEvent, PersistVote
+from cardamomshunt.events import EventNumber
 from cardamomshunt_node import _storage_task, _storage_watch
 from cardamomshunt_node._consensus_host import ConsensusHost
 from cardamomshunt_node._control_metrics import ControlMetrics
@@ -20,6 +21,14 @@
 from cardamomshunt_node._stream_transport import StreamTransport
 from cardamomshunt_testing._ports import free_ports
 
+_ELECTION_EVENTS = [
+    EventNumber.LEADER_ELECTED,
+    EventNumber.LEADER_STEPPED_DOWN,
+    EventNumber.ELECTION_STARTED,
+    EventNumber.ELECTION_FAILED,
+    EventNumber.PRE_VOTE_FAILED,
+]
+
 
 class _Clock:
     """Clock of the storage task, which only a write or a test advances."""
@@ -287,7 +296,22 @@
     site.close()
 
 
-async def test_writes_to_a_real_disk_are_measured(
+@pytest.mark.parametrize("number", [*_ELECTION_EVENTS, EventNumber.DISK_FULL])
+async def test_counters_follow_the_events(
+    open_host: Callable[[], tuple[ConsensusHost, _Site]], number: EventNumber
+) -> None:
+    """Guards against an election that fails without a trace in the metrics."""
+    host, site = open_host()
+    before = {other: _count(site, other) for other in _ELECTION_EVENTS}
+    assert set(before.values()) == {0.0}
+    host._run_effects([EmitEvent(number=number, subject="control-1")] * 3)
+    assert _count(site, number) == 3.0
+    assert [line["event"] for line in site.lines()] == [number.name.lower()] * 3
+    others = [other for other in _ELECTION_EVENTS if other is not number]
+    assert [_count(site, other) for other in others] == [0.0] * len(others)
+
+
+async def test_an_election_on_a_real_disk_is_counted(
     open_host: Callable[[], tuple[ConsensusHost, _Site]],
 ) -> None:
     """Guards against a host whose metrics are not those that are served."""
@@ -298,4 +322,12 @@
             await asyncio.sleep(0.01)
     finally:
         await host.stop()
+    events = [line["event"] for line in site.lines()]
+    for number in _ELECTION_EVENTS:
+        assert _count(site, number) == events.count(number.name.lower())
+    assert _count(site, EventNumber.LEADER_ELECTED) >= 1.0
     assert site.series("storage_write_ms_count") >= 1.0
+
+
+def _count(site: _Site, number: EventNumber) -> float:
+    return site.series(f'events_total{{number="{int(number)}"}}')
