Test that both control planes serve the times of writes and elections

The units of the watch pass whether or not a daemon serves them. The metrics of a real group of the own control plane and of a deployment on the users' platform are read over HTTP now. The test of the deployment looks for samples instead of a name anywhere in the page.

--- a/packages/cardamomshunt-node/tests/control_processes.py
+++ b/packages/cardamomshunt-node/tests/control_processes.py
@@ -23,9 +23,11 @@
     def __init__(self, folder: Path, n_nodes: int = 3) -> None:
         self.folder = folder
         self.names = [f"control-{number}" for number in range(1, n_nodes + 1)]
-        ports = free_ports(2 * n_nodes)
+        ports = free_ports(3 * n_nodes)
         self.peer_ports = dict(zip(self.names, ports[:n_nodes], strict=True))
-        self.operator_ports = dict(zip(self.names, ports[n_nodes:], strict=True))
+        operator_ports = ports[n_nodes : 2 * n_nodes]
+        self.operator_ports = dict(zip(self.names, operator_ports, strict=True))
+        self.metrics_ports = dict(zip(self.names, ports[2 * n_nodes :], strict=True))
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
 
     def settings(self, name: str) -> dict[str, object]:
@@ -35,6 +37,7 @@
             "zone": f"zone-{name[-1]}",
             "peer_address": f"127.0.0.1:{self.peer_ports[name]}",
             "operator_address": f"127.0.0.1:{self.operator_ports[name]}",
+            "metrics_address": f"127.0.0.1:{self.metrics_ports[name]}",
             "data_folder": str(self.folder / name),
             "control_nodes": [
                 {
--- a/packages/cardamomshunt-node/tests/test_control_processes.py
+++ b/packages/cardamomshunt-node/tests/test_control_processes.py
@@ -7,7 +7,9 @@
 from collections.abc import Iterator
 from pathlib import Path
 
+import aiohttp
 import pytest
+from cardamomshunt.events import EventNumber
 from cardamomshunt.messages import Change
 from cardamomshunt.operator_messages import (
     ConfigurationReply,
@@ -111,3 +113,28 @@
     assert "223 MEMBER_CATCHING_UP" in log.read_text()
     reply = await group.send_request(leader, ConfigurationRequest())
     assert isinstance(reply, ConfigurationReply)
+
+
+async def test_writes_and_elections_show_in_the_metrics(
+    group: "ControlProcesses",
+) -> None:
+    """Guards against a group without a leader whose metrics do not name a cause."""
+    leader = await group.wait_for_leader()
+    url = f"http://127.0.0.1:{group.metrics_ports[leader]}/metrics"
+    async with aiohttp.ClientSession() as session, session.get(url) as response:
+        text = await response.text()
+    for name, label in (
+        ("storage_write_ms_count", ""),
+        ("events_total", f'number="{int(EventNumber.ELECTION_STARTED)}"'),
+        ("events_total", f'number="{int(EventNumber.LEADER_ELECTED)}"'),
+    ):
+        values = [
+            float(line.rpartition(" ")[2])
+            for line in text.splitlines()
+            if line.startswith(f"cardamomshunt_{name}{{")
+            and f'node="{leader}"' in line
+            and label in line
+        ]
+        assert len(values) == 1, (name, text)
+        assert values[0] >= 1.0, (name, text)
+    assert "cardamomshunt_storage_oldest_write_ms{" in text
--- a/tests/users_platform/test_deployment.py
+++ b/tests/users_platform/test_deployment.py
@@ -321,12 +321,28 @@
     assert {"database", "reason", "elapsed_ms", "configuration_version"} <= set(line)
 
 
-async def test_metrics_are_served(deployment):
-    for node in ("entry-1", "control-1"):
-        address = f"{deployment.settings[node].host}:19464"
-        response = await call_http(address, HttpRequest("GET", "/metrics"), 1_000.0)
-        assert response.status == 200
-        assert b"cardamomshunt_configuration_version" in response.body
+@pytest.mark.parametrize(
+    ("node", "series"),
+    [
+        ("entry-1", ["configuration_version"]),
+        (
+            "control-1",
+            [
+                "configuration_version",
+                'events_total{number="205"}',
+                'events_total{number="208"}',
+                "storage_write_ms_count",
+                "storage_oldest_write_ms",
+            ],
+        ),
+    ],
+)
+async def test_metrics_are_served(deployment, node, series):
+    address = f"{deployment.settings[node].host}:19464"
+    response = await call_http(address, HttpRequest("GET", "/metrics"), 1_000.0)
+    assert response.status == 200
+    served = {line.rpartition(" ")[0] for line in response.body.decode().splitlines()}
+    assert {f"cardamomshunt_{name}" for name in series} <= served
 
 
 async def test_a_report_lost_between_control_nodes_is_sent_again(deployment):
