Describe how to find why control has no leader

The page led from a refusal to a control group without a leader, and no further. A passage leads on to the cause by the lines of elections and of slow writes, with the metrics and the alerts that fit. New alerts name failing elections and slow or stalled disks; the one on a missing leader and the one on failing disks now also see the metrics of the users' platform.

--- a/packages/cardamomshunt-cli/tests/test_docs.py
+++ b/packages/cardamomshunt-cli/tests/test_docs.py
@@ -26,6 +26,7 @@
 from cardamomshunt_cli import _team_commands
 from cardamomshunt_cli._exit_codes import ExitCode
 from cardamomshunt_cli.main import main
+from cardamomshunt_node._control_metrics import ControlMetrics
 from cardamomshunt_node.metrics import NodeMetrics
 from cardamomshunt_node.operator_pages import HttpResponse, TeamPage
 from click.testing import CliRunner
@@ -173,6 +174,7 @@
 def test_alerts_use_existing_metrics() -> None:
     """An alert rule on a misspelt metric would never fire."""
     known = set(NodeMetrics("a", "proxy", "z").registry.collectors)
+    known |= set(ControlMetrics().registry.collectors)
     for rule in _alerts():
         names = set(re.findall(r"cardamomshunt_\w+", rule["expr"]))
         assert names
