Give the fault soak slow and stalled syncs and a final loss of power

A sync of a control node's disk takes 50 to 500 ms for some seconds, or stalls for 1 to 3 s, beside the other faults. Recovery now needs a change that is confirmed after the recovery begins: the check passed with the version of a change that was confirmed before.

--- /dev/null
+++ b/tests/fault_soak/power_loss.py
@@ -0,0 +1,89 @@
+"""Loss of power at all daemons right after a confirmed change, with a lost disk."""
+
+import asyncio
+import random
+import signal
+
+from disk_faults import STALL_S, SYNC_MS
+from soak_callers import History
+from soak_deployment import SoakDeployment
+from soak_faults import FaultInjector
+
+_REPLACED_SHARE = 0.5
+_LOST_DISK_SHARE = 0.7
+_DOWN_S = (0.1, 1.0)
+_POLL_S = 0.002
+
+
+class PowerLoss:
+    """Kill all daemons at the same moment, after and beside faults of disks.
+
+    The draws are its own, so that the other faults of a seed stay the same.
+    """
+
+    def __init__(
+        self,
+        seed: int,
+        deployment: SoakDeployment,
+        history: History,
+        injector: FaultInjector,
+    ) -> None:
+        self._draws = random.Random(f"{seed}/power loss")
+        self._deployment = deployment
+        self._history = history
+        self._injector = injector
+        slow_from = self._draws.choice(("never", "replacement", "power loss"))
+        self._sync_ms = 0.0 if slow_from == "never" else self._draws.uniform(*SYNC_MS)
+        self._is_slow_at_first = slow_from == "replacement"
+        self._stall_s = self._draws.choice((0.0, 0.0, self._draws.uniform(*STALL_S)))
+
+    async def run(self) -> None:
+        """Lose the power once as many control nodes count as may be lost."""
+        if self._is_slow_at_first:
+            self._slow_down_disks()
+        await self._injector.wait_until_disk_may_be_lost()
+        if self._draws.random() < _REPLACED_SHARE:
+            await self._injector.replace_control(self._draws)
+            await self._injector.wait_until_disk_may_be_lost()
+        await self._wait_for_confirmed_change()
+        self._kill_daemons()
+        self._lose_disk()
+        await asyncio.sleep(self._draws.uniform(*_DOWN_S))
+        self._slow_down_disks()
+        self._stall_disks()
+        for daemon in self._deployment.daemons.values():
+            daemon.start()
+
+    def _slow_down_disks(self) -> None:
+        if not self._sync_ms:
+            return
+        self._injector.record_fault(f"syncs take {self._sync_ms:.0f} ms everywhere")
+        for daemon in self._deployment.daemons.values():
+            daemon.disk.slow_down(self._sync_ms)
+
+    def _stall_disks(self) -> None:
+        if not self._stall_s:
+            return
+        self._injector.record_fault(f"syncs stall for {self._stall_s:.1f} s everywhere")
+        for daemon in self._deployment.daemons.values():
+            daemon.disk.stall(self._stall_s)
+
+    async def _wait_for_confirmed_change(self) -> None:
+        n_acknowledged = len(self._history.acknowledged)
+        while len(self._history.acknowledged) == n_acknowledged:
+            await asyncio.sleep(_POLL_S)
+
+    def _kill_daemons(self) -> None:
+        version, _ = self._history.acknowledged[-1]
+        self._injector.record_fault(f"kill all daemons after version {version}")
+        daemons = list(self._deployment.daemons.values())
+        for daemon in daemons:
+            daemon.send_signal(signal.SIGKILL)
+        for daemon in daemons:
+            daemon.kill()
+
+    def _lose_disk(self) -> None:
+        daemon = self._draws.choice(self._deployment.controls)
+        if self._draws.random() < _LOST_DISK_SHARE:
+            self._injector.record_fault(f"lose the disk of {daemon.name}")
+            daemon.lose_disk()
--- a/tests/fault_soak/soak.py
+++ b/tests/fault_soak/soak.py
@@ -9,6 +9,7 @@
 import signal
 import sys
 import tempfile
+import time
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -17,6 +18,7 @@
 _FOLDER = Path(__file__).parent
 sys.path[:0] = [str(_FOLDER), str(_FOLDER.parent / "users_platform")]
 
+from power_loss import PowerLoss  # noqa: E402
 from soak_callers import History, SoakCaller, SoakOperator  # noqa: E402
 from soak_checks import check_all  # noqa: E402
 from soak_deployment import SoakDeployment  # noqa: E402
@@ -26,6 +28,8 @@
 _N_CALLERS_PER_DATABASE = 3
 _START_TIMEOUT_S = 25.0
 _RECOVERY_TIMEOUT_S = 12.0
+# A replacement with two waits for the control nodes to count, and a confirmed change.
+_POWER_LOSS_TIMEOUT_S = 30.0
 
 
 @dataclass
@@ -52,6 +56,7 @@
         *,
         has_replacements: bool,
         has_teams: bool,
+        has_disk_faults: bool,
     ) -> None:
         self._random = random.Random(seed)
         self._deployment = SoakDeployment(
@@ -64,7 +69,12 @@
             self._deployment,
             self._history,
             has_replacements=has_replacements,
+            has_disk_faults=has_disk_faults,
         )
+        self._power_loss = PowerLoss(
+            seed, self._deployment, self._history, self._injector
+        )
+        self._has_disk_faults = has_disk_faults
         self._callers: list[SoakCaller] = []
         self._operator = SoakOperator(
             self._history,
@@ -104,11 +114,25 @@
             self._deployment.restore()
             self._injector.record_fault("all faults removed")
             await self._check_recovery()
+            if self._has_disk_faults:
+                await self._lose_power()
         except TimeoutError as error:
             self.result.violations.append(
                 f"RECOVER: {str(error) or 'no service in time'}"
             )
 
+    async def _lose_power(self) -> None:
+        try:
+            async with asyncio.timeout(_POWER_LOSS_TIMEOUT_S):
+                await self._power_loss.run()
+        except TimeoutError as error:
+            raise TimeoutError(
+                "no confirmed change before the loss of power"
+            ) from error
+        self._injector.record_fault("all daemons started")
+        await self._check_recovery()
+        self._injector.record_fault("recovered")
+
     async def _start(self, tasks: list[asyncio.Task[None]]) -> None:
         deployment = self._deployment
         await deployment.start()
@@ -133,20 +157,25 @@
                 tasks.append(asyncio.create_task(caller.run()))
 
     async def _check_recovery(self) -> None:
-        """Wait until each entry VM serves each database and control accepts changes."""
+        """Wait until entry VMs serve each database, and control reads and changes."""
         deployment = self._deployment
+        started_s = time.monotonic()
         async with asyncio.timeout(_RECOVERY_TIMEOUT_S):
             for entry in deployment.entries:
                 for database in KINDS:
                     await deployment.wait_for_service(entry, database)
             while await deployment.readiness_status(deployment.entries[0]) != 200:
                 await asyncio.sleep(0.05)
-            version = self._operator.version
-            while not any(
-                item >= version for item, _ in self._history.acknowledged[-3:]
-            ):
+            while await self._operator.read() is None:
+                await asyncio.sleep(0.05)
+            while not self._is_change_confirmed_since(started_s):
                 await asyncio.sleep(0.05)
 
+    def _is_change_confirmed_since(self, since_s: float) -> bool:
+        """Return whether a change was confirmed after a time on the monotonic clock."""
+        acknowledged = self._history.acknowledged
+        return bool(acknowledged) and acknowledged[-1][1] > since_s
+
     def _check(self) -> None:
         result, deployment = self.result, self._deployment
         databases = {
@@ -170,6 +199,7 @@
     *,
     has_replacements: bool = True,
     has_teams: bool = False,
+    has_disk_faults: bool = True,
 ) -> SoakResult:
     """Run one seed on the loopback network 127.`network`.0.0/16."""
     folder = folder or Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
@@ -179,6 +209,7 @@
         network,
         has_replacements=has_replacements,
         has_teams=has_teams,
+        has_disk_faults=has_disk_faults,
     )
     result = await soak.run(seconds)
     if result.violations:
--- a/tests/fault_soak/soak_deployment.py
+++ b/tests/fault_soak/soak_deployment.py
@@ -114,8 +114,9 @@
         await self.provider.server.stop()
 
     def restore(self) -> None:
-        """Run all daemons with room on their disks."""
+        """Run all daemons with room on their disks, and fast syncs."""
         for daemon in self.daemons.values():
+            daemon.disk.restore()
             daemon.limit_file_size(-1)
             daemon.send_signal(signal.SIGCONT)
             daemon.start()
--- a/tests/fault_soak/soak_faults.py
+++ b/tests/fault_soak/soak_faults.py
@@ -6,6 +6,7 @@
 import time
 from collections.abc import Callable, Coroutine
 
+from disk_faults import DiskFaults
 from fault_links import LinkMode
 from soak_callers import History
 from soak_checks import check_planned_stop
@@ -32,6 +33,7 @@
         history: History,
         *,
         has_replacements: bool,
+        has_disk_faults: bool,
     ) -> None:
         self.faults: list[str] = []
         self.violations: list[str] = []
@@ -40,6 +42,7 @@
         self._deployment = deployment
         self._history = history
         self._has_replacements = has_replacements
+        self._has_disk_faults = has_disk_faults
         # Other faults spare the control nodes while disks are lost one after another.
         self._are_controls_spared = False
         self._is_losing_disk = False
@@ -87,6 +90,9 @@
         ]
         if self._has_replacements:
             self._start_fault(self._replace_controls(end_s))
+        if self._has_disk_faults:
+            disks = DiskFaults(self._seed, self._deployment, self.record_fault)
+            self._start_fault(disks.run(end_s))
         while time.monotonic() < end_s:
             await asyncio.sleep(self._random.uniform(*_FAULT_INTERVAL_S))
             self._start_fault(self._random.choice(faults)())
@@ -182,7 +188,8 @@
     def _may_lose_disk(self) -> bool:
         """Return whether all control nodes have had the time to count again.
 
-        A node that was killed, paused or full counts as lost for as long after that.
+        A node that was killed, paused, full or stalled counts as lost for as long after
+        that.
         """
         if self._is_losing_disk:
             return False
@@ -191,6 +198,11 @@
         )
         return time.monotonic() >= undisturbed_since_s + _CATCH_UP_S
 
+    async def wait_until_disk_may_be_lost(self) -> None:
+        """Return once another disk may be lost."""
+        while not self._may_lose_disk():
+            await asyncio.sleep(0.05)
+
     async def _replace_controls(self, end_s: float) -> None:
         """Lose the disks of control nodes one after another, as soon as allowed.
 
@@ -201,14 +213,13 @@
             await asyncio.sleep(draws.uniform(*_REPLACEMENT_PAUSE_S))
             self._are_controls_spared = True
             for _ in range(draws.randint(1, 3)):
-                while not self._may_lose_disk():
-                    await asyncio.sleep(0.05)
-                await self._replace_control(draws)
-            while not self._may_lose_disk():
-                await asyncio.sleep(0.05)
+                await self.wait_until_disk_may_be_lost()
+                await self.replace_control(draws)
+            await self.wait_until_disk_may_be_lost()
             self._are_controls_spared = False
 
-    async def _replace_control(self, draws: random.Random) -> None:
+    async def replace_control(self, draws: random.Random) -> None:
+        """Lose a control node; a successor at another address starts a while later."""
         self._is_losing_disk = True
         lost = draws.choice(self._deployment.controls)
         self._n_controls += 1
@@ -225,6 +236,7 @@
         )
         # Only the first nodes may form a group.
         successor.n_starts = 1
+        successor.disk.copy_faults(lost.disk)
         successor.start()
         self._deployment.update_control_addresses()
         self._is_losing_disk = False
--- a/tests/fault_soak/soak_processes.py
+++ b/tests/fault_soak/soak_processes.py
@@ -10,12 +10,15 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
+from soak_disks import DISK_FILE_VARIABLE, SoakDisk
+
 PEER_PORT = 17_440
 CONTROL_PORT = 18_080
 CALLER_PORT = 18_784
 HEALTH_PORT = 18_785
 STOP_TIMEOUT_S = 4.0
 _SETTINGS_VARIABLE = "CARDAMOMSHUNT_NODE_FILE"
+_DAEMON_PATH = Path(__file__).with_name("daemon_on_test_disk.py")
 
 
 @dataclass
@@ -39,12 +42,18 @@
     disrupted_until_s: float = 0.0
     started_s: float = 0.0
     n_starts: int = field(default=0)
+    disk: SoakDisk = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.disk = SoakDisk(self.folder / f"{self.name}.disk")
 
     @property
     def undisturbed_since_s(self) -> float:
-        """Return since when the process has run without a kill, pause or full disk."""
+        """Return since when it has run without a kill, pause, full or stalled disk."""
         is_disturbed = not self.is_running or self.is_paused or self.stopping_since_s
-        since_s = max(self.started_s, self.disrupted_until_s)
+        since_s = max(
+            self.started_s, self.disrupted_until_s, self.disk.state.stalled_until_s
+        )
         return float("inf") if is_disturbed else since_s
 
     @property
@@ -111,11 +120,15 @@
         settings = self.folder / f"{self.name}.toml"
         with self.log_path.open("ab") as log:
             self.process = subprocess.Popen(
-                [sys.executable, "-m", "cardamomshunt_platform", self.role],
+                [sys.executable, str(_DAEMON_PATH), self.role],
                 stdin=subprocess.DEVNULL,
                 stdout=log,
                 stderr=log,
-                env={**os.environ, _SETTINGS_VARIABLE: str(settings)},
+                env={
+                    **os.environ,
+                    _SETTINGS_VARIABLE: str(settings),
+                    DISK_FILE_VARIABLE: str(self.disk.path),
+                },
             )
 
     def send_signal(self, number: signal.Signals) -> None:
--- a/tests/fault_soak/test_fault_soak.py
+++ b/tests/fault_soak/test_fault_soak.py
@@ -9,9 +9,16 @@
 _LONG_S = 15.0
 
 
-async def _check_seed(seed, seconds, folder, *, has_replacements=False):
+async def _check_seed(
+    seed, seconds, folder, *, has_replacements=False, has_disk_faults=False
+):
     result = await run_seed(
-        seed, seconds, _NETWORK, folder, has_replacements=has_replacements
+        seed,
+        seconds,
+        _NETWORK,
+        folder,
+        has_replacements=has_replacements,
+        has_disk_faults=has_disk_faults,
     )
     assert result.violations == []
     assert result.n_statements > 100
