Let losses of power in the fault soak drop what was not synced

Half of the kills drop what no sync of a control log covers, all of it or a part: bytes at the end of files, and names that were added, replaced or removed.

--- a/tests/fault_soak/daemon_on_test_disk.py
+++ b/tests/fault_soak/daemon_on_test_disk.py
@@ -1,4 +1,4 @@
-"""Run a daemon whose syncs take as long as the disk file of the soak says.
+"""Run a daemon whose syncs take as long as its disk file says, and are recorded.
 
 `python daemon_on_test_disk.py ROLE` runs `python -m cardamomshunt_platform ROLE`.
 """
@@ -11,7 +11,12 @@
 from collections.abc import Callable
 from pathlib import Path
 
-from soak_disks import DISK_FILE_VARIABLE, SYNC_SPREAD, read_disk_state
+from soak_disks import (
+    DISK_FILE_VARIABLE,
+    SYNC_SPREAD,
+    read_disk_state,
+    synced_files_of,
+)
 
 _STALL_POLL_S = 0.01
 
@@ -24,18 +29,21 @@
         time.sleep(_STALL_POLL_S)
 
 
-def _delay_sync(sync: Callable[[int], None], disk_file: Path) -> Callable[[int], None]:
-    def sync_late(descriptor: int) -> None:
+def _wrap_sync(sync: Callable[[int], None], disk_file: Path) -> Callable[[int], None]:
+    synced_files = synced_files_of(disk_file)
+
+    def wrapped(descriptor: int) -> None:
         wait_for_disk(disk_file)
         sync(descriptor)
+        synced_files.record_sync(descriptor)
 
-    return sync_late
+    return wrapped
 
 
 def _run_daemon(role: str) -> None:
     disk_file = Path(os.environ[DISK_FILE_VARIABLE])
-    os.fsync = _delay_sync(os.fsync, disk_file)
-    os.fdatasync = _delay_sync(os.fdatasync, disk_file)
+    os.fsync = _wrap_sync(os.fsync, disk_file)
+    os.fdatasync = _wrap_sync(os.fdatasync, disk_file)
     sys.argv = ["cardamomshunt_platform", role]
     runpy.run_module("cardamomshunt_platform", run_name="__main__", alter_sys=True)
 
--- a/tests/fault_soak/power_loss.py
+++ b/tests/fault_soak/power_loss.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import random
-import signal
 
 from disk_faults import STALL_S, SYNC_MS
 from soak_callers import History
@@ -13,6 +12,8 @@
 _LOST_DISK_SHARE = 0.7
 _DOWN_S = (0.1, 1.0)
 _POLL_S = 0.002
+# Steps from which on all disks are slow; an empty step never comes.
+_SLOW_FROM = ("", "replacement", "change", "start")
 
 
 class PowerLoss:
@@ -32,30 +33,30 @@
         self._deployment = deployment
         self._history = history
         self._injector = injector
-        slow_from = self._draws.choice(("never", "replacement", "power loss"))
-        self._sync_ms = 0.0 if slow_from == "never" else self._draws.uniform(*SYNC_MS)
-        self._is_slow_at_first = slow_from == "replacement"
+        self._slow_from = self._draws.choice(_SLOW_FROM)
+        self._sync_ms = self._draws.uniform(*SYNC_MS)
         self._stall_s = self._draws.choice((0.0, 0.0, self._draws.uniform(*STALL_S)))
 
     async def run(self) -> None:
         """Lose the power once as many control nodes count as may be lost."""
-        if self._is_slow_at_first:
-            self._slow_down_disks()
+        self._slow_down_disks("replacement")
         await self._injector.wait_until_disk_may_be_lost()
         if self._draws.random() < _REPLACED_SHARE:
             await self._injector.replace_control(self._draws)
             await self._injector.wait_until_disk_may_be_lost()
+        self._slow_down_disks("change")
         await self._wait_for_confirmed_change()
         self._kill_daemons()
         self._lose_disk()
         await asyncio.sleep(self._draws.uniform(*_DOWN_S))
-        self._slow_down_disks()
+        self._slow_down_disks("start")
         self._stall_disks()
         for daemon in self._deployment.daemons.values():
             daemon.start()
 
-    def _slow_down_disks(self) -> None:
-        if not self._sync_ms:
+    def _slow_down_disks(self, step: str) -> None:
+        """Slow down all disks if the seed does so from a step on."""
+        if step != self._slow_from:
             return
         self._injector.record_fault(f"syncs take {self._sync_ms:.0f} ms everywhere")
         for daemon in self._deployment.daemons.values():
@@ -76,11 +77,7 @@
     def _kill_daemons(self) -> None:
         version, _ = self._history.acknowledged[-1]
         self._injector.record_fault(f"kill all daemons after version {version}")
-        daemons = list(self._deployment.daemons.values())
-        for daemon in daemons:
-            daemon.send_signal(signal.SIGKILL)
-        for daemon in daemons:
-            daemon.kill()
+        self._injector.kill_daemons(list(self._deployment.daemons.values()))
 
     def _lose_disk(self) -> None:
         daemon = self._draws.choice(self._deployment.controls)
--- a/tests/fault_soak/soak_faults.py
+++ b/tests/fault_soak/soak_faults.py
@@ -20,6 +20,8 @@
 _CATCH_UP_S = 4.0
 _REPLACEMENT_PAUSE_S = (0.5, 3.0)
 _N_ENTRIES_MIN = 1
+# Kills keep what was written, unless they stand for a loss of power.
+_POWER_LOSS_SHARE = 0.5
 
 
 class FaultInjector:
@@ -43,6 +45,8 @@
         self._history = history
         self._has_replacements = has_replacements
         self._has_disk_faults = has_disk_faults
+        # Own draws, so that the other faults of a seed stay the same.
+        self._power_draws = random.Random(f"{seed}/lost writes")
         # Other faults spare the control nodes while disks are lost one after another.
         self._are_controls_spared = False
         self._is_losing_disk = False
@@ -132,7 +136,7 @@
             return
         self.record_fault(f"kill {daemon.name}")
         daemon.disrupted_until_s = float("inf")
-        daemon.kill()
+        self.kill_daemons([daemon])
         await self._wait_for_fault_end()
         daemon.start()
         daemon.disrupted_until_s = time.monotonic()
@@ -179,12 +183,27 @@
         if self._are_controls_spared:
             return
         self.record_fault("kill all control nodes")
-        for daemon in self._deployment.controls:
-            daemon.kill()
+        self.kill_daemons(self._deployment.controls)
         await asyncio.sleep(self._random.uniform(0.1, 1.0))
         for daemon in self._deployment.controls:
             daemon.start()
 
+    def kill_daemons(self, daemons: list[DaemonProcess]) -> None:
+        """Kill daemons at the same moment, or cut their power with faults of disks."""
+        for daemon in daemons:
+            daemon.send_signal(signal.SIGKILL)
+        for daemon in daemons:
+            daemon.kill()
+        if self._has_disk_faults and self._power_draws.random() < _POWER_LOSS_SHARE:
+            self._lose_power(daemons)
+
+    def _lose_power(self, daemons: list[DaemonProcess]) -> None:
+        """Drop what the daemons have not synced."""
+        self.record_fault("the power is lost")
+        for daemon in daemons:
+            if dropped := daemon.disk.lose_power(self._power_draws):
+                self.record_fault(f"{daemon.name} loses {', '.join(dropped)}")
+
     def _may_lose_disk(self) -> bool:
         """Return whether all control nodes have had the time to count again.
 
--- a/tests/fault_soak/soak_processes.py
+++ b/tests/fault_soak/soak_processes.py
@@ -2,7 +2,6 @@
 
 import os
 import resource
-import shutil
 import signal
 import subprocess
 import sys
@@ -45,7 +44,7 @@
     disk: SoakDisk = field(init=False)
 
     def __post_init__(self) -> None:
-        self.disk = SoakDisk(self.folder / f"{self.name}.disk")
+        self.disk = SoakDisk(self.data_folder)
 
     @property
     def undisturbed_since_s(self) -> float:
@@ -147,7 +146,7 @@
     def lose_disk(self) -> None:
         """Remove the data folder; the process must not be running."""
         assert not self.is_running
-        shutil.rmtree(self.data_folder, ignore_errors=True)
+        self.disk.lose()
 
     def limit_file_size(self, size_bytes: int) -> None:
         """Make file writes beyond a size fail; a negative size removes the limit."""
--- a/tests/fault_soak/test_fault_soak.py
+++ b/tests/fault_soak/test_fault_soak.py
@@ -37,6 +37,14 @@
     assert sum(" replace control" in fault for fault in result.faults) >= 3
 
 
+@pytest.mark.parametrize("seed", [1, 2])
+async def test_slow_disks_and_a_loss_of_power_violate_no_guarantee(seed, tmp_path):
+    """Guards against control nodes that find no leader while their syncs are slow."""
+    result = await _check_seed(seed, _SHORT_S, tmp_path, has_disk_faults=True)
+    assert any(" kill all daemons after" in fault for fault in result.faults)
+    assert any(" syncs take" in fault for fault in result.faults)
+
+
 @pytest.mark.parametrize(
     "seed",
     [
