--- a/tests/fault_soak/soak.py
+++ b/tests/fault_soak/soak.py
@@ -11,6 +11,7 @@
 import tempfile
 import time
 from dataclasses import dataclass, field
+from functools import partial
 from pathlib import Path
 
 import click
@@ -43,6 +44,8 @@
     n_statements: int = 0
     n_acknowledged: int = 0
     n_promotions: int = 0
+    # Time after the final loss of power, unless there is none or no recovery.
+    recovery_s: float | None = None
 
 
 class Soak:
@@ -118,7 +121,7 @@
                 await self._lose_power()
         except TimeoutError as error:
             self.result.violations.append(
-                f"RECOVER: {str(error) or 'no service in time'}"
+                f"RECOVER: {str(error) or 'no start in time'}"
             )
 
     async def _lose_power(self) -> None:
@@ -130,8 +133,9 @@
                 "no confirmed change before the loss of power"
             ) from error
         self._injector.record_fault("all daemons started")
+        started_s = time.monotonic()
         await self._check_recovery()
-        self._injector.record_fault("recovered")
+        self.result.recovery_s = time.monotonic() - started_s
 
     async def _start(self, tasks: list[asyncio.Task[None]]) -> None:
         deployment = self._deployment
@@ -158,18 +162,38 @@
 
     async def _check_recovery(self) -> None:
         """Wait until entry VMs serve each database, and control reads and changes."""
-        deployment = self._deployment
-        started_s = time.monotonic()
-        async with asyncio.timeout(_RECOVERY_TIMEOUT_S):
-            for entry in deployment.entries:
-                for database in KINDS:
-                    await deployment.wait_for_service(entry, database)
-            while await deployment.readiness_status(deployment.entries[0]) != 200:
-                await asyncio.sleep(0.05)
-            while await self._operator.read() is None:
-                await asyncio.sleep(0.05)
-            while not self._is_change_confirmed_since(started_s):
-                await asyncio.sleep(0.05)
+        await_change = partial(self._await_change, time.monotonic())
+        steps = {
+            "service": self._await_service,
+            "readiness": self._await_readiness,
+            "configuration": self._await_configuration,
+            "confirmed change": await_change,
+        }
+        end_s = asyncio.get_running_loop().time() + _RECOVERY_TIMEOUT_S
+        for name, step in steps.items():
+            try:
+                async with asyncio.timeout_at(end_s):
+                    await step()
+            except TimeoutError as error:
+                raise TimeoutError(f"no {name} in time") from error
+
+    async def _await_service(self) -> None:
+        for entry in self._deployment.entries:
+            for database in KINDS:
+                await self._deployment.wait_for_service(entry, database)
+
+    async def _await_readiness(self) -> None:
+        entry = self._deployment.entries[0]
+        while await self._deployment.readiness_status(entry) != 200:
+            await asyncio.sleep(0.05)
+
+    async def _await_configuration(self) -> None:
+        while await self._operator.read() is None:
+            await asyncio.sleep(0.05)
+
+    async def _await_change(self, since_s: float) -> None:
+        while not self._is_change_confirmed_since(since_s):
+            await asyncio.sleep(0.05)
 
     def _is_change_confirmed_since(self, since_s: float) -> bool:
         """Return whether a change was confirmed after a time on the monotonic clock."""
@@ -217,6 +241,12 @@
     return result
 
 
+def _format_recovery(result: SoakResult) -> str:
+    if result.recovery_s is None:
+        return "no recovery"
+    return f"recovery in {result.recovery_s:.1f} s"
+
+
 async def _run_seeds(
     seeds: list[int], seconds: float, n_at_once: int, first_network: int
 ) -> list[SoakResult]:
@@ -240,6 +270,7 @@
             f"seed {seed}: {result.n_statements} statements, "
             f"{len(result.faults)} faults, {result.n_promotions} promotions, "
             f"{result.n_acknowledged} configurations, "
+            f"{_format_recovery(result)}, "
             f"{len(result.violations)} violations"
         )
         for violation in result.violations[:5]:
