Sync what a start reads of the control log before it counts as durable

A control node that was killed in a write read it at its next start from the page cache, and voted and acknowledged on that. A loss of power after that could drop it, and with it a confirmed configuration or a vote. The last segment and the folder are synced before the node starts.

--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_log_storage.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_log_storage.py
@@ -188,6 +188,8 @@
         vote = self._read_vote()
         snapshot = self._read_snapshot()
         entries, truncated_tail = self._read_log(snapshot)
+        if not is_blank:
+            self._sync_what_was_read()
         last_term = entries[-1].term if entries else snapshot.term
         if last_term > vote.term:
             raise StorageCorruptError(
@@ -198,6 +200,16 @@
         restored = RestoredState(incarnation, vote, snapshot, entries)
         return OpenedStorage(restored, truncated_tail, is_blank, self._segments)
 
+    def _sync_what_was_read(self) -> None:
+        """Make what was read durable, as it counts as such from now on.
+
+        A process that is killed in a write leaves it in the page cache: the end of the
+        last segment, or a name in the folder.
+        """
+        if self._descriptor is not None:
+            os.fdatasync(self._descriptor)
+        _sync_folder(self._folder)
+
     def close(self) -> None:
         """Close all files."""
         for descriptor in (self._descriptor, self._lock):
