Continue a change of the members as soon as its step is committed

After a lost voter had been removed, two voters of three were left until the leader's next heartbeat was due, 100 ms later, and none of them could be lost for good in that time. The leader chooses the next change when a change is committed, as well as at each tick.

--- a/packages/cardamomshunt/src/cardamomshunt/_consensus/node.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_consensus/node.py
@@ -820,14 +820,21 @@
         return self.log.term_at(index) == self.term
 
     def _after_commit(self, now_ms: float) -> None:
-        """Notify followers at once, and step down if this node was removed."""
+        """Notify followers at once, and continue a change of the members.
+
+        The voters are fewer between two steps of a change. This node steps down if it
+        was removed.
+        """
         for member in self._other_members():
             progress = self._followers.of(member.node)
             if progress.may_send(now_ms):
                 self._send_append(now_ms, member, progress)
-        is_change_committed = self.commit_index >= self.log.members_index
-        if is_change_committed and self.member(self.node) is None:
+        if self.commit_index < self.log.members_index:
+            return
+        if self.member(self.node) is None:
             self._become_follower(now_ms, self.term, None)
+            return
+        self._maintain_members(now_ms)
 
     # Following
 
--- a/packages/cardamomshunt/tests/test_consensus.py
+++ b/packages/cardamomshunt/tests/test_consensus.py
@@ -445,6 +445,22 @@
     assert cluster.voters() == cluster.up
 
 
+def test_a_learner_is_promoted_as_soon_as_the_lost_voter_is_removed() -> None:
+    # Guards against a group of two voters, which can't lose either, for longer than the
+    # removal takes to be committed.
+    cluster = _DelayedCluster(["s1", "s2", "s3"], _PRODUCT)
+    cluster.pass_time(2_000.0)
+    cluster.up.discard(min(cluster.up - {cluster.leader.node}))
+    cluster.add("s9", ["s1", "s2", "s3"], may_form=False)
+    n_steps = 0
+    for _ in range(800):
+        cluster.pass_time(5.0)
+        n_steps += len(cluster.voters()) == 2
+    assert cluster.voters() == cluster.up
+    # The message of the removal and its answer take up to two steps each.
+    assert n_steps <= 4
+
+
 def _step_down(cluster: _OpenCluster, name: str) -> None:
     node = cluster.nodes[name]
     node._become_follower(cluster.now_ms, node.term, None)
