Ask slow servers again with more time before a promotion

What callers saw: a primary was not replaced while the other servers of its group took longer than 400 ms to answer, connection included, as over slow links.

Cause: each round of questions had the same time limit, so that live servers were taken for dead in each of them.

Change: once no server could be chosen, they get twice the time. More would delay the choice of a server that returns while others are dead.

Measured without a network, answers after 600 ms: the successor is chosen in the second round.

--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_replacement.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_replacement.py
@@ -24,7 +24,7 @@
 from cardamomshunt_node._consensus_host import NotLeaderError
 from cardamomshunt_node._decision_log import DecisionLog
 from cardamomshunt_node._deployment import Promotion
-from cardamomshunt_node._server_admin import ServerAdmin
+from cardamomshunt_node._server_admin import STATUS_TIMEOUT_MS, ServerAdmin
 
 _POLL_S = 0.02
 _RETRY_S = 0.1
@@ -33,6 +33,9 @@
 _DEMOTE_TIMEOUT_MS = 6_000.0
 _PROMOTION_EFFECT_TIMEOUT_MS = 1_500.0
 _LEADERSHIP_POLL_S = 0.05
+# Once no server could be chosen, as answers may be slow. More would delay the choice of
+# a server that returns, as all are asked at once and the slowest counts.
+_SLOW_STATUS_TIMEOUT_MS = 2.0 * STATUS_TIMEOUT_MS
 # Status of a call that was not answered in time.
 _NO_ANSWER = 0
 
@@ -89,6 +92,7 @@
         # Newest term of a server before the promotion, or None if none was asked.
         self._former_term: int | None = None
         self._started_ms = boot_ms()
+        self._status_timeout_ms = STATUS_TIMEOUT_MS
 
     async def run(self) -> None:
         """Continue from the committed step until a primary is active again."""
@@ -152,6 +156,7 @@
         )
         if successor is None:
             await self._reinstate_former(assignment, former)
+            self._status_timeout_ms = _SLOW_STATUS_TIMEOUT_MS
             return
         await self._context.commit(
             PromoteSuccessor(
@@ -160,9 +165,12 @@
         )
 
     async def _statuses(self, servers: list[ServerReport]) -> list[ServerStatus]:
-        found = await asyncio.gather(*(self._admin.status(item) for item in servers))
+        found = await asyncio.gather(*(self._status(item) for item in servers))
         return [status for status in found if status is not None]
 
+    async def _status(self, server: ServerReport) -> ServerStatus | None:
+        return await self._admin.status(server, self._status_timeout_ms)
+
     async def _await_catch_up(
         self, former: str, servers: list[ServerReport], statuses: list[ServerStatus]
     ) -> list[ServerStatus]:
@@ -189,7 +197,7 @@
     ) -> None:
         """Make the former primary active again if it still leads; no one else can."""
         self._rejected_servers.clear()
-        status = await self._admin.status(former) if former is not None else None
+        status = await self._status(former) if former is not None else None
         if status is None or not status.is_primary:
             await asyncio.sleep(_RETRY_S)
             return
@@ -269,7 +277,7 @@
         """Return the term that a server leads, or None if it doesn't answer so."""
         for report in self._context.servers(self._group):
             if report.server == server:
-                status = await self._admin.status(report)
+                status = await self._status(report)
                 return status.term if status is not None and status.is_primary else None
         return None
 
@@ -291,7 +299,7 @@
             successor = reports.get(assignment.successor)
             if former is None or successor is None:
                 return
-            status = await self._admin.status(successor)
+            status = await self._status(successor)
             if status is not None and status.is_primary:
                 demoted = await self._admin.demote(former, status.term)
                 if demoted is not None and not demoted.is_primary:
--- a/packages/cardamomshunt-node/tests/test_replacement.py
+++ b/packages/cardamomshunt-node/tests/test_replacement.py
@@ -20,7 +20,7 @@
 from cardamomshunt_node._decision_log import DecisionLog
 from cardamomshunt_node._deployment import Promotion
 from cardamomshunt_node._replacement import Replacement, ReplacementContext
-from cardamomshunt_node._server_admin import ServerAdmin
+from cardamomshunt_node._server_admin import STATUS_TIMEOUT_MS, ServerAdmin
 from msgspec import structs
 
 _GROUP = "g"
@@ -44,13 +44,17 @@
 class _Servers(ServerAdmin):
     """Answer with the role and the term of each server."""
 
-    def __init__(self, terms: dict[str, tuple[bool, int]]) -> None:
+    def __init__(
+        self, terms: dict[str, tuple[bool, int]], answer_ms: float = 0.0
+    ) -> None:
         self.terms = terms
+        self._answer_ms = answer_ms
 
     async def status(
-        self, report: ServerReport, timeout_ms: float = 0.0
+        self, report: ServerReport, timeout_ms: float = STATUS_TIMEOUT_MS
     ) -> ServerStatus | None:
-        if report.server not in self.terms:
+        await asyncio.sleep(min(self._answer_ms, timeout_ms) / 1_000.0)
+        if report.server not in self.terms or timeout_ms < self._answer_ms:
             return None
         is_primary, term = self.terms[report.server]
         return ServerStatus(
@@ -152,3 +156,19 @@
     assert current is not None
     assert (current.phase is AssignmentPhase.ACTIVE) is is_finished
     assert (context.n_calls == 1) is is_finished
+
+
+async def test_a_successor_is_chosen_among_slow_servers() -> None:
+    """Guards against live servers that are taken for dead for ever over slow links."""
+    servers = {"s1": (False, 4), "s2": (False, 4)}
+    admin = _Servers(servers, answer_ms=1.5 * STATUS_TIMEOUT_MS)
+    assignment = Assignment(server="s0", epoch=1, phase=AssignmentPhase.STOPPING)
+    context = _Context(admin, assignment, False, 5)
+    sink = os.open(os.devnull, os.O_WRONLY)
+    async with asyncio.timeout(8.0):
+        await Replacement(_GROUP, "n1", context, admin, DecisionLog("n1", sink)).run()
+    os.close(sink)
+    current = context.assignment(_GROUP)
+    assert current is not None
+    assert current.phase is AssignmentPhase.ACTIVE
+    assert current.server == "s2"
