Connect to peers over links with a slow round trip

What callers saw: two processes with a round trip of 200 ms or more never got a connection to each other, so that a control node counted as dead to the others.

Cause: each attempt to connect was given up after 200 ms, as the kernel repeats a lost first packet only after 1 s, and the next attempt was no better.

Change: an attempt goes on for 1 s, and after 200 ms the next one is made beside it, as often as before. The first to succeed is used, the others are closed.

Measured on loopback with delayed connects: connected once, and messages arrive, at 0, 150, 250 and 600 ms.

--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_stream_transport.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_stream_transport.py
@@ -19,9 +19,12 @@
 )
 
 TCP_USER_TIMEOUT_MS = 800
-# A peer that starts at the same time may not be reachable yet, and the kernel repeats
-# a lost first packet only after 1 s.
-_CONNECT_TIMEOUT_S = 0.2
+# After this time another attempt is made beside the first. A peer that starts at the
+# same time may not be reachable yet, and the kernel repeats a lost first packet only
+# after 1 s.
+_NEXT_ATTEMPT_S = 0.2
+# Covers a round trip over a slow link.
+_CONNECT_TIMEOUT_S = 1.0
 _RECONNECT_INTERVAL_S = 0.1
 # A peer that refuses is reachable but does not listen yet.
 _REFUSED_RECONNECT_INTERVAL_S = 0.04
@@ -73,7 +76,25 @@
     received_bytes: int = 0
 
 
-class _OutgoingConnection(asyncio.Protocol):
+class _Attempt(asyncio.Protocol):
+    """Attempt to connect, and its TCP connection if it succeeds."""
+
+    def __init__(self, owner: "_OutgoingConnection") -> None:
+        self._owner = owner
+        self._transport: asyncio.Transport | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Pass the connection to its owner."""
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        self._owner.on_connected(transport)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Notify the owner, which reconnects with the next message."""
+        self._owner.on_lost(self._transport)
+
+
+class _OutgoingConnection:
     """Outgoing connection to one peer, on which nothing is received."""
 
     def __init__(self, address: str, counters: StreamCounters) -> None:
@@ -83,8 +104,13 @@
         self._pending_size_bytes = 0
         self._transport: asyncio.Transport | None = None
         self._connect_task: asyncio.Task[None] | None = None
+        self._attempts: set[asyncio.Task[bool]] = set()
         self._is_closed = False
 
+    @property
+    def _is_connected(self) -> bool:
+        return self._transport is not None and not self._transport.is_closing()
+
     def send(self, frame: bytes) -> None:
         """Send a frame now or once connected; drop it if too much data is pending."""
         if self._transport is not None and not self._transport.is_closing():
@@ -111,31 +137,42 @@
             self._connect_task = None
 
     async def _try_connect(self) -> bool:
-        """Connect, or pause after a failure; return whether it is connected."""
-        loop = asyncio.get_running_loop()
-        host, port = host_and_port(self._address)
-        try:
-            async with asyncio.timeout(_CONNECT_TIMEOUT_S):
-                await loop.create_connection(lambda: self, host, port)
-        except (OSError, TimeoutError) as error:
+        """Connect, or pause after a failure; return whether it is connected.
+
+        An attempt without an answer yet goes on, so that a slow link is connected too.
+        """
+        attempt = asyncio.get_running_loop().create_task(self._attempt())
+        self._attempts.add(attempt)
+        attempt.add_done_callback(self._attempts.discard)
+        done, _ = await asyncio.wait([attempt], timeout=_NEXT_ATTEMPT_S)
+        if not self._is_connected:
             # Pending frames would be stale by the next attempt; senders repeat them.
             self._drop_pending()
-            is_refused = isinstance(error, ConnectionRefusedError)
+            is_refused = any(task.result() for task in done)
             await asyncio.sleep(
                 _REFUSED_RECONNECT_INTERVAL_S if is_refused else _RECONNECT_INTERVAL_S
             )
-            return False
-        return True
+        return self._is_connected
+
+    async def _attempt(self) -> bool:
+        """Try to connect; return whether the peer refused."""
+        host, port = host_and_port(self._address)
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(_CONNECT_TIMEOUT_S):
+                await loop.create_connection(lambda: _Attempt(self), host, port)
+        except (OSError, TimeoutError) as error:
+            return isinstance(error, ConnectionRefusedError)
+        return False
 
     def _drop_pending(self) -> None:
         self._counters.n_dropped += len(self._pending)
         self._pending.clear()
         self._pending_size_bytes = 0
 
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Send the pending frames."""
-        assert isinstance(transport, asyncio.Transport)
-        if self._is_closed:
+    def on_connected(self, transport: asyncio.Transport) -> None:
+        """Send the pending frames on the first connection, and abort further ones."""
+        if self._is_closed or self._is_connected:
             transport.abort()
             return
         set_tcp_user_timeout(transport.get_extra_info("socket"), TCP_USER_TIMEOUT_MS)
@@ -145,9 +182,10 @@
         self._pending.clear()
         self._pending_size_bytes = 0
 
-    def connection_lost(self, exc: Exception | None) -> None:
+    def on_lost(self, transport: asyncio.Transport | None) -> None:
         """Reconnect with the next message."""
-        self._transport = None
+        if transport is self._transport:
+            self._transport = None
 
     def close(self) -> None:
         """Abort the connection and drop the pending frames."""
@@ -155,6 +193,8 @@
         self._drop_pending()
         if self._connect_task is not None:
             self._connect_task.cancel()
+        for attempt in self._attempts:
+            attempt.cancel()
         if self._transport is not None:
             self._transport.abort()
 
--- a/packages/cardamomshunt-node/tests/test_stream_transport.py
+++ b/packages/cardamomshunt-node/tests/test_stream_transport.py
@@ -1,6 +1,7 @@
 """Messages between processes over TCP, whatever their size."""
 
 import asyncio
+from typing import Any
 
 import pytest
 from cardamomshunt.consensus import AppendEntries, Entry, EntryKind
@@ -40,6 +41,41 @@
         await receiver.stop()
 
 
+@pytest.mark.parametrize("round_trip_s", [0.0, 0.15, 0.25, 0.6])
+async def test_a_slow_link_is_connected_once(
+    round_trip_s: float, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against attempts that are given up one after the other on a slow link.
+
+    Also against a peer that keeps several connections, each with some of the messages.
+    """
+    loop = asyncio.get_running_loop()
+    connect = loop.create_connection
+    transports = []
+
+    async def connect_slowly(*arguments: Any, **options: Any) -> Any:
+        await asyncio.sleep(round_trip_s)
+        transport, protocol = await connect(*arguments, **options)
+        transports.append(transport)
+        return transport, protocol
+
+    monkeypatch.setattr(loop, "create_connection", connect_slowly)
+    received: asyncio.Queue[StreamMessage] = asyncio.Queue()
+    addresses = [f"127.0.0.1:{port}" for port in free_ports(2)]
+    receiver = StreamTransport("a", addresses[0], received.put_nowait)
+    sender = StreamTransport("b", addresses[1], lambda message: None)
+    await receiver.start()
+    try:
+        for _ in range(30):
+            sender.send(receiver.address, _message(100))
+            await asyncio.sleep(0.05)
+        assert not received.empty()
+        assert sum(not transport.is_closing() for transport in transports) == 1
+    finally:
+        await sender.stop()
+        await receiver.stop()
+
+
 async def test_messages_for_an_absent_peer_are_bounded() -> None:
     """Guards against memory that grows with messages for a peer that is gone."""
     addresses = [f"127.0.0.1:{port}" for port in free_ports(2)]
