--- a/packages/cardamomshunt/src/cardamomshunt/_consensus/node.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_consensus/node.py
@@ -104,6 +104,9 @@
         self._joiner = GroupJoiner(
             node, self.incarnation, initial_members, now_ms, may_form=may_form
         )
+        self._vote_issued_ms = NEVER_MS
+        self._vote_settled_ms = NEVER_MS
+        self._election_term: int | None = None
         self._pre_votes = VoteTally()
         self._votes = VoteTally()
         self._followers = Followers(node)
@@ -182,7 +185,7 @@
                 return (
                     self._rejoin_due_ms if self.options.admits_unknown_nodes else None
                 )
-            return self._timer.deadline_ms
+            return self._timer.deadline_ms if self._outbox.is_vote_durable else None
         due = self._followers.heartbeats_due_ms()
         return min(due, default=self._leader_since_ms + self.options.heartbeat_ms)
 
@@ -196,7 +199,7 @@
             self._tick_joining(now_ms)
         elif self.is_leader:
             self._tick_leader(now_ms)
-        elif self._is_voter and now_ms >= self._timer.deadline_ms:
+        elif self._may_campaign(now_ms):
             self._start_pre_vote(now_ms)
         if self.is_formed and not self.is_leader and self.options.admits_unknown_nodes:
             self._rejoin_if_removed(now_ms)
@@ -212,11 +215,12 @@
 
     def on_storage_done(self, now_ms: float, sequence: int) -> list[ControlEffect]:
         """Record that all writes up to `sequence` are durable."""
+        has_pending_vote = self._has_pending_vote
         self._outbox.on_durable(sequence)
         if self._outbox.is_durable:
             self.disk_full_reason = ""
-        if self.role is ConsensusRole.CANDIDATE:
-            self._count_votes(now_ms)
+        if has_pending_vote and self._outbox.is_vote_durable:
+            self._on_vote_durable(now_ms)
         if self.is_leader:
             self._advance_commit(now_ms)
         return self._outbox.pop_effects()
@@ -364,7 +368,7 @@
 
     def _on_join_hello(self, now_ms: float, sender: Peer, message: JoinHello) -> None:
         has_log = self.log.last_index > 0
-        self._send_durable(
+        self._send(
             sender.address,
             JoinReply(
                 term=self.term,
@@ -384,12 +388,14 @@
                 EventNumber.MEMBER_CATCHING_UP, message.node, str(message.incarnation)
             )
 
-    def _on_join_reply(self, sender: Peer, message: JoinReply) -> None:
+    def _on_join_reply(self, now_ms: float, sender: Peer, message: JoinReply) -> None:
         if self.is_formed:
             return
         has_log = self.log.last_index > 0
         members = self._joiner.on_reply(sender, message, has_log=has_log)
-        if members is not None:
+        # The log that a live leader sends brings the members without a further write.
+        is_led = self.leader is not None and self._timer.has_live_leader(now_ms)
+        if members is not None and not is_led:
             self._form(members)
 
     def _form(self, members: list[Member]) -> None:
@@ -429,14 +435,15 @@
     def _is_unresponsive(
         self, now_ms: float, member: Member, progress: Progress
     ) -> bool:
-        """Return whether a member has been silent since it could have answered.
+        """Return whether a member is silent, or has written nothing for a long time.
 
         A new learner may take long for its first answer; a voter has a log already.
         """
         limit_ms = self.options.retire_after_ms
         if member.is_voter and not progress.has_answered:
             limit_ms = min(limit_ms, self.options.first_answer_ms)
-        return progress.silent_ms(now_ms) > limit_ms
+        is_stalled = progress.stalled_ms(now_ms) > self.options.stalled_after_ms
+        return is_stalled or progress.silent_ms(now_ms) > limit_ms
 
     def _change_member(self, now_ms: float, change: MemberChange) -> None:
         node = change.node
@@ -468,10 +475,12 @@
     def _voter_rank(self) -> int:
         return sum(member.node < self.node for member in self.voters)
 
-    def _become_follower(self, now_ms: float, term: int, leader: str | None) -> None:
+    def _become_follower(
+        self, now_ms: float, term: int, leader: str | None, voted_for: str = ""
+    ) -> None:
         was_leader = self.is_leader
         if term > self.term:
-            self._set_vote(term, "")
+            self._set_vote(term, voted_for)
         if self.role is ConsensusRole.PRE_CANDIDATE:
             self._reset_pre_vote(now_ms)
         elif self.role is not ConsensusRole.FOLLOWER:
@@ -479,6 +488,7 @@
         self.role = ConsensusRole.FOLLOWER
         self.leader = leader
         self._transfer_to = None
+        self._election_term = None
         self._pre_votes.clear()
         self._votes.clear()
         self._followers.clear()
@@ -487,6 +497,8 @@
 
     def _start_pre_vote(self, now_ms: float) -> None:
         self._report_missing_votes()
+        if self.role is ConsensusRole.CANDIDATE:
+            self._timer.on_election_failed()
         self._reset_pre_vote(now_ms)
         self.role = ConsensusRole.PRE_CANDIDATE
         self.leader = None
@@ -511,7 +523,10 @@
         self.leader = None
         self._pre_votes.clear()
         self._votes.clear()
-        self._set_vote(self.term + 1, f"{self.node}/{self.incarnation}")
+        # A request that names entries must not outlive them in a crash.
+        send = self._send if self._outbox.is_log_durable else self._send_durable
+        self._set_vote(self.term + 1, self._candidate_id)
+        self._election_term = self.term
         self._emit(EventNumber.ELECTION_STARTED, self.node, f"term {self.term}")
         for member in self._other_voters():
             request = VoteRequest(
@@ -522,7 +537,7 @@
                 last_term=self.log.last_term,
                 is_transfer=is_transfer,
             )
-            self._send_durable(member.peer_address, request)
+            send(member.peer_address, request)
         self._count_votes(now_ms)
 
     def _other_voters(self) -> list[Member]:
@@ -532,8 +547,7 @@
         """Report an election without a majority, and fewer and fewer such pre-votes."""
         if self.role is ConsensusRole.CANDIDATE:
             answers = self._votes.describe(self.voters)
-            own = "" if self._outbox.is_durable else "; own vote not written yet"
-            detail = f"term {self.term}: {answers}{own}"
+            detail = f"term {self.term}: {answers}"
             self._emit(EventNumber.ELECTION_FAILED, self.node, detail)
         elif self._pre_votes.n_rounds >= _N_PRE_VOTES_REPORTED:
             n_rounds = self._pre_votes.n_rounds
@@ -554,6 +568,7 @@
             self._is_for_this_disk(message)
             and message.term > self.term
             and not self._has_live_leader(now_ms)
+            and not self._is_vote_recent(now_ms)
             and self._is_up_to_date(message.last_index, message.last_term)
         )
         if is_granted and self._is_restarting(now_ms):
@@ -564,7 +579,7 @@
             current_term=self.term,
             is_granted=is_granted,
         )
-        self._send_durable(sender.address, reply)
+        self._send(sender.address, reply)
 
     def _on_pre_vote_reply(
         self, now_ms: float, sender: Peer, message: PreVoteReply
@@ -601,30 +616,39 @@
     def _on_vote_request(
         self, now_ms: float, sender: Peer, message: VoteRequest
     ) -> None:
+        former_vote = self.vote
+        candidate = f"{sender.node}/{message.incarnation}"
+        is_eligible = self._is_for_this_disk(message) and self._is_up_to_date(
+            message.last_index, message.last_term
+        )
         if message.term > self.term:
             if not self._may_vote(now_ms, message):
                 return
-            self._become_follower(now_ms, message.term, None)
-        candidate = f"{sender.node}/{message.incarnation}"
+            voted_for = candidate if is_eligible else ""
+            self._become_follower(now_ms, message.term, None, voted_for)
+        elif message.term == self.term and is_eligible and not self.vote.voted_for:
+            self._set_vote(self.term, candidate)
         is_granted = (
-            self._is_for_this_disk(message)
+            is_eligible
             and message.term == self.term
-            and self.vote.voted_for in ("", candidate)
-            and self._is_up_to_date(message.last_index, message.last_term)
+            and self.vote.voted_for == candidate
         )
-        if is_granted and self.vote.voted_for == "":
-            self._set_vote(self.term, candidate)
-            self._timer.wait_for_leader(now_ms)
         reply = VoteReply(
             term=self.term, incarnation=self.incarnation, is_granted=is_granted
         )
+        if not is_granted:
+            self._send(sender.address, reply)
+            return
+        if self.vote != former_vote:
+            self._vote_issued_ms = now_ms
+        self._timer.wait_for_leader(now_ms)
         self._send_durable(sender.address, reply)
 
     def _on_vote_reply(self, now_ms: float, sender: Peer, message: VoteReply) -> None:
         if message.term > self.term:
             self._become_follower(now_ms, message.term, None)
             return
-        if self.role is not ConsensusRole.CANDIDATE or message.term != self.term:
+        if not self._is_candidate or message.term != self.term:
             return
         if self.member(sender.node, message.incarnation) is None:
             return
@@ -634,16 +658,70 @@
         self._votes.grant(sender.node)
         self._count_votes(now_ms)
 
+    @property
+    def _candidate_id(self) -> str:
+        return f"{self.node}/{self.incarnation}"
+
+    @property
+    def _is_candidate(self) -> bool:
+        """Return whether this node may still win the election of its term.
+
+        While it asks for pre-votes of the next term, late votes of this one count.
+        """
+        return self._election_term == self.term
+
+    @property
+    def _has_pending_vote(self) -> bool:
+        return self.vote.voted_for != "" and not self._outbox.is_vote_durable
+
+    def _may_campaign(self, now_ms: float) -> bool:
+        """Return whether a pre-vote is due, and its election could be written at once.
+
+        A new term would also make a vote useless that is still being written.
+        """
+        return (
+            self._is_voter
+            and self._outbox.is_vote_durable
+            and now_ms >= self._timer.deadline_ms
+        )
+
+    def _is_vote_recent(self, now_ms: float) -> bool:
+        """Return whether the candidate that this node voted for may be about to win."""
+        if self.role is ConsensusRole.CANDIDATE:
+            return self._has_pending_vote or now_ms < self._timer.deadline_ms
+        return self._has_pending_vote or now_ms < self._vote_settled_ms
+
+    def _on_vote_durable(self, now_ms: float) -> None:
+        """Give the candidate that has this node's vote time from now on.
+
+        Its own vote may take as long to be written as this one did.
+        """
+        if self.role is ConsensusRole.CANDIDATE:
+            is_restarting = self._is_restarting(now_ms)
+            self._timer.wait_for_votes(now_ms, is_restarting=is_restarting)
+            self._count_votes(now_ms)
+        elif not self.is_leader:
+            write_ms = now_ms - self._vote_issued_ms
+            candidate_ms = min(write_ms, self.options.election_max_ms)
+            settled_ms = now_ms + max(candidate_ms, self.options.heartbeat_ms)
+            self._vote_settled_ms = settled_ms
+            self._timer.wait_for_leader(now_ms + candidate_ms)
+
     def _count_votes(self, now_ms: float) -> None:
-        """Become leader with a majority; the own vote counts once it is durable."""
-        if self._outbox.is_durable:
-            self._votes.grant(self.node)
+        """Become leader with a majority, once the own vote is durable.
+
+        Otherwise this node could lead the same term twice, before and after a crash.
+        """
+        if not self._outbox.is_vote_durable:
+            return
+        self._votes.grant(self.node)
         if self._votes.has_majority(self.voters):
             self._become_leader(now_ms)
 
     def _become_leader(self, now_ms: float) -> None:
         self.role = ConsensusRole.LEADER
         self.leader = self.node
+        self._election_term = None
         self._leader_since_ms = now_ms
         self._followers.clear()
         self._emit(EventNumber.LEADER_ELECTED, self.node, str(self.term))
@@ -762,7 +840,7 @@
         if found is None:
             return
         member, progress = found
-        progress.last_acked_sent_ms = max(progress.last_acked_sent_ms, message.sent_ms)
+        progress.on_contact(message.sent_ms, is_complete=message.is_complete)
         if message.is_success:
             has_advanced = message.match_index > progress.match_index
             progress.match_index = max(progress.match_index, message.match_index)
@@ -791,7 +869,7 @@
         if found is None:
             return
         member, progress = found
-        progress.last_acked_sent_ms = max(progress.last_acked_sent_ms, message.sent_ms)
+        progress.on_contact(message.sent_ms, is_complete=True)
         if message.snapshot_index != self.log.snapshot.index:
             progress.snapshot_offset = 0
             return
@@ -839,7 +917,7 @@
         self, now_ms: float, sender: Peer, message: AppendEntries
     ) -> None:
         if message.term < self.term:
-            self._reply_append(sender, message, False, self.log.last_index)
+            self._refuse_append(sender, message, self.log.last_index)
             return
         self._accept_leader(now_ms, sender, message.term)
         prev_index, prev_term = message.prev_index, message.prev_term
@@ -848,19 +926,19 @@
             # Entries up to the snapshot are committed, so they match the leader's.
             n_known = self.log.snapshot.index - prev_index
             if n_known > len(entries):
-                self._reply_append(sender, message, True, prev_index + len(entries))
+                self._accept_append(sender, message, prev_index + len(entries))
                 return
             prev_index, prev_term = self.log.snapshot.index, self.log.snapshot.term
             entries = entries[n_known:]
         if not self._log_matches(prev_index, prev_term):
-            self._reply_append(sender, message, False, self._conflict_hint(prev_index))
+            self._refuse_append(sender, message, self._conflict_hint(prev_index))
             return
         self._store_entries(entries)
         last_index = prev_index + len(entries)
         self.commit_index = max(
             self.commit_index, min(message.commit_index, last_index)
         )
-        self._reply_append(sender, message, True, last_index)
+        self._accept_append(sender, message, last_index)
 
     def _log_matches(self, prev_index: int, prev_term: int) -> bool:
         return self.log.term_at(prev_index) == prev_term
@@ -890,33 +968,63 @@
         self.log.truncate_from(index)
         self._outbox.truncate(index - 1)
 
-    def _reply_append(
+    def _refuse_append(
         self,
         sender: Peer,
         message: AppendEntries | SnapshotChunk,
-        is_success: bool,
         match_index: int,
     ) -> None:
+        reply = self._append_reply(message, match_index, is_success=False)
+        self._send(sender.address, reply)
+
+    def _accept_append(
+        self,
+        sender: Peer,
+        message: AppendEntries | SnapshotChunk,
+        match_index: int,
+    ) -> None:
+        """Confirm the contact at once, and the entries once they are durable.
+
+        A leader that learned of the contact from the durable reply alone would take
+        followers with slow disks for silent, and lose its lease.
+        """
+        if not self._outbox.is_durable and not self.disk_full_reason:
+            durable_index = min(match_index, self._outbox.durable_index)
+            contact = self._append_reply(
+                message, durable_index, is_success=True, is_complete=False
+            )
+            self._send(sender.address, contact)
+        reply = self._append_reply(message, match_index, is_success=True)
+        self._send_durable(sender.address, reply)
+
+    def _append_reply(
+        self,
+        message: AppendEntries | SnapshotChunk,
+        match_index: int,
+        *,
+        is_success: bool,
+        is_complete: bool = True,
+    ) -> AppendReply:
         prev_index = message.prev_index if isinstance(message, AppendEntries) else -1
-        reply = AppendReply(
+        return AppendReply(
             term=self.term,
             incarnation=self.incarnation,
             is_success=is_success,
             prev_index=prev_index,
             match_index=match_index,
             sent_ms=message.sent_ms,
+            is_complete=is_complete,
         )
-        self._send_durable(sender.address, reply)
 
     def _on_snapshot_chunk(
         self, now_ms: float, sender: Peer, message: SnapshotChunk
     ) -> None:
         if message.term < self.term:
-            self._reply_append(sender, message, False, self.log.last_index)
+            self._refuse_append(sender, message, self.log.last_index)
             return
         self._accept_leader(now_ms, sender, message.term)
         if message.snapshot_index <= self.commit_index:
-            self._reply_append(sender, message, True, message.snapshot_index)
+            self._accept_append(sender, message, message.snapshot_index)
             return
         received_bytes = self._snapshot_sink.add(message)
         if received_bytes < message.size_bytes:
@@ -927,10 +1035,10 @@
                 next_offset=received_bytes,
                 sent_ms=message.sent_ms,
             )
-            self._send_durable(sender.address, reply)
+            self._send(sender.address, reply)
             return
         self._install(self._snapshot_sink.pop())
-        self._reply_append(sender, message, True, message.snapshot_index)
+        self._accept_append(sender, message, message.snapshot_index)
 
     def _install(self, snapshot: Snapshot) -> None:
         is_reset = self.log.install(snapshot)
@@ -967,4 +1075,4 @@
             case JoinHello():
                 self._on_join_hello(now_ms, sender, message)
             case JoinReply():
-                self._on_join_reply(sender, message)
+                self._on_join_reply(now_ms, sender, message)
