Test that slow followers don't stop a replacement

Guards the mend of heartbeat acknowledgements together with that of the commits of a replacement, with three control nodes whose writes take 100, 500 and 1,000 ms.

--- a/tests/users_platform/test_slow_commits.py
+++ b/tests/users_platform/test_slow_commits.py
@@ -86,3 +86,20 @@
     entries = node._host.node.log.entries_from(1, 1_000)
     assert [entry.payload for entry in entries].count(payload) == 1
     assert statuses == [503, 200]
+
+
+@pytest.mark.parametrize("write_s", [0.1, 0.5, 1.0])
+async def test_three_nodes_replace_a_primary_and_keep_their_leader(
+    deployment, disk, write_s
+):
+    # Guards against a leader that is taken for dead while its followers write, so that a
+    # replacement begins again at each commit.
+    node = next(item for item in deployment.controls.values() if item._host.may_act)
+    term = node._host.node.term
+    disk.write_s = write_s
+    deployment.server("i-3").is_unreachable = True
+    async with asyncio.timeout(4.0 + 6.0 * write_s):
+        while not (await _write_once(deployment)).startswith("COMPLETE"):
+            await asyncio.sleep(0.05)
+    assert len(deployment.provider.calls) == 1
+    assert (node._host.node.is_leader, node._host.node.term) == (True, term)
