Split the faults of servers from those of daemons in the fault soak

A slow disk of a control node that is replaced while it is slow becomes fast again, too: its successor took over the speed and remained slow.

--- a/tests/fault_soak/disk_faults.py
+++ b/tests/fault_soak/disk_faults.py
@@ -48,8 +48,8 @@
             for daemon in chosen:
                 daemon.disk.slow_down(sync_ms)
             await asyncio.sleep(draws.uniform(*_SLOW_S))
-            # Also a successor, which takes over the speed of the disk it replaces.
-            for daemon in self._deployment.controls:
+            # A successor takes over the speed of the disk that it replaces.
+            for daemon in [*chosen, *self._deployment.controls]:
                 daemon.disk.slow_down(0.0)
             await asyncio.sleep(draws.uniform(*_SLOW_PAUSE_S))
 
--- a/tests/fault_soak/soak_faults.py
+++ b/tests/fault_soak/soak_faults.py
@@ -7,14 +7,13 @@
 from collections.abc import Callable, Coroutine
 
 from disk_faults import DiskFaults
-from fault_links import LinkMode
+from server_faults import ServerFaults, wait_for_fault_end
 from soak_callers import History
 from soak_checks import check_planned_stop
 from soak_deployment import SoakDeployment
 from soak_processes import STOP_TIMEOUT_S, DaemonProcess
 
 _FAULT_INTERVAL_S = (0.15, 1.1)
-_FAULT_DURATION_S = (0.2, 2.5)
 # Time in which a control node counts again after a start, whatever its disk holds.
 # Another disk is lost only after that.
 _CATCH_UP_S = 4.0
@@ -72,6 +71,7 @@
 
     async def _inject_faults(self, seconds: float) -> None:
         end_s = time.monotonic() + seconds
+        servers = ServerFaults(self._random, self._deployment, self.record_fault)
         faults: list[Callable[[], Coroutine[None, None, None]]] = [
             self._fault_kill,
             self._fault_kill,
@@ -83,14 +83,14 @@
             self._fault_kill_all_controls,
             self._fault_lost_disk,
             self._fault_full_disk,
-            self._fault_link,
-            self._fault_link,
-            self._fault_reset,
-            self._fault_unresponsive_server,
-            self._fault_unresponsive_server,
-            self._fault_lag,
-            self._fault_lost_answers,
-            self._fault_provider,
+            servers.disrupt_link,
+            servers.disrupt_link,
+            servers.reset_connections,
+            servers.freeze_server,
+            servers.freeze_server,
+            servers.delay_replication,
+            servers.lose_answers,
+            servers.disrupt_provider,
         ]
         if self._has_replacements:
             self._start_fault(self._replace_controls(end_s))
@@ -111,9 +111,6 @@
         elapsed_s = time.monotonic() - self._started_s
         self.faults.append(f"{elapsed_s:7.3f} {text}")
 
-    async def _wait_for_fault_end(self) -> None:
-        await asyncio.sleep(self._random.uniform(*_FAULT_DURATION_S))
-
     def _choose_daemon(self) -> DaemonProcess | None:
         """Choose a running daemon; at least one entry VM remains in service."""
         candidates = [
@@ -137,7 +134,7 @@
         self.record_fault(f"kill {daemon.name}")
         daemon.disrupted_until_s = float("inf")
         self.kill_daemons([daemon])
-        await self._wait_for_fault_end()
+        await wait_for_fault_end(self._random)
         daemon.start()
         daemon.disrupted_until_s = time.monotonic()
 
@@ -148,7 +145,7 @@
         self.record_fault(f"pause {daemon.name}")
         daemon.disrupted_until_s = float("inf")
         daemon.send_signal(signal.SIGSTOP)
-        await self._wait_for_fault_end()
+        await wait_for_fault_end(self._random)
         daemon.send_signal(signal.SIGCONT)
         daemon.disrupted_until_s = time.monotonic()
 
@@ -280,62 +277,6 @@
         self.record_fault(f"fill the disk of {daemon.name}")
         daemon.disrupted_until_s = float("inf")
         daemon.limit_file_size(0)
-        await self._wait_for_fault_end()
+        await wait_for_fault_end(self._random)
         daemon.limit_file_size(-1)
         daemon.disrupted_until_s = time.monotonic()
-
-    async def _fault_link(self) -> None:
-        server = self._random.choice(self._deployment.group.servers)
-        mode = self._random.choice(
-            [LinkMode.DELAY, LinkMode.BLACKHOLE, LinkMode.ONE_WAY, LinkMode.REFUSE]
-        )
-        self.record_fault(f"link to {server.name}: {mode.value}")
-        link = self._deployment.links[server.name]
-        link.set_mode(mode, self._random.uniform(0.02, 0.3))
-        await self._wait_for_fault_end()
-        link.set_mode(LinkMode.PASS)
-
-    async def _fault_reset(self) -> None:
-        server = self._random.choice(self._deployment.group.servers)
-        self.record_fault(f"reset connections of {server.name}")
-        self._deployment.links[server.name].reset()
-
-    async def _fault_unresponsive_server(self) -> None:
-        """Make one server unresponsive for a while; it rejoins with its log."""
-        if any(server.is_unreachable for server in self._deployment.group.servers):
-            return
-        leading = self._deployment.group.primary
-        others = [
-            item for item in self._deployment.group.servers if item is not leading
-        ]
-        is_primary = self._random.random() < 0.6
-        server = leading if is_primary else self._random.choice(others)
-        self.record_fault(f"unresponsive {server.name}")
-        server.is_unreachable = True
-        await self._wait_for_fault_end()
-        server.is_unreachable = False
-        await asyncio.sleep(1.0)
-        self._deployment.group.rejoin(server)
-
-    async def _fault_lag(self) -> None:
-        server = self._random.choice(self._deployment.group.servers)
-        self.record_fault(f"lag of {server.name}")
-        server.lag_s = self._random.uniform(0.3, 3.0)
-        await self._wait_for_fault_end()
-        server.lag_s = self._random.uniform(0.0, 0.05)
-
-    async def _fault_lost_answers(self) -> None:
-        server = self._random.choice(self._deployment.group.servers)
-        self.record_fault(f"lose answers of {server.name}")
-        server.lost_share = 0.2
-        await self._wait_for_fault_end()
-        server.lost_share = 0.0
-
-    async def _fault_provider(self) -> None:
-        mode = self._random.choice(
-            [LinkMode.BLACKHOLE, LinkMode.ONE_WAY, LinkMode.REFUSE]
-        )
-        self.record_fault(f"link to the provider: {mode.value}")
-        self._deployment.provider_link.set_mode(mode)
-        await self._wait_for_fault_end()
-        self._deployment.provider_link.set_mode(LinkMode.PASS)
