--- a/packages/cardamomshunt/src/cardamomshunt/_consensus/node.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_consensus/node.py
@@ -1049,7 +1049,8 @@
 
     def _install(self, snapshot: Snapshot) -> None:
         is_reset = self.log.install(snapshot)
-        self._outbox.truncate(self.log.last_index)
+        # On disk, entries that were not committed may differ from the snapshot.
+        self._outbox.truncate(self.commit_index if is_reset else self.log.last_index)
         self.commit_index = self._ready_index = snapshot.index
         self._ready.append(snapshot)
         self._persist_snapshot(snapshot, is_reset)
