Forget requests of entry VMs that are stored by now

What callers saw: nothing directly. An entry VM that asked for shares of rate limits again while it was being stored remained a holder after it had gone. Each later leader waits for the report or the lease of such a holder before it gives shares.

Cause: its second request was kept as one to store, and kept it among the wanted holders for ever. With slow commits each entry VM asks again.

Change: requests of entry VMs that may hold shares are dropped before the next change is decided.

The new test failed before with 2 and 20 requests before the commit.

--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_quota_service.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_quota_service.py
@@ -96,6 +96,8 @@
         if self._ledger is None or self._ledger_term != self._term():
             return None
         stored = set(self._state().share_holders)
+        # They asked again before the command that stores them was committed.
+        self._wanted -= {entry for entry in self._wanted if self._may_hold(entry)}
         absent = set(self._ledger.absent_holders(stored, boot_ms()))
         wanted = (stored - absent) | self._wanted
         if wanted == stored and self._proposed in (None, stored):
