--- a/packages/cardamomshunt/tests/test_slow_disks.py
+++ b/packages/cardamomshunt/tests/test_slow_disks.py
@@ -290,3 +290,17 @@
         group.run_until(lambda: False, 100.0)
     del group.nodes[group.leader.node]
     assert group.run_until(lambda: group.leader is not None, 8_000.0) is not None
+
+
+def test_a_leader_whose_disk_hangs_is_replaced() -> None:
+    """Guards against a group that commits nothing after the loss of one follower."""
+    group = _GroupWithHangingDisk(["s1", "s2", "s3", "s4", "s5"], 0, sync_ms=1.0)
+    assert group.run_until(lambda: group.leader is not None, 8_000.0) is not None
+    leader = group.leader
+    assert leader is not None
+    group.hanging = leader.node
+    for _ in range(80):
+        if group.leader is not None:
+            group.propose(group.leader, b"x")
+        group.run_until(lambda: False, 100.0)
+    assert group.leader is not None and group.leader.node != group.hanging
