--- a/packages/cardamomshunt/src/cardamomshunt/_consensus/election_timer.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_consensus/election_timer.py
@@ -91,8 +91,8 @@
         pause_ms = self._options.restart_pre_vote_ms * n_pauses
         self.deadline_ms = max(now_ms, earliest_ms) + pause_ms
 
-    def give_way(self, now_ms: float) -> None:
-        """Let a node that probably stands for election now go first."""
+    def postpone_pre_vote(self, now_ms: float) -> None:
+        """Leave time for the election of another node, which probably begins now."""
         pause_ms = 2.0 * self._options.restart_pre_vote_ms
         self.deadline_ms = max(self.deadline_ms, now_ms + pause_ms)
 
--- a/packages/cardamomshunt/src/cardamomshunt/_consensus/node.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_consensus/node.py
@@ -572,7 +572,7 @@
             and self._is_up_to_date(message.last_index, message.last_term)
         )
         if is_granted and self._is_restarting(now_ms):
-            self._timer.give_way(now_ms)
+            self._timer.postpone_pre_vote(now_ms)
         reply = PreVoteReply(
             term=message.term,
             incarnation=self.incarnation,
--- a/packages/cardamomshunt/tests/test_consensus.py
+++ b/packages/cardamomshunt/tests/test_consensus.py
@@ -15,7 +15,6 @@
     Entry,
     EntryKind,
     JoinReply,
-    Member,
     Peer,
     RestoredState,
     Snapshot,
@@ -28,23 +27,11 @@
     PersistSnapshot,
     SendMessage,
 )
+from slow_disk_group import make_members
 
 _NAMES = ["s1", "s2", "s3", "s4", "s5"]
 
 
-def _members(names: list[str]) -> list[Member]:
-    return [
-        Member(
-            node=name,
-            zone="z",
-            peer_address=name,
-            operator_address=name,
-            incarnation=number,
-        )
-        for number, name in enumerate(names, start=1)
-    ]
-
-
 class _Cluster:
     """Nodes that exchange messages while they are up, with instant disks."""
 
@@ -55,7 +42,7 @@
         term: int,
         options: ConsensusOptions | None = None,
     ) -> None:
-        members = _members(list(logs))
+        members = make_members(list(logs))
         self.up = set(logs)
         self.queue: list[tuple[str, SendMessage]] = []
         self.now_ms = 0.0
@@ -245,7 +232,7 @@
     def add(self, name: str, seeds: list[str], may_form: bool) -> ConsensusNode:
         node = ConsensusNode(
             name,
-            _members(seeds),
+            make_members(seeds),
             RestoredState(incarnation=77),
             Random(77),
             self.now_ms,
@@ -631,7 +618,7 @@
     )
     names = ["s1", "s2", "s3"]
     cluster = _Cluster(ConsensusNode, {n: [_entry(1, 1)] for n in names}, 1, options)
-    members = _members(names)
+    members = make_members(names)
     starts_ms = {"s1": 0.0, "s2": 70.0, "s3": 300.0}
     cluster.up = set()
     leader_ms = 0.0
@@ -675,7 +662,7 @@
         election_min_ms=400.0, election_max_ms=650.0, restart_pre_vote_ms=60.0
     )
     names = ["s1", "s2", "s3"]
-    members = _members(names)
+    members = make_members(names)
     cluster = _Cluster(ConsensusNode, {n: [_entry(1, 1)] for n in names}, 1, options)
     cluster.now_ms = 390.0
     for member in members:
--- a/packages/cardamomshunt/tests/test_slow_disks.py
+++ b/packages/cardamomshunt/tests/test_slow_disks.py
@@ -87,6 +87,19 @@
     return ConsensusNode("s1", _MEMBERS, restored, Random(1), 0.0, OPTIONS)
 
 
+def _append(term: int) -> AppendEntries:
+    """Return the message of a leader with the next entry."""
+    return AppendEntries(
+        term=term,
+        incarnation=2,
+        prev_index=1,
+        prev_term=_TERM,
+        commit_index=0,
+        sent_ms=5.0,
+        entries=[Entry(2, term, EntryKind.COMMAND, b"y")],
+    )
+
+
 def _grant(node: ConsensusNode, term: int, voter: int) -> list[ControlEffect]:
     member = _MEMBERS[voter]
     reply = VoteReply(term=term, incarnation=member.incarnation, is_granted=True)
@@ -147,15 +160,7 @@
 def test_a_request_for_votes_waits_for_entries_that_are_not_durable() -> None:
     """Guards against a vote for entries that a crash of the candidate removes."""
     node = _node(Vote(_TERM, ""))
-    append = AppendEntries(
-        term=_TERM,
-        incarnation=2,
-        prev_index=1,
-        prev_term=_TERM,
-        commit_index=0,
-        sent_ms=0.0,
-        entries=[Entry(2, _TERM, EntryKind.COMMAND, b"y")],
-    )
+    append = _append(_TERM)
     node.on_message(0.0, Peer("s2", "s2"), append)
     effects = _start_election(node)
     assert not [m for m in _messages(effects) if isinstance(m, VoteRequest)]
@@ -166,15 +171,7 @@
 def test_a_contact_is_confirmed_without_what_is_not_durable() -> None:
     """Guards against an acknowledged entry that a follower loses in a crash."""
     node = _node(Vote(_TERM, ""))
-    append = AppendEntries(
-        term=_TERM,
-        incarnation=2,
-        prev_index=1,
-        prev_term=_TERM,
-        commit_index=0,
-        sent_ms=5.0,
-        entries=[Entry(2, _TERM, EntryKind.COMMAND, b"y")],
-    )
+    append = _append(_TERM)
     effects = node.on_message(0.0, Peer("s2", "s2"), append)
     done = node.on_storage_done(9.0, _last_sequence(effects))
     replies = [m for m in _messages(effects + done) if isinstance(m, AppendReply)]
@@ -185,15 +182,7 @@
 def test_a_full_disk_confirms_no_contact() -> None:
     """Guards against a voter that counts although its disk takes no more writes."""
     node = _node(Vote(_TERM, ""))
-    append = AppendEntries(
-        term=_TERM,
-        incarnation=2,
-        prev_index=1,
-        prev_term=_TERM,
-        commit_index=0,
-        sent_ms=5.0,
-        entries=[Entry(2, _TERM, EntryKind.COMMAND, b"y")],
-    )
+    append = _append(_TERM)
     node.on_message(0.0, Peer("s2", "s2"), append)
     node.on_storage_full(1.0, "no space left")
     assert _messages(node.on_message(2.0, Peer("s2", "s2"), append)) == []
@@ -233,14 +222,7 @@
     node = _node(Vote(_TERM, ""))
     effects = _start_election(node)
     node.on_storage_done(1_000.0, _last_sequence(effects))
-    append = AppendEntries(
-        term=_TERM + 1,
-        incarnation=2,
-        prev_index=1,
-        prev_term=_TERM,
-        commit_index=0,
-        sent_ms=5.0,
-    )
+    append = _append(_TERM + 1)
     node.on_message(1_100.0, Peer("s2", "s2"), append)
     for voter in (1, 2):
         _grant(node, _TERM + 1, voter)
