--- a/tests/fault_soak/test_soak_runner.py
+++ b/tests/fault_soak/test_soak_runner.py
@@ -8,10 +8,10 @@
 from soak_deployment import SoakDeployment
 from standin import Caller
 
-_NETWORK = 90
 
-
-async def test_a_cancelled_soak_stops_the_daemons_of_running_seeds(monkeypatch):
+async def test_a_cancelled_soak_stops_the_daemons_of_running_seeds(
+    monkeypatch, network
+):
     # Guards against daemons that survive a soak which is ended while seeds still wait.
     started, stopped = [], []
 
@@ -24,7 +24,7 @@
             stopped.append(seed)
 
     monkeypatch.setattr(soak, "run_seed", run_seed)
-    running = asyncio.create_task(soak._run_seeds([1, 2, 3], 1.0, 2, _NETWORK))
+    running = asyncio.create_task(soak._run_seeds([1, 2, 3], 1.0, 2, network))
     await asyncio.sleep(0.01)
     running.cancel()
     with pytest.raises(asyncio.CancelledError):
@@ -32,14 +32,14 @@
     assert started == sorted(stopped) == [1, 2]
 
 
-async def test_the_end_of_a_seed_leaves_the_callers_of_others(tmp_path):
+async def test_the_end_of_a_seed_leaves_the_callers_of_others(tmp_path, network):
     # Guards against statements of one seed that the end of another one breaks.
     async def serve(reader, writer):
         writer.write(b"READY I -\r\n")
 
-    server = await asyncio.start_server(serve, f"127.{_NETWORK}.2.1", 18_784)
-    caller = await Caller.open(f"127.{_NETWORK}.2.1:18784", "orders")
-    ended = SoakDeployment(random.Random(1), tmp_path, _NETWORK, has_teams=False)
+    server = await asyncio.start_server(serve, f"127.{network}.2.1", 18_784)
+    caller = await Caller.open(f"127.{network}.2.1:18784", "orders")
+    ended = SoakDeployment(random.Random(1), tmp_path, network, has_teams=False)
     await ended.provider.server.start()
     await ended.stop()
     assert not caller._writer.transport.is_closing()
