--- a/packages/cardamomshunt/src/cardamomshunt/_shared/events.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_shared/events.py
@@ -286,7 +286,7 @@
         severity=Severity.WARNING,
         what="An election ended without a majority; the line names the voters by their answer.",
         consequence="The node asks again. No failover and no patch is possible until a leader is elected.",
-        action="If it repeats: start silent voters; look for slow disks, in the time of writes, where votes are not written.",
+        action="If it repeats: start silent voters that do not run, and look for slow writes at those that do.",
     ),
     CatalogueEntry(
         number=EventNumber.PRE_VOTE_FAILED,
