Reserve the network of soak tests without a second conftest

Two folders of tests import a module of that name, so that the collection of all tests failed; the files by themselves passed. A context manager reserves the network.

--- a/tests/fault_soak/conftest.py
+++ b/tests/fault_soak/soak_network.py
@@ -1,6 +1,8 @@
-"""Fixtures of the tests of the fault soak."""
+"""Loopback network of a test of the fault soak."""
+
+import contextlib
+from collections.abc import Iterator
 
-import pytest
 from cardamomshunt_testing.loopback import reserve_network
 from soak_deployment import N_CONTROLS, N_ENTRIES
 from soak_processes import CALLER_PORT, PEER_PORT
@@ -14,9 +16,11 @@
 ]
 
 
-@pytest.fixture
-def network():
-    """Return the number of a loopback network that only this test uses."""
+@contextlib.contextmanager
+def reserve_soak_network() -> Iterator[int]:
+    """Yield the number of a loopback network that only one test uses."""
     number, lock = reserve_network(_ENDPOINTS)
-    yield number
-    lock.close()
+    try:
+        yield number
+    finally:
+        lock.close()
--- a/tests/fault_soak/test_fault_soak.py
+++ b/tests/fault_soak/test_fault_soak.py
@@ -2,6 +2,7 @@
 
 import pytest
 from soak import run_seed
+from soak_network import reserve_soak_network
 
 _SHORT_S = 6.0
 # The default duration of soak.py, at which the seeds below failed.
@@ -9,39 +10,38 @@
 
 
 async def _check_seed(
-    seed, seconds, network, folder, *, has_replacements=False, has_disk_faults=False
+    seed, seconds, folder, *, has_replacements=False, has_disk_faults=False
 ):
-    result = await run_seed(
-        seed,
-        seconds,
-        network,
-        folder,
-        has_replacements=has_replacements,
-        has_disk_faults=has_disk_faults,
-    )
+    with reserve_soak_network() as network:
+        result = await run_seed(
+            seed,
+            seconds,
+            network,
+            folder,
+            has_replacements=has_replacements,
+            has_disk_faults=has_disk_faults,
+        )
     assert result.violations == []
     assert result.n_statements > 100
     return result
 
 
-async def test_a_short_seed_violates_no_guarantee(network, tmp_path):
+async def test_a_short_seed_violates_no_guarantee(tmp_path):
     """Guards against violated guarantees while processes and links fail at random."""
-    await _check_seed(1, _SHORT_S, network, tmp_path)
+    await _check_seed(1, _SHORT_S, tmp_path)
 
 
-async def test_control_nodes_replaced_in_turn_violate_no_guarantee(network, tmp_path):
+async def test_control_nodes_replaced_in_turn_violate_no_guarantee(tmp_path):
     """Guards against a node with an empty disk that does not count in time."""
     # This seed draws three replacements in a row.
-    result = await _check_seed(1, _SHORT_S, network, tmp_path, has_replacements=True)
+    result = await _check_seed(1, _SHORT_S, tmp_path, has_replacements=True)
     assert sum(" replace control" in fault for fault in result.faults) >= 3
 
 
 @pytest.mark.parametrize("seed", [10, 16])
-async def test_slow_disks_and_a_loss_of_power_violate_no_guarantee(
-    seed, network, tmp_path
-):
+async def test_slow_disks_and_a_loss_of_power_violate_no_guarantee(seed, tmp_path):
     """Guards against control nodes that find no leader while their syncs are slow."""
-    result = await _check_seed(seed, _SHORT_S, network, tmp_path, has_disk_faults=True)
+    result = await _check_seed(seed, _SHORT_S, tmp_path, has_disk_faults=True)
     assert any(" kill all daemons after" in fault for fault in result.faults)
     assert any(" syncs take" in fault for fault in result.faults)
 
@@ -54,6 +54,6 @@
         113,
     ],
 )
-async def test_formerly_failed_seed_violates_no_guarantee(seed, network, tmp_path):
+async def test_formerly_failed_seed_violates_no_guarantee(seed, tmp_path):
     """Guards against the return of faults that the soak has found."""
-    await _check_seed(seed, _LONG_S, network, tmp_path)
+    await _check_seed(seed, _LONG_S, tmp_path)
