--- a/review/standins_2/harness.py
+++ b/review/standins_2/harness.py
@@ -32,6 +32,10 @@
     """Raised when the deployment does not reach the state that the case starts from."""
 
 
+def _shorten(text: str) -> str:
+    return text if len(text) <= 400 else f"{text[:200]}... ({len(text)} characters)"
+
+
 class Record:
     """Write what was sent, answered and run to `record.txt`, with times in ms."""
 
@@ -43,7 +47,7 @@
         return (time.monotonic() - self._start_s) * 1e3
 
     def write(self, *parts: object) -> None:
-        line = " ".join(str(part) for part in parts)
+        line = " ".join(_shorten(str(part)) for part in parts)
         self._file.write(f"{self.now_ms():9.1f} {line}\n")
         self._file.flush()
 
