--- a/review/standins_2/harness.py
+++ b/review/standins_2/harness.py
@@ -8,6 +8,7 @@
 import json
 import os
 import random
+import shutil
 import signal
 import socket
 import sys
@@ -791,6 +792,7 @@
         if self.provider is not None:
             await self.provider.stop()
         self._lock.close()
+        shutil.rmtree(self.folder, ignore_errors=True)
 
 
 def route(host: str, service: str, kind: str, **changes: object) -> dict:
@@ -820,6 +822,10 @@
     record = Record(folder / "record.txt")
 
     async def run() -> int:
+        # A script that is stopped ends its processes as well.
+        task = asyncio.current_task()
+        assert task is not None
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         deployment = Deployment(record, n_entries)
         try:
             async with asyncio.timeout(limit_s):
@@ -838,4 +844,7 @@
             print("the rule held")
         return BROKEN if broken else HELD
 
-    return asyncio.run(run())
+    try:
+        return asyncio.run(run())
+    except asyncio.CancelledError:
+        return NOT_RUN
