Log lapsed leases, ended epochs and refused acknowledgements

So a lapsed lease that is revived, a leader that did not wait, an old grant that is read after a freeze, and an answer without a check looked the same.

Change: lease_lost and lease_gained carry how long there was no lease and the newest known epoch, and are written before a grant counts; epoch_ended and acknowledgement_refused are new.

--- a/packages/cardamomshunt-cli/src/cardamomshunt_cli/_request_trace.py
+++ b/packages/cardamomshunt-cli/src/cardamomshunt_cli/_request_trace.py
@@ -14,6 +14,7 @@
     {
         "configuration",
         "cut_off",
+        "epoch_ended",
         "home",
         "leader",
         "leader_lost",
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_entry_control_link.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_entry_control_link.py
@@ -344,10 +344,19 @@
             self._directory.record_entries(grant.zone_entries)
         self._check_version(grant.version)
         known = grant.assignments or {}
+        now = boot_ms()
+        # The sweep may not have run since the lease ended.
+        self.check_lease(now)
+        lapsed_ms = now - self._view.lease.valid_until_ms
         changed = self._view.lease.on_grant(grant)
-        if not self._had_lease:
+        if not self._had_lease and self._view.lease.is_valid(now):
             self._had_lease = True
-            self._log.write("lease_gained", leader=self._leader)
+            self._log.write(
+                "lease_gained",
+                leader=self._leader,
+                lapsed_ms=round(lapsed_ms) if lapsed_ms < float("inf") else None,
+                newest_epoch=self._view.lease.newest_epoch,
+            )
             self._record_step(RecoveryStep.FIRST_LEASE)
             self._view.notify()
         self._on_assignments(changed, known)
@@ -433,7 +442,12 @@
         """Log the expiry of the lease."""
         if self._had_lease and not self._view.lease.is_valid(now):
             self._had_lease = False
-            self._log.write("lease_lost", leader=self._leader)
+            self._log.write(
+                "lease_lost",
+                leader=self._leader,
+                lapsed_ms=round(now - self._view.lease.valid_until_ms),
+                newest_epoch=self._view.lease.newest_epoch,
+            )
 
     def is_partitioned(self, now: float) -> bool:
         """Return whether too few control nodes answer to get a lease again."""
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_entry_daemon.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_entry_daemon.py
@@ -180,7 +180,7 @@
                 phase=assignment.phase.value,
             )
             if assignment.phase is AssignmentPhase.ACTIVE:
-                self._view.end_epoch(group)
+                self._end_epoch(group, "replaced")
             elif group not in self._stopping:
                 self._stopping[group] = asyncio.create_task(self._release(group))
         if changed:
@@ -196,7 +196,7 @@
             pool = self._view.pool(report)
             while boot_ms() < end_ms and pool.load and not pool.is_down(boot_ms()):
                 await asyncio.sleep(0.01)
-        self._view.end_epoch(group)
+        self._end_epoch(group, "released")
         current = self._view.lease.latest_assignment(group)
         assert current is not None
         del self._stopping[group]
@@ -204,6 +204,18 @@
             self._log.write("released", group=group, epoch=current.epoch)
             self._control_link.release(group, current.epoch)
 
+    def _end_epoch(self, group: str, reason: str) -> None:
+        assignment = self._view.lease.latest_assignment(group)
+        assert assignment is not None
+        n_cut = self._view.end_epoch(group)
+        self._log.write(
+            "epoch_ended",
+            group=group,
+            epoch=assignment.epoch,
+            reason=reason,
+            n_cut=n_cut,
+        )
+
     # Maintenance
 
     async def _sweep(self) -> None:
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_fleet_view.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_fleet_view.py
@@ -7,6 +7,7 @@
 from dataclasses import replace
 
 from cardamomshunt.fleet import (
+    AckRefusal,
     AssignmentPhase,
     ConnectionQuota,
     PaceChange,
@@ -383,23 +384,26 @@
             return None
         return self.pool(report), assignment.epoch
 
-    def may_acknowledge(self, group: str, epoch: int) -> bool:
-        """Return whether no other primary can have been promoted since `epoch`."""
-        return (
-            self.lease.is_valid(boot_ms()) and self._ended_epochs.get(group, -1) < epoch
-        )
+    def ack_refusal(self, group: str, epoch: int) -> AckRefusal | None:
+        """Return why another primary may have been promoted since `epoch`, or None."""
+        if not self.lease.is_valid(boot_ms()):
+            return AckRefusal.LEASE_LAPSED
+        if self._ended_epochs.get(group, -1) >= epoch:
+            return AckRefusal.EPOCH_ENDED
+        return None
 
-    def end_epoch(self, group: str) -> None:
-        """Stop using the former primary of a group, and fail its running statements."""
+    def end_epoch(self, group: str) -> int:
+        """Stop using the former primary of a group; return how many connections it cut."""
         assignment = self.lease.latest_assignment(group)
         if assignment is None:
-            return
+            return 0
         self._ended_epochs[group] = assignment.epoch - 1
         pool = self._pools.get(assignment.server)
-        if assignment.phase is AssignmentPhase.ACTIVE:
-            return
-        if pool is not None:
-            self._drop_pool(assignment.server, "the primary is being replaced")
+        if assignment.phase is AssignmentPhase.ACTIVE or pool is None:
+            return 0
+        n_cut = pool.n_in_use
+        self._drop_pool(assignment.server, "the primary is being replaced")
+        return n_cut
 
     def groups_in_use(self) -> list[str]:
         """Return the groups to whose primaries there are connections."""
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_line_transactions.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_line_transactions.py
@@ -233,7 +233,7 @@
         route = transaction.route
         n_refused = 0
         while True:
-            if transaction.epoch >= 0 and not self._view.may_acknowledge(
+            if transaction.epoch >= 0 and self._view.ack_refusal(
                 route.group, transaction.epoch
             ):
                 raise RefusedError(
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_line_writes.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_line_writes.py
@@ -133,7 +133,17 @@
         """
         if not reply.is_success:
             return reply
-        if not self._view.may_acknowledge(route.group, epoch):
+        refusal = self._view.ack_refusal(route.group, epoch)
+        if refusal is not None:
+            self._log.write_request(
+                "acknowledgement_refused",
+                request=request_id,
+                session=session.session_id,
+                group=route.group,
+                epoch=epoch,
+                reason=refusal.value,
+                elapsed_ms=round(boot_ms() - sent_ms, 1),
+            )
             raise RefusedError(
                 ErrorCode.IN_DOUBT, f"the primary of epoch {epoch} was replaced"
             )
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_server_pool.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_server_pool.py
@@ -134,6 +134,11 @@
         """Return how many statements use a connection or wait for one."""
         return len(self._in_use) + len(self._waiters)
 
+    @property
+    def n_in_use(self) -> int:
+        """Return how many connections statements or transactions use."""
+        return len(self._in_use)
+
     @property
     def has_connections(self) -> bool:
         """Return whether a connection is open or being opened."""
--- a/packages/cardamomshunt/src/cardamomshunt/_fleet/primary_lease.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_fleet/primary_lease.py
@@ -1,5 +1,6 @@
 """Leases on the use of primaries, at entry VMs and at the leader, and suspicions."""
 
+import enum
 from dataclasses import dataclass, field
 
 from cardamomshunt._fleet.messages import LeaseGrant, LeaseRequest, Suspicion
@@ -17,6 +18,13 @@
 _N_SUSPECTING_MIN = 2
 
 
+class AckRefusal(enum.Enum):
+    """Why an answer of a primary must not be passed on as done."""
+
+    LEASE_LAPSED = "lease_lapsed"
+    EPOCH_ENDED = "epoch_ended"
+
+
 class PrimaryLease:
     """Lease of one entry VM on the use of primaries.
 
@@ -63,6 +71,11 @@
         """Return whether there was a lease since the start of this process."""
         return self._valid_until_ms > float("-inf")
 
+    @property
+    def valid_until_ms(self) -> float:
+        """Return when the lease ends or ended, or minus infinity without one."""
+        return self._valid_until_ms
+
     def is_valid(self, now_ms: float) -> bool:
         """Return whether the lease is valid, so that primaries may be used."""
         return now_ms < self._valid_until_ms
--- a/packages/cardamomshunt/src/cardamomshunt/fleet.py
+++ b/packages/cardamomshunt/src/cardamomshunt/fleet.py
@@ -41,6 +41,7 @@
 from cardamomshunt._fleet.primary_lease import (
     LEASE_MARGIN_MS,
     LEASE_MS,
+    AckRefusal,
     LeaseTable,
     PrimaryLease,
 )
@@ -112,6 +113,7 @@
     "LEASE_MARGIN_MS",
     "LEASE_MS",
     "OVERDUE_OPENING_MS",
+    "AckRefusal",
     "AcquireAction",
     "Admission",
     "AnswerKind",
