End epochs for good when a lease lapses while a primary is stopped

Cause: the leader counts an entry VM whose lease has ended as one that has released the stopped primary, and goes on. The entry VM took the end of its lease for a pause: the next lease revived the old epoch, and a grace of 400 ms began, whatever the leader had done meanwhile.

Change: the lease tracks the epochs in use, and one that has ended is never used again. While a primary is being stopped, its epoch needs an unbroken lease; it ends when a lease returns after a lapse, when the stop is heard without a lease, and at once when a successor is chosen. So the grace lasts until the release or the end of the lease, the two moments that the leader goes by, and commits between the wake-up and the promotion end as well. The grace moved to a module of its own; a second replacement inside it has its own time, and a former primary is cut if it was replaced during a lapse. The table of the leader has a module of its own, unchanged.

Why it works: the leader counts a lapse only after the VM's own lease has ended, by the margin for drift; any later grant reaches a VM that sees the lapse first.

--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_entry_control_link.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_entry_control_link.py
@@ -26,6 +26,7 @@
 from cardamomshunt_node._boot_clock import boot_ms, wall_ms
 from cardamomshunt_node._decision_log import DecisionLog
 from cardamomshunt_node._deployment import DeploymentSettings
+from cardamomshunt_node._entry_metrics import EntryMetrics
 from cardamomshunt_node._fleet_view import FleetView
 from cardamomshunt_node._owner_directory import OwnerDirectory
 from cardamomshunt_node._recovery_steps import RecoveryStep
@@ -70,7 +71,9 @@
         record_step: Callable[[RecoveryStep], None],
         quotas: TeamQuotaWaiter,
         directory: OwnerDirectory,
+        metrics: EntryMetrics,
     ) -> None:
+        self._metrics = metrics
         self._directory = directory
         self._settings = settings
         self._view = view
@@ -348,7 +351,7 @@
         # The sweep may not have run since the lease ended.
         self.check_lease(now)
         lapsed_ms = now - self._view.lease.valid_until_ms
-        changed = self._view.lease.on_grant(grant)
+        changed = self._view.lease.on_grant(grant, now)
         if not self._had_lease and self._view.lease.is_valid(now):
             self._had_lease = True
             self._log.write(
@@ -407,7 +410,7 @@
             self._control_digest = digest_of(addresses)
 
     def _apply_assignments(self, assignments: dict[str, Assignment]) -> None:
-        changed = self._view.lease.on_assignments(assignments)
+        changed = self._view.lease.on_assignments(assignments, boot_ms())
         self._on_assignments(changed, assignments)
 
     def _on_reports(self, message: ReportsChanged) -> None:
@@ -442,6 +445,7 @@
         """Log the expiry of the lease."""
         if self._had_lease and not self._view.lease.is_valid(now):
             self._had_lease = False
+            self._metrics.count_lease_lapse()
             self._log.write(
                 "lease_lost",
                 leader=self._leader,
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_entry_daemon.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_entry_daemon.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from cardamomshunt.fleet import Assignment, AssignmentPhase, ServerState
+from cardamomshunt.fleet import Assignment
 
 from cardamomshunt_node._boot_clock import boot_ms
 from cardamomshunt_node._caller_edge_lines import LineEdge
@@ -16,6 +16,7 @@
 from cardamomshunt_node._line_sessions import StatementRunner
 from cardamomshunt_node._owner_directory import OwnerDirectory
 from cardamomshunt_node._pace_watch import PaceWatch
+from cardamomshunt_node._primary_release import PrimaryRelease
 from cardamomshunt_node._recovery_steps import RecoveryStep
 from cardamomshunt_node._relay_link import relay_address
 from cardamomshunt_node._relay_owner import RelayOwner
@@ -24,8 +25,6 @@
 from cardamomshunt_node._team_quotas import TeamQuotaWaiter
 
 _SWEEP_INTERVAL_S = 0.25
-# Time for statements in flight to complete at a primary that is being replaced.
-_RELEASE_GRACE_MS = 400.0
 # The load balancer removes an entry VM after two failed health checks a second apart.
 _HEALTH_CHECK_REMOVAL_MS = 2_200.0
 _EXIT_MARGIN_MS = 700.0
@@ -98,10 +97,13 @@
             self._steps.record,
             self._quotas,
             self._directory,
+            self._metrics,
         )
         self._view.on_partition_asked(self._control_link.is_partitioned)
         self._partitioned_since_ms: float | None = None
-        self._stopping: dict[str, asyncio.Task[None]] = {}
+        self._releases = PrimaryRelease(
+            self._view, self._log, self._metrics, self._control_link.release
+        )
         self._is_stopping = False
         self._tasks: list[asyncio.Task[None]] = []
         self._health = HttpServer(settings.health_address, self._answer_health)
@@ -169,6 +171,7 @@
     def _apply_assignments(
         self, changed: list[str], assignments: dict[str, Assignment]
     ) -> None:
+        """Follow a change of the lease, of which `changed` may be empty."""
         for group in changed:
             assignment = assignments[group]
             self._view.servability.record_phase(group, assignment.phase, boot_ms())
@@ -179,43 +182,10 @@
                 epoch=assignment.epoch,
                 phase=assignment.phase.value,
             )
-            if assignment.phase is AssignmentPhase.ACTIVE:
-                self._end_epoch(group, "replaced")
-            elif group not in self._stopping:
-                self._stopping[group] = asyncio.create_task(self._release(group))
+        self._releases.apply(changed)
         if changed:
             self._view.notify()
 
-    async def _release(self, group: str) -> None:
-        """Stop using a former primary after a grace period, and release its epoch."""
-        assignment = self._view.lease.latest_assignment(group)
-        assert assignment is not None
-        report = self._view.registry.get(assignment.server, group)
-        end_ms = boot_ms() + _RELEASE_GRACE_MS
-        if report is not None and report.state is not ServerState.GONE:
-            pool = self._view.pool(report)
-            while boot_ms() < end_ms and pool.load and not pool.is_down(boot_ms()):
-                await asyncio.sleep(0.01)
-        self._end_epoch(group, "released")
-        current = self._view.lease.latest_assignment(group)
-        assert current is not None
-        del self._stopping[group]
-        if current.phase is not AssignmentPhase.ACTIVE:
-            self._log.write("released", group=group, epoch=current.epoch)
-            self._control_link.release(group, current.epoch)
-
-    def _end_epoch(self, group: str, reason: str) -> None:
-        assignment = self._view.lease.latest_assignment(group)
-        assert assignment is not None
-        n_cut = self._view.end_epoch(group)
-        self._log.write(
-            "epoch_ended",
-            group=group,
-            epoch=assignment.epoch,
-            reason=reason,
-            n_cut=n_cut,
-        )
-
     # Maintenance
 
     async def _sweep(self) -> None:
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_entry_metrics.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_entry_metrics.py
@@ -81,6 +81,16 @@
             "1 while primaries may be used.",
             registry=self.registry,
         )
+        self._lease_lapses = Counter(
+            "cardamomshunt_lease_lapses_total",
+            "Times that the lease on the use of primaries ended.",
+            registry=self.registry,
+        )
+        self._ended_epochs = Counter(
+            "cardamomshunt_ended_epochs_total",
+            "Uses of a primary that ended, by reason.",
+            registry=self.registry,
+        )
         self._version = Gauge(
             "cardamomshunt_configuration_version",
             "Version of the configuration in force.",
@@ -115,6 +125,14 @@
         """Record the latency of one statement."""
         self._latency.observe({"kind": kind}, elapsed_ms)
 
+    def count_lease_lapse(self) -> None:
+        """Count an end of the lease."""
+        self._lease_lapses.inc({})
+
+    def count_ended_epoch(self, reason: str) -> None:
+        """Count the end of the use of a primary."""
+        self._ended_epochs.inc({"reason": reason})
+
     def count_refusal(self, code: str) -> None:
         """Count a refusal."""
         self._refusals.inc({"code": code})
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_fleet_view.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_fleet_view.py
@@ -10,6 +10,7 @@
     AckRefusal,
     AssignmentPhase,
     ConnectionQuota,
+    EndedEpoch,
     PaceChange,
     PaceReport,
     PrimaryLease,
@@ -64,7 +65,6 @@
         self._pace_changes: list[PaceChange] = []
         self._servers_down: set[str] = set()
         self._bounds: dict[str, BoundHistory] = {}
-        self._ended_epochs: dict[str, int] = {}
         self._change = asyncio.Event()
         # The process exits soon after this time, so every statement is answered by it.
         self.answer_deadline_ms = float("inf")
@@ -377,7 +377,7 @@
     def primary(self, group: str) -> tuple[ServerPool, int] | None:
         """Return the pool and epoch of the primary, or None if it may not be used."""
         assignment = self.lease.usable_assignment(group, boot_ms())
-        if assignment is None or self._ended_epochs.get(group, -1) >= assignment.epoch:
+        if assignment is None:
             return None
         report = self.registry.get(assignment.server, group)
         if report is None or report.state is ServerState.GONE:
@@ -385,24 +385,25 @@
         return self.pool(report), assignment.epoch
 
     def ack_refusal(self, group: str, epoch: int) -> AckRefusal | None:
-        """Return why another primary may have been promoted since `epoch`, or None."""
-        if not self.lease.is_valid(boot_ms()):
-            return AckRefusal.LEASE_LAPSED
-        if self._ended_epochs.get(group, -1) >= epoch:
-            return AckRefusal.EPOCH_ENDED
-        return None
-
-    def end_epoch(self, group: str) -> int:
-        """Stop using the former primary of a group; return how many connections it cut."""
-        assignment = self.lease.latest_assignment(group)
-        if assignment is None:
-            return 0
-        self._ended_epochs[group] = assignment.epoch - 1
-        pool = self._pools.get(assignment.server)
-        if assignment.phase is AssignmentPhase.ACTIVE or pool is None:
+        """Return why an answer of `epoch` must not be passed on as done, or None."""
+        return self.lease.ack_refusal(group, epoch, boot_ms())
+
+    def cut_primary(self, ended: EndedEpoch) -> int:
+        """Fail the statements at a former primary; return how many connections it cut.
+
+        A server that is the active primary again keeps its connections.
+        """
+        assignment = self.lease.latest_assignment(ended.group)
+        is_active_again = (
+            assignment is not None
+            and assignment.phase is AssignmentPhase.ACTIVE
+            and assignment.server == ended.server
+        )
+        pool = self._pools.get(ended.server)
+        if is_active_again or pool is None:
             return 0
         n_cut = pool.n_in_use
-        self._drop_pool(assignment.server, "the primary is being replaced")
+        self._drop_pool(ended.server, "the primary is being replaced")
         return n_cut
 
     def groups_in_use(self) -> list[str]:
--- a/packages/cardamomshunt/src/cardamomshunt/fleet.py
+++ b/packages/cardamomshunt/src/cardamomshunt/fleet.py
@@ -4,6 +4,7 @@
 from cardamomshunt._fleet.connection_quota import ConnectionQuota
 from cardamomshunt._fleet.control_node_selector import ControlNodeSelector
 from cardamomshunt._fleet.failure_rate import FailureRate
+from cardamomshunt._fleet.lease_table import LeaseTable
 from cardamomshunt._fleet.messages import (
     AssignmentsChanged,
     DocumentChanged,
@@ -42,7 +43,8 @@
     LEASE_MARGIN_MS,
     LEASE_MS,
     AckRefusal,
-    LeaseTable,
+    EndedEpoch,
+    EpochEnd,
     PrimaryLease,
 )
 from cardamomshunt._fleet.quota_ledger import QuotaGrant, QuotaLedger
@@ -129,6 +131,8 @@
     "ControlNodeSelector",
     "CountEntries",
     "DocumentChanged",
+    "EndedEpoch",
+    "EpochEnd",
     "FailureRate",
     "FinishPromotion",
     "FleetCommand",
--- a/packages/cardamomshunt/tests/test_fleet.py
+++ b/packages/cardamomshunt/tests/test_fleet.py
@@ -1,10 +1,8 @@
-"""Tests of routes, server reports, assignments, leases and shared bounds."""
+"""Tests of routes, server reports, assignments and shared bounds."""
 
 import msgspec
 import pytest
 from cardamomshunt.fleet import (
-    LEASE_MARGIN_MS,
-    LEASE_MS,
     Assignment,
     AssignmentPhase,
     AssignPrimary,
@@ -16,10 +14,6 @@
     FinishPromotion,
     FleetState,
     GroupLimits,
-    LeaseGrant,
-    LeaseRequest,
-    LeaseTable,
-    PrimaryLease,
     PromoteSuccessor,
     PutDocument,
     Route,
@@ -30,7 +24,6 @@
     ServerStatus,
     SharedBound,
     StopPrimary,
-    Suspicion,
     build_route_table,
     choose_successor,
     encode_command,
@@ -210,95 +203,6 @@
     assert not apply(state, 4, FinishPromotion(group="g", epoch=1, server="b"))
 
 
-def make_grant(sequence, assignments=None):
-    return LeaseGrant(
-        sequence=sequence,
-        lease_ms=LEASE_MS,
-        n_entries=1,
-        assignments=assignments,
-        control_addresses=[],
-    )
-
-
-def test_a_lease_counts_from_when_the_request_was_sent():
-    lease = PrimaryLease()
-    lease.on_request_sent(1, now_ms=1_000.0)
-    lease.on_grant(make_grant(1, {"g": Assignment(server="a", epoch=1)}))
-    end_ms = 1_000.0 + LEASE_MS - LEASE_MARGIN_MS
-    assert lease.usable_assignment("g", end_ms - 1.0) is not None
-    assert lease.usable_assignment("g", end_ms) is None
-
-
-def test_a_grant_without_a_request_extends_no_lease():
-    lease = PrimaryLease()
-    lease.on_grant(make_grant(7))
-    assert not lease.is_valid(0.0)
-
-
-def test_a_primary_that_is_stopped_is_not_usable_under_a_valid_lease():
-    lease = PrimaryLease()
-    lease.on_request_sent(1, now_ms=0.0)
-    lease.on_grant(make_grant(1, {"g": Assignment(server="a", epoch=1)}))
-    stopped = Assignment(server="a", epoch=2, phase=AssignmentPhase.STOPPING)
-    assert lease.on_assignments({"g": stopped}) == ["g"]
-    assert lease.usable_assignment("g", 1.0) is None
-    # A delayed older assignment does not make it usable again.
-    assert lease.on_assignments({"g": Assignment(server="a", epoch=1)}) == []
-    assert lease.usable_assignment("g", 1.0) is None
-
-
-def request_lease(table, entry, now_ms, **fields):
-    request = LeaseRequest(sequence=1, version=1, **fields)
-    table.on_request(entry, request, now_ms)
-
-
-def test_a_stopped_primary_is_free_once_each_lease_has_expired_or_is_released():
-    table = LeaseTable(leader_since_ms=0.0)
-    start_ms = 10_000.0
-    request_lease(table, "e1", start_ms)
-    request_lease(table, "e2", start_ms)
-    assert not table.is_released("g", 5, start_ms)
-    request_lease(table, "e1", start_ms + 10.0, released={"g": 5})
-    assert not table.is_released("g", 5, start_ms + 20.0)
-    assert table.is_released("g", 5, start_ms + LEASE_MS)
-
-
-def test_a_release_of_an_earlier_stop_does_not_count():
-    table = LeaseTable(leader_since_ms=0.0)
-    request_lease(table, "e1", 10_000.0, released={"g": 5})
-    assert not table.is_released("g", 9, 10_001.0)
-
-
-def test_a_new_leader_waits_for_the_leases_of_the_former_one():
-    table = LeaseTable(leader_since_ms=1_000.0)
-    assert not table.is_released("g", 1, 1_000.0 + LEASE_MS - 1.0)
-    assert table.is_released("g", 1, 1_000.0 + LEASE_MS)
-
-
-@pytest.mark.parametrize(
-    ("n_entries", "n_suspecting", "is_suspected"),
-    [(4, 0, False), (4, 1, False), (4, 2, True), (1, 1, True), (9, 4, False)],
-)
-def test_half_of_the_live_entry_vms_are_enough_for_a_suspicion(
-    n_entries, n_suspecting, is_suspected
-):
-    table = LeaseTable(leader_since_ms=0.0)
-    suspicion = Suspicion("g", "a", 1)
-    for number in range(n_entries):
-        suspicions = [suspicion] if number < n_suspecting else []
-        request_lease(table, f"e{number}", 100.0, suspicions=suspicions)
-    assert table.is_suspected(suspicion, 150.0) is is_suspected
-
-
-def test_unresponsive_entry_vms_do_not_count_for_a_suspicion():
-    table = LeaseTable(leader_since_ms=0.0)
-    suspicion = Suspicion("g", "a", 1)
-    for number in range(3):
-        request_lease(table, f"unresponsive{number}", 100.0)
-    request_lease(table, "e1", 2_000.0, suspicions=[suspicion])
-    assert table.is_suspected(suspicion, 2_000.0)
-
-
 def make_status(server, term, position):
     return ServerStatus(
         server=server,
--- a/tests/users_platform/standin.py
+++ b/tests/users_platform/standin.py
@@ -94,6 +94,8 @@
         # Fraction of answers to callers' statements that are lost.
         self.lost_share = 0.0
         self.work_s = 0.002
+        # Requests whose statements run only once the event is set.
+        self.held: dict[str, asyncio.Event] = {}
         self.open_s = 0.0
         self.lag_s = 0.0
         self.sequence = 0
@@ -249,6 +251,8 @@
             prepared = self._prepared[name]
         is_write = (prepared or word).startswith("WRITE")
         await asyncio.sleep(server.work_s)
+        if request in server.held:
+            await server.held[request].wait()
         if is_write and not server.is_primary:
             return self._error("READONLY")
         run = Run(
--- a/tests/users_platform/test_fleet_view.py
+++ b/tests/users_platform/test_fleet_view.py
@@ -53,7 +53,7 @@
     view = _make_empty_view(node, zone, n_connections_max)
     for number in range(1, _N_SERVERS + 1):
         view.merge_report(make_server_report(number))
-    view.lease.on_assignments({"db": Assignment(server=_PRIMARY, epoch=1)})
+    view.lease.on_assignments({"db": Assignment(server=_PRIMARY, epoch=1)}, boot_ms())
     view.record_n_entries(n_entries)
     return view
 
@@ -159,7 +159,7 @@
     view = _make_empty_view(n_connections_max=60)
     for number in (1, 2, 3):
         view.merge_report(make_server_report(number))
-    view.lease.on_assignments({"db": Assignment(server="i-1", epoch=1)})
+    view.lease.on_assignments({"db": Assignment(server="i-1", epoch=1)}, boot_ms())
     view.record_n_entries(67)
     assert view._connection_quota("db", "i-1") == 1
     assert view._connection_quota("db", "i-2") == 2
@@ -182,7 +182,8 @@
 def _grant_lease(view):
     view.lease.on_request_sent(1, boot_ms())
     view.lease.on_grant(
-        LeaseGrant(sequence=1, lease_ms=5_000.0, n_entries=1, assignments=None)
+        LeaseGrant(sequence=1, lease_ms=5_000.0, n_entries=1, assignments=None),
+        boot_ms(),
     )
 
 
@@ -251,7 +252,8 @@
     if was_granted:
         view.lease.on_request_sent(1, boot_ms() - 9_000.0)
         view.lease.on_grant(
-            LeaseGrant(sequence=1, lease_ms=1_300.0, n_entries=1, assignments=None)
+            LeaseGrant(sequence=1, lease_ms=1_300.0, n_entries=1, assignments=None),
+            boot_ms(),
         )
     view.on_partition_asked(lambda now_ms: is_partitioned)
     log = DecisionLog("entry-1", os.open(os.devnull, os.O_WRONLY))
