Run the tests of restarts on one site of real processes

Cause: two tests had a fixture of processes and a loop of calls each, and a third place of both was about to follow.

--- a/tests/users_platform/test_slow_restart.py
+++ b/tests/users_platform/test_slow_restart.py
@@ -1,18 +1,14 @@
 """All daemons are killed and come back on slow disks, with real processes."""
 
 import asyncio
-import itertools
 import shutil
 from dataclasses import replace
 
 import pytest
 import pytest_asyncio
 from cardamomshunt_node._boot_clock import boot_ms
-from cardamomshunt_node._http import HttpRequest
-from daemon_processes import DaemonProcesses
-from standin import Group, LineServer, Provider, call_control, document
-
-from conftest import make_settings, reserve_addresses
+from process_site import run_process_site
+from standin import document
 
 _RECOVERY_S = 12.0
 _SYNC_MS = 200.0
@@ -31,42 +27,17 @@
 
 
 @pytest_asyncio.fixture
-async def processes(tmp_path):
-    """Run daemons as processes, with one stand-in server that reports nothing."""
-    network, lock = reserve_addresses()
-    group = Group("db", 18_143)
-    group.servers.append(LineServer(group, "i-1", f"127.{network}.3.1", "z1"))
-    provider = Provider(f"127.{network}.9.9:18083", [group])
-    daemons = DaemonProcesses(tmp_path, make_settings(network, tmp_path, ("z1", "z2")))
-    await provider.server.start()
-    await daemons.start_all()
-    yield daemons
-    await daemons.kill_all()
-    await provider.server.stop()
-    lock.close()
-
-
-async def _call_until_success(daemons, method, path, body=b""):
-    for address in itertools.cycle(daemons.control_addresses):
-        try:
-            response = await call_control(
-                address, HttpRequest(method, path, body), 2_000.0
-            )
-        except (OSError, TimeoutError):
-            response = None
-        if response is not None and response.status == 200:
-            return response
-        await asyncio.sleep(0.05)
-    raise AssertionError("no control node is known")
+async def site(tmp_path):
+    async with run_process_site(tmp_path, n_servers=1, is_reporting=False) as running:
+        yield running
 
 
 @pytest.mark.parametrize("lost", [None, "control-2"])
-async def test_configuration_is_read_back_although_syncs_are_slow(processes, lost):
+async def test_configuration_is_read_back_although_syncs_are_slow(site, lost):
     """Guards against control nodes without a leader after a restart on slow disks."""
     async with asyncio.timeout(30.0):
-        await _call_until_success(
-            processes, "POST", "/Configuration.Replace", document()
-        )
+        await site.put_configuration()
+    processes = site.daemons
     await processes.kill_all()
     if lost:
         shutil.rmtree(processes.settings[lost].data_folder)
@@ -77,6 +48,6 @@
         code = _SLOW_DAEMON.format(sync_ms=_SYNC_MS, role=role)
         await processes.start(node, code)
     async with asyncio.timeout(2.0 * _RECOVERY_S):
-        response = await _call_until_success(processes, "GET", "/Configuration.Read")
+        response = await site.call_until_success("GET", "/Configuration.Read")
     assert response.body == document()
     assert boot_ms() - started_ms < _RECOVERY_S * 1_000.0
