Form the id of a candidate and the entries of a test once

Cause: the form of a candidate's id stood in two methods, and a test made the same entries three times and kept a list that nothing read.

Change: one function for the id; the test makes its follower in one place.

--- a/packages/cardamomshunt/src/cardamomshunt/_consensus/node.py
+++ b/packages/cardamomshunt/src/cardamomshunt/_consensus/node.py
@@ -525,7 +525,7 @@
         self._votes.clear()
         # A request that names entries must not outlive them in a crash.
         send = self._send if self._outbox.is_log_durable else self._send_durable
-        self._set_vote(self.term + 1, self._candidate_id)
+        self._set_vote(self.term + 1, _candidate_id(self.node, self.incarnation))
         self._election_term = self.term
         self._emit(EventNumber.ELECTION_STARTED, self.node, f"term {self.term}")
         for member in self._other_voters():
@@ -617,7 +617,7 @@
         self, now_ms: float, sender: Peer, message: VoteRequest
     ) -> None:
         former_vote = self.vote
-        candidate = f"{sender.node}/{message.incarnation}"
+        candidate = _candidate_id(sender.node, message.incarnation)
         is_eligible = self._is_for_this_disk(message) and self._is_up_to_date(
             message.last_index, message.last_term
         )
@@ -658,10 +658,6 @@
         self._votes.grant(sender.node)
         self._count_votes(now_ms)
 
-    @property
-    def _candidate_id(self) -> str:
-        return f"{self.node}/{self.incarnation}"
-
     @property
     def _is_candidate(self) -> bool:
         """Return whether this node may still win the election of its term.
@@ -1084,3 +1080,8 @@
                 self._on_join_hello(now_ms, sender, message)
             case JoinReply():
                 self._on_join_reply(now_ms, sender, message)
+
+
+def _candidate_id(node: str, incarnation: int) -> str:
+    """Return what a vote names: a node with the incarnation of its disk."""
+    return f"{node}/{incarnation}"
--- a/packages/cardamomshunt/tests/test_early_answers.py
+++ b/packages/cardamomshunt/tests/test_early_answers.py
@@ -14,13 +14,13 @@
     SnapshotChunk,
     Vote,
 )
-from cardamomshunt.control import PersistEffect, SendMessage
+from cardamomshunt.control import ControlEffect, PersistEffect, SendMessage
 from slow_disk_group import OPTIONS, make_members
 
 _MEMBERS = make_members(["s1", "s2", "s3"])
 
 
-def _replies(effects):
+def _replies(effects: list[ControlEffect]) -> list[AppendReply]:
     return [
         effect.message
         for effect in effects
@@ -28,12 +28,19 @@
     ]
 
 
-def _node(entries):
-    restored = RestoredState(1, Vote(7, ""), Snapshot(members=_MEMBERS), entries)
+def _uncommitted_entries() -> list[Entry]:
+    """Return entries of which 2 to 8 were never committed, as the next leader differs."""
+    return [Entry(i, 7 if i > 1 else 1, EntryKind.COMMAND, b"y") for i in range(1, 9)]
+
+
+def _follower() -> ConsensusNode:
+    restored = RestoredState(
+        1, Vote(7, ""), Snapshot(members=_MEMBERS), _uncommitted_entries()
+    )
     return ConsensusNode("s1", _MEMBERS, restored, Random(1), 0.0, OPTIONS)
 
 
-def _chunk():
+def _chunk() -> SnapshotChunk:
     data = Snapshot(index=5, term=6, members=_MEMBERS, state=b"x").encode()
     return SnapshotChunk(
         term=8,
@@ -49,11 +56,7 @@
 
 def test_a_contact_does_not_confirm_a_snapshot_that_replaces_the_log() -> None:
     """Guards against a leader that continues after a snapshot lost in a crash."""
-    # Entries 2 to 8 were never committed; the log of the leader of term 8 differs.
-    entries = [
-        Entry(i, 7 if i > 1 else 1, EntryKind.COMMAND, b"y") for i in range(1, 9)
-    ]
-    node = _node(entries)
+    node = _follower()
     effects = node.on_message(2_000.0, Peer("s2", "s2"), _chunk())
     assert any(isinstance(effect, PersistEffect) for effect in effects)
     contact = _replies(effects)[0]
@@ -79,11 +82,7 @@
     )
     leader._become_leader(2_000.0)
     leader.pop_effects()
-    entries = [
-        Entry(i, 7 if i > 1 else 1, EntryKind.COMMAND, b"y") for i in range(1, 9)
-    ]
-    follower = _node(entries)
-    written: list[PersistEffect] = []
+    follower = _follower()
 
     def exchange(now_ms: float, *, is_durable: bool) -> None:
         pending = [("s2", e) for e in leader.tick(now_ms)]
@@ -99,8 +98,6 @@
                         (sender, e)
                         for e in node.on_storage_done(now_ms, effect.sequence)
                     ]
-                else:
-                    written.append(effect)
             elif isinstance(effect, SendMessage) and effect.address in ("s1", "s2"):
                 node = leader if effect.address == "s2" else follower
                 peer = Peer(sender, sender)
@@ -115,7 +112,7 @@
         exchange(now_ms, is_durable=False)
     assert follower.log.snapshot.index == 5
     # The follower crashes before its snapshot is written, and starts again.
-    follower = _node(entries)
+    follower = _follower()
     for _ in range(200):
         now_ms += 50.0
         exchange(now_ms, is_durable=True)
@@ -127,10 +124,7 @@
 
 def test_a_contact_does_not_confirm_entries_that_replace_durable_ones() -> None:
     """Guards against a commit of entries that were written over durable ones."""
-    entries = [
-        Entry(i, 7 if i > 1 else 1, EntryKind.COMMAND, b"y") for i in range(1, 9)
-    ]
-    node = _node(entries)
+    node = _follower()
     append = AppendEntries(
         term=8,
         incarnation=2,
