Look up the name of a prepared statement once for each execution

Cause: the text of an execution and the check that the connection knows its statement each looked the name up, on the way of every EXECUTE.

Change: the text is formed with the name that the check returns.

--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_statement_sender.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_statement_sender.py
@@ -61,10 +61,10 @@
         """Send missing session state, then the statement; return its future answer."""
         self.send_values(connection, session)
         statement = query.statement
-        text = self._text(session, statement)
-        name = ""
+        text, name = statement.text, ""
         if statement.kind is StatementKind.EXECUTE:
             name = self._prepare(connection, session.prepared[statement.name])
+            text = self.protocol.execute_text(name, statement)
         message = self.protocol.statement(query.request_id, text, at_least)
         if self._trace_log is not None:
             frame = self.protocol.statement(query.request_id, "", at_least)
