Move the log lines on a lease to a module of their own

Cause: the exchange with the control nodes also kept when the lease was lost, and logged it in two places.

Change: LeaseWatch logs the end of a lease and the next one, with the time without one. A test guards against a lapse between two checks that leaves no line.

--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_entry_control_link.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_entry_control_link.py
@@ -28,6 +28,7 @@
 from cardamomshunt_node._deployment import DeploymentSettings
 from cardamomshunt_node._entry_metrics import EntryMetrics
 from cardamomshunt_node._fleet_view import FleetView
+from cardamomshunt_node._lease_watch import LeaseWatch
 from cardamomshunt_node._owner_directory import OwnerDirectory
 from cardamomshunt_node._recovery_steps import RecoveryStep
 from cardamomshunt_node._stream_transport import StreamMessage, StreamTransport
@@ -73,7 +74,7 @@
         directory: OwnerDirectory,
         metrics: EntryMetrics,
     ) -> None:
-        self._metrics = metrics
+        self._lease_watch = LeaseWatch(view.lease, log, metrics)
         self._directory = directory
         self._settings = settings
         self._view = view
@@ -107,7 +108,6 @@
         self._last_contacted_ms: dict[str, float] = {}
         self._connect_started_ms: dict[str, float] = {}
         self._released: dict[str, int] = {}
-        self._had_lease = False
         self._was_granted = False
         self._renew = asyncio.Event()
 
@@ -350,16 +350,8 @@
         now = boot_ms()
         # The sweep may not have run since the lease ended.
         self.check_lease(now)
-        lapsed_ms = now - self._view.lease.valid_until_ms
         changed = self._view.lease.on_grant(grant, now)
-        if not self._had_lease and self._view.lease.is_valid(now):
-            self._had_lease = True
-            self._log.write(
-                "lease_gained",
-                leader=self._leader,
-                lapsed_ms=round(lapsed_ms) if lapsed_ms < float("inf") else None,
-                newest_epoch=self._view.lease.newest_epoch,
-            )
+        if self._lease_watch.on_granted(self._leader, now):
             self._record_step(RecoveryStep.FIRST_LEASE)
             self._view.notify()
         self._on_assignments(changed, known)
@@ -443,15 +435,7 @@
 
     def check_lease(self, now: float) -> None:
         """Log the expiry of the lease."""
-        if self._had_lease and not self._view.lease.is_valid(now):
-            self._had_lease = False
-            self._metrics.count_lease_lapse()
-            self._log.write(
-                "lease_lost",
-                leader=self._leader,
-                lapsed_ms=round(now - self._view.lease.valid_until_ms),
-                newest_epoch=self._view.lease.newest_epoch,
-            )
+        self._lease_watch.check(self._leader, now)
 
     def is_partitioned(self, now: float) -> bool:
         """Return whether too few control nodes answer to get a lease again."""
