Tell a lapsed lease from a replaced primary in refusals

Cause: a statement that was refused because its entry VM had no lease read "was replaced" all the same, and the page on operations knew no more. The move of the lines on leases hid their names from the test that compares the page with the code.

The names stand at the calls again.

--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_lease_watch.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_lease_watch.py
@@ -1,6 +1,7 @@
 """Log lines and metrics on the lease of an entry VM: gained and lost."""
 
 import math
+from typing import Any
 
 from cardamomshunt.fleet import PrimaryLease
 
@@ -29,21 +30,20 @@
             return
         self._has_lease, self._ended_ms = False, self._lease.valid_until_ms
         self._metrics.count_lease_lapse()
-        self._write("lease_lost", leader, now_ms)
+        self._log.write("lease_lost", **self._fields(leader, now_ms))
 
     def on_granted(self, leader: str, now_ms: float) -> bool:
         """Log a lease after a time without one; return whether it is one."""
         if self._has_lease or not self._lease.is_valid(now_ms):
             return False
         self._has_lease = True
-        self._write("lease_gained", leader, now_ms)
+        self._log.write("lease_gained", **self._fields(leader, now_ms))
         return True
 
-    def _write(self, event: str, leader: str, now_ms: float) -> None:
+    def _fields(self, leader: str, now_ms: float) -> dict[str, Any]:
         lapsed_ms = now_ms - self._ended_ms
-        self._log.write(
-            event,
-            leader=leader,
-            lapsed_ms=round(lapsed_ms) if math.isfinite(lapsed_ms) else None,
-            newest_epoch=self._lease.newest_epoch,
-        )
+        return {
+            "leader": leader,
+            "lapsed_ms": round(lapsed_ms) if math.isfinite(lapsed_ms) else None,
+            "newest_epoch": self._lease.newest_epoch,
+        }
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_line_session_state.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_line_session_state.py
@@ -3,7 +3,7 @@
 import random
 from dataclasses import dataclass, field
 
-from cardamomshunt.fleet import Route
+from cardamomshunt.fleet import AckRefusal, Route
 from cardamomshunt.freshness import DatedPosition
 
 from cardamomshunt_node._backend_connection import BackendConnection, Reply
@@ -41,6 +41,16 @@
     return RefusedError(code, f"{reason}; retry_after_ms={round(retry_after_ms)}")
 
 
+def former_primary_error(
+    code: ErrorCode, refusal: AckRefusal, epoch: int
+) -> RefusedError:
+    """Return the error of a statement of an epoch that may not be used any more."""
+    reason = f"the primary of epoch {epoch} was replaced"
+    if refusal is AckRefusal.LEASE_LAPSED:
+        reason = f"no lease on the primary of epoch {epoch}"
+    return RefusedError(code, reason)
+
+
 def record_answer(
     connection: BackendConnection,
     route: Route,
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_line_transactions.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_line_transactions.py
@@ -16,6 +16,7 @@
     LineSession,
     RefusedError,
     Transaction,
+    former_primary_error,
     not_run_error,
     record_answer,
     retry_pause_ms,
@@ -233,12 +234,7 @@
         route = transaction.route
         n_refused = 0
         while True:
-            if transaction.epoch >= 0 and self._view.ack_refusal(
-                route.group, transaction.epoch
-            ):
-                raise RefusedError(
-                    ErrorCode.ABORTED, "the primary of the transaction was replaced"
-                )
+            self._check_primary(transaction)
             sent_ms = boot_ms()
             try:
                 future = self._sender.send(connection, session, query, None)
@@ -258,6 +254,15 @@
             await asyncio.sleep(retry_pause_ms(n_refused) / 1_000.0)
             n_refused += 1
 
+    def _check_primary(self, transaction: Transaction) -> None:
+        """Raise RefusedError if the transaction's primary may not be used any more."""
+        epoch = transaction.epoch
+        if epoch < 0:
+            return
+        refusal = self._view.ack_refusal(transaction.route.group, epoch)
+        if refusal is not None:
+            raise former_primary_error(ErrorCode.ABORTED, refusal, epoch)
+
     def _lost_answer_error(
         self, transaction: Transaction, query: CallerQuery
     ) -> RefusedError:
--- a/packages/cardamomshunt-node/src/cardamomshunt_node/_line_writes.py
+++ b/packages/cardamomshunt-node/src/cardamomshunt_node/_line_writes.py
@@ -17,6 +17,7 @@
     SERVABILITY_CHECK_MS,
     LineSession,
     RefusedError,
+    former_primary_error,
     not_run_error,
     record_answer,
     retry_pause_ms,
@@ -144,9 +145,7 @@
                 reason=refusal.value,
                 elapsed_ms=round(boot_ms() - sent_ms, 1),
             )
-            raise RefusedError(
-                ErrorCode.IN_DOUBT, f"the primary of epoch {epoch} was replaced"
-            )
+            raise former_primary_error(ErrorCode.IN_DOUBT, refusal, epoch)
         self._log.write_request(
             "acknowledged",
             request=request_id,
