Let the soak drain primaries beside entry VMs that freeze and wake

Change: primaries are drained time and again, mostly with an entry VM that is frozen and wakes after the call; half of the transactions rest before their commit. Commits between the call and its effect count as those of a former primary. The draws are their own, so that the other faults of the seeds stay as they were.

--- a/tests/fault_soak/soak.py
+++ b/tests/fault_soak/soak.py
@@ -27,6 +27,8 @@
 from standin import KINDS  # noqa: E402
 
 _N_CALLERS_PER_DATABASE = 3
+# Share of transactions in which a caller rests before the commit.
+_REST_SHARE = 0.5
 _START_TIMEOUT_S = 25.0
 _RECOVERY_TIMEOUT_S = 12.0
 # A replacement with two waits for the control nodes to count, and a confirmed change.
@@ -60,6 +62,7 @@
         has_replacements: bool,
         has_teams: bool,
         has_disk_faults: bool,
+        has_releases: bool,
     ) -> None:
         self._random = random.Random(seed)
         self._deployment = SoakDeployment(
@@ -73,7 +76,9 @@
             self._history,
             has_replacements=has_replacements,
             has_disk_faults=has_disk_faults,
+            has_releases=has_releases,
         )
+        self._has_releases = has_releases
         self._power_loss = PowerLoss(
             seed, self._deployment, self._history, self._injector
         )
@@ -156,6 +161,7 @@
                     database,
                     random.Random(self._random.getrandbits(64)),
                     deployment.choose_entry,
+                    _REST_SHARE if self._has_releases else 0.0,
                 )
                 self._callers.append(caller)
                 tasks.append(asyncio.create_task(caller.run()))
@@ -224,8 +230,12 @@
     has_replacements: bool = True,
     has_teams: bool = False,
     has_disk_faults: bool = True,
+    has_releases: bool = True,
 ) -> SoakResult:
-    """Run one seed on the loopback network 127.`network`.0.0/16."""
+    """Run one seed on the loopback network 127.`network`.0.0/16.
+
+    With `has_releases`, primaries are drained, and callers rest in transactions.
+    """
     folder = folder or Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
     soak = Soak(
         seed,
@@ -234,6 +244,7 @@
         has_replacements=has_replacements,
         has_teams=has_teams,
         has_disk_faults=has_disk_faults,
+        has_releases=has_releases,
     )
     result = await soak.run(seconds)
     (folder / "faults.txt").write_text("\n".join(result.faults), encoding="utf-8")
--- a/tests/fault_soak/soak_callers.py
+++ b/tests/fault_soak/soak_callers.py
@@ -12,6 +12,8 @@
 
 NO_EFFECT_CODES = ("BUSY", "ABORTED", "LAGGING", "READONLY", "MISROUTED", "OVERLOAD")
 _PAUSE_S = (0.005, 0.06)
+# Less than the time after which a transaction counts as idle.
+_REST_S = (0.2, 2.5)
 _N_ITEMS = 40
 _N_TEAMS = 6
 _N_TEAM_CONNECTIONS_MAX = 20
@@ -77,11 +79,15 @@
         database: str,
         random_source: random.Random,
         choose_entry: Callable[[], tuple[str, str]],
+        rest_share: float = 0.0,
     ) -> None:
         self._history = history
         self._database = database
         self._random = random_source
         self._choose_entry = choose_entry
+        self._rest_share = rest_share
+        # Own draws, so that the statements of a seed stay the same.
+        self._rests = random.Random(f"{database}/rests")
         self._session = 0
         self._entry = ""
         self._values: dict[str, str] = {}
@@ -179,6 +185,8 @@
             if not done.is_success:
                 await self._caller.execute("ROLLBACK")
                 return
+        if self._rests.random() < self._rest_share:
+            await asyncio.sleep(self._rests.uniform(*_REST_S))
         await self._execute("commit", "COMMIT", self._new_request(), writes=writes)
 
     async def _execute_work(
--- a/tests/fault_soak/soak_checks.py
+++ b/tests/fault_soak/soak_checks.py
@@ -106,12 +106,16 @@
         return found
 
     def writes_acknowledged_by_former_primary(self) -> list[str]:
-        """Return violations for acknowledged commits on a replaced primary."""
+        """Return violations for acknowledged commits on a replaced primary.
+
+        It counts as replaced once the provider is asked for the successor.
+        """
+        former = self._group.late_commits | self._group.released_commits
         return [
             f"ONE: {request} was acknowledged by a former primary"
             for _, requests in self._acknowledged()
             for request in requests
-            if request in self._group.late_commits
+            if request in former
         ]
 
     def mixed_up_answers(self) -> list[str]:
--- a/tests/fault_soak/soak_faults.py
+++ b/tests/fault_soak/soak_faults.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable, Coroutine
 
 from disk_faults import DiskFaults
+from release_faults import ReleaseFaults
 from server_faults import ServerFaults, wait_for_fault_end
 from soak_callers import History
 from soak_checks import check_planned_stop
@@ -35,6 +36,7 @@
         *,
         has_replacements: bool,
         has_disk_faults: bool,
+        has_releases: bool,
     ) -> None:
         self.faults: list[str] = []
         self.violations: list[str] = []
@@ -44,6 +46,7 @@
         self._history = history
         self._has_replacements = has_replacements
         self._has_disk_faults = has_disk_faults
+        self._has_releases = has_releases
         # Own draws, so that the other faults of a seed stay the same.
         self._power_draws = random.Random(f"{seed}/lost writes")
         # Other faults spare the control nodes while disks are lost one after another.
@@ -97,6 +100,9 @@
         if self._has_disk_faults:
             disks = DiskFaults(self._seed, self._deployment, self.record_fault)
             self._start_fault(disks.run(end_s))
+        if self._has_releases:
+            releases = ReleaseFaults(self._seed, self._deployment, self.record_fault)
+            self._start_fault(releases.run(end_s))
         while time.monotonic() < end_s:
             await asyncio.sleep(self._random.uniform(*_FAULT_INTERVAL_S))
             self._start_fault(self._random.choice(faults)())
--- a/tests/fault_soak/test_fault_soak.py
+++ b/tests/fault_soak/test_fault_soak.py
@@ -10,7 +10,13 @@
 
 
 async def _check_seed(
-    seed, seconds, folder, *, has_replacements=False, has_disk_faults=False
+    seed,
+    seconds,
+    folder,
+    *,
+    has_replacements=False,
+    has_disk_faults=False,
+    has_releases=False,
 ):
     with reserve_soak_network() as network:
         result = await run_seed(
@@ -20,6 +26,7 @@
             folder,
             has_replacements=has_replacements,
             has_disk_faults=has_disk_faults,
+            has_releases=has_releases,
         )
     assert result.violations == []
     assert result.n_statements > 100
@@ -38,6 +45,13 @@
     assert sum(" replace control" in fault for fault in result.faults) >= 3
 
 
+async def test_releases_beside_frozen_entry_vms_violate_no_guarantee(tmp_path):
+    """Guards against acknowledgements of an entry VM that wakes in a replacement."""
+    result = await _check_seed(3, _SHORT_S, tmp_path, has_releases=True)
+    assert any(" release i-" in fault for fault in result.faults)
+    assert any(" freeze entry-" in fault for fault in result.faults)
+
+
 @pytest.mark.parametrize("seed", [10, 16])
 async def test_slow_disks_and_a_loss_of_power_violate_no_guarantee(seed, tmp_path):
     """Guards against control nodes that find no leader while their syncs are slow."""
--- a/tests/fault_soak/test_soak_checks.py
+++ b/tests/fault_soak/test_soak_checks.py
@@ -3,7 +3,7 @@
 import pytest
 from soak_callers import History, Statement
 from soak_checks import check_all
-from standin import Group, Provider, Run
+from standin import Group, LineServer, Provider, Run
 
 
 def _check(statement_fields, run_fields):
@@ -73,3 +73,28 @@
     lines = [*rows, "COMPLETE proof-i-1-r1"]
     sent = {"text": "READ k1", "lines": lines}
     assert _check(sent, {"text": "READ k1", "rows": ["ROW a "]}) == kinds
+
+
+@pytest.mark.parametrize(
+    ("asked", "answer", "is_broken"),
+    [
+        ("", "COMPLETE proof", False),
+        ("i-1", "COMPLETE proof", False),
+        ("i-2", "COMPLETE proof", True),
+        ("i-2", "ERROR INDOUBT", False),
+    ],
+)
+async def test_nothing_is_acknowledged_once_a_successor_is_asked_for(
+    asked, answer, is_broken
+):
+    # Guards against a check that passes over commits between the call of the promotion
+    # and its effect, which the successor lacks.
+    group = Group("db", 1)
+    group.servers = [LineServer(group, f"i-{n}", "127.0.0.1", "z1") for n in (1, 2)]
+    group.servers[0].is_primary = True
+    if asked:
+        group.on_promotion_asked(asked)
+    group.commit(group.servers[0], "k1", "a", "r1")
+    write = Statement("r1", 1, "write", "WRITE k1 a", "entry-1", 0.0, lines=[answer])
+    found = check_all(History([write]), group, Provider("", [group]), {1: "orders"})
+    assert any(text.startswith("ONE") for text in found) is is_broken
--- a/tests/users_platform/standin.py
+++ b/tests/users_platform/standin.py
@@ -298,6 +298,10 @@
         self.rolled_back: set[str] = set()
         # Requests committed at a primary after another one had been promoted.
         self.late_commits: set[str] = set()
+        # Requests committed after the promotion of another server was asked for, when
+        # no entry VM may use the former primary any more.
+        self.released_commits: set[str] = set()
+        self._is_promotion_asked = False
 
     @property
     def primary(self) -> LineServer:
@@ -313,6 +317,8 @@
         if server is not self.primary:
             self.late_commits.add(request)
             self.rolled_back.add(request)
+        elif self._is_promotion_asked:
+            self.released_commits.add(request)
         for other in self.servers:
             if other is not server and not other.is_primary:
                 asyncio.get_running_loop().call_later(
@@ -328,6 +334,10 @@
         if len(other.log) < commit.number:
             other.log = server.log[: commit.number]
 
+    def on_promotion_asked(self, name: str) -> None:
+        """Record a promotion that has not taken effect yet."""
+        self._is_promotion_asked = name != self.primary.name
+
     def promote(self, name: str) -> None:
         """Make a server the primary of the next term; the others copy its log."""
         primary = next(item for item in self.servers if item.name == name)
@@ -335,6 +345,7 @@
             return
         primary.term = max(item.term for item in self.servers) + 1
         primary.is_primary = True
+        self._is_promotion_asked = False
         retained = {commit.request for commit in primary.log}
         self.rolled_back |= {c.request for c in self.all_commits} - retained
         for other in self.servers:
@@ -377,6 +388,7 @@
         token = int(request.headers["x-fencing-token"])
         self.calls.append((body["id"], token, request.headers["x-duty-holder"]))
         group = next(item for item in self.groups if item.name == body["service"])
+        group.on_promotion_asked(body["id"])
         asyncio.get_running_loop().call_later(
             PROMOTION_DELAY_S, group.promote, body["id"]
         )
